Set up the repository: schema, generated messages, contracts of the cores, lint and tests

Cause: the cores, adapters and tools are written side by side and need the same messages and contracts. Message codecs come from ts-proto, settings and configuration types from JSON schema; both are committed.

--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,175 @@
+/** Lint rules: Google TypeScript style plus the house rules that a linter can check. */
+import js from '@eslint/js';
+import * as tseslint from 'typescript-eslint';
+import jsdoc from 'eslint-plugin-jsdoc';
+
+const HOUSE_SYNTAX = [
+  {
+    selector: 'ImportDeclaration > ImportSpecifier',
+    message: 'Import modules as namespaces: import * as name from "…".',
+  },
+  {
+    selector: 'ImportDeclaration > ImportDefaultSpecifier',
+    message: 'Import modules as namespaces: import * as name from "…".',
+  },
+  {
+    selector: 'TSInterfaceBody > TSPropertySignature[readonly!=true]',
+    message: 'Data is read-only: mark the property readonly.',
+  },
+  {
+    selector: 'TSTypeLiteral > TSPropertySignature[readonly!=true]',
+    message: 'Data is read-only: mark the property readonly.',
+  },
+  {
+    selector: 'TSPropertySignature > TSTypeAnnotation > TSArrayType',
+    message: 'Data is read-only: use a readonly array.',
+  },
+  {
+    selector: 'ExportDefaultDeclaration',
+    message: 'Use named exports.',
+  },
+];
+
+const FORBIDDEN_IN_COMMON = [
+  'Date',
+  'setTimeout',
+  'setInterval',
+  'setImmediate',
+  'process',
+  'console',
+  'performance',
+  'fetch',
+];
+
+export default tseslint.config(
+  {ignores: ['build/', 'node_modules/', 'src/generated/']},
+  js.configs.recommended,
+  {
+    files: ['**/*.mjs'],
+    languageOptions: {
+      globals: {
+        process: 'readonly',
+        console: 'readonly',
+        structuredClone: 'readonly',
+      },
+    },
+  },
+  ...tseslint.configs.recommended.map(c => ({...c, files: ['**/*.ts']})),
+  {
+    files: ['**/*.ts'],
+    languageOptions: {parserOptions: {projectService: true}},
+    plugins: {jsdoc},
+    rules: {
+      'no-restricted-syntax': ['error', ...HOUSE_SYNTAX],
+      '@typescript-eslint/switch-exhaustiveness-check': [
+        'error',
+        {considerDefaultExhaustiveForUnions: true},
+      ],
+      '@typescript-eslint/prefer-readonly': 'error',
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/naming-convention': [
+        'error',
+        {selector: 'typeLike', format: ['PascalCase']},
+        {
+          selector: 'interface',
+          format: ['PascalCase'],
+          custom: {regex: '^I[A-Z]', match: false},
+        },
+        {
+          selector: ['classProperty', 'classMethod', 'function'],
+          modifiers: [],
+          format: ['camelCase', 'UPPER_CASE'],
+          leadingUnderscore: 'forbid',
+        },
+      ],
+      '@typescript-eslint/no-unused-vars': [
+        'error',
+        {argsIgnorePattern: '^unused'},
+      ],
+      eqeqeq: ['error', 'always', {null: 'ignore'}],
+      curly: ['error', 'multi-line'],
+      'max-lines': [
+        'error',
+        {max: 400, skipComments: true, skipBlankLines: true},
+      ],
+      'max-len': [
+        'error',
+        {
+          code: 100,
+          ignoreUrls: true,
+          ignoreStrings: true,
+          ignoreTemplateLiterals: true,
+        },
+      ],
+      'jsdoc/require-jsdoc': [
+        'error',
+        {
+          publicOnly: true,
+          require: {
+            ClassDeclaration: true,
+            FunctionDeclaration: true,
+            MethodDefinition: false,
+          },
+          checkConstructors: false,
+          contexts: [
+            'ExportNamedDeclaration > TSInterfaceDeclaration',
+            'ExportNamedDeclaration > TSTypeAliasDeclaration',
+          ],
+        },
+      ],
+    },
+  },
+  {
+    files: ['src/common/**/*.ts'],
+    ignores: ['src/common/**/*.test.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              group: [
+                'node:*',
+                'undici',
+                'hot-shots',
+                'loglevel',
+                '@trpc/*',
+                '**/node/**',
+                '**/cli/**',
+              ],
+              message: 'src/common is free of I/O and imports no higher layer.',
+            },
+          ],
+        },
+      ],
+      'no-restricted-globals': ['error', ...FORBIDDEN_IN_COMMON],
+      'no-restricted-properties': [
+        'error',
+        {object: 'Math', property: 'random', message: 'Take a RandomSource.'},
+      ],
+    },
+  },
+  {
+    files: ['src/node/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              group: ['**/cli/**'],
+              message: 'src/node imports no higher layer.',
+            },
+          ],
+        },
+      ],
+    },
+  },
+  {
+    files: ['**/*.test.ts', 'test/**/*.ts', 'bench/**/*.ts', 'tools/**/*.ts'],
+    rules: {
+      'jsdoc/require-jsdoc': 'off',
+      '@typescript-eslint/no-floating-promises': 'off',
+    },
+  },
+);
--- /dev/null
+++ b/src/common/control/control_contract.ts
@@ -0,0 +1,114 @@
+/** Events and actions of the control core: membership and configuration. */
+import * as peer from '../../generated/peer.js';
+import * as units from '../units.js';
+
+/** A record of the log with its offset. */
+export interface StoredRecord {
+  readonly offset: number;
+  /** Encoded `peer.LogRecord`. */
+  readonly bytes: Uint8Array;
+}
+
+/** Answer of the log to a read. */
+export interface LogPage {
+  readonly records: readonly StoredRecord[];
+  /** Offset of the oldest record still kept. */
+  readonly firstOffset: number;
+  /** Offset at which the next read goes on. */
+  readonly nextOffset: number;
+}
+
+/** A roster entry as one node tells it to another. */
+export interface RosterEntryState {
+  readonly member: peer.Member;
+  readonly roster: 'joined' | 'leaving' | 'gone';
+  /** Offset of the newest record about the member. */
+  readonly offset: number;
+  /** Time of the newest record about the member. */
+  readonly timeMs: units.EpochMs;
+  /** Whether the member may be the home of keys, and the offset from which. */
+  readonly holderSinceOffset?: number;
+  readonly holderSinceMs?: units.EpochMs;
+}
+
+/** State that a node gives to a peer that is behind; travels as JSON over tRPC. */
+export interface PeerState {
+  readonly nodeId: string;
+  /** Encoded `peer.ConfigurationSnapshot` in base64, absent before the first configuration. */
+  readonly snapshotBase64?: string;
+  readonly rosterOffset: number;
+  readonly roster: readonly RosterEntryState[];
+  /** Age of the newest confirmed read of the log's tail, in milliseconds. */
+  readonly logAgeMs: units.Millis;
+}
+
+/** State of the backend server beside the node. */
+export type ServerState = 'absent' | 'starting' | 'ready' | 'leaving';
+
+/** What happens to the control core. */
+export type ControlEvent =
+  | {readonly kind: 'datagram'; readonly datagram: peer.Datagram}
+  | {readonly kind: 'log-read'; readonly from: number; readonly page: LogPage}
+  | {readonly kind: 'log-read-failed'}
+  | {
+      readonly kind: 'appended';
+      readonly recordId: string;
+      readonly offset: number;
+    }
+  | {readonly kind: 'append-failed'; readonly recordId: string}
+  | {readonly kind: 'server-state'; readonly state: ServerState}
+  | {readonly kind: 'peer-state'; readonly state: PeerState}
+  | {readonly kind: 'peer-state-failed'; readonly nodeId: string}
+  /** Revision and roster offset carried by a call of another node. */
+  | {
+      readonly kind: 'versions-seen';
+      readonly nodeId: string;
+      readonly configurationRevision: number;
+      readonly rosterOffset: number;
+    }
+  | {readonly kind: 'suspect-found'; readonly report: peer.SuspectReport}
+  | {readonly kind: 'tick'}
+  | {readonly kind: 'stop'};
+
+/** A change of state, for logs and for the other cores. */
+export type ControlNotice =
+  | {readonly kind: 'configuration-in-force'; readonly revision: number}
+  | {
+      readonly kind: 'liveness';
+      readonly nodeId: string;
+      readonly state: peer.LivenessState;
+    }
+  | {
+      readonly kind: 'roster';
+      readonly nodeId: string;
+      readonly event: peer.RosterEvent;
+    }
+  | {readonly kind: 'log'; readonly reachable: boolean}
+  | {readonly kind: 'stale'; readonly stale: boolean}
+  | {
+      readonly kind: 'load';
+      readonly nodeId: string;
+      readonly load: peer.LoadReport;
+    }
+  | {readonly kind: 'suspect'; readonly report: peer.SuspectReport}
+  /** This node's own LEAVING record is in the log or may be skipped; the process may go. */
+  | {readonly kind: 'left'};
+
+/** What the control core asks of its surroundings. */
+export type ControlAction =
+  | {
+      readonly kind: 'send-datagram';
+      readonly nodeId: string;
+      readonly ip: string;
+      readonly port: number;
+      readonly datagram: peer.Datagram;
+    }
+  | {readonly kind: 'append'; readonly record: peer.LogRecord}
+  | {
+      readonly kind: 'read-log';
+      readonly from: number;
+      readonly limit: number;
+      readonly waitMs: units.Millis;
+    }
+  | {readonly kind: 'pull-state'; readonly member: peer.Member}
+  | {readonly kind: 'notice'; readonly notice: ControlNotice};
--- /dev/null
+++ b/src/common/counter_names.ts
@@ -0,0 +1,56 @@
+/** Names of the counters and what they count; docs/METRICS.md is checked against this table. */
+import * as peer from '../generated/peer.js';
+
+/** Prefix of the counters of refusals, followed by the reason. */
+const REFUSAL_PREFIX = 'refusal.';
+
+/** Prefix of the counters of retries, followed by the reason of the failed attempt. */
+const RETRY_PREFIX = 'retry.';
+
+const REASON_ENUM_PREFIX = 'REFUSAL_REASON_';
+
+/** Returns the short form of a refusal reason, such as `no-room`. */
+export function reasonName(reason: peer.RefusalReason): string {
+  return reason
+    .slice(REASON_ENUM_PREFIX.length)
+    .toLowerCase()
+    .replaceAll('_', '-');
+}
+
+const OUTCOME_ENUM_PREFIX = 'OUTCOME_';
+
+/** Returns the short form of an outcome, such as `not-run`. */
+export function outcomeName(outcome: peer.Outcome): string {
+  return outcome
+    .slice(OUTCOME_ENUM_PREFIX.length)
+    .toLowerCase()
+    .replaceAll('_', '-');
+}
+
+/** Returns the name of the counter of refusals for a reason. */
+export function refusalCounter(reason: peer.RefusalReason): string {
+  return REFUSAL_PREFIX + reasonName(reason);
+}
+
+/** Returns the name of the counter of retries after an attempt refused for a reason. */
+export function retryCounter(reason: peer.RefusalReason): string {
+  return RETRY_PREFIX + reasonName(reason);
+}
+
+/** Counters other than refusals and retries, with what each counts. */
+export const COUNTER_DESCRIPTIONS = {
+  'invariant.breached': 'Invariants that did not hold.',
+  'malformed.datagram':
+    'Datagrams that could not be decoded or exceeded a bound.',
+  'malformed.frame':
+    'Frames on links that could not be decoded or exceeded a bound.',
+  'malformed.http':
+    'HTTP requests that could not be parsed or exceeded a bound.',
+  'malformed.log-record': 'Log records that were skipped.',
+  'malformed.announcement': 'Backend server announcements that were rejected.',
+  'source.rejected':
+    'Connections and datagrams from addresses that are not configured.',
+} as const satisfies Readonly<Record<string, string>>;
+
+/** Name of a counter other than refusals and retries. */
+export type CounterName = keyof typeof COUNTER_DESCRIPTIONS;
--- /dev/null
+++ b/src/common/invariants.ts
@@ -0,0 +1,44 @@
+/** Invariants checked in tests and in production. */
+import * as counters from './counters.js';
+import * as emitter from './emitter.js';
+import * as errors from './errors.js';
+
+/** A breach of an invariant. */
+export interface Breach extends errors.ErrorSite {
+  readonly message: string;
+}
+
+/** Checks invariants: a breach is counted, announced and thrown to the request's boundary. */
+export class Invariants implements Disposable {
+  private readonly breachEmitter = new emitter.Emitter<Breach>();
+
+  /** Fires for each breach before the error is thrown. */
+  readonly onBreach = this.breachEmitter.event;
+
+  constructor(private readonly count: counters.Counters) {}
+
+  /**
+   * Checks that `condition` holds.
+   *
+   * @throws errors.InvariantError if it does not.
+   */
+  check(
+    condition: boolean,
+    site: errors.ErrorSite,
+    message: string,
+  ): asserts condition {
+    if (condition) return;
+    this.count.increment('invariant.breached');
+    this.breachEmitter.fire({...site, message});
+    throw new errors.InvariantError(message, site);
+  }
+
+  [Symbol.dispose](): void {
+    this.breachEmitter[Symbol.dispose]();
+  }
+}
+
+/** Marks a switch as exhaustive. */
+export function assertNever(value: never): never {
+  throw new TypeError(`unexpected variant: ${JSON.stringify(value)}`);
+}
--- /dev/null
+++ b/src/common/units.ts
@@ -0,0 +1,16 @@
+/** Units of time and size used in signatures. */
+
+/** A duration in milliseconds. */
+export type Millis = number;
+
+/** A point on the monotonic clock of this process, in milliseconds. */
+export type MonotonicMs = number;
+
+/** A point in time since the Unix epoch, in milliseconds. */
+export type EpochMs = number;
+
+/** Both clocks, read once for each event. */
+export interface Instant {
+  readonly monotonicMs: MonotonicMs;
+  readonly epochMs: EpochMs;
+}
