Extend the control contract: key homes, lease, state by offset

Cause: gates need to know since when a key's home is the only one and whether their roster is confirmed; peers exchange states and records by log offset; a roster refresh restates holding for readers whose log no longer has the start. Ruled out: whole states at every pull, which at 2,400 members is far above the control budget.

--- a/src/common/control/control_contract.ts
+++ b/src/common/control/control_contract.ts
@@ -29,6 +29,23 @@
   /** Whether the member may be the home of keys, and the offset from which. */
   readonly holderSinceOffset?: number;
   readonly holderSinceMs?: units.EpochMs;
+  /** Time of the newest record that the member wrote about itself. */
+  readonly selfTimeMs: units.EpochMs;
+}
+
+/** The end of a member's time as key holder. */
+export interface HolderDeparture {
+  readonly service: string;
+  readonly nodeId: string;
+  readonly offset: number;
+  readonly timeMs: units.EpochMs;
+}
+
+/** A record of the log as one node gives it to another. */
+export interface EncodedRecord {
+  readonly offset: number;
+  /** Encoded `peer.LogRecord` in base64. */
+  readonly bytesBase64: string;
 }
 
 /** State that a node gives to a peer that is behind; travels as JSON over tRPC. */
@@ -36,8 +53,19 @@
   readonly nodeId: string;
   /** Encoded `peer.ConfigurationSnapshot` in base64, absent before the first configuration. */
   readonly snapshotBase64?: string;
+  /** Offset up to which the sender has folded the log, exclusive. */
   readonly rosterOffset: number;
   readonly roster: readonly RosterEntryState[];
+  readonly departures: readonly HolderDeparture[];
+  /** Whether the state accounts for every record of the log below `rosterOffset`. */
+  readonly complete: boolean;
+  /**
+   * Set instead of roster and snapshot when the sender still has every record from the offset
+   * asked for: these records bring the asker to `rosterOffset`.
+   */
+  readonly records?: readonly EncodedRecord[];
+  /** Members known by gossip only. */
+  readonly provisional: readonly peer.ProvisionalMember[];
   /** Age of the newest confirmed read of the log's tail, in milliseconds. */
   readonly logAgeMs: units.Millis;
 }
@@ -104,11 +132,17 @@
       readonly datagram: peer.Datagram;
     }
   | {readonly kind: 'append'; readonly record: peer.LogRecord}
+  /** Read the log; answered exactly once, by `log-read` or `log-read-failed`. */
   | {
       readonly kind: 'read-log';
       readonly from: number;
       readonly limit: number;
       readonly waitMs: units.Millis;
     }
-  | {readonly kind: 'pull-state'; readonly member: peer.Member}
+  /** Ask a peer for its state from an offset on; answered once, also when that fails. */
+  | {
+      readonly kind: 'pull-state';
+      readonly member: peer.Member;
+      readonly fromOffset: number;
+    }
   | {readonly kind: 'notice'; readonly notice: ControlNotice};
--- a/src/common/control/fleet_view.ts
+++ b/src/common/control/fleet_view.ts
@@ -1,6 +1,7 @@
 /** What entry and gate know of the fleet. */
 import * as peer from '../../generated/peer.js';
 import * as inForce from '../configuration/configuration_in_force.js';
+import * as units from '../units.js';
 
 /** A member as this node sees it. */
 export interface MemberView {
@@ -12,6 +13,15 @@
   readonly provisional: boolean;
 }
 
+/** The home of a key. */
+export interface KeyHome {
+  readonly nodeId: string;
+  /** Since when no other member has been the home: keys minted earlier may have run elsewhere. */
+  readonly sinceMs: units.EpochMs;
+  /** Monotonic time from which no earlier home's lease can be valid. */
+  readonly takeoverAtMs: units.MonotonicMs;
+}
+
 /** Read access to membership and configuration. */
 export interface FleetView {
   /** Configuration in force, undefined before the first. */
@@ -31,6 +41,15 @@
 
   /** Node id of the home of `key` by the roster in the log, undefined if the service has none. */
   homeOf(service: string, key: string): string | undefined;
+
+  /** Returns the home of `key` with what its gate needs to judge the key, if there is a home. */
+  keyHome(service: string, key: string): KeyHome | undefined;
+
+  /** Age of the newest confirmation that no roster record is missing; infinite before the first. */
+  rosterConfirmedAgeMs(nowMs: units.MonotonicMs): units.Millis;
+
+  /** Whether this node may run keyed requests of its service by its roster lease. */
+  keyLeaseValid(nowMs: units.MonotonicMs): boolean;
 }
 
 /** Whether an entry may send new work to a member under the view's configuration. */
