--- /dev/null
+++ b/src/common/configuration/operation.ts
@@ -0,0 +1,188 @@
+/** Operations on the configuration, as carried by changes in the log. */
+import * as ajv from 'ajv';
+
+import * as generated from '../../generated/configuration.js';
+import * as invariants from '../invariants.js';
+
+/** What a change does to the configuration. */
+export type Operation =
+  | {
+      readonly kind: 'replace';
+      readonly configuration: generated.Configuration;
+    }
+  | {readonly kind: 'add-exception'; readonly exception: generated.Exception}
+  | {readonly kind: 'remove-exception'; readonly id: string};
+
+/** A parsed or applied value, or the faults that prevent it. */
+export type Result<T> =
+  | {readonly kind: 'ok'; readonly value: T}
+  | {readonly kind: 'invalid'; readonly faults: readonly string[]};
+
+const OPERATION_SCHEMA = {
+  $id: 'operation',
+  type: 'object',
+  required: ['kind'],
+  oneOf: [
+    {
+      type: 'object',
+      additionalProperties: false,
+      required: ['kind', 'configuration'],
+      properties: {
+        kind: {const: 'replace'},
+        configuration: {type: 'object'},
+      },
+    },
+    {
+      type: 'object',
+      additionalProperties: false,
+      required: ['kind', 'exception'],
+      properties: {
+        kind: {const: 'add-exception'},
+        exception: {$ref: 'configuration#/definitions/exception'},
+      },
+    },
+    {
+      type: 'object',
+      additionalProperties: false,
+      required: ['kind', 'id'],
+      properties: {
+        kind: {const: 'remove-exception'},
+        id: {$ref: 'configuration#/definitions/name'},
+      },
+    },
+  ],
+} as const;
+
+const schemas = new ajv.Ajv({allErrors: true, useDefaults: true});
+schemas.addSchema(generated.CONFIGURATION_SCHEMA);
+const isOperation = schemas.compile<Operation>(OPERATION_SCHEMA);
+const isConfiguration = schemas.compile<generated.Configuration>({
+  $ref: 'configuration#',
+});
+
+function faultsOf(
+  errors: readonly ajv.ErrorObject[] | null | undefined,
+): readonly string[] {
+  return (errors ?? []).map(e => `${e.instancePath || '/'} ${e.message ?? ''}`);
+}
+
+function invalid(...faults: readonly string[]): {
+  readonly kind: 'invalid';
+  readonly faults: readonly string[];
+} {
+  return {kind: 'invalid', faults};
+}
+
+function parseJson(text: string): Result<unknown> {
+  try {
+    return {kind: 'ok', value: JSON.parse(text)};
+  } catch {
+    return invalid('/ is not JSON');
+  }
+}
+
+/** Checks a value against the configuration schema and fills in the defaults. */
+export function checkConfiguration(
+  value: unknown,
+): Result<generated.Configuration> {
+  const copy: unknown = structuredCloneJson(value);
+  if (!isConfiguration(copy)) {
+    return invalid(...faultsOf(isConfiguration.errors));
+  }
+  const faults = semanticFaults(copy);
+  return faults.length > 0 ? invalid(...faults) : {kind: 'ok', value: copy};
+}
+
+/** Parses the text of a configuration document. */
+export function parseConfiguration(
+  text: string,
+): Result<generated.Configuration> {
+  const json = parseJson(text);
+  return json.kind === 'ok' ? checkConfiguration(json.value) : json;
+}
+
+/** Parses the text of an operation; a replacement is checked as a whole. */
+export function parseOperation(text: string): Result<Operation> {
+  const json = parseJson(text);
+  if (json.kind === 'invalid') return json;
+  const value = json.value;
+  if (!isOperation(value)) return invalid(...faultsOf(isOperation.errors));
+  if (value.kind !== 'replace') return {kind: 'ok', value};
+  const configuration = checkConfiguration(value.configuration);
+  if (configuration.kind === 'invalid') return configuration;
+  return {
+    kind: 'ok',
+    value: {kind: 'replace', configuration: configuration.value},
+  };
+}
+
+/** Applies an operation to a document, undefined before the first. */
+export function applyOperation(
+  document: generated.Configuration | undefined,
+  operation: Operation,
+): Result<generated.Configuration> {
+  if (operation.kind === 'replace') {
+    return {kind: 'ok', value: operation.configuration};
+  }
+  if (document === undefined) return invalid('no configuration is in force');
+  switch (operation.kind) {
+    case 'add-exception':
+      return checkConfiguration({
+        ...document,
+        exceptions: [...document.exceptions, operation.exception],
+      });
+    case 'remove-exception':
+      return removeException(document, operation.id);
+    default:
+      return invariants.assertNever(operation);
+  }
+}
+
+function removeException(
+  document: generated.Configuration,
+  id: string,
+): Result<generated.Configuration> {
+  const exceptions = document.exceptions.filter(e => e.id !== id);
+  if (exceptions.length === document.exceptions.length) {
+    return invalid(`/exceptions has no exception ${id}`);
+  }
+  return {kind: 'ok', value: {...document, exceptions}};
+}
+
+function structuredCloneJson(value: unknown): unknown {
+  return JSON.parse(JSON.stringify(value ?? null));
+}
+
+/** Faults that the schema cannot express. */
+function semanticFaults(cfg: generated.Configuration): readonly string[] {
+  const classes = new Set(cfg.classes.map(c => c.name));
+  return [
+    ...duplicates(
+      '/classes',
+      cfg.classes.map(c => c.name),
+    ),
+    ...duplicates(
+      '/services',
+      cfg.services.map(s => s.name),
+    ),
+    ...duplicates(
+      '/exceptions',
+      cfg.exceptions.map(e => e.id),
+    ),
+    ...cfg.services.flatMap(s =>
+      s.routes
+        .filter(r => !classes.has(r.class))
+        .map(r => `/services/${s.name} names an unknown class ${r.class}`),
+    ),
+  ];
+}
+
+function duplicates(path: string, names: readonly string[]): readonly string[] {
+  const seen = new Set<string>();
+  const repeated = new Set<string>();
+  for (const name of names) {
+    if (seen.has(name)) repeated.add(name);
+    seen.add(name);
+  }
+  return [...repeated].map(n => `${path} has ${n} more than once`);
+}
--- /dev/null
+++ b/src/common/control/log_state.ts
@@ -0,0 +1,240 @@
+/** What this node knows by the log: the folds, their offset and the newest records. */
+import * as peer from '../../generated/peer.js';
+import * as configurationFold from '../configuration/configuration_fold.js';
+import * as counters from '../counters.js';
+import * as invariants from '../invariants.js';
+import * as roster from '../membership/roster.js';
+import * as units from '../units.js';
+import * as base64 from './base64.js';
+import * as control from './control_contract.js';
+
+/** Most records kept to bring peers up to date. */
+export const MAX_RECENT_RECORDS = 1_024;
+
+/** A record that was folded. */
+export interface FoldedRecord {
+  readonly offset: number;
+  readonly record: peer.LogRecord;
+}
+
+const SITE = {step: 'fold log', peer: 'log'};
+
+/** Folds of the log and the offset up to which they go. */
+export class LogState {
+  readonly configuration: configurationFold.ConfigurationFold;
+  readonly roster: roster.Roster;
+  private next = 0;
+  private highestSeen = 0;
+  private recent: control.StoredRecord[] = [];
+
+  constructor(
+    private readonly check: invariants.Invariants,
+    private readonly count: counters.Counters,
+  ) {
+    this.configuration = new configurationFold.ConfigurationFold(check, count);
+    this.roster = new roster.Roster(count);
+  }
+
+  /** Offset up to which the log is folded, exclusive. */
+  get nextOffset(): number {
+    return this.next;
+  }
+
+  /** Highest offset that this node has ever folded to. */
+  get seenOffset(): number {
+    return this.highestSeen;
+  }
+
+  /** Whether every record below the offset is accounted for. */
+  get complete(): boolean {
+    return this.configuration.complete && this.roster.complete;
+  }
+
+  /** Folds a page of the log; returns the records that were new. */
+  foldPage(page: control.LogPage): readonly FoldedRecord[] {
+    if (page.firstOffset > this.next) this.skipTo(page);
+    const folded = this.foldRecords(page.records);
+    this.advance(Math.max(this.next, page.firstOffset));
+    return folded;
+  }
+
+  /** Takes what a peer knows; returns the records that were new, if it gave records. */
+  adopt(state: control.PeerState): readonly FoldedRecord[] {
+    if (state.records !== undefined) {
+      return this.foldRecords(state.records.map(decodeStored));
+    }
+    if (!state.complete) return [];
+    const snapshot = snapshotOf(state);
+    if (state.rosterOffset > this.next) this.adoptAhead(state, snapshot);
+    else if (!this.complete) this.adoptBehind(state, snapshot);
+    return [];
+  }
+
+  /** Returns what a peer that is at `fromOffset` needs. */
+  peerState(
+    nodeId: string,
+    fromOffset: number,
+    logAgeMs: units.Millis,
+    provisional: readonly peer.ProvisionalMember[],
+  ): control.PeerState {
+    const common = {nodeId, rosterOffset: this.next, logAgeMs, provisional};
+    const records = this.recordsFrom(fromOffset);
+    if (records !== undefined) {
+      return {...common, roster: [], departures: [], complete: false, records};
+    }
+    const state = this.roster.state();
+    return {
+      ...common,
+      roster: state.entries,
+      departures: state.departures,
+      complete: this.complete,
+      snapshotBase64: this.snapshotBase64(),
+    };
+  }
+
+  private snapshotBase64(): string | undefined {
+    if (this.configuration.revision === 0 || this.next === 0) return undefined;
+    const snapshot = this.configuration.snapshot(this.next - 1);
+    return base64.encode(peer.ConfigurationSnapshot.encode(snapshot).finish());
+  }
+
+  /** Returns the records from an offset on, undefined if some are no longer kept. */
+  private recordsFrom(
+    fromOffset: number,
+  ): readonly control.EncodedRecord[] | undefined {
+    if (!this.keepsFrom(fromOffset)) return undefined;
+    return this.recent
+      .filter(r => r.offset >= fromOffset)
+      .map(r => ({offset: r.offset, bytesBase64: base64.encode(r.bytes)}));
+  }
+
+  private keepsFrom(offset: number): boolean {
+    if (offset > this.next) return false;
+    const oldest = this.recent.length > 0 ? this.recent[0].offset : this.next;
+    return offset >= oldest;
+  }
+
+  /** Notes that the log no longer holds the records that were to be read next. */
+  private skipTo(page: control.LogPage): void {
+    const fresh = this.next === 0 && this.roster.size === 0;
+    const emptied = page.records.length === 0;
+    this.recent = [];
+    if (!(fresh && emptied)) {
+      this.count.increment('log.gap');
+      this.configuration.skipTo(page.firstOffset);
+      this.roster.skipTo(page.firstOffset);
+    }
+    this.advance(page.firstOffset);
+  }
+
+  private foldRecords(
+    records: readonly control.StoredRecord[],
+  ): readonly FoldedRecord[] {
+    const folded: FoldedRecord[] = [];
+    for (const stored of records) {
+      if (stored.offset < this.next) continue;
+      if (stored.offset > this.next) break;
+      this.keep(stored);
+      this.advance(stored.offset + 1);
+      const record = this.decode(stored);
+      if (record === undefined) continue;
+      this.foldRecord(record, stored.offset);
+      folded.push({offset: stored.offset, record});
+    }
+    return folded;
+  }
+
+  private foldRecord(record: peer.LogRecord, offset: number): void {
+    switch (record.body?.$case) {
+      case 'change':
+        this.configuration.foldChange(record.body.value, offset);
+        return;
+      case 'snapshot':
+        this.configuration.foldSnapshot(record.body.value);
+        return;
+      case 'roster':
+        this.foldRoster(record, record.body.value, offset);
+        return;
+      case undefined:
+        this.count.increment('malformed.log-record');
+        return;
+      default:
+        invariants.assertNever(record.body);
+    }
+  }
+
+  private foldRoster(
+    record: peer.LogRecord,
+    body: peer.RosterRecord,
+    offset: number,
+  ): void {
+    const {member} = body;
+    if (member === undefined || member.nodeId === '') {
+      this.count.increment('malformed.log-record');
+      return;
+    }
+    this.roster.fold({record: body, member, offset, timeMs: record.timeMs});
+  }
+
+  private adoptAhead(
+    state: control.PeerState,
+    snapshot: peer.ConfigurationSnapshot,
+  ): void {
+    if (!this.configuration.adopt(snapshot)) return;
+    this.roster.adopt({entries: state.roster, departures: state.departures});
+    this.recent = [];
+    this.advance(state.rosterOffset);
+  }
+
+  /** Fills in what was missing before the records that this node has folded itself. */
+  private adoptBehind(
+    state: control.PeerState,
+    snapshot: peer.ConfigurationSnapshot,
+  ): void {
+    this.configuration.foldSnapshot(snapshot);
+    if (this.roster.complete || !this.keepsFrom(state.rosterOffset)) return;
+    this.roster.adopt({entries: state.roster, departures: state.departures});
+    for (const stored of this.recent) {
+      if (stored.offset < state.rosterOffset) continue;
+      const record = this.decode(stored);
+      if (record?.body?.$case !== 'roster') continue;
+      this.foldRoster(record, record.body.value, stored.offset);
+    }
+  }
+
+  private keep(stored: control.StoredRecord): void {
+    this.recent.push(stored);
+    if (this.recent.length > MAX_RECENT_RECORDS) this.recent.shift();
+  }
+
+  private decode(stored: control.StoredRecord): peer.LogRecord | undefined {
+    try {
+      return peer.LogRecord.decode(stored.bytes);
+    } catch {
+      this.count.increment('malformed.log-record');
+      return undefined;
+    }
+  }
+
+  private advance(offset: number): void {
+    this.check.check(offset >= this.next, SITE, `offset fell to ${offset}`);
+    this.next = offset;
+    this.highestSeen = Math.max(this.highestSeen, offset);
+  }
+}
+
+function decodeStored(record: control.EncodedRecord): control.StoredRecord {
+  return {offset: record.offset, bytes: base64.decode(record.bytesBase64)};
+}
+
+function snapshotOf(state: control.PeerState): peer.ConfigurationSnapshot {
+  if (state.snapshotBase64 === undefined) {
+    return {
+      revision: 0,
+      throughOffset: state.rosterOffset - 1,
+      configurationJson: '',
+      outcomes: [],
+    };
+  }
+  return peer.ConfigurationSnapshot.decode(base64.decode(state.snapshotBase64));
+}
--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -39,7 +39,11 @@
 
 /** Counters other than refusals and retries, with what each counts. */
 export const COUNTER_DESCRIPTIONS = {
+  'configuration.rejected':
+    'Configuration changes in the log that were not accepted.',
   'invariant.breached': 'Invariants that did not hold.',
+  'log.append-failed': 'Appends to the log that failed or were not answered.',
+  'log.gap': 'Times the log no longer held the records to be read next.',
   'malformed.datagram':
     'Datagrams that could not be decoded or exceeded a bound.',
   'malformed.frame':
@@ -48,6 +52,7 @@
     'HTTP requests that could not be parsed or exceeded a bound.',
   'malformed.log-record': 'Log records that were skipped.',
   'malformed.announcement': 'Backend server announcements that were rejected.',
+  'roster.full': 'Joins passed over because the roster is full.',
   'source.rejected':
     'Connections and datagrams from addresses that are not configured.',
 } as const satisfies Readonly<Record<string, string>>;
