Add liveness, gossip, readers and the roster lease to the control core

Cause: only a few nodes may read the log, dead members must be seen within 2 s, and a paused or cut-off key holder must not run keyed requests. SWIM-style probes with siblings probed more often; a lease counts from when the question was sent, never from an answer's arrival, so a datagram that waited in a paused process confirms nothing. Without the log, all joined siblings must answer. New versions are pushed to a few peers, and records are pulled from the offset at which the asker stands. Contract: Datagram.sender (additive), so that a node outside the roster can be answered.

--- a/src/common/control/control_core.ts
+++ b/src/common/control/control_core.ts
@@ -1,23 +1,35 @@
-/** Membership and configuration of one node: composes the folds, the lease and the log's reader. */
+/** Membership and configuration of one node, composed of its parts. */
 import * as peer from '../../generated/peer.js';
 import * as inForce from '../configuration/configuration_in_force.js';
 import * as core from '../core.js';
 import * as counters from '../counters.js';
 import * as invariants from '../invariants.js';
+import * as failureDetector from '../membership/failure_detector.js';
 import * as keyHomes from '../membership/key_homes.js';
-import * as rosterLease from '../membership/roster_lease.js';
 import * as randomSource from '../random_source.js';
 import * as units from '../units.js';
 import * as control from './control_contract.js';
 import * as fleetView from './fleet_view.js';
+import * as gossip from './gossip.js';
+import * as leaseUpkeep from './lease_upkeep.js';
 import * as logFollower from './log_follower.js';
 import * as logState from './log_state.js';
+import * as memberViews from './member_views.js';
 import * as ownRecords from './own_records.js';
+import * as readerChoice from './reader_choice.js';
 import * as recordNeeds from './record_needs.js';
+import * as stateExchange from './state_exchange.js';
+import * as wakeUp from './wake_up.js';
 
 /** Time between two looks at what is due. */
 const TICK_MS: units.Millis = 100;
 
+/** Time between announcements of this node by gossip while the log does not hold its join. */
+const ANNOUNCE_INTERVAL_MS: units.Millis = 5_000;
+
+/** Random members told at once that this node leaves, besides its siblings. */
+const LEAVING_FANOUT = 8;
+
 /** What the core is made of. */
 export interface ControlOptions {
   /** This node, with the incarnation of this start. */
@@ -25,6 +37,8 @@
   readonly random: randomSource.RandomSource;
   readonly counters: counters.Counters;
   readonly invariants: invariants.Invariants;
+  /** Peers asked for their state while the log does not name any. */
+  readonly bootstrapPeers?: readonly peer.Member[];
 }
 
 /** Decides on membership and configuration; gives the other cores their view of the fleet. */
@@ -35,32 +49,49 @@
 {
   private readonly self: peer.Member;
   private readonly log: logState.LogState;
-  private readonly lease = new rosterLease.RosterLease();
+  private readonly upkeep: leaseUpkeep.LeaseUpkeep;
   private readonly homes: keyHomes.KeyHomes;
   private readonly follower: logFollower.LogFollower;
+  private readonly readers: readerChoice.ReaderChoice;
   private readonly records: ownRecords.OwnRecords;
   private readonly needs: recordNeeds.RecordNeeds;
+  private readonly gossip: gossip.Gossip;
+  private readonly exchange = new stateExchange.StateExchange();
+  private readonly views: memberViews.MemberViews;
+  private readonly wake = new wakeUp.WakeUp();
   private actions: control.ControlAction[] = [];
   private revisionTold = 0;
+  private staleTold = false;
   private logReachable = true;
+  private announcedMs = Number.NEGATIVE_INFINITY;
+  private leavingAnnounced = false;
   private nextTickMs: units.MonotonicMs | undefined;
 
   constructor(options: ControlOptions) {
-    this.self = options.self;
+    const {self, random} = options;
+    this.self = self;
     this.log = new logState.LogState(options.invariants, options.counters);
+    this.upkeep = new leaseUpkeep.LeaseUpkeep(self, this.log);
     this.homes = new keyHomes.KeyHomes(this.log.roster);
-    this.follower = new logFollower.LogFollower(options.random);
-    this.records = new ownRecords.OwnRecords(
-      options.self,
-      options.random,
+    this.follower = new logFollower.LogFollower(random);
+    this.records = new ownRecords.OwnRecords(self, random, options.counters);
+    this.gossip = new gossip.Gossip(
+      self,
+      this.log,
+      random,
       options.counters,
+      options.bootstrapPeers ?? [],
     );
     this.needs = new recordNeeds.RecordNeeds(
-      options.self,
+      self,
       this.log,
-      options.random,
-      {deadForMs: () => undefined, isAlive: () => true},
+      random,
+      this.gossip.table,
     );
+    this.readers = new readerChoice.ReaderChoice(self, this.log, nodeId =>
+      this.gossip.isDead(nodeId),
+    );
+    this.views = new memberViews.MemberViews(self, this.log, this.gossip);
   }
 
   get configuration(): inForce.ConfigurationInForce | undefined {
@@ -72,16 +103,15 @@
   }
 
   get stale(): boolean {
-    return false;
+    return this.wake.stale;
   }
 
   membersOf(service: string): readonly fleetView.MemberView[] {
-    return this.log.roster.entriesOf(service).map(e => this.viewOf(e));
+    return this.views.membersOf(service);
   }
 
   member(nodeId: string): fleetView.MemberView | undefined {
-    const entry = this.log.roster.entry(nodeId);
-    return entry && entry.roster !== 'gone' ? this.viewOf(entry) : undefined;
+    return this.views.member(nodeId);
   }
 
   homeOf(service: string, key: string): string | undefined {
@@ -93,12 +123,11 @@
   }
 
   rosterConfirmedAgeMs(nowMs: units.MonotonicMs): units.Millis {
-    return this.lease.ageMs(nowMs);
+    return this.upkeep.lease.ageMs(nowMs);
   }
 
   keyLeaseValid(nowMs: units.MonotonicMs): boolean {
-    if (!this.log.complete || this.stale) return false;
-    return this.lease.ageMs(nowMs) <= rosterLease.LEASE_MS;
+    return this.upkeep.isValid(nowMs);
   }
 
   /** Returns the outcome of a configuration change, if it is recent. */
@@ -108,8 +137,9 @@
 
   /** Returns what a peer that has folded the log up to `fromOffset` needs. */
   peerState(fromOffset: number, now: units.Instant): control.PeerState {
-    const ageMs = this.lease.wireAgeMs(now.monotonicMs);
-    return this.log.peerState(this.self.nodeId, fromOffset, ageMs, []);
+    const ageMs = this.upkeep.lease.wireAgeMs(now.monotonicMs);
+    const provisional = this.gossip.provisional.all(now.monotonicMs);
+    return this.log.peerState(this.self.nodeId, fromOffset, ageMs, provisional);
   }
 
   nextWakeMs(): units.MonotonicMs | undefined {
@@ -121,51 +151,122 @@
     now: units.Instant,
   ): readonly control.ControlAction[] {
     this.actions = [];
+    this.views.noteTime(now.monotonicMs);
+    if (this.wake.noteEvent(this.nextTickMs, now.monotonicMs)) {
+      this.gossip.noteWoke(now.monotonicMs);
+    }
     this.take(event, now);
-    this.act(now);
+    this.act(event, now);
     return this.actions;
   }
 
   private take(event: control.ControlEvent, now: units.Instant): void {
+    const nowMs = now.monotonicMs;
     switch (event.kind) {
+      case 'datagram':
+        this.takeDatagram(event.datagram, nowMs);
+        return;
       case 'log-read':
         this.takeLogRead(event.page, now);
         return;
       case 'log-read-failed':
-        this.follower.noteFailed(now.monotonicMs);
+        this.follower.noteFailed(nowMs);
         this.tellLogReachable(false);
         return;
       case 'appended':
-        this.records.noteAppended(event.recordId, now.monotonicMs);
+        this.records.noteAppended(event.recordId, nowMs);
         return;
       case 'append-failed':
-        this.records.noteFailed(event.recordId, now.monotonicMs);
+        this.records.noteFailed(event.recordId, nowMs);
         return;
       case 'server-state':
         this.needs.noteServerState(event.state);
         return;
-      case 'stop':
-        this.needs.noteStop(now.monotonicMs);
-        return;
-      case 'datagram':
       case 'peer-state':
+        this.takePeerState(event.state, now);
+        return;
       case 'peer-state-failed':
+        this.exchange.noteFailure();
+        return;
       case 'versions-seen':
+        this.noteVersions(this.gossip.find(event.nodeId, nowMs), {
+          revision: event.configurationRevision,
+          offset: event.rosterOffset,
+        });
+        return;
       case 'suspect-found':
+        this.takeSuspect(event.report, nowMs);
+        return;
       case 'tick':
         return;
+      case 'stop':
+        this.needs.noteStop(nowMs);
+        return;
       default:
         invariants.assertNever(event);
     }
   }
 
+  private takeDatagram(
+    datagram: peer.Datagram,
+    nowMs: units.MonotonicMs,
+  ): void {
+    const taken = this.gossip.take(datagram, nowMs);
+    for (const notice of taken.notices) this.tell(notice);
+    this.noteVersions(taken.from, {
+      revision: datagram.configurationRevision,
+      offset: datagram.rosterOffset,
+    });
+    if (taken.answered) this.takeAnswer(taken.answered, datagram);
+    this.send(taken.messages, nowMs);
+  }
+
+  /** An answer vouches for the sender's versions as of when the question was sent. */
+  private takeAnswer(
+    answered: failureDetector.AnsweredProbe,
+    datagram: peer.Datagram,
+  ): void {
+    const {nodeId, sentMs} = answered;
+    this.upkeep.lease.noteStatement(nodeId, sentMs, datagram.rosterOffset);
+    if (datagram.rosterOffset > this.log.nextOffset) return;
+    this.confirm(sentMs - datagram.logAgeMs);
+    if (datagram.configurationRevision > this.revision) return;
+    this.wake.noteConfirmed(sentMs);
+  }
+
   private takeLogRead(page: control.LogPage, now: units.Instant): void {
     const confirmedMs = this.follower.noteRead(page);
     this.noteFolded(this.log.foldPage(page), now);
-    if (confirmedMs !== undefined) this.lease.confirm(confirmedMs);
+    if (confirmedMs !== undefined) this.confirm(confirmedMs);
     this.tellLogReachable(true);
   }
 
+  private takePeerState(state: control.PeerState, now: units.Instant): void {
+    const sentMs = this.exchange.noteAnswer();
+    const before = this.log.nextOffset;
+    const folded = this.log.adopt(state);
+    this.noteFolded(folded, now);
+    if (folded.length === 0 && this.log.nextOffset > before) {
+      this.noteAdopted(now);
+    }
+    for (const told of state.provisional) {
+      this.gossip.provisional.take(told, now.monotonicMs);
+    }
+    if (sentMs === undefined || state.rosterOffset > this.log.nextOffset) {
+      return;
+    }
+    this.confirm(sentMs - state.logAgeMs);
+    this.wake.noteConfirmed(sentMs);
+  }
+
+  private takeSuspect(
+    report: peer.SuspectReport,
+    nowMs: units.MonotonicMs,
+  ): void {
+    if (!this.gossip.spreadSuspect(report, nowMs)) return;
+    this.push(LEAVING_FANOUT, nowMs);
+  }
+
   private noteFolded(
     folded: readonly logState.FoldedRecord[],
     now: units.Instant,
@@ -173,28 +274,153 @@
     for (const {offset, record} of folded) {
       this.homes.noteFolded(offset, now.monotonicMs);
       this.needs.noteFolded(record, now.monotonicMs);
-      this.tellRosterRecord(record);
+      this.noteRosterRecord(record, now);
     }
   }
 
-  private act(now: units.Instant): void {
+  private noteAdopted(now: units.Instant): void {
+    this.homes.noteAdopted(now.monotonicMs);
+    const own = this.log.roster.entry(this.self.nodeId);
+    if (own?.member.incarnation !== this.self.incarnation) return;
+    this.upkeep.noteOwnRecord(own.selfTimeMs, now);
+  }
+
+  private noteRosterRecord(record: peer.LogRecord, now: units.Instant): void {
+    if (record.body?.$case !== 'roster') return;
+    const {event, member, authorNodeId} = record.body.value;
+    if (member === undefined) return;
+    const {nodeId, incarnation} = this.self;
+    if (authorNodeId === nodeId && member.incarnation === incarnation) {
+      this.upkeep.noteOwnRecord(record.timeMs, now);
+    }
+    if (event === peer.RosterEvent.REFRESH) return;
+    this.tell({kind: 'roster', nodeId: member.nodeId, event});
+  }
+
+  private noteVersions(
+    from: peer.Member | undefined,
+    versions: stateExchange.Versions,
+  ): void {
+    if (from) this.exchange.noteVersions(from, versions, this.versions);
+  }
+
+  private confirm(atMs: units.MonotonicMs): void {
+    this.upkeep.lease.confirm(atMs);
+    this.wake.noteConfirmed(atMs);
+  }
+
+  private act(event: control.ControlEvent, now: units.Instant): void {
+    const nowMs = now.monotonicMs;
+    if (event.kind !== 'datagram') this.actOnTime(now);
+    this.exchangeState(nowMs);
+    this.tellChanges();
+    this.nextTickMs ??= nowMs + TICK_MS;
+    if (nowMs >= this.nextTickMs) this.nextTickMs = nowMs + TICK_MS;
+  }
+
+  private actOnTime(now: units.Instant): void {
     const nowMs = now.monotonicMs;
-    const read = this.follower.step(this.log.nextOffset, true, nowMs);
+    const ageMs = this.upkeep.lease.ageMs(nowMs);
+    const shouldRead = this.readers.shouldRead(ageMs, nowMs);
+    const read = this.follower.step(this.log.nextOffset, shouldRead, nowMs);
     if (read) this.actions.push(read);
     for (const record of this.records.step(this.needs.current(now), now)) {
       this.actions.push({kind: 'append', record});
     }
-    this.tellRevision();
+    this.announce(nowMs);
+    this.send(this.gossip.step(nowMs, this.stale), nowMs);
+    this.askForLease(nowMs);
     if (this.needs.takeLeft(nowMs)) this.tell({kind: 'left'});
-    this.nextTickMs = nowMs + TICK_MS;
   }
 
-  private viewOf(entry: control.RosterEntryState): fleetView.MemberView {
+  private askForLease(nowMs: units.MonotonicMs): void {
+    const members = this.upkeep.membersToAsk(
+      this.readers.readersOfService(nowMs),
+      this.follower.failing,
+      nowMs,
+    );
+    const {detector} = this.gossip;
+    this.send(
+      members.map(m => detector.probe(m, nowMs)),
+      nowMs,
+    );
+  }
+
+  /** Tells by gossip what the log does not hold yet of this node. */
+  private announce(nowMs: units.MonotonicMs): void {
+    if (this.needs.wantsToLeave) {
+      if (this.leavingAnnounced) return;
+      this.leavingAnnounced = true;
+      this.gossip.provisional.announce(true, nowMs);
+      this.send(this.views.siblings().map(toEmptyMessage), nowMs);
+      this.push(LEAVING_FANOUT, nowMs);
+      return;
+    }
+    this.leavingAnnounced = false;
+    if (!this.needs.wantsToServe || this.needs.isJoined) return;
+    if (nowMs - this.announcedMs < ANNOUNCE_INTERVAL_MS) return;
+    this.announcedMs = nowMs;
+    this.gossip.provisional.announce(false, nowMs);
+  }
+
+  private exchangeState(nowMs: units.MonotonicMs): void {
+    const fanout = this.exchange.fanout(this.versions, nowMs);
+    if (fanout > 0) this.push(fanout, nowMs);
+    const pull = this.exchange.step(
+      this.versions,
+      this.gossip.memberCount,
+      () => (this.needsState() ? this.gossip.pickAny() : undefined),
+      nowMs,
+    );
+    if (pull) this.actions.push(pull);
+  }
+
+  /** Whether this node lacks what the log alone cannot give it now. */
+  private needsState(): boolean {
+    if (!this.log.complete || this.stale) return true;
+    return this.log.nextOffset === 0 && this.follower.failing;
+  }
+
+  private get revision(): number {
+    return this.log.configuration.revision;
+  }
+
+  private get versions(): stateExchange.Versions {
+    return {revision: this.revision, offset: this.log.nextOffset};
+  }
+
+  private push(fanout: number, nowMs: units.MonotonicMs): void {
+    this.send(this.gossip.pickAlive(fanout).map(toEmptyMessage), nowMs);
+  }
+
+  private send(
+    messages: readonly failureDetector.Message[],
+    nowMs: units.MonotonicMs,
+  ): void {
+    for (const {to, body} of messages) {
+      this.actions.push({
+        kind: 'send-datagram',
+        nodeId: to.nodeId,
+        ip: to.ip,
+        port: to.peerPort,
+        datagram: this.datagram(body, nowMs),
+      });
+    }
+  }
+
+  private datagram(
+    body: peer.Datagram['body'],
+    nowMs: units.MonotonicMs,
+  ): peer.Datagram {
     return {
-      member: entry.member,
-      roster: entry.roster === 'joined' ? 'joined' : 'leaving',
-      liveness: peer.LivenessState.ALIVE,
-      provisional: false,
+      nodeId: this.self.nodeId,
+      incarnation: this.self.incarnation,
+      configurationRevision: this.revision,
+      rosterOffset: this.log.seenOffset,
+      logAgeMs: this.upkeep.lease.wireAgeMs(nowMs),
+      body,
+      ...this.gossip.contentsOf(nowMs),
+      sender: this.needs.isInLog ? undefined : this.self,
     };
   }
 
@@ -202,18 +428,18 @@
     this.actions.push({kind: 'notice', notice});
   }
 
-  private tellRevision(): void {
-    const revision = this.configuration?.revision ?? 0;
-    if (revision <= this.revisionTold) return;
-    this.revisionTold = revision;
-    this.tell({kind: 'configuration-in-force', revision});
-  }
-
-  private tellRosterRecord(record: peer.LogRecord): void {
-    if (record.body?.$case !== 'roster') return;
-    const {event, member} = record.body.value;
-    if (member === undefined || event === peer.RosterEvent.REFRESH) return;
-    this.tell({kind: 'roster', nodeId: member.nodeId, event});
+  private tellChanges(): void {
+    if (this.revision > this.revisionTold) {
+      this.revisionTold = this.revision;
+      this.tell({kind: 'configuration-in-force', revision: this.revision});
+    }
+    if (this.stale !== this.staleTold) {
+      this.staleTold = this.stale;
+      this.tell({kind: 'stale', stale: this.stale});
+    }
+    for (const change of this.gossip.table.takeChanges()) {
+      this.tell({kind: 'liveness', ...change});
+    }
   }
 
   private tellLogReachable(reachable: boolean): void {
@@ -222,3 +448,7 @@
     this.tell({kind: 'log', reachable});
   }
 }
+
+function toEmptyMessage(to: peer.Member): failureDetector.Message {
+  return {to, body: undefined};
+}
--- /dev/null
+++ b/src/common/control/gossip.ts
@@ -0,0 +1,245 @@
+/** Datagrams of one node: liveness, suspects and members that spread from node to node. */
+import * as peer from '../../generated/peer.js';
+import * as counters from '../counters.js';
+import * as invariants from '../invariants.js';
+import * as failureDetector from '../membership/failure_detector.js';
+import * as livenessTable from '../membership/liveness_table.js';
+import * as probeSchedule from '../membership/probe_schedule.js';
+import * as provisionalMembers from '../membership/provisional_members.js';
+import * as rumours from '../membership/rumours.js';
+import * as randomSource from '../random_source.js';
+import * as units from '../units.js';
+import * as control from './control_contract.js';
+import * as datagramContents from './datagram_contents.js';
+import * as logState from './log_state.js';
+
+/** Most items of a kind taken from one datagram. */
+const MAX_ITEMS = 64;
+
+/** Time between two looks at who the members are. */
+const MEMBERS_INTERVAL_MS: units.Millis = 1_000;
+
+/** What a datagram led to. */
+export interface Taken {
+  readonly from?: peer.Member;
+  readonly messages: readonly failureDetector.Message[];
+  readonly notices: readonly control.ControlNotice[];
+  readonly answered?: failureDetector.AnsweredProbe;
+}
+
+const NOTHING: Taken = {messages: [], notices: []};
+
+/** Liveness and rumours. */
+export class Gossip {
+  readonly table: livenessTable.LivenessTable;
+  readonly detector: failureDetector.FailureDetector;
+  readonly provisional: provisionalMembers.ProvisionalMembers;
+  private readonly schedule: probeSchedule.ProbeSchedule;
+  private readonly suspects = new rumours.Rumours<peer.SuspectReport>();
+  private readonly contents: datagramContents.DatagramContents;
+  private memberChanges = -1;
+  private membersSetMs = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    private readonly self: peer.Member,
+    private readonly log: logState.LogState,
+    private readonly random: randomSource.RandomSource,
+    private readonly count: counters.Counters,
+    private readonly bootstrapPeers: readonly peer.Member[],
+  ) {
+    this.table = new livenessTable.LivenessTable(self);
+    this.schedule = new probeSchedule.ProbeSchedule(self, random);
+    this.detector = new failureDetector.FailureDetector(
+      this.table,
+      this.schedule,
+      random,
+    );
+    this.provisional = new provisionalMembers.ProvisionalMembers(
+      self,
+      log.roster,
+    );
+    this.contents = new datagramContents.DatagramContents(
+      this.table,
+      this.suspects,
+      this.provisional,
+    );
+  }
+
+  /** Number of members known, this node included. */
+  get memberCount(): number {
+    return this.schedule.memberCount;
+  }
+
+  /** Whether a node is known to be dead. */
+  isDead(nodeId: string): boolean {
+    return this.table.stateOf(nodeId) === peer.LivenessState.DEAD;
+  }
+
+  /** Returns what the next datagram carries. */
+  contentsOf(nowMs: units.MonotonicMs): datagramContents.Gossip {
+    return this.contents.take(this.memberCount, nowMs);
+  }
+
+  /** Sends due probes and updates the members. */
+  step(
+    nowMs: units.MonotonicMs,
+    stale: boolean,
+  ): readonly failureDetector.Message[] {
+    this.updateMembers(nowMs);
+    return this.detector.step(nowMs, stale);
+  }
+
+  /** Returns random members that are not dead. */
+  pickAlive(count: number): readonly peer.Member[] {
+    return this.schedule.pick(count, this.random, m => !this.isDead(m.nodeId));
+  }
+
+  /** Returns a peer to ask for its state, also one known from the settings only. */
+  pickAny(): peer.Member | undefined {
+    const [alive] = this.pickAlive(1);
+    if (alive !== undefined) return alive;
+    const {length} = this.bootstrapPeers;
+    return length > 0
+      ? this.bootstrapPeers[this.random.nextInt(length)]
+      : undefined;
+  }
+
+  /** Starts a report of a suspect request on its way. */
+  spreadSuspect(report: peer.SuspectReport, nowMs: units.MonotonicMs): boolean {
+    const known = this.suspects.get(report.fingerprint, nowMs);
+    if (known !== undefined && known.deaths >= report.deaths) return false;
+    const expiresMs = nowMs + report.expiresInMs;
+    this.suspects.put(report.fingerprint, report, expiresMs);
+    return true;
+  }
+
+  /** Notes that this node was paused. */
+  noteWoke(nowMs: units.MonotonicMs): void {
+    this.detector.forgetOutstanding();
+    this.table.restartSuspicions(nowMs);
+  }
+
+  /** Takes a datagram of another node. */
+  take(datagram: peer.Datagram, nowMs: units.MonotonicMs): Taken {
+    if (datagram.nodeId === this.self.nodeId) return NOTHING;
+    const notices = this.takeItems(datagram, nowMs);
+    const from = datagram.sender ?? this.find(datagram.nodeId, nowMs);
+    if (from === undefined || from.incarnation > datagram.incarnation) {
+      this.count.increment('gossip.unknown-sender');
+      return {messages: [], notices};
+    }
+    if (from.incarnation < datagram.incarnation) {
+      return {from, messages: [], notices};
+    }
+    this.noteHeard(from, nowMs);
+    return {from, ...this.takeBody(datagram, from, notices, nowMs)};
+  }
+
+  /** Finds a member by the log or by gossip. */
+  find(nodeId: string, nowMs: units.MonotonicMs): peer.Member | undefined {
+    return (
+      this.provisional.get(nodeId, nowMs)?.member ??
+      this.log.roster.entry(nodeId)?.member
+    );
+  }
+
+  private noteHeard(from: peer.Member, nowMs: units.MonotonicMs): void {
+    const state = this.table.stateOf(from.nodeId);
+    if (state === peer.LivenessState.ALIVE) {
+      if (!this.table.isAlive(from.nodeId)) this.table.noteAlive(from, nowMs);
+      return;
+    }
+    this.table.sendNext(from.nodeId);
+  }
+
+  private takeBody(
+    datagram: peer.Datagram,
+    from: peer.Member,
+    notices: readonly control.ControlNotice[],
+    nowMs: units.MonotonicMs,
+  ): Taken {
+    const {body} = datagram;
+    switch (body?.$case) {
+      case undefined:
+        return {messages: [], notices};
+      case 'probe':
+        return {
+          messages: [this.detector.takeProbe(from, body.value)],
+          notices,
+        };
+      case 'ack':
+        return {
+          ...this.takeAck(from, body.value, nowMs),
+          notices,
+        };
+      case 'indirect':
+        return {messages: this.takeIndirect(from, body.value, nowMs), notices};
+      case 'load':
+        return {
+          messages: [],
+          notices: [...notices, ...loadNotice(from.nodeId, body.value)],
+        };
+      default:
+        return invariants.assertNever(body);
+    }
+  }
+
+  private takeAck(
+    from: peer.Member,
+    ack: peer.ProbeAck,
+    nowMs: units.MonotonicMs,
+  ): Pick<Taken, 'messages' | 'answered'> {
+    const result = this.detector.takeAck(from.nodeId, ack, nowMs);
+    if (result === undefined) return {messages: []};
+    if ('to' in result) return {messages: [result]};
+    return {messages: [], answered: result};
+  }
+
+  private takeIndirect(
+    from: peer.Member,
+    request: peer.IndirectProbe,
+    nowMs: units.MonotonicMs,
+  ): readonly failureDetector.Message[] {
+    const target = this.find(request.targetNodeId, nowMs);
+    if (target === undefined) return [];
+    return [this.detector.takeIndirect(from, target, request, nowMs)];
+  }
+
+  private takeItems(
+    datagram: peer.Datagram,
+    nowMs: units.MonotonicMs,
+  ): readonly control.ControlNotice[] {
+    for (const update of datagram.updates.slice(0, MAX_ITEMS)) {
+      this.table.takeUpdate(update, nowMs);
+    }
+    for (const told of datagram.members.slice(0, MAX_ITEMS)) {
+      if (this.provisional.take(told, nowMs)) this.memberChanges = -1;
+    }
+    return datagram.suspects
+      .slice(0, MAX_ITEMS)
+      .filter(report => this.spreadSuspect(report, nowMs))
+      .map(report => ({kind: 'suspect', report}));
+  }
+
+  private updateMembers(nowMs: units.MonotonicMs): void {
+    if (this.memberChanges === this.log.roster.memberChanges) return;
+    if (nowMs - this.membersSetMs < MEMBERS_INTERVAL_MS) return;
+    this.membersSetMs = nowMs;
+    this.memberChanges = this.log.roster.memberChanges;
+    const members = new Map(
+      this.log.roster.all().map(e => [e.member.nodeId, e.member]),
+    );
+    for (const {member} of this.provisional.all(nowMs)) {
+      members.set(member.nodeId, member);
+    }
+    this.schedule.setMembers([...members.values()]);
+    this.table.retain(nodeId => members.has(nodeId));
+  }
+}
+
+function loadNotice(
+  nodeId: string,
+  notice: peer.LoadNotice,
+): readonly control.ControlNotice[] {
+  return notice.load ? [{kind: 'load', nodeId, load: notice.load}] : [];
+}
--- a/src/common/control/log_state.ts
+++ b/src/common/control/log_state.ts
@@ -61,10 +61,12 @@
   /** Takes what a peer knows; returns the records that were new, if it gave records. */
   adopt(state: control.PeerState): readonly FoldedRecord[] {
     if (state.records !== undefined) {
-      return this.foldRecords(state.records.map(decodeStored));
+      const records = this.decoded(() => state.records?.map(decodeStored));
+      return this.foldRecords(records ?? []);
     }
     if (!state.complete) return [];
-    const snapshot = snapshotOf(state);
+    const snapshot = this.decoded(() => snapshotOf(state));
+    if (snapshot === undefined) return [];
     if (state.rosterOffset > this.next) this.adoptAhead(state, snapshot);
     else if (!this.complete) this.adoptBehind(state, snapshot);
     return [];
@@ -208,8 +210,12 @@
   }
 
   private decode(stored: control.StoredRecord): peer.LogRecord | undefined {
+    return this.decoded(() => peer.LogRecord.decode(stored.bytes));
+  }
+
+  private decoded<T>(decode: () => T): T | undefined {
     try {
-      return peer.LogRecord.decode(stored.bytes);
+      return decode();
     } catch {
       this.count.increment('malformed.log-record');
       return undefined;
--- a/src/common/control/record_needs.ts
+++ b/src/common/control/record_needs.ts
@@ -69,6 +69,22 @@
     return this.wanted === 'joined';
   }
 
+  /** Whether this node or its backend server leaves. */
+  get wantsToLeave(): boolean {
+    return this.wanted === 'left';
+  }
+
+  /** Whether the log holds this start of the node as a member, leaving or not. */
+  get isInLog(): boolean {
+    const entry = this.ownEntry();
+    return entry !== undefined && entry.roster !== 'gone';
+  }
+
+  /** Whether the log holds this start of the node as joined. */
+  get isJoined(): boolean {
+    return this.ownEntry()?.roster === 'joined';
+  }
+
   /** Follows the state of the backend server. */
   noteServerState(state: control.ServerState): void {
     if (this.stopMs !== undefined) return;
@@ -93,7 +109,7 @@
   takeLeft(nowMs: units.MonotonicMs): boolean {
     if (this.stopMs === undefined || this.leftTaken) return false;
     const waited = nowMs - this.stopMs >= LEAVE_TIMEOUT_MS;
-    this.leftTaken = waited || !this.isJoined();
+    this.leftTaken = waited || !this.isJoined;
     return this.leftTaken;
   }
 
@@ -113,10 +129,6 @@
       : undefined;
   }
 
-  private isJoined(): boolean {
-    return this.ownEntry()?.roster === 'joined';
-  }
-
   private presenceNeeds(now: units.Instant): readonly ownRecords.Need[] {
     const entry = this.ownEntry();
     if (this.wanted === 'left') {
@@ -211,7 +223,7 @@
       .holdersOf(this.self.service)
       .map(h => h.member.nodeId)
       .filter(id => id !== about.nodeId && !this.isDead(id));
-    const ranked = rendezvous.rank(about.nodeId, holders);
+    const ranked = rendezvous.rank(this.self.service, holders);
     const rank = ranked.indexOf(this.self.nodeId);
     return (rank < 0 ? ranked.length : rank) * RANK_STEP_MS;
   }
@@ -221,7 +233,7 @@
   }
 
   private snapshotNeeds(now: units.Instant): readonly ownRecords.Need[] {
-    if (!this.log.complete || !this.isJoined()) return [];
+    if (!this.log.complete || !this.isJoined) return [];
     this.snapshotSeenMs ??= now.monotonicMs;
     const ageMs = now.monotonicMs - this.snapshotSeenMs;
     if (ageMs < SNAPSHOT_INTERVAL_MS) return [];
--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -41,6 +41,8 @@
 export const COUNTER_DESCRIPTIONS = {
   'configuration.rejected':
     'Configuration changes in the log that were not accepted.',
+  'gossip.unknown-sender':
+    'Datagrams of nodes that are in neither the roster nor gossip.',
   'invariant.breached': 'Invariants that did not hold.',
   'log.append-failed': 'Appends to the log that failed or were not answered.',
   'log.gap': 'Times the log no longer held the records to be read next.',
--- a/src/common/membership/roster.ts
+++ b/src/common/membership/roster.ts
@@ -37,6 +37,7 @@
   private services = new Map<string, Set<string>>();
   private departures = new Map<string, control.HolderDeparture[]>();
   private tombstones = 0;
+  private changes = 0;
   /** First offset from which every record has been folded, undefined if none is missing. */
   private partialFrom: number | undefined;
   private partialSinceMs: units.EpochMs | undefined;
@@ -53,6 +54,11 @@
     return this.entries.size;
   }
 
+  /** Number of joins, restarts, leavings and ends so far on this node. */
+  get memberChanges(): number {
+    return this.changes;
+  }
+
   /** Returns the entry of a node, gone ones included. */
   entry(nodeId: string): control.RosterEntryState | undefined {
     return this.entries.get(nodeId);
@@ -88,6 +94,7 @@
 
   /** Takes the complete state of another node in place of this one. */
   adopt(state: RosterState): void {
+    this.changes++;
     this.entries = new Map();
     this.services = new Map();
     this.departures = new Map();
@@ -287,6 +294,12 @@
   private put(entry: control.RosterEntryState): void {
     const {nodeId, service} = entry.member;
     const old = this.entries.get(nodeId);
+    if (
+      old?.roster !== entry.roster ||
+      old.member.incarnation !== entry.member.incarnation
+    ) {
+      this.changes++;
+    }
     if (old?.roster === 'gone') this.tombstones--;
     if (old && old.member.service !== service) {
       this.services.get(old.member.service)?.delete(nodeId);
--- /dev/null
+++ b/test/fakes/virtual_fleet.ts
@@ -0,0 +1,329 @@
+/** Control cores in virtual time, with a network and a log that fail on demand. */
+import * as peer from '../../src/generated/peer.js';
+import * as control from '../../src/common/control/control_contract.js';
+import * as controlCore from '../../src/common/control/control_core.js';
+import * as counters from '../../src/common/counters.js';
+import * as invariants from '../../src/common/invariants.js';
+import * as randomSource from '../../src/common/random_source.js';
+import * as units from '../../src/common/units.js';
+import * as virtualLog from './virtual_log.js';
+
+const EPOCH_MS = 1_700_000_000_000;
+
+export interface FleetOptions {
+  readonly seed: number;
+  readonly members: readonly peer.Member[];
+  /** Share of datagrams lost, and of those sent twice. */
+  readonly loss?: number;
+  readonly duplication?: number;
+  readonly delayMs?: units.Millis;
+  /** Share of appends whose answer is lost, half of them after taking effect. */
+  readonly lostAppends?: number;
+  readonly clockSkewMs?: units.Millis;
+}
+
+export interface TimedNotice {
+  readonly atMs: number;
+  readonly notice: control.ControlNotice;
+}
+
+/** A node of the fleet; a restart makes a new one. */
+export class VirtualNode {
+  readonly core: controlCore.ControlCore;
+  readonly counters = new counters.MemoryCounters();
+  readonly notices: TimedNotice[] = [];
+  alive = true;
+  pausedUntilMs = 0;
+  backlog: control.ControlEvent[] = [];
+  nextTickMs = 0;
+
+  constructor(
+    readonly member: peer.Member,
+    readonly skewMs: units.Millis,
+    random: randomSource.RandomSource,
+    bootstrapPeers: readonly peer.Member[],
+  ) {
+    this.core = new controlCore.ControlCore({
+      self: member,
+      random,
+      counters: this.counters,
+      invariants: new invariants.Invariants(this.counters),
+      bootstrapPeers,
+    });
+  }
+}
+
+export class VirtualFleet {
+  readonly log = new virtualLog.VirtualLog();
+  readonly nodes = new Map<string, VirtualNode>();
+  readonly traffic = {datagrams: 0, bytes: 0, pulls: 0, pullBytes: 0};
+  nowMs = 0;
+  steps = 0;
+  /** Nodes that cannot reach the log, and pairs of nodes that cannot reach each other. */
+  readonly cutFromLog = new Set<string>();
+  isCut: (from: string, to: string) => boolean = () => false;
+  bootstrapPeers: readonly peer.Member[] = [];
+  /** Called before a node handles events after a pause, and after each event. */
+  onLook: (node: VirtualNode) => void = () => {};
+  readonly random: randomSource.SeededRandom;
+  private readonly queue = new Map<number, (() => void)[]>();
+
+  constructor(readonly options: FleetOptions) {
+    this.random = new randomSource.SeededRandom(options.seed);
+  }
+
+  /** Starts all members, each within `spreadMs`. */
+  startAll(spreadMs: units.Millis): void {
+    for (const member of this.options.members) {
+      this.after(this.random.nextInt(spreadMs), () => this.start(member));
+    }
+  }
+
+  start(member: peer.Member): VirtualNode {
+    const skew = this.options.clockSkewMs ?? 0;
+    const skewMs = skew > 0 ? this.random.nextInt(2 * skew) - skew : 0;
+    const random = new randomSource.SeededRandom(
+      this.random.nextInt(0x7fff_ffff),
+    );
+    const node = new VirtualNode(member, skewMs, random, this.bootstrapPeers);
+    this.nodes.set(member.nodeId, node);
+    this.deliver(node, {kind: 'server-state', state: 'ready'});
+    return node;
+  }
+
+  kill(nodeId: string): void {
+    const node = this.nodes.get(nodeId);
+    if (node) node.alive = false;
+    this.nodes.delete(nodeId);
+  }
+
+  restart(nodeId: string): void {
+    const node = this.nodes.get(nodeId);
+    if (node === undefined) return;
+    this.kill(nodeId);
+    const incarnation = node.member.incarnation + 1;
+    this.start({...node.member, incarnation});
+  }
+
+  pause(nodeId: string, forMs: units.Millis): void {
+    const node = this.nodes.get(nodeId);
+    if (node === undefined || node.pausedUntilMs > this.nowMs) return;
+    node.pausedUntilMs = this.nowMs + forMs;
+    this.after(forMs, () => this.resume(node));
+  }
+
+  stop(nodeId: string): void {
+    const node = this.nodes.get(nodeId);
+    if (node) this.deliver(node, {kind: 'stop'});
+  }
+
+  append(record: peer.LogRecord): number {
+    return this.log.append(record);
+  }
+
+  epochMs(node?: VirtualNode): units.EpochMs {
+    return EPOCH_MS + this.nowMs + (node?.skewMs ?? 0);
+  }
+
+  after(delayMs: units.Millis, run: () => void): void {
+    const atMs = this.nowMs + Math.max(0, Math.floor(delayMs));
+    const bucket = this.queue.get(atMs);
+    if (bucket) bucket.push(run);
+    else this.queue.set(atMs, [run]);
+  }
+
+  runFor(forMs: units.Millis): void {
+    const untilMs = this.nowMs + forMs;
+    for (; this.nowMs < untilMs; this.nowMs++) {
+      const bucket = this.queue.get(this.nowMs);
+      if (bucket === undefined) continue;
+      for (let i = 0; i < bucket.length; i++) bucket[i]();
+      this.queue.delete(this.nowMs);
+    }
+  }
+
+  /** Runs until the condition holds; returns the time that took, or undefined after `forMs`. */
+  runUntil(
+    condition: () => boolean,
+    forMs: units.Millis,
+  ): units.Millis | undefined {
+    const startMs = this.nowMs;
+    while (this.nowMs - startMs < forMs) {
+      if (condition()) return this.nowMs - startMs;
+      this.runFor(10);
+    }
+    return condition() ? this.nowMs - startMs : undefined;
+  }
+
+  deliver(node: VirtualNode, event: control.ControlEvent): void {
+    if (!node.alive) return;
+    if (node.pausedUntilMs > this.nowMs) {
+      node.backlog.push(event);
+      return;
+    }
+    this.steps++;
+    const now = {monotonicMs: this.nowMs, epochMs: this.epochMs(node)};
+    const actions = node.core.handle(event, now);
+    for (const action of actions) this.carryOut(node, action);
+    this.scheduleTick(node);
+    this.onLook(node);
+  }
+
+  private resume(node: VirtualNode): void {
+    if (!node.alive) return;
+    this.onLook(node);
+    const backlog = node.backlog;
+    node.backlog = [];
+    if (this.random.next() < 0.5) this.deliver(node, {kind: 'tick'});
+    for (const event of backlog) this.deliver(node, event);
+    node.nextTickMs = 0;
+    this.scheduleTick(node);
+  }
+
+  private scheduleTick(node: VirtualNode): void {
+    const wakeMs = node.core.nextWakeMs();
+    if (wakeMs === undefined || wakeMs === node.nextTickMs) return;
+    node.nextTickMs = wakeMs;
+    this.after(wakeMs - this.nowMs, () => {
+      if (node.nextTickMs === wakeMs) this.deliver(node, {kind: 'tick'});
+    });
+  }
+
+  private carryOut(node: VirtualNode, action: control.ControlAction): void {
+    switch (action.kind) {
+      case 'send-datagram':
+        this.sendDatagram(node, action.nodeId, action.datagram);
+        return;
+      case 'append':
+        this.appendFor(node, action.record);
+        return;
+      case 'read-log':
+        this.readFor(node, action.from, action.limit, action.waitMs);
+        return;
+      case 'pull-state':
+        this.pullFor(node, action.member.nodeId, action.fromOffset);
+        return;
+      case 'notice':
+        node.notices.push({atMs: this.nowMs, notice: action.notice});
+        return;
+      default:
+        invariants.assertNever(action);
+    }
+  }
+
+  private sendDatagram(
+    from: VirtualNode,
+    to: string,
+    datagram: peer.Datagram,
+  ): void {
+    const bytes = peer.Datagram.encode(datagram).finish();
+    this.traffic.datagrams++;
+    this.traffic.bytes += bytes.length;
+    if (bytes.length > 1_200) throw new Error(`datagram of ${bytes.length}`);
+    const copies = this.random.next() < (this.options.duplication ?? 0) ? 2 : 1;
+    for (let i = 0; i < copies; i++) {
+      if (this.random.next() < (this.options.loss ?? 0)) continue;
+      if (this.isCut(from.member.nodeId, to)) continue;
+      this.after(this.delay(), () => {
+        const node = this.nodes.get(to);
+        const received = peer.Datagram.decode(bytes);
+        if (node) this.deliver(node, {kind: 'datagram', datagram: received});
+      });
+    }
+  }
+
+  private appendFor(node: VirtualNode, record: peer.LogRecord): void {
+    const {recordId} = record;
+    const lost = this.random.next() < (this.options.lostAppends ?? 0);
+    const takesEffect = !lost || this.random.next() < 0.5;
+    this.after(this.delay(), () => {
+      const reached = this.canReachLog(node);
+      const offset = reached && takesEffect ? this.append(record) : undefined;
+      this.after(this.delay(), () =>
+        this.deliver(
+          node,
+          offset === undefined || lost
+            ? {kind: 'append-failed', recordId}
+            : {kind: 'appended', recordId, offset},
+        ),
+      );
+    });
+  }
+
+  private readFor(
+    node: VirtualNode,
+    from: number,
+    limit: number,
+    waitMs: units.Millis,
+  ): void {
+    this.log.reads++;
+    let answered = false;
+    const answer = (): void => {
+      if (answered) return;
+      answered = true;
+      const page = this.log.page(from, limit);
+      const event: control.ControlEvent = this.canReachLog(node)
+        ? {kind: 'log-read', from, page}
+        : {kind: 'log-read-failed'};
+      this.after(this.delay(), () => this.deliver(node, event));
+    };
+    this.after(this.delay(), () => {
+      if (this.log.hasFrom(from) || waitMs === 0) answer();
+      else this.log.wait(answer);
+      this.after(waitMs, answer);
+    });
+  }
+
+  private pullFor(node: VirtualNode, from: string, fromOffset: number): void {
+    this.traffic.pulls++;
+    const failed: control.ControlEvent = {
+      kind: 'peer-state-failed',
+      nodeId: from,
+    };
+    const isOpen = (peerNode: VirtualNode | undefined): boolean =>
+      peerNode !== undefined &&
+      peerNode.pausedUntilMs <= this.nowMs &&
+      !this.isCut(node.member.nodeId, from);
+    this.after(this.delay(), () => {
+      const other = this.nodes.get(from);
+      if (other === undefined || !isOpen(other)) {
+        this.after(200, () => this.deliver(node, failed));
+        return;
+      }
+      const now = {monotonicMs: this.nowMs, epochMs: this.epochMs(other)};
+      const text = JSON.stringify(other.core.peerState(fromOffset, now));
+      this.traffic.pullBytes += text.length;
+      const state = JSON.parse(text) as control.PeerState;
+      this.after(this.delay(), () =>
+        this.deliver(node, {kind: 'peer-state', state}),
+      );
+    });
+  }
+
+  private canReachLog(node: VirtualNode): boolean {
+    return this.log.reachable && !this.cutFromLog.has(node.member.nodeId);
+  }
+
+  private delay(): units.Millis {
+    return 1 + this.random.nextInt(this.options.delayMs ?? 4);
+  }
+}
+
+/** Members of services spread over three data centres. */
+export function fleetMembers(
+  count: number,
+  serviceSize: number,
+): readonly peer.Member[] {
+  return Array.from({length: count}, (unused, i) => ({
+    nodeId: `node-${i}`,
+    service: `service-${Math.floor(i / serviceSize)}`,
+    dataCentre: ['chaguanas', 'couva', 'freeport'][i % 3],
+    region: 'tt-central',
+    ip: '127.0.0.1',
+    httpPort: 8_080,
+    peerPort: 9_000,
+    operatorPort: 9_001,
+    slots: 12,
+    incarnation: 1,
+  }));
+}
