Recompute readers and suspicions only on changes; bound fallback reads

Cause: in a virtual fleet of 160 the choice of readers and the walk over all states at every tick were the largest costs, and members read the log once in a while because a reader's confirmation is up to one second old when asked. Tests: node build/tools/run_tests.js common/con: 22 passed.

--- a/src/common/control/control_core.ts
+++ b/src/common/control/control_core.ts
@@ -88,8 +88,10 @@
       random,
       this.gossip.table,
     );
-    this.readers = new readerChoice.ReaderChoice(self, this.log, nodeId =>
-      this.gossip.isDead(nodeId),
+    this.readers = new readerChoice.ReaderChoice(
+      self,
+      this.log,
+      this.gossip.table,
     );
     this.views = new memberViews.MemberViews(self, this.log, this.gossip);
   }
@@ -321,9 +323,11 @@
   private actOnTime(now: units.Instant): void {
     const nowMs = now.monotonicMs;
     const ageMs = this.upkeep.lease.ageMs(nowMs);
-    const shouldRead = this.readers.shouldRead(ageMs, nowMs);
-    const read = this.follower.step(this.log.nextOffset, shouldRead, nowMs);
-    if (read) this.actions.push(read);
+    const waitMs = this.readers.readWaitMs(ageMs, nowMs);
+    if (waitMs !== undefined) {
+      const read = this.follower.step(this.log.nextOffset, waitMs, nowMs);
+      if (read) this.actions.push(read);
+    }
     for (const record of this.records.step(this.needs.current(now), now)) {
       this.actions.push({kind: 'append', record});
     }
--- a/src/common/control/log_follower.ts
+++ b/src/common/control/log_follower.ts
@@ -6,9 +6,6 @@
 /** Most records asked for in one read. */
 export const READ_LIMIT = 500;
 
-/** Time for which the log may hold a read that finds nothing. */
-export const READ_WAIT_MS: units.Millis = 500;
-
 /** Shortest time between the starts of two reads at the tail. */
 const READ_SPACING_MS: units.Millis = 100;
 
@@ -31,13 +28,13 @@
     return this.failures > 0;
   }
 
-  /** Returns the read to start now, if any. */
+  /** Returns the read to start now, if any; `waitMs` is how long the log may hold it. */
   step(
     from: number,
-    wanted: boolean,
+    waitMs: units.Millis,
     nowMs: units.MonotonicMs,
   ): control.ControlAction | undefined {
-    if (!wanted || this.sentMs !== undefined || nowMs < this.notBeforeMs) {
+    if (this.sentMs !== undefined || nowMs < this.notBeforeMs) {
       return undefined;
     }
     if (this.atTail && nowMs - this.lastSentMs < READ_SPACING_MS) {
@@ -45,8 +42,12 @@
     }
     this.sentMs = nowMs;
     this.lastSentMs = nowMs;
-    const waitMs = this.atTail ? READ_WAIT_MS : 0;
-    return {kind: 'read-log', from, limit: READ_LIMIT, waitMs};
+    return {
+      kind: 'read-log',
+      from,
+      limit: READ_LIMIT,
+      waitMs: this.atTail ? waitMs : 0,
+    };
   }
 
   /** Notes an answer; returns when the read was sent if it reached the tail. */
--- a/src/common/control/reader_choice.ts
+++ b/src/common/control/reader_choice.ts
@@ -1,5 +1,6 @@
 /** Which nodes read the log: a few of each data centre and service, and those cut off from them. */
 import * as peer from '../../generated/peer.js';
+import * as livenessTable from '../membership/liveness_table.js';
 import * as rendezvous from '../membership/rendezvous.js';
 import * as units from '../units.js';
 import * as control from './control_contract.js';
@@ -9,33 +10,42 @@
 export const READERS = 2;
 
 /** Age of the newest confirmation at which a member reads the log itself to keep its lease. */
-const MEMBER_FALLBACK_MS: units.Millis = 1_200;
+const MEMBER_FALLBACK_MS: units.Millis = 1_600;
 
 /** Age at which any other node does. */
 const FALLBACK_MS: units.Millis = 5_000;
 
-/** Time for which a choice of readers holds. */
-const CHOICE_MS: units.Millis = 500;
+/** Time for which the log may hold a reader's read that finds nothing. */
+const READ_WAIT_MS: units.Millis = 500;
+
+/** Shortest time between two choices of readers. */
+const CHOICE_SPACING_MS: units.Millis = 500;
 
 /** Chooses the readers, alike on nodes that agree on who is alive. */
 export class ReaderChoice {
   private chosenMs = Number.NEGATIVE_INFINITY;
+  /** Sum of the counts of changes that the choice rests on. */
+  private chosenBasis = -1;
   private chosen = true;
   private serviceReaders: readonly string[] = [];
 
   constructor(
     private readonly self: peer.Member,
     private readonly log: logState.LogState,
-    private readonly isDead: (nodeId: string) => boolean,
+    private readonly liveness: livenessTable.LivenessTable,
   ) {}
 
-  /** Whether this node is to read the log now. */
-  shouldRead(confirmedAgeMs: units.Millis, nowMs: units.MonotonicMs): boolean {
-    if (!this.log.complete || this.log.nextOffset === 0) return true;
+  /** Returns how long the log may hold this node's read, undefined if it is not to read now. */
+  readWaitMs(
+    confirmedAgeMs: units.Millis,
+    nowMs: units.MonotonicMs,
+  ): units.Millis | undefined {
     this.choose(nowMs);
-    if (this.chosen) return true;
+    if (this.chosen) return READ_WAIT_MS;
+    if (!this.log.complete || this.log.nextOffset === 0) return READ_WAIT_MS;
     const joined = this.log.roster.entry(this.self.nodeId)?.roster === 'joined';
-    return confirmedAgeMs > (joined ? MEMBER_FALLBACK_MS : FALLBACK_MS);
+    const boundMs = joined ? MEMBER_FALLBACK_MS : FALLBACK_MS;
+    return confirmedAgeMs > boundMs ? 0 : undefined;
   }
 
   /** Node ids of the readers of this node's service. */
@@ -45,9 +55,12 @@
   }
 
   private choose(nowMs: units.MonotonicMs): void {
-    if (nowMs - this.chosenMs < CHOICE_MS) return;
-    this.chosenMs = nowMs;
+    if (nowMs - this.chosenMs < CHOICE_SPACING_MS) return;
     const {roster} = this.log;
+    const basis = roster.memberChanges + this.liveness.version;
+    if (basis === this.chosenBasis) return;
+    this.chosenMs = nowMs;
+    this.chosenBasis = basis;
     this.serviceReaders = this.firstOf(
       this.self.service,
       roster.entriesOf(this.self.service),
@@ -73,6 +86,10 @@
     return rendezvous.rank(key, ids).slice(0, READERS);
   }
 
+  private isDead(nodeId: string): boolean {
+    return this.liveness.stateOf(nodeId) === peer.LivenessState.DEAD;
+  }
+
   private hasPeers(): boolean {
     return this.log.roster
       .all()
--- a/src/common/membership/liveness_table.ts
+++ b/src/common/membership/liveness_table.ts
@@ -28,11 +28,18 @@
 export class LivenessTable {
   private readonly states = new Map<string, Liveness>();
   private readonly sends = new Map<string, number>();
+  private readonly suspected = new Set<string>();
+  private changeCount = 0;
   private changes: LivenessChange[] = [];
   private ownRefutation = 0;
 
   constructor(private readonly self: peer.Member) {}
 
+  /** Number of changes so far. */
+  get version(): number {
+    return this.changeCount;
+  }
+
   /** State of a node; one never heard of counts as alive. */
   stateOf(nodeId: string): peer.LivenessState {
     return this.states.get(nodeId)?.state ?? peer.LivenessState.ALIVE;
@@ -95,9 +102,9 @@
   /** Declares dead what has been suspected for long enough in a fleet of this size. */
   expireSuspicions(nowMs: units.MonotonicMs, members: number): void {
     const timeoutMs = suspicionMs(members);
-    for (const [nodeId, found] of this.states) {
-      if (found.state !== peer.LivenessState.SUSPECT) continue;
-      if (nowMs - found.sinceMs < timeoutMs) continue;
+    for (const nodeId of this.suspected) {
+      const found = this.states.get(nodeId);
+      if (found === undefined || nowMs - found.sinceMs < timeoutMs) continue;
       const {incarnation, refutation} = found;
       this.set(nodeId, incarnation, refutation, peer.LivenessState.DEAD, nowMs);
     }
@@ -105,9 +112,9 @@
 
   /** Gives suspicions their full time anew, after a pause of this node. */
   restartSuspicions(nowMs: units.MonotonicMs): void {
-    for (const [nodeId, found] of this.states) {
-      if (found.state !== peer.LivenessState.SUSPECT) continue;
-      this.states.set(nodeId, {...found, sinceMs: nowMs});
+    for (const nodeId of this.suspected) {
+      const found = this.states.get(nodeId);
+      if (found) this.states.set(nodeId, {...found, sinceMs: nowMs});
     }
   }
 
@@ -152,6 +159,7 @@
       if (isMember(nodeId)) continue;
       this.states.delete(nodeId);
       this.sends.delete(nodeId);
+      this.suspected.delete(nodeId);
     }
   }
 
@@ -180,7 +188,10 @@
     if (before !== undefined || state !== peer.LivenessState.ALIVE) {
       this.sends.set(nodeId, 0);
     }
+    if (state === peer.LivenessState.SUSPECT) this.suspected.add(nodeId);
+    else this.suspected.delete(nodeId);
     if (nodeId === this.self.nodeId || before?.state === state) return;
+    this.changeCount++;
     this.changes.push({nodeId, state});
   }
 }
