Judge keys by when their home learnt of a change, not by record times

A restarted node acted on the holding of its earlier start; the time of a record is that of its first append, so keys minted while an ADMIT was retried ran at both homes; a node that started behind retention pulled records and never a whole state. Now a lease needs holding by this start of the node, keyHome.sinceMs is when this node learnt of the change, and a node with an incomplete state asks for the whole one. Retried records are made anew with their own time. Contract: pull-state.fromOffset may be undefined (whole state).

--- a/src/common/control/control_contract.ts
+++ b/src/common/control/control_contract.ts
@@ -139,10 +139,11 @@
       readonly limit: number;
       readonly waitMs: units.Millis;
     }
-  /** Ask a peer for its state from an offset on; answered once, also when that fails. */
+  /** Ask a peer for its state; answered once, also when that fails. */
   | {
       readonly kind: 'pull-state';
       readonly member: peer.Member;
-      readonly fromOffset: number;
+      /** Offset from which records are enough; undefined if the whole state is needed. */
+      readonly fromOffset: number | undefined;
     }
   | {readonly kind: 'notice'; readonly notice: ControlNotice};
--- a/src/common/control/control_core.ts
+++ b/src/common/control/control_core.ts
@@ -15,6 +15,7 @@
 import * as logFollower from './log_follower.js';
 import * as logState from './log_state.js';
 import * as memberViews from './member_views.js';
+import * as outbox from './outbox.js';
 import * as ownRecords from './own_records.js';
 import * as readerChoice from './reader_choice.js';
 import * as recordNeeds from './record_needs.js';
@@ -59,7 +60,7 @@
   private readonly exchange = new stateExchange.StateExchange();
   private readonly views: memberViews.MemberViews;
   private readonly wake = new wakeUp.WakeUp();
-  private actions: control.ControlAction[] = [];
+  private readonly outbox: outbox.Outbox;
   private revisionTold = 0;
   private staleTold = false;
   private logReachable = true;
@@ -94,6 +95,13 @@
       this.gossip.table,
     );
     this.views = new memberViews.MemberViews(self, this.log, this.gossip);
+    this.outbox = new outbox.Outbox(
+      self,
+      this.log,
+      this.gossip,
+      this.upkeep,
+      this.needs,
+    );
   }
 
   get configuration(): inForce.ConfigurationInForce | undefined {
@@ -137,8 +145,11 @@
     return this.log.configuration.outcomeOf(changeId);
   }
 
-  /** Returns what a peer that has folded the log up to `fromOffset` needs. */
-  peerState(fromOffset: number, now: units.Instant): control.PeerState {
+  /** Returns what a peer at `fromOffset` needs, the whole state if that is undefined. */
+  peerState(
+    fromOffset: number | undefined,
+    now: units.Instant,
+  ): control.PeerState {
     const ageMs = this.upkeep.lease.wireAgeMs(now.monotonicMs);
     const provisional = this.gossip.provisional.all(now.monotonicMs);
     return this.log.peerState(this.self.nodeId, fromOffset, ageMs, provisional);
@@ -152,14 +163,13 @@
     event: control.ControlEvent,
     now: units.Instant,
   ): readonly control.ControlAction[] {
-    this.actions = [];
     this.views.noteTime(now.monotonicMs);
     if (this.wake.noteEvent(this.nextTickMs, now.monotonicMs)) {
       this.gossip.noteWoke(now.monotonicMs);
     }
     this.take(event, now);
     this.act(event, now);
-    return this.actions;
+    return this.outbox.take();
   }
 
   private take(event: control.ControlEvent, now: units.Instant): void {
@@ -214,13 +224,13 @@
     nowMs: units.MonotonicMs,
   ): void {
     const taken = this.gossip.take(datagram, nowMs);
-    for (const notice of taken.notices) this.tell(notice);
+    for (const notice of taken.notices) this.outbox.tell(notice);
     this.noteVersions(taken.from, {
       revision: datagram.configurationRevision,
       offset: datagram.rosterOffset,
     });
     if (taken.answered) this.takeAnswer(taken.answered, datagram);
-    this.send(taken.messages, nowMs);
+    this.outbox.send(taken.messages, nowMs);
   }
 
   /** An answer vouches for the sender's versions as of when the question was sent. */
@@ -266,7 +276,7 @@
     nowMs: units.MonotonicMs,
   ): void {
     if (!this.gossip.spreadSuspect(report, nowMs)) return;
-    this.push(LEAVING_FANOUT, nowMs);
+    this.outbox.push(LEAVING_FANOUT, nowMs);
   }
 
   private noteFolded(
@@ -274,14 +284,14 @@
     now: units.Instant,
   ): void {
     for (const {offset, record} of folded) {
-      this.homes.noteFolded(offset, now.monotonicMs);
+      this.homes.noteFolded(offset, now);
       this.needs.noteFolded(record, now.monotonicMs);
       this.noteRosterRecord(record, now);
     }
   }
 
   private noteAdopted(now: units.Instant): void {
-    this.homes.noteAdopted(now.monotonicMs);
+    this.homes.noteAdopted(now);
     const own = this.log.roster.entry(this.self.nodeId);
     if (own?.member.incarnation !== this.self.incarnation) return;
     this.upkeep.noteOwnRecord(own.selfTimeMs, now);
@@ -296,7 +306,7 @@
       this.upkeep.noteOwnRecord(record.timeMs, now);
     }
     if (event === peer.RosterEvent.REFRESH) return;
-    this.tell({kind: 'roster', nodeId: member.nodeId, event});
+    this.outbox.tell({kind: 'roster', nodeId: member.nodeId, event});
   }
 
   private noteVersions(
@@ -325,16 +335,15 @@
     const ageMs = this.upkeep.lease.ageMs(nowMs);
     const waitMs = this.readers.readWaitMs(ageMs, nowMs);
     if (waitMs !== undefined) {
-      const read = this.follower.step(this.log.nextOffset, waitMs, nowMs);
-      if (read) this.actions.push(read);
+      this.outbox.add(this.follower.step(this.log.nextOffset, waitMs, nowMs));
     }
     for (const record of this.records.step(this.needs.current(now), now)) {
-      this.actions.push({kind: 'append', record});
+      this.outbox.add({kind: 'append', record});
     }
     this.announce(nowMs);
-    this.send(this.gossip.step(nowMs, this.stale), nowMs);
+    this.outbox.send(this.gossip.step(nowMs, this.stale), nowMs);
     this.askForLease(nowMs);
-    if (this.needs.takeLeft(nowMs)) this.tell({kind: 'left'});
+    if (this.needs.takeLeft(nowMs)) this.outbox.tell({kind: 'left'});
   }
 
   private askForLease(nowMs: units.MonotonicMs): void {
@@ -344,7 +353,7 @@
       nowMs,
     );
     const {detector} = this.gossip;
-    this.send(
+    this.outbox.send(
       members.map(m => detector.probe(m, nowMs)),
       nowMs,
     );
@@ -356,8 +365,8 @@
       if (this.leavingAnnounced) return;
       this.leavingAnnounced = true;
       this.gossip.provisional.announce(true, nowMs);
-      this.send(this.views.siblings().map(toEmptyMessage), nowMs);
-      this.push(LEAVING_FANOUT, nowMs);
+      this.outbox.sendNews(this.views.siblings(), nowMs);
+      this.outbox.push(LEAVING_FANOUT, nowMs);
       return;
     }
     this.leavingAnnounced = false;
@@ -369,14 +378,15 @@
 
   private exchangeState(nowMs: units.MonotonicMs): void {
     const fanout = this.exchange.fanout(this.versions, nowMs);
-    if (fanout > 0) this.push(fanout, nowMs);
+    this.outbox.push(fanout, nowMs);
     const pull = this.exchange.step(
       this.versions,
+      this.log.complete,
       this.gossip.memberCount,
       () => (this.needsState() ? this.gossip.pickAny() : undefined),
       nowMs,
     );
-    if (pull) this.actions.push(pull);
+    this.outbox.add(pull);
   }
 
   /** Whether this node lacks what the log alone cannot give it now. */
@@ -393,66 +403,26 @@
     return {revision: this.revision, offset: this.log.nextOffset};
   }
 
-  private push(fanout: number, nowMs: units.MonotonicMs): void {
-    this.send(this.gossip.pickAlive(fanout).map(toEmptyMessage), nowMs);
-  }
-
-  private send(
-    messages: readonly failureDetector.Message[],
-    nowMs: units.MonotonicMs,
-  ): void {
-    for (const {to, body} of messages) {
-      this.actions.push({
-        kind: 'send-datagram',
-        nodeId: to.nodeId,
-        ip: to.ip,
-        port: to.peerPort,
-        datagram: this.datagram(body, nowMs),
-      });
-    }
-  }
-
-  private datagram(
-    body: peer.Datagram['body'],
-    nowMs: units.MonotonicMs,
-  ): peer.Datagram {
-    return {
-      nodeId: this.self.nodeId,
-      incarnation: this.self.incarnation,
-      configurationRevision: this.revision,
-      rosterOffset: this.log.seenOffset,
-      logAgeMs: this.upkeep.lease.wireAgeMs(nowMs),
-      body,
-      ...this.gossip.contentsOf(nowMs),
-      sender: this.needs.isInLog ? undefined : this.self,
-    };
-  }
-
-  private tell(notice: control.ControlNotice): void {
-    this.actions.push({kind: 'notice', notice});
-  }
-
   private tellChanges(): void {
     if (this.revision > this.revisionTold) {
       this.revisionTold = this.revision;
-      this.tell({kind: 'configuration-in-force', revision: this.revision});
+      this.outbox.tell({
+        kind: 'configuration-in-force',
+        revision: this.revision,
+      });
     }
     if (this.stale !== this.staleTold) {
       this.staleTold = this.stale;
-      this.tell({kind: 'stale', stale: this.stale});
+      this.outbox.tell({kind: 'stale', stale: this.stale});
     }
     for (const change of this.gossip.table.takeChanges()) {
-      this.tell({kind: 'liveness', ...change});
+      this.outbox.tell({kind: 'liveness', ...change});
     }
   }
 
   private tellLogReachable(reachable: boolean): void {
     if (this.logReachable === reachable) return;
     this.logReachable = reachable;
-    this.tell({kind: 'log', reachable});
+    this.outbox.tell({kind: 'log', reachable});
   }
 }
-
-function toEmptyMessage(to: peer.Member): failureDetector.Message {
-  return {to, body: undefined};
-}
--- a/src/common/control/fleet_view.ts
+++ b/src/common/control/fleet_view.ts
@@ -16,7 +16,10 @@
 /** The home of a key. */
 export interface KeyHome {
   readonly nodeId: string;
-  /** Since when no other member has been the home: keys minted earlier may have run elsewhere. */
+  /**
+   * Since when, by this node's clock, no other member can have been the home: keys minted earlier
+   * may have run elsewhere. Meant for the home itself.
+   */
   readonly sinceMs: units.EpochMs;
   /** Monotonic time from which no earlier home's lease can be valid. */
   readonly takeoverAtMs: units.MonotonicMs;
--- a/src/common/control/lease_upkeep.ts
+++ b/src/common/control/lease_upkeep.ts
@@ -1,5 +1,6 @@
 /** Keeps the roster lease of this node confirmed, and judges it. */
 import * as peer from '../../generated/peer.js';
+import * as roster from '../membership/roster.js';
 import * as rosterLease from '../membership/roster_lease.js';
 import * as units from '../units.js';
 import * as control from './control_contract.js';
@@ -27,9 +28,11 @@
     private readonly log: logState.LogState,
   ) {}
 
-  /** Whether this node may run keyed requests. */
+  /** Whether this start of the node is a key holder whose roster is recent enough to act on. */
   isValid(nowMs: units.MonotonicMs): boolean {
     if (!this.log.complete) return false;
+    const own = this.ownEntry();
+    if (own === undefined || !roster.isHolder(own)) return false;
     if (this.lease.ageMs(nowMs) <= rosterLease.LEASE_MS) return true;
     return this.isConfirmedByPeers(nowMs);
   }
@@ -65,7 +68,6 @@
   private isConfirmedByPeers(nowMs: units.MonotonicMs): boolean {
     const ownAgeMs = nowMs - this.ownRecordMs;
     if (ownAgeMs > rosterLease.OWN_RECORD_AGE_MAX_MS) return false;
-    if (this.ownEntry()?.roster !== 'joined') return false;
     const siblings = this.siblings().map(e => e.member.nodeId);
     return this.lease.agreedBy(siblings, this.log.nextOffset, nowMs);
   }
--- a/src/common/control/log_state.ts
+++ b/src/common/control/log_state.ts
@@ -75,12 +75,13 @@
   /** Returns what a peer that is at `fromOffset` needs. */
   peerState(
     nodeId: string,
-    fromOffset: number,
+    fromOffset: number | undefined,
     logAgeMs: units.Millis,
     provisional: readonly peer.ProvisionalMember[],
   ): control.PeerState {
     const common = {nodeId, rosterOffset: this.next, logAgeMs, provisional};
-    const records = this.recordsFrom(fromOffset);
+    const records =
+      fromOffset === undefined ? undefined : this.recordsFrom(fromOffset);
     if (records !== undefined) {
       return {...common, roster: [], departures: [], complete: false, records};
     }
--- a/src/common/control/own_records.ts
+++ b/src/common/control/own_records.ts
@@ -34,7 +34,10 @@
   ) {}
 }
 
-/** Appends what is needed, one append in flight for each need; repeats are idempotent. */
+/**
+ * Appends what is needed, one append in flight for each need. A retry is a new record with its
+ * own time; the folds take several records of one need as one.
+ */
 export class OwnRecords {
   private readonly tasks = new Map<string, Task>();
   private sequence = 0;
@@ -46,14 +49,6 @@
     private readonly count: counters.Counters,
   ) {}
 
-  /** Whether an append with this key prefix was tried and its need still stands. */
-  hasTried(prefix: string): boolean {
-    for (const [key, task] of this.tasks) {
-      if (key.startsWith(prefix) && task.record !== undefined) return true;
-    }
-    return false;
-  }
-
   /** Takes the needs of the moment and returns the records to append now. */
   step(needs: readonly Need[], now: units.Instant): readonly peer.LogRecord[] {
     this.dropMet(needs);
@@ -62,7 +57,7 @@
       const task = this.taskOf(need, now.monotonicMs);
       if (task.inFlight || task.dueMs > now.monotonicMs) continue;
       task.inFlight = true;
-      task.record ??= this.newRecord(task.need, now.epochMs);
+      task.record = this.newRecord(need, now.epochMs);
       records.push(task.record);
     }
     return records;
@@ -83,6 +78,7 @@
     if (task === undefined) return;
     this.count.increment('log.append-failed');
     task.inFlight = false;
+    task.record = undefined;
     task.attempts++;
     const longest = RETRY_MIN_MS * 2 ** Math.min(task.attempts, 10);
     const bound = Math.min(RETRY_MAX_MS, longest);
--- a/src/common/control/state_exchange.ts
+++ b/src/common/control/state_exchange.ts
@@ -21,19 +21,11 @@
   readonly offset: number;
 }
 
-/** Whether a node's first state is still to be asked for. */
-export type PullReason = 'behind' | 'incomplete';
-
-interface Pull {
-  readonly nodeId: string;
-  readonly sentMs: units.MonotonicMs;
-}
-
 /** Decides when to push and when to pull; one pull at a time. */
 export class StateExchange {
   private pushed: Versions = {revision: 0, offset: 0};
   private lastPushMs = Number.NEGATIVE_INFINITY;
-  private inFlight: Pull | undefined;
+  private inFlightMs: units.MonotonicMs | undefined;
   private lastPullMs = Number.NEGATIVE_INFINITY;
   private ahead:
     {readonly member: peer.Member; readonly versions: Versions} | undefined;
@@ -61,11 +53,12 @@
   /** Returns the pull to start now; `fallback` is asked if nobody ahead is known. */
   step(
     own: Versions,
+    complete: boolean,
     members: number,
     fallback: () => peer.Member | undefined,
     nowMs: units.MonotonicMs,
   ): control.ControlAction | undefined {
-    if (this.inFlight !== undefined) return undefined;
+    if (this.inFlightMs !== undefined) return undefined;
     if (this.ahead && !isAhead(this.ahead.versions, own)) {
       this.ahead = undefined;
     }
@@ -74,21 +67,22 @@
     if (nowMs - this.lastPullMs < spacingMs) return undefined;
     const member = this.ahead?.member ?? fallback();
     if (member === undefined) return undefined;
-    this.inFlight = {nodeId: member.nodeId, sentMs: nowMs};
+    this.inFlightMs = nowMs;
     this.lastPullMs = nowMs;
-    return {kind: 'pull-state', member, fromOffset: own.offset};
+    const fromOffset = complete ? own.offset : undefined;
+    return {kind: 'pull-state', member, fromOffset};
   }
 
   /** Notes an answer; returns when it was asked for. */
   noteAnswer(): units.MonotonicMs | undefined {
-    const sentMs = this.inFlight?.sentMs;
-    this.inFlight = undefined;
+    const sentMs = this.inFlightMs;
+    this.inFlightMs = undefined;
     return sentMs;
   }
 
   /** Notes that a pull failed; another peer is to be asked. */
   noteFailure(): void {
-    this.inFlight = undefined;
+    this.inFlightMs = undefined;
     this.ahead = undefined;
   }
 
--- a/src/common/membership/key_homes.ts
+++ b/src/common/membership/key_homes.ts
@@ -5,28 +5,39 @@
 import * as roster from './roster.js';
 import * as rosterLease from './roster_lease.js';
 
-/** Time for which the moment of learning a change of holders is kept. */
-const LEARNT_KEPT_MS: units.Millis = 60_000;
+/** Most offsets for which it is kept when this node learnt of them. */
+const MAX_LEARNT = 8_192;
 
-/** Answers where a key's memory is kept, and since when. */
+const NEVER: units.Instant = {
+  monotonicMs: Number.NEGATIVE_INFINITY,
+  epochMs: 0,
+};
+
+/**
+ * Answers where a key's memory is kept, and since when.
+ *
+ * What counts is when this node learnt of a record: a record's own time is that of its first
+ * append, which may have been tried again for long before it took effect.
+ */
 export class KeyHomes {
-  private readonly learntMs = new Map<number, units.MonotonicMs>();
-  private adoptedMs = Number.NEGATIVE_INFINITY;
+  private readonly learnt = new Map<number, units.Instant>();
+  /** Latest time at which an offset that is not kept can have been learnt of. */
+  private learntFloor = NEVER;
 
   constructor(private readonly members: roster.Roster) {}
 
   /** Notes when this node folded the record at an offset. */
-  noteFolded(offset: number, nowMs: units.MonotonicMs): void {
-    this.learntMs.set(offset, nowMs);
-    for (const [known, atMs] of this.learntMs) {
-      if (nowMs - atMs <= LEARNT_KEPT_MS) return;
-      this.learntMs.delete(known);
-    }
+  noteFolded(offset: number, now: units.Instant): void {
+    this.learnt.set(offset, now);
+    if (this.learnt.size <= MAX_LEARNT) return;
+    const [[oldest, at]] = this.learnt;
+    this.learnt.delete(oldest);
+    this.learntFloor = latest(this.learntFloor, at);
   }
 
   /** Notes when this node took over the roster of a peer. */
-  noteAdopted(nowMs: units.MonotonicMs): void {
-    this.adoptedMs = nowMs;
+  noteAdopted(now: units.Instant): void {
+    this.learntFloor = now;
   }
 
   /** Node id of the home of a key, undefined if the service has no holder. */
@@ -44,31 +55,34 @@
     if (nodeId === undefined) return undefined;
     const entry = this.members.entry(nodeId);
     if (entry?.holderSinceOffset === undefined) return undefined;
-    let sinceMs = entry.holderSinceMs ?? 0;
-    let takeoverAtMs = this.takeoverMs(entry.holderSinceOffset);
+    let since = this.learntAt(entry.holderSinceOffset);
     for (const left of this.members.departuresOf(service)) {
       const wasHome =
         left.nodeId === nodeId ||
         rendezvous.ranksBefore(key, left.nodeId, nodeId);
-      if (!wasHome) continue;
-      sinceMs = Math.max(sinceMs, left.timeMs);
-      takeoverAtMs = Math.max(takeoverAtMs, this.takeoverMs(left.offset));
+      if (wasHome) since = latest(since, this.learntAt(left.offset));
     }
+    since = latest(since, this.historyStart(service));
     return {
       nodeId,
-      sinceMs: Math.max(sinceMs, this.historyStartMs(service)),
-      takeoverAtMs,
+      sinceMs: since.epochMs,
+      takeoverAtMs: since.monotonicMs + rosterLease.TAKEOVER_MS,
     };
   }
 
   /** Time before which ends of holding may have been forgotten. */
-  private historyStartMs(service: string): units.EpochMs {
+  private historyStart(service: string): units.Instant {
     const departures = this.members.departuresOf(service);
-    return departures.length < roster.MAX_DEPARTURES ? 0 : departures[0].timeMs;
+    return departures.length < roster.MAX_DEPARTURES
+      ? NEVER
+      : this.learntAt(departures[0].offset);
   }
 
-  private takeoverMs(offset: number): units.MonotonicMs {
-    const learntMs = this.learntMs.get(offset) ?? this.adoptedMs;
-    return learntMs + rosterLease.TAKEOVER_MS;
+  private learntAt(offset: number): units.Instant {
+    return this.learnt.get(offset) ?? this.learntFloor;
   }
 }
+
+function latest(left: units.Instant, right: units.Instant): units.Instant {
+  return left.monotonicMs >= right.monotonicMs ? left : right;
+}
--- /dev/null
+++ b/test/fakes/fleet_checks.ts
@@ -0,0 +1,157 @@
+/** Checks over a whole virtual fleet against one fold of the complete log. */
+import * as assert from 'node:assert/strict';
+
+import * as control from '../../src/common/control/control_contract.js';
+import * as logState from '../../src/common/control/log_state.js';
+import * as counters from '../../src/common/counters.js';
+import * as invariants from '../../src/common/invariants.js';
+import * as virtualFleet from './virtual_fleet.js';
+
+/** Clock skew that gates allow for between the minting of a key and the log's times. */
+const SKEW_BOUND_MS = 1_000;
+
+const KEY_LIFETIME_MS = 20_000;
+const KEY_INTERVAL_MS = 2_000;
+
+/** Time between two tries of a node's keys, besides the one when it wakes. */
+const TRY_INTERVAL_MS = 100;
+
+interface Key {
+  readonly service: string;
+  readonly key: string;
+  readonly mintedMs: number;
+}
+
+/** Everything a fold decides, for comparison. */
+interface Digest {
+  readonly configuration: string;
+  readonly holders: string;
+}
+
+export class FleetChecks {
+  runs = 0;
+  comparisons = 0;
+  private readonly reference: logState.LogState;
+  private readonly digests: Digest[];
+  private readonly compared = new WeakMap<virtualFleet.VirtualNode, number>();
+  private readonly revisions = new WeakMap<virtualFleet.VirtualNode, number>();
+  private readonly tried = new WeakMap<virtualFleet.VirtualNode, number>();
+  private readonly runners = new Map<string, string>();
+  private keys: Key[] = [];
+  private minted = 0;
+
+  constructor(private readonly fleet: virtualFleet.VirtualFleet) {
+    const count = new counters.MemoryCounters();
+    const check = new invariants.Invariants(count);
+    this.reference = new logState.LogState(check, count);
+    this.digests = [this.referenceDigest()];
+    fleet.log.onStored = stored => {
+      const nextOffset = stored.offset + 1;
+      const page = {records: [stored], firstOffset: 0, nextOffset};
+      this.reference.foldPage(page);
+      this.digests[nextOffset] = this.referenceDigest();
+    };
+    fleet.onLook = node => this.look(node);
+    fleet.onResume = node => this.tryKeys(node);
+    this.mint();
+  }
+
+  get revision(): number {
+    return this.reference.configuration.revision;
+  }
+
+  /** After faults have ended: every node has all, and every member may serve keys. */
+  checkRecovered(): void {
+    for (const node of this.fleet.nodes.values()) {
+      const id = node.member.nodeId;
+      assert.equal(node.core.configuration?.revision ?? 0, this.revision, id);
+      assert.equal(node.core.rosterOffset, this.reference.nextOffset, id);
+      assert.equal(node.core.stale, false, `${id} is stale`);
+      assert.equal(node.core.member(id)?.roster, 'joined', id);
+      assert.ok(node.core.keyLeaseValid(this.fleet.nowMs), `${id}: no lease`);
+      const home = node.core.homeOf(node.member.service, 'key');
+      assert.ok(home && this.fleet.nodes.has(home), `${id}: home ${home}`);
+    }
+  }
+
+  private look(node: virtualFleet.VirtualNode): void {
+    this.compareFold(node);
+    const triedMs = this.tried.get(node) ?? Number.NEGATIVE_INFINITY;
+    if (this.fleet.nowMs - triedMs < TRY_INTERVAL_MS) return;
+    this.tried.set(node, this.fleet.nowMs);
+    this.tryKeys(node);
+  }
+
+  private compareFold(node: virtualFleet.VirtualNode): void {
+    const revision = node.core.configuration?.revision ?? 0;
+    const before = this.revisions.get(node) ?? 0;
+    assert.ok(revision >= before, `${node.member.nodeId}: revision fell`);
+    this.revisions.set(node, revision);
+    const offset = node.core.rosterOffset;
+    if (this.compared.get(node) === offset) return;
+    const now = {monotonicMs: this.fleet.nowMs, epochMs: 0};
+    const state = node.core.peerState(undefined, now);
+    if (!state.complete) return;
+    this.compared.set(node, offset);
+    this.comparisons++;
+    const configuration = JSON.stringify(node.core.configuration?.document);
+    const digest = {
+      configuration: `${revision} ${configuration}`,
+      holders: holdersDigest(state.roster),
+    };
+    assert.deepEqual(
+      digest,
+      this.digests[offset],
+      `${node.member.nodeId} at offset ${offset}`,
+    );
+  }
+
+  /** Runs keys wherever the view of a node allows it: each at one start of one node only. */
+  private tryKeys(node: virtualFleet.VirtualNode): void {
+    const {core, member} = node;
+    const {nowMs} = this.fleet;
+    if (core.stale || !core.keyLeaseValid(nowMs)) return;
+    const runner = `${member.nodeId}.${member.incarnation}`;
+    for (const key of this.keys) {
+      if (key.service !== member.service) continue;
+      const home = core.keyHome(key.service, key.key);
+      if (home?.nodeId !== member.nodeId || nowMs < home.takeoverAtMs) continue;
+      if (key.mintedMs < home.sinceMs + SKEW_BOUND_MS) continue;
+      const first = this.runners.get(key.key) ?? runner;
+      this.runners.set(key.key, first);
+      this.runs++;
+      assert.equal(runner, first, `key ${key.key} at ${nowMs} ms`);
+    }
+  }
+
+  private mint(): void {
+    const mintedMs = this.fleet.epochMs();
+    const oldestMs = mintedMs - KEY_LIFETIME_MS;
+    this.keys = this.keys.filter(k => k.mintedMs >= oldestMs);
+    const services = new Set(this.fleet.options.members.map(m => m.service));
+    for (const service of services) {
+      this.keys.push({service, key: `key-${this.minted++}`, mintedMs});
+    }
+    this.fleet.after(KEY_INTERVAL_MS, () => this.mint());
+  }
+
+  private referenceDigest(): Digest {
+    const {configuration, roster} = this.reference;
+    const document = JSON.stringify(configuration.configuration?.document);
+    return {
+      configuration: `${configuration.revision} ${document}`,
+      holders: holdersDigest(roster.state().entries),
+    };
+  }
+}
+
+function holdersDigest(entries: readonly control.RosterEntryState[]): string {
+  return entries
+    .filter(e => e.holderSinceOffset !== undefined)
+    .map(
+      e =>
+        `${e.member.nodeId}.${e.member.incarnation}@${e.holderSinceOffset}/${e.holderSinceMs}`,
+    )
+    .sort()
+    .join(' ');
+}
--- /dev/null
+++ b/test/fakes/fleet_run.ts
@@ -0,0 +1,228 @@
+/** Random runs of a virtual fleet: faults in a random order, then recovery. */
+import * as fc from 'fast-check';
+
+import * as peer from '../../src/generated/peer.js';
+import * as changes from './changes.js';
+import * as fleetChecks from './fleet_checks.js';
+import * as virtualFleet from './virtual_fleet.js';
+
+/** Longest fault, which is within the time after which the roster counts on no faults. */
+const MAX_FAULT_MS = 15_000;
+
+export type Fault =
+  | 'pause'
+  | 'kill'
+  | 'restart'
+  | 'stop'
+  | 'log-down'
+  | 'cut-from-log'
+  | 'cut-from-peers'
+  | 'publish'
+  | 'race'
+  | 'repeat-change'
+  | 'stale-snapshot'
+  | 'garbage'
+  | 'retain'
+  | 'nothing';
+
+export interface Step {
+  readonly fault: Fault;
+  readonly node: number;
+  readonly faultMs: number;
+  readonly thenMs: number;
+}
+
+const STEP: fc.Arbitrary<Step> = fc.record({
+  fault: fc.constantFrom<Fault>(
+    'pause',
+    'pause',
+    'kill',
+    'restart',
+    'stop',
+    'log-down',
+    'cut-from-log',
+    'cut-from-peers',
+    'publish',
+    'race',
+    'repeat-change',
+    'stale-snapshot',
+    'garbage',
+    'retain',
+    'nothing',
+  ),
+  node: fc.nat(1_000),
+  faultMs: fc.integer({min: 100, max: MAX_FAULT_MS}),
+  thenMs: fc.integer({min: 0, max: 3_000}),
+});
+
+export interface Run {
+  readonly seed: number;
+  readonly count: number;
+  readonly serviceSize: number;
+  readonly loss: number;
+  readonly steps: readonly Step[];
+}
+
+export const RUN: fc.Arbitrary<Run> = fc.record({
+  seed: fc.nat(0x7fff_ffff),
+  count: fc.oneof(
+    {weight: 12, arbitrary: fc.integer({min: 5, max: 8})},
+    {weight: 1, arbitrary: fc.integer({min: 9, max: 25})},
+  ),
+  serviceSize: fc.integer({min: 2, max: 6}),
+  loss: fc.constantFrom(0, 0.05, 0.2),
+  steps: fc.array(STEP, {minLength: 4, maxLength: 14}),
+});
+
+/** One run: the fleet, what was published, and how faults are brought about. */
+export class FleetRun {
+  readonly fleet: virtualFleet.VirtualFleet;
+  readonly checks: fleetChecks.FleetChecks;
+  private published = 0;
+  private snapshot: peer.LogRecord | undefined;
+  private readonly cut = new Set<string>();
+
+  constructor(private readonly run: Run) {
+    this.fleet = new virtualFleet.VirtualFleet({
+      seed: run.seed,
+      members: virtualFleet.fleetMembers(run.count, run.serviceSize),
+      loss: run.loss,
+      duplication: 0.05,
+      delayMs: 30,
+      lostAppends: 0.1,
+      clockSkewMs: 200,
+    });
+    this.fleet.isCut = (from, to) => this.cut.has(from) !== this.cut.has(to);
+    this.checks = new fleetChecks.FleetChecks(this.fleet);
+    this.fleet.startAll(500);
+    this.fleet.runFor(3_000);
+  }
+
+  /** Brings about the faults of the run, then recovers and checks the whole fleet. */
+  runAll(): void {
+    for (const step of this.run.steps) this.carryOut(step);
+    this.recover();
+    this.checks.checkRecovered();
+  }
+
+  private carryOut(step: Step): void {
+    const ids = [...this.fleet.nodes.keys()];
+    const nodeId = ids[step.node % ids.length];
+    this.bringAbout(step.fault, nodeId, step.faultMs);
+    this.fleet.runFor(step.thenMs);
+  }
+
+  /** Ends all faults and brings every member back. */
+  private recover(): void {
+    this.fleet.runFor(MAX_FAULT_MS);
+    for (const member of this.fleet.options.members) {
+      const node = this.fleet.nodes.get(member.nodeId);
+      if (node === undefined) this.startAgain(member.nodeId);
+    }
+    this.fleet.runFor(40_000);
+  }
+
+  private bringAbout(fault: Fault, nodeId: string, faultMs: number): void {
+    const {fleet} = this;
+    switch (fault) {
+      case 'pause':
+        fleet.pause(nodeId, faultMs);
+        return;
+      case 'kill':
+        if (fleet.nodes.size > 3) this.kill(nodeId, faultMs);
+        return;
+      case 'restart':
+        this.kill(nodeId, 50);
+        return;
+      case 'stop':
+        if (fleet.nodes.size <= 3) return;
+        fleet.stop(nodeId);
+        fleet.after(6_000, () => this.kill(nodeId, 50));
+        return;
+      case 'log-down':
+        fleet.log.reachable = false;
+        fleet.after(faultMs, () => (fleet.log.reachable = true));
+        return;
+      case 'cut-from-log':
+        fleet.cutFromLog.add(nodeId);
+        fleet.after(faultMs, () => fleet.cutFromLog.delete(nodeId));
+        return;
+      case 'cut-from-peers':
+        this.cut.add(nodeId);
+        fleet.after(faultMs, () => this.cut.delete(nodeId));
+        return;
+      case 'publish':
+        this.publish(this.checks.revision);
+        return;
+      case 'race':
+        this.publish(this.checks.revision);
+        this.publish(this.checks.revision - 1);
+        return;
+      case 'repeat-change':
+        changes.publish(
+          fleet,
+          `change-${this.published}`,
+          this.checks.revision,
+        );
+        return;
+      case 'stale-snapshot':
+        this.appendStaleSnapshot(nodeId);
+        return;
+      case 'garbage':
+        fleet.append({
+          recordId: 'garbage',
+          timeMs: 0,
+          body: {
+            $case: 'roster',
+            value: peer.RosterRecord.create({
+              event: peer.RosterEvent.LEAVING,
+              member: fleet.nodes.get(nodeId)?.member,
+              authorNodeId: 'stranger',
+            }),
+          },
+        });
+        return;
+      case 'retain':
+        fleet.log.retain(20);
+        return;
+      case 'nothing':
+        return;
+    }
+  }
+
+  private publish(baseRevision: number): void {
+    this.published++;
+    const base = Math.max(0, baseRevision);
+    changes.publish(this.fleet, `change-${this.published}`, base);
+  }
+
+  /** Appends the snapshot taken at the last call and takes a new one. */
+  private appendStaleSnapshot(nodeId: string): void {
+    if (this.snapshot) this.fleet.append(this.snapshot);
+    const node = this.fleet.nodes.get(nodeId);
+    const now = {monotonicMs: this.fleet.nowMs, epochMs: 0};
+    const state = node?.core.peerState(undefined, now);
+    if (!state?.complete || state.snapshotBase64 === undefined) return;
+    const bytes = Buffer.from(state.snapshotBase64, 'base64');
+    const value = peer.ConfigurationSnapshot.decode(bytes);
+    this.snapshot = {
+      recordId: 'stale',
+      timeMs: this.fleet.epochMs(),
+      body: {$case: 'snapshot', value},
+    };
+  }
+
+  private kill(nodeId: string, forMs: number): void {
+    const node = this.fleet.nodes.get(nodeId);
+    if (node === undefined) return;
+    this.fleet.kill(nodeId);
+    this.fleet.after(forMs, () => this.startAgain(nodeId));
+  }
+
+  private startAgain(nodeId: string): void {
+    if (this.fleet.nodes.has(nodeId)) return;
+    const member = this.fleet.options.members.find(m => m.nodeId === nodeId);
+    if (member === undefined) return;
+    this.fleet.start({...member, incarnation: 1 + this.fleet.nowMs});
+  }
+}
--- a/test/fakes/virtual_fleet.ts
+++ b/test/fakes/virtual_fleet.ts
@@ -63,8 +63,9 @@
   readonly cutFromLog = new Set<string>();
   isCut: (from: string, to: string) => boolean = () => false;
   bootstrapPeers: readonly peer.Member[] = [];
-  /** Called before a node handles events after a pause, and after each event. */
+  /** Called after each event, and when a node goes on after a pause. */
   onLook: (node: VirtualNode) => void = () => {};
+  onResume: (node: VirtualNode) => void = () => {};
   readonly random: randomSource.SeededRandom;
   private readonly queue = new Map<number, (() => void)[]>();
 
@@ -171,7 +172,7 @@
 
   private resume(node: VirtualNode): void {
     if (!node.alive) return;
-    this.onLook(node);
+    this.onResume(node);
     const backlog = node.backlog;
     node.backlog = [];
     if (this.random.next() < 0.5) this.deliver(node, {kind: 'tick'});
@@ -274,7 +275,11 @@
     });
   }
 
-  private pullFor(node: VirtualNode, from: string, fromOffset: number): void {
+  private pullFor(
+    node: VirtualNode,
+    from: string,
+    fromOffset: number | undefined,
+  ): void {
     this.traffic.pulls++;
     const failed: control.ControlEvent = {
       kind: 'peer-state-failed',
