--- a/src/common/membership/roster.ts
+++ b/src/common/membership/roster.ts
@@ -31,11 +31,15 @@
   readonly departures: readonly control.HolderDeparture[];
 }
 
+type Entries = readonly control.RosterEntryState[];
+
 /** Members and key holders by the log up to an offset. */
 export class Roster {
   private entries = new Map<string, control.RosterEntryState>();
   private services = new Map<string, Set<string>>();
   private departures = new Map<string, control.HolderDeparture[]>();
+  private readonly entriesCache = new Map<string, Entries>();
+  private readonly holdersCache = new Map<string, Entries>();
   private tombstones = 0;
   private changes = 0;
   /** First offset from which every record has been folded, undefined if none is missing. */
@@ -65,8 +69,13 @@
   }
 
   /** Entries of a service that have not gone. */
-  entriesOf(service: string): readonly control.RosterEntryState[] {
-    return this.present([...(this.services.get(service) ?? [])]);
+  entriesOf(service: string): Entries {
+    let found = this.entriesCache.get(service);
+    if (found === undefined) {
+      found = this.present([...(this.services.get(service) ?? [])]);
+      this.entriesCache.set(service, found);
+    }
+    return found;
   }
 
   /** All entries that have not gone. */
@@ -75,8 +84,13 @@
   }
 
   /** Key holders of a service. */
-  holdersOf(service: string): readonly control.RosterEntryState[] {
-    return this.entriesOf(service).filter(isHolder);
+  holdersOf(service: string): Entries {
+    let found = this.holdersCache.get(service);
+    if (found === undefined) {
+      found = this.entriesOf(service).filter(isHolder);
+      this.holdersCache.set(service, found);
+    }
+    return found;
   }
 
   /** Recent ends of holding in a service, oldest first. */
@@ -98,6 +112,8 @@
     this.entries = new Map();
     this.services = new Map();
     this.departures = new Map();
+    this.entriesCache.clear();
+    this.holdersCache.clear();
     this.tombstones = 0;
     this.partialFrom = undefined;
     this.partialSinceMs = undefined;
@@ -303,7 +319,9 @@
     if (old?.roster === 'gone') this.tombstones--;
     if (old && old.member.service !== service) {
       this.services.get(old.member.service)?.delete(nodeId);
+      this.dropCaches(old.member.service);
     }
+    this.dropCaches(service);
     this.entries.delete(nodeId);
     this.entries.set(nodeId, entry);
     const members = this.services.get(service) ?? new Set();
@@ -312,12 +330,18 @@
     this.dropOldTombstones();
   }
 
+  private dropCaches(service: string): void {
+    this.entriesCache.delete(service);
+    this.holdersCache.delete(service);
+  }
+
   private dropOldTombstones(): void {
     if (this.tombstones <= MAX_TOMBSTONES) return;
     for (const entry of this.entries.values()) {
       if (entry.roster !== 'gone') continue;
       this.entries.delete(entry.member.nodeId);
       this.services.get(entry.member.service)?.delete(entry.member.nodeId);
+      this.dropCaches(entry.member.service);
       this.tombstones--;
       return;
     }
