Prove the lease, takeover and fold rules by runs that fail without them

Added: a check that a confirmed node misses no record stored before its confirmation; keys are tried after each event a waking node works off; isolation and longer pauses; unit tests of the roster and the detector; a takeover test in which a cut-off home still has its lease. A fault found on the way: a node's first refutation was not spread. Not shown by any test: the check that the holding is of this start of the node (adoption by itself moves sinceMs). Ruled out as single guards: forgetting probes at wake-up hides the first rule in pauses, so it is shown by network delay instead.

--- a/src/common/control/control_core.test.ts
+++ b/src/common/control/control_core.test.ts
@@ -3,6 +3,7 @@
 
 import * as virtualFleet from '../../../test/fakes/virtual_fleet.js';
 import * as changes from '../../../test/fakes/changes.js';
+import * as rendezvous from '../membership/rendezvous.js';
 import * as peer from '../../generated/peer.js';
 
 const SEED = Number(process.env.SEED ?? 1);
@@ -135,10 +136,45 @@
     assert.equal(node.core.stale, true);
     fleet.runFor(10_000);
     assert.equal(node.core.stale, false);
-    const others = nodesOf(fleet).map(n => n.member.nodeId);
-    const dead = others.filter(
-      id => node.core.member(id)?.liveness === peer.LivenessState.DEAD,
-    );
+    const dead = node.notices
+      .map(n => n.notice)
+      .filter(n => n.kind === 'liveness')
+      .filter(n => n.state === peer.LivenessState.DEAD);
     assert.deepEqual(dead, []);
   },
 );
+
+nodeTest.test(
+  'a new home waits until the lease of a home that was cut off has ended',
+  () => {
+    const fleet = newFleet(3);
+    fleet.runFor(10_000);
+    const ids = nodesOf(fleet).map(n => n.member.nodeId);
+    const [, a, b] = rendezvous.rank('service-0', ids);
+    const keys = Array.from({length: 200}, (unused, i) => `key-${i}`);
+    const mayRun = (n: virtualFleet.VirtualNode): readonly string[] =>
+      keys.filter(k => {
+        const home = n.core.keyHome('service-0', k);
+        return (
+          home?.nodeId === n.member.nodeId &&
+          fleet.nowMs >= home.takeoverAtMs &&
+          n.core.keyLeaseValid(fleet.nowMs)
+        );
+      });
+    const member = fleet.nodes.get(b)?.member ?? assert.fail();
+    fleet.kill(b);
+    fleet.runFor(25_000);
+    fleet.start({...member, incarnation: 2});
+    fleet.cutFromLog.add(a);
+    fleet.isCut = (from, to) => from === a || to === a;
+    let taken = 0;
+    for (let i = 0; i < 100; i++) {
+      fleet.runFor(50);
+      const running = nodesOf(fleet).flatMap(mayRun);
+      assert.equal(new Set(running).size, running.length, `${fleet.nowMs} ms`);
+      const node = fleet.nodes.get(b);
+      taken = Math.max(taken, node ? mayRun(node).length : 0);
+    }
+    assert.ok(taken > 0);
+  },
+);
--- a/src/common/membership/liveness_table.ts
+++ b/src/common/membership/liveness_table.ts
@@ -185,7 +185,9 @@
   ): void {
     const before = this.states.get(nodeId);
     this.states.set(nodeId, {incarnation, refutation, state, sinceMs: nowMs});
-    if (before !== undefined || state !== peer.LivenessState.ALIVE) {
+    const isFirstSight =
+      before === undefined && state === peer.LivenessState.ALIVE;
+    if (!isFirstSight || nodeId === this.self.nodeId) {
       this.sends.set(nodeId, 0);
     }
     if (state === peer.LivenessState.SUSPECT) this.suspected.add(nodeId);
--- a/test/fakes/fleet_checks.ts
+++ b/test/fakes/fleet_checks.ts
@@ -10,8 +10,8 @@
 /** Clock skew that gates allow for between the minting of a key and the log's times. */
 const SKEW_BOUND_MS = 1_000;
 
-const KEY_LIFETIME_MS = 20_000;
-const KEY_INTERVAL_MS = 2_000;
+const KEY_LIFETIME_MS = 15_000;
+const KEY_INTERVAL_MS = 1_000;
 
 /** Time between two tries of a node's keys, besides the one when it wakes. */
 const TRY_INTERVAL_MS = 200;
@@ -38,6 +38,7 @@
   private readonly tried = new WeakMap<virtualFleet.VirtualNode, number>();
   private readonly runners = new Map<string, string>();
   private keys: Key[] = [];
+  private readonly storedMs: number[] = [];
   private minted = 0;
 
   constructor(private readonly fleet: virtualFleet.VirtualFleet) {
@@ -47,6 +48,7 @@
     this.digests = [this.referenceDigest()];
     fleet.log.onStored = stored => {
       const nextOffset = stored.offset + 1;
+      this.storedMs[stored.offset] = fleet.nowMs;
       const page = {records: [stored], firstOffset: 0, nextOffset};
       this.reference.foldPage(page);
       this.digests[nextOffset] = this.referenceDigest();
@@ -86,12 +88,23 @@
 
   private look(node: virtualFleet.VirtualNode): void {
     this.compareFold(node);
+    this.checkConfirmation(node);
     const triedMs = this.tried.get(node) ?? Number.NEGATIVE_INFINITY;
-    if (this.fleet.nowMs - triedMs < TRY_INTERVAL_MS) return;
+    const dueMs = triedMs + TRY_INTERVAL_MS;
+    if (this.fleet.nowMs < dueMs && !node.wakingUp) return;
     this.tried.set(node, this.fleet.nowMs);
     this.tryKeys(node);
   }
 
+  /** A node misses no record that was stored before its newest confirmation. */
+  private checkConfirmation({core, member}: virtualFleet.VirtualNode): void {
+    const confirmedMs =
+      this.fleet.nowMs - core.rosterConfirmedAgeMs(this.fleet.nowMs);
+    const missedMs =
+      this.storedMs[core.rosterOffset] ?? Number.POSITIVE_INFINITY;
+    assert.ok(missedMs >= confirmedMs, `${member.nodeId}: confirmed too late`);
+  }
+
   private compareFold(node: virtualFleet.VirtualNode): void {
     const revision = node.core.configuration?.revision ?? 0;
     const before = this.revisions.get(node) ?? 0;
@@ -120,7 +133,7 @@
   private tryKeys(node: virtualFleet.VirtualNode): void {
     const {core, member} = node;
     const {nowMs} = this.fleet;
-    if (core.stale || !core.keyLeaseValid(nowMs)) return;
+    if (!core.keyLeaseValid(nowMs)) return;
     const runner = `${member.nodeId}.${member.incarnation}`;
     for (const key of this.keys) {
       if (key.service !== member.service) continue;
--- a/test/fakes/fleet_run.ts
+++ b/test/fakes/fleet_run.ts
@@ -7,7 +7,7 @@
 import * as virtualFleet from './virtual_fleet.js';
 
 /** Longest fault; longer than the time after which a dead member is declared gone. */
-const MAX_FAULT_MS = 12_000;
+const MAX_FAULT_MS = 20_000;
 
 /** Time within which the fleet must be whole again after the last fault. */
 const RECOVERY_MS = 60_000;
@@ -20,6 +20,7 @@
   | 'log-down'
   | 'cut-from-log'
   | 'cut-from-peers'
+  | 'isolate'
   | 'publish'
   | 'race'
   | 'repeat-change'
@@ -45,6 +46,7 @@
     'log-down',
     'cut-from-log',
     'cut-from-peers',
+    'isolate',
     'publish',
     'race',
     'repeat-change',
@@ -146,12 +148,14 @@
         fleet.after(faultMs, () => (fleet.log.reachable = true));
         return;
       case 'cut-from-log':
-        fleet.cutFromLog.add(nodeId);
-        fleet.after(faultMs, () => fleet.cutFromLog.delete(nodeId));
+        this.cutFromLog(nodeId, faultMs);
         return;
       case 'cut-from-peers':
-        this.cut.add(nodeId);
-        fleet.after(faultMs, () => this.cut.delete(nodeId));
+        this.cutFromPeers(nodeId, faultMs);
+        return;
+      case 'isolate':
+        this.cutFromLog(nodeId, faultMs);
+        this.cutFromPeers(nodeId, faultMs);
         return;
       case 'publish':
         this.publish(this.checks.revision);
@@ -192,6 +196,16 @@
     }
   }
 
+  private cutFromLog(nodeId: string, forMs: number): void {
+    this.fleet.cutFromLog.add(nodeId);
+    this.fleet.after(forMs, () => this.fleet.cutFromLog.delete(nodeId));
+  }
+
+  private cutFromPeers(nodeId: string, forMs: number): void {
+    this.cut.add(nodeId);
+    this.fleet.after(forMs, () => this.cut.delete(nodeId));
+  }
+
   private publish(baseRevision: number): void {
     this.published++;
     const base = Math.max(0, baseRevision);
--- a/test/fakes/virtual_fleet.ts
+++ b/test/fakes/virtual_fleet.ts
@@ -36,6 +36,8 @@
   pausedUntilMs = 0;
   backlog: control.ControlEvent[] = [];
   nextTickMs = 0;
+  /** Whether the node works off what arrived during a pause. */
+  wakingUp = false;
 
   constructor(
     readonly member: peer.Member,
@@ -175,8 +177,10 @@
     this.onResume(node);
     const backlog = node.backlog;
     node.backlog = [];
+    node.wakingUp = true;
     if (this.random.next() < 0.5) this.deliver(node, {kind: 'tick'});
     for (const event of backlog) this.deliver(node, event);
+    node.wakingUp = false;
     node.nextTickMs = 0;
     this.scheduleTick(node);
   }
