--- /dev/null
+++ b/src/common/documents/document_checker.ts
@@ -0,0 +1,245 @@
+/** Checks JSON with comments against a schema; faults name line, column and key. */
+import * as ajv from 'ajv';
+import * as jsonc from 'jsonc-parser';
+
+import * as documentFault from './document_fault.js';
+
+/** Result of a check. */
+export type CheckedDocument<T> =
+  | {readonly kind: 'valid'; readonly value: T}
+  | {
+      readonly kind: 'invalid';
+      readonly faults: readonly documentFault.DocumentFault[];
+    };
+
+/** Largest document accepted, in UTF-16 units. */
+const MAX_DOCUMENT_LENGTH = 16 * 1024 * 1024;
+
+/** Deepest nesting accepted. */
+const MAX_DOCUMENT_DEPTH = 64;
+
+const IPV4 = /^(?:(?:25[0-5]|2[0-4]\d|1?\d?\d)(?:\.(?!$)|$)){4}$/;
+const IPV6 = /^[0-9a-fA-F:]{2,39}$/;
+
+/** Whether the text is an IP address. */
+function isIp(text: string): boolean {
+  return IPV4.test(text) || (IPV6.test(text) && text.includes(':'));
+}
+
+/** Checks documents of one schema; fills in defaults. */
+export class DocumentChecker<T> {
+  private readonly validate: ajv.ValidateFunction<T>;
+
+  constructor(schema: object) {
+    const checker = new ajv.Ajv({
+      allErrors: true,
+      useDefaults: true,
+      strict: false,
+    });
+    checker.addFormat('ip', isIp);
+    this.validate = checker.compile<T>(schema);
+  }
+
+  /** Parses and checks a text. */
+  checkText(text: string): CheckedDocument<T> {
+    const refusal = refuseOutsize(text);
+    if (refusal) return {kind: 'invalid', faults: [refusal]};
+    const syntaxErrors: jsonc.ParseError[] = [];
+    const tree = jsonc.parseTree(text, syntaxErrors, {
+      allowTrailingComma: true,
+    });
+    if (syntaxErrors.length > 0 || tree === undefined) {
+      return {kind: 'invalid', faults: syntaxFaults(text, syntaxErrors)};
+    }
+    const duplicates = duplicateKeyFaults(text, tree);
+    if (duplicates.length > 0) return {kind: 'invalid', faults: duplicates};
+    const value: unknown = jsonc.getNodeValue(tree);
+    if (this.validate(value)) return {kind: 'valid', value};
+    return {
+      kind: 'invalid',
+      faults: schemaFaults(text, tree, this.validate.errors ?? []),
+    };
+  }
+
+  /** Checks a value that has been parsed already; `value` gets its defaults filled in. */
+  checkValue(value: unknown): CheckedDocument<T> {
+    if (this.validate(value)) return {kind: 'valid', value};
+    const faults = relevantErrors(this.validate.errors ?? []).map(err => ({
+      line: 1,
+      column: 1,
+      key: pathOf(err).join('.'),
+      message: describe(err),
+    }));
+    return {kind: 'invalid', faults};
+  }
+}
+
+function refuseOutsize(text: string): documentFault.DocumentFault | undefined {
+  if (text.length > MAX_DOCUMENT_LENGTH) {
+    return faultAt(
+      text,
+      0,
+      '',
+      `longer than ${MAX_DOCUMENT_LENGTH} characters`,
+    );
+  }
+  let depth = 0;
+  const scanner = jsonc.createScanner(text, true);
+  for (
+    let token = scanner.scan();
+    token !== jsonc.SyntaxKind.EOF;
+    token = scanner.scan()
+  ) {
+    if (isOpening(token)) depth += 1;
+    if (isClosing(token)) depth -= 1;
+    if (depth > MAX_DOCUMENT_DEPTH) {
+      return faultAt(
+        text,
+        scanner.getTokenOffset(),
+        '',
+        `deeper than ${MAX_DOCUMENT_DEPTH} levels`,
+      );
+    }
+  }
+  return undefined;
+}
+
+function isOpening(token: jsonc.SyntaxKind): boolean {
+  return (
+    token === jsonc.SyntaxKind.OpenBraceToken ||
+    token === jsonc.SyntaxKind.OpenBracketToken
+  );
+}
+
+function isClosing(token: jsonc.SyntaxKind): boolean {
+  return (
+    token === jsonc.SyntaxKind.CloseBraceToken ||
+    token === jsonc.SyntaxKind.CloseBracketToken
+  );
+}
+
+function faultAt(
+  text: string,
+  offset: number,
+  key: string,
+  message: string,
+): documentFault.DocumentFault {
+  const before = text.slice(0, offset).split('\n');
+  return {
+    line: before.length,
+    column: before[before.length - 1].length + 1,
+    key,
+    message,
+  };
+}
+
+function syntaxFaults(
+  text: string,
+  errors: readonly jsonc.ParseError[],
+): readonly documentFault.DocumentFault[] {
+  if (errors.length === 0) {
+    return [faultAt(text, 0, '', 'expected a JSON object')];
+  }
+  return errors.map(err =>
+    faultAt(
+      text,
+      err.offset,
+      '',
+      `syntax error: ${jsonc.printParseErrorCode(err.error)}`,
+    ),
+  );
+}
+
+/** A key given twice: the later one would silently win. */
+function duplicateKeyFaults(
+  text: string,
+  node: jsonc.Node,
+): readonly documentFault.DocumentFault[] {
+  const faults: documentFault.DocumentFault[] = [];
+  const seen = new Set<string>();
+  for (const child of node.children ?? []) {
+    if (node.type === 'object') {
+      const keyNode = child.children?.[0];
+      const key = String(keyNode?.value);
+      if (seen.has(key)) {
+        faults.push(faultAt(text, child.offset, key, 'key given twice'));
+      }
+      seen.add(key);
+    }
+    faults.push(...duplicateKeyFaults(text, child));
+  }
+  return faults;
+}
+
+function schemaFaults(
+  text: string,
+  tree: jsonc.Node,
+  errors: readonly ajv.ErrorObject[],
+): readonly documentFault.DocumentFault[] {
+  return relevantErrors(errors).map(err => {
+    const path = pathOf(err);
+    const offset = closestNode(tree, path).offset;
+    return faultAt(text, offset, path.join('.'), describe(err));
+  });
+}
+
+/** Drops the summary of `oneOf` where a branch explains the fault. */
+function relevantErrors(
+  errors: readonly ajv.ErrorObject[],
+): readonly ajv.ErrorObject[] {
+  const specific = errors.filter(
+    err => err.keyword !== 'oneOf' && err.keyword !== 'const',
+  );
+  const candidates = specific.length > 0 ? specific : errors;
+  const seen = new Set<string>();
+  return candidates.filter(err => {
+    const id = `${pathOf(err).join('.')} ${describe(err)}`;
+    const isNew = !seen.has(id);
+    seen.add(id);
+    return isNew;
+  });
+}
+
+/** Path of the key at fault: the unknown key itself, not the object around it. */
+function pathOf(err: ajv.ErrorObject): readonly string[] {
+  const path = err.instancePath.split('/').slice(1).map(unescapePointer);
+  return err.keyword === 'additionalProperties'
+    ? [...path, String(err.params['additionalProperty'])]
+    : path;
+}
+
+/** Decodes a JSON pointer segment (RFC 6901). */
+function unescapePointer(segment: string): string {
+  return segment.replaceAll('~1', '/').replaceAll('~0', '~');
+}
+
+/** Finds the node of the path, or of its longest existing prefix. */
+function closestNode(tree: jsonc.Node, path: readonly string[]): jsonc.Node {
+  for (let length = path.length; length > 0; length--) {
+    const segments = path
+      .slice(0, length)
+      .map(s => (/^\d+$/.test(s) ? Number(s) : s));
+    const node = jsonc.findNodeAtLocation(tree, segments);
+    if (node) return length === path.length ? (node.parent ?? node) : node;
+  }
+  return tree;
+}
+
+function describe(err: ajv.ErrorObject): string {
+  switch (err.keyword) {
+    case 'additionalProperties':
+      return 'unknown key';
+    case 'required':
+      return `missing key ${String(err.params['missingProperty'])}`;
+    case 'enum':
+      return `expected one of ${(err.params['allowedValues'] as readonly unknown[]).join(', ')}`;
+    case 'const':
+      return `expected ${String(err.params['allowedValue'])}`;
+    case 'format':
+      return 'expected an IP address';
+    case 'pattern':
+      return `expected text matching ${String(err.params['pattern'])}`;
+    default:
+      return `expected: ${err.message ?? err.keyword}`;
+  }
+}
--- /dev/null
+++ b/src/node/settings.test.ts
@@ -0,0 +1,41 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+
+import * as settings from './settings.js';
+
+function text(operatorPort: number): string {
+  return JSON.stringify({
+    nodeId: 'orders-1',
+    dataCentre: 'couva',
+    region: 'tt-central',
+    service: 'orders',
+    ip: '127.0.0.1',
+    slots: 12,
+    ports: {http: 8000, peer: 8001, operator: operatorPort},
+    logService: {ip: '127.0.0.1', port: 9000},
+  });
+}
+
+nodeTest.test('accepts settings with three different ports', () => {
+  assert.equal(
+    settings.parseSettings(text(8002), 's.jsonc').ports.operator,
+    8002,
+  );
+});
+
+nodeTest.test('rejects a port number given twice, with the file named', () => {
+  assert.throws(
+    () => settings.parseSettings(text(8001), 's.jsonc'),
+    (err: unknown) =>
+      err instanceof settings.SettingsError &&
+      /^s\.jsonc: ports: /.test(err.lines[0]),
+  );
+});
+
+nodeTest.test('a file that cannot be read is one line', () => {
+  assert.throws(
+    () => settings.readSettings('/nonexistent.jsonc'),
+    (err: unknown) =>
+      err instanceof settings.SettingsError && err.lines.length === 1,
+  );
+});
--- /dev/null
+++ b/src/node/settings.ts
@@ -0,0 +1,74 @@
+/** Reads and checks the settings file of a node. */
+import * as fs from 'node:fs';
+
+import * as checker from '../common/documents/document_checker.js';
+import * as documentFault from '../common/documents/document_fault.js';
+import * as errors from '../common/errors.js';
+import * as generated from '../generated/settings.js';
+
+/** Settings that cannot be used; one line for each fault. */
+export class SettingsError extends errors.GeraniumloftError {
+  constructor(
+    path: string,
+    readonly lines: readonly string[],
+  ) {
+    super(`${lines.length} fault(s)`, {step: 'read settings', peer: path});
+  }
+}
+
+/**
+ * Checks the text of a settings file.
+ *
+ * @param fileName name used in fault lines.
+ * @throws SettingsError with one line for each fault.
+ */
+export function parseSettings(
+  text: string,
+  fileName: string,
+): generated.Settings {
+  const check = new checker.DocumentChecker<generated.Settings>(
+    generated.SETTINGS_SCHEMA,
+  );
+  const checked = check.checkText(text);
+  switch (checked.kind) {
+    case 'invalid':
+      throw new SettingsError(
+        fileName,
+        checked.faults.map(fault => documentFault.formatFault(fileName, fault)),
+      );
+    case 'valid':
+      refuseSharedPorts(checked.value, fileName);
+      return checked.value;
+  }
+}
+
+/**
+ * Reads and checks a settings file.
+ *
+ * @throws SettingsError if it cannot be read or has faults.
+ */
+export function readSettings(path: string): generated.Settings {
+  return parseSettings(readText(path), path);
+}
+
+function readText(path: string): string {
+  try {
+    return fs.readFileSync(path, 'utf8');
+  } catch (err) {
+    throw new SettingsError(path, [
+      `${path}: ${err instanceof Error ? err.message : String(err)}`,
+    ]);
+  }
+}
+
+/** The three TCP ports listen on one address, so they must differ. */
+function refuseSharedPorts(
+  settings: generated.Settings,
+  fileName: string,
+): void {
+  const {http, peer, operator} = settings.ports;
+  if (new Set([http, peer, operator]).size === 3) return;
+  throw new SettingsError(fileName, [
+    `${fileName}: ports: expected three different port numbers`,
+  ]);
+}
--- /dev/null
+++ b/test/stand_ins/log/stored_log.ts
@@ -0,0 +1,71 @@
+/** The records of the log stand-in: bounded retention, readers that wait. */
+
+/** A page as the log's readers get it. */
+export interface Page {
+  readonly firstOffset: number;
+  readonly nextOffset: number;
+  readonly records: readonly {readonly offset: number; readonly data: string}[];
+}
+
+/** Append-only records in memory. */
+export class StoredLog {
+  private records: Buffer[] = [];
+  private firstOffset = 0;
+  private waiting: (() => void)[] = [];
+
+  constructor(private retention: number) {}
+
+  get nextOffset(): number {
+    return this.firstOffset + this.records.length;
+  }
+
+  /** Changes how many records are kept. */
+  setRetention(retention: number): void {
+    this.retention = retention;
+    this.dropOld();
+  }
+
+  append(record: Buffer): number {
+    this.records.push(record);
+    const offset = this.nextOffset - 1;
+    this.dropOld();
+    const wake = this.waiting;
+    this.waiting = [];
+    wake.forEach(resolve => resolve());
+    return offset;
+  }
+
+  async read(from: number, limit: number, waitMs: number): Promise<Page> {
+    if (from >= this.nextOffset && waitMs > 0) await this.nextAppend(waitMs);
+    const start = Math.max(from, this.firstOffset);
+    const slice = this.records.slice(
+      start - this.firstOffset,
+      start - this.firstOffset + limit,
+    );
+    return {
+      firstOffset: this.firstOffset,
+      nextOffset: start + slice.length,
+      records: slice.map((r, i) => ({
+        offset: start + i,
+        data: r.toString('base64'),
+      })),
+    };
+  }
+
+  private nextAppend(waitMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const timer = setTimeout(resolve, waitMs);
+      this.waiting.push(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+
+  private dropOld(): void {
+    const excess = this.records.length - this.retention;
+    if (excess <= 0) return;
+    this.records = this.records.slice(excess);
+    this.firstOffset += excess;
+  }
+}
