--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -84,7 +84,7 @@
       ],
       '@typescript-eslint/no-unused-vars': [
         'error',
-        {argsIgnorePattern: '^unused'},
+        {argsIgnorePattern: '^unused', varsIgnorePattern: '^unused'},
       ],
       eqeqeq: ['error', 'always', {null: 'ignore'}],
       curly: ['error', 'multi-line'],
--- /dev/null
+++ b/src/node/operator_client.ts
@@ -0,0 +1,85 @@
+/** Client of another node's operator port. */
+import * as trpc from '@trpc/client';
+
+import * as control from '../common/control/control_contract.js';
+import * as errors from '../common/errors.js';
+import * as units from '../common/units.js';
+import * as peer from '../generated/peer.js';
+import * as contract from './operator_contract.js';
+import * as operatorRouter from './operator_router.js';
+
+/** A call to another node's operator port that failed. */
+export class OperatorCallError extends errors.GeraniumloftError {}
+
+/** Address of an operator port. */
+export interface OperatorAddress {
+  readonly ip: string;
+  readonly port: number;
+  readonly timeoutMs: units.Millis;
+}
+
+/** Calls the procedures of one node. All methods throw OperatorCallError on failure. */
+export class OperatorClient {
+  private readonly url: string;
+  private readonly client;
+
+  constructor(private readonly address: OperatorAddress) {
+    const host = address.ip.includes(':') ? `[${address.ip}]` : address.ip;
+    this.url = `http://${host}:${address.port}`;
+    this.client = trpc.createTRPCClient<operatorRouter.OperatorRouter>({
+      links: [trpc.httpLink({url: this.url})],
+    });
+  }
+
+  status(): Promise<contract.NodeStatus> {
+    return this.call('status', options =>
+      this.client.status.query(undefined, options),
+    );
+  }
+
+  configuration(): Promise<contract.ConfigurationStatus | null> {
+    return this.call('configuration', options => {
+      return this.client.configuration.query(undefined, options);
+    });
+  }
+
+  explain(service: string): Promise<unknown> {
+    return this.call('explain', options =>
+      this.client.explain.query(service, options),
+    );
+  }
+
+  peerState(): Promise<control.PeerState> {
+    return this.call('pull state', options =>
+      this.client.peerState.query(undefined, options),
+    );
+  }
+
+  /** Hands over idempotency keys; returns how many the peer took. */
+  async handOverKeys(handover: peer.KeyHandover): Promise<number> {
+    const encoded = Buffer.from(
+      peer.KeyHandover.encode(handover).finish(),
+    ).toString('base64');
+    const result = await this.call('hand over keys', options => {
+      return this.client.receiveKeys.mutate(encoded, options);
+    });
+    return result.received;
+  }
+
+  private async call<T>(
+    step: string,
+    procedure: (options: {readonly signal: AbortSignal}) => Promise<T>,
+  ): Promise<T> {
+    try {
+      const signal = AbortSignal.timeout(this.address.timeoutMs);
+      return await procedure({signal});
+    } catch (err) {
+      const message = err instanceof Error ? err.message : String(err);
+      throw new OperatorCallError(
+        message,
+        {step, peer: this.url},
+        {cause: err},
+      );
+    }
+  }
+}
--- /dev/null
+++ b/src/node/operator_server.test.ts
@@ -0,0 +1,103 @@
+import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
+import * as nodeTest from 'node:test';
+
+import * as counters from '../common/counters.js';
+import * as peer from '../generated/peer.js';
+import * as client from './operator_client.js';
+import * as contract from './operator_contract.js';
+import * as server from './operator_server.js';
+
+const HANDOVER: peer.KeyHandover = {
+  service: 'orders',
+  fromNodeId: 'orders-1',
+  entries: [
+    {key: 'k', fingerprint: 'f', answer: undefined, unknown: true, ageMs: 5},
+  ],
+};
+
+function fakeService(
+  received: peer.KeyHandover[] = [],
+): contract.OperatorService {
+  return {
+    status: () => ({nodeId: 'orders-1'}) as contract.NodeStatus,
+    configuration: () => undefined,
+    explain: service => ({service}),
+    peerState: () => ({
+      nodeId: 'orders-1',
+      rosterOffset: 7,
+      roster: [],
+      logAgeMs: 1,
+    }),
+    receiveKeys: handover => void received.push(handover),
+  };
+}
+
+async function freePort(): Promise<number> {
+  const probe = net.createServer();
+  await new Promise<void>(resolve => probe.listen(0, '127.0.0.1', resolve));
+  const port = (probe.address() as net.AddressInfo).port;
+  await new Promise(resolve => probe.close(resolve));
+  return port;
+}
+
+async function start(
+  service: contract.OperatorService,
+  peerSources: readonly string[],
+  count = new counters.MemoryCounters(),
+) {
+  const port = await freePort();
+  const options = {
+    ip: '127.0.0.1',
+    port,
+    peerSources,
+    service,
+    counters: count,
+  };
+  const listening = await server.OperatorServer.listen(options);
+  return {
+    listening,
+    port,
+    client: new client.OperatorClient({
+      ip: '127.0.0.1',
+      port,
+      timeoutMs: 2_000,
+    }),
+  };
+}
+
+nodeTest.test('answers queries and takes handed over keys', async () => {
+  const received: peer.KeyHandover[] = [];
+  const started = await start(fakeService(received), ['127.0.0.1']);
+  await using unusedServer = started.listening;
+  assert.equal((await started.client.status()).nodeId, 'orders-1');
+  assert.equal(await started.client.configuration(), null);
+  assert.deepEqual(await started.client.explain('orders'), {service: 'orders'});
+  assert.equal((await started.client.peerState()).rosterOffset, 7);
+  assert.equal(await started.client.handOverKeys(HANDOVER), 1);
+  assert.equal(received[0].entries[0].key, 'k');
+});
+
+nodeTest.test(
+  'rejects sources that are not configured and counts them',
+  async () => {
+    const count = new counters.MemoryCounters();
+    const started = await start(fakeService(), ['127.0.0.9'], count);
+    await using unusedServer = started.listening;
+    await assert.rejects(started.client.status(), client.OperatorCallError);
+    assert.ok(count.get('source.rejected') >= 1);
+  },
+);
+
+nodeTest.test('survives malformed HTTP', async () => {
+  const count = new counters.MemoryCounters();
+  const started = await start(fakeService(), ['127.0.0.1'], count);
+  await using unusedServer = started.listening;
+  const socket = net.connect(started.port, '127.0.0.1');
+  socket.end('\x00\x01 nonsense\r\n\r\n');
+  await new Promise(resolve =>
+    socket.on('error', () => {}).once('close', resolve),
+  );
+  assert.equal(count.get('malformed.http'), 1);
+  assert.equal((await started.client.status()).nodeId, 'orders-1');
+});
--- /dev/null
+++ b/src/node/operator_server.ts
@@ -0,0 +1,75 @@
+/** Serves the operator router over HTTP to configured sources only. */
+import * as http from 'node:http';
+
+import * as standalone from '@trpc/server/adapters/standalone';
+
+import * as counters from '../common/counters.js';
+import * as errors from '../common/errors.js';
+import * as contract from './operator_contract.js';
+import * as operatorRouter from './operator_router.js';
+import * as sources from './sources.js';
+
+const MAX_HEADER_BYTES = 16 * 1024;
+const REQUEST_TIMEOUT_MS = 5_000;
+
+/** Options of the operator server. */
+export interface OperatorServerOptions {
+  readonly ip: string;
+  readonly port: number;
+  readonly peerSources: readonly string[];
+  readonly service: contract.OperatorService;
+  readonly counters: counters.Counters;
+}
+
+/** HTTP server of the operator port. */
+export class OperatorServer implements AsyncDisposable {
+  private constructor(private readonly server: http.Server) {}
+
+  /**
+   * Starts to listen.
+   *
+   * @throws errors.GeraniumloftError if the port cannot be bound.
+   */
+  static async listen(options: OperatorServerOptions): Promise<OperatorServer> {
+    const handler = standalone.createHTTPHandler({
+      router: operatorRouter.operatorRouter,
+      createContext: () => options.service,
+      maxBodySize: operatorRouter.MAX_HANDOVER_LENGTH * 2,
+    });
+    const limits = {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+    };
+    const server = http.createServer(limits, handler);
+    const accepts = sources.sourceFilter(options.peerSources);
+    server.on('connection', socket => {
+      if (accepts(socket.remoteAddress)) return;
+      options.counters.increment('source.rejected');
+      socket.destroy();
+    });
+    server.on('clientError', (err, socket) => {
+      options.counters.increment('malformed.http');
+      socket.destroy();
+    });
+    await bind(server, options);
+    return new OperatorServer(server);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise(resolve => this.server.close(resolve));
+  }
+}
+
+function bind(
+  server: http.Server,
+  options: OperatorServerOptions,
+): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', err => {
+      const site = {step: 'listen', peer: `${options.ip}:${options.port}`};
+      reject(new errors.GeraniumloftError(err.message, site, {cause: err}));
+    });
+    server.listen(options.port, options.ip, resolve);
+  });
+}
