Add a gate core that runs, answers, refuses, cancels and drains

Cause: the daemon needs the gate's decisions to be wired. Limit is the announced slots, the queue first in first out; calls are remembered by call id past their deadline, so that a call sent twice runs once and a cancel that overtakes its request is honoured. Ruled out: keeping a call's answer in the connection adapter; the table of calls must decide alone, or a resend over a fresh link could run twice.

--- /dev/null
+++ b/src/common/gate/call_record.ts
@@ -0,0 +1,102 @@
+/** One call at a gate: its request, its state and who waits for its result. */
+import * as generated from '../../generated/configuration.js';
+import * as peer from '../../generated/peer.js';
+import * as units from '../units.js';
+import * as contract from './gate_contract.js';
+
+/** What a refusal says besides the gate's load. */
+export interface RefusalDetail {
+  readonly reason: peer.RefusalReason;
+  readonly outcome: peer.Outcome;
+  readonly retryAfterMs?: units.Millis;
+  readonly serverDied?: boolean;
+  readonly homeNodeId?: string;
+}
+
+/** An answer of the backend server, complete. */
+export interface ServerAnswer {
+  readonly status: number;
+  readonly headers: readonly peer.Header[];
+  readonly body: Uint8Array;
+  /** Whether it comes from an earlier run of the same key. */
+  readonly replayed: boolean;
+}
+
+/** How a call ended. */
+export type CallResult =
+  | {readonly kind: 'answered'; readonly answer: ServerAnswer}
+  | {readonly kind: 'refused'; readonly detail: RefusalDetail};
+
+/** One sending of a call to the backend server. */
+export interface Run {
+  readonly run: number;
+  readonly startedMs: units.MonotonicMs;
+  readonly freshConnection: boolean;
+}
+
+/** Where a call stands. */
+export type CallState =
+  | {readonly kind: 'waiting'}
+  | {readonly kind: 'running'; readonly runs: readonly Run[]}
+  /** A sibling runs it. */
+  | {readonly kind: 'delegated'; readonly nodeId: string}
+  /** Waits for the result of another call with the same key. */
+  | {readonly kind: 'joined'; readonly ownerCallId: string}
+  | {
+      readonly kind: 'finished';
+      readonly result: CallResult;
+      readonly finishedMs: units.MonotonicMs;
+    };
+
+/** A call from its arrival until it is forgotten. */
+export class CallRecord {
+  state: CallState = {kind: 'waiting'};
+
+  /** Runs started so far. */
+  runsStarted = 0;
+
+  /** Runs of which a byte may have left, whatever their end. */
+  runsSent = 0;
+
+  /** Whether a failure to send was already answered by one more run. */
+  resentAfterNotSent = false;
+
+  constructor(
+    readonly call: peer.CallRequest,
+    readonly requestClass: generated.RequestClass,
+    readonly arrivedMs: units.MonotonicMs,
+    /** Undefined once the source is lost. */
+    public source: contract.CallSource | undefined,
+  ) {}
+
+  /** Unique in the fleet. */
+  get callId(): string {
+    return this.call.callId;
+  }
+
+  /** Point in time after which nobody waits for the result. */
+  get deadlineMs(): units.MonotonicMs {
+    return this.arrivedMs + this.call.deadlineMs;
+  }
+
+  /** Whether a second run does no harm. */
+  get idempotent(): boolean {
+    return this.requestClass.idempotent;
+  }
+
+  /** Idempotency key that this gate accounts for, empty without one. */
+  get key(): string {
+    const keyed = !this.idempotent && !this.call.delegated;
+    return keyed ? this.call.idempotencyKey : '';
+  }
+
+  /** Runs that are under way. */
+  get runs(): readonly Run[] {
+    return this.state.kind === 'running' ? this.state.runs : [];
+  }
+
+  /** What can be said of the execution while no answer is known. */
+  get outcomeSoFar(): peer.Outcome {
+    return this.runsSent > 0 ? peer.Outcome.UNKNOWN : peer.Outcome.NOT_RUN;
+  }
+}
--- /dev/null
+++ b/src/common/gate/gate_core.test.ts
@@ -0,0 +1,144 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+
+import * as fixtures from './gate_fixtures.test.js';
+
+nodeTest.test('a call runs, and its answer goes to its source', () => {
+  const {send} = fixtures.gateFixture();
+  assert.deepEqual(fixtures.started(send(fixtures.call('a'), 0)), ['a']);
+  const [reply] = fixtures.only(send(fixtures.answered('a'), 5), 'answer');
+  assert.equal(reply.answer.body.toString(), 'answer to a');
+  assert.deepEqual(reply.source, fixtures.SOURCE);
+});
+
+nodeTest.test('calls above the slots wait and run when room is free', () => {
+  const {send} = fixtures.gateFixture({slots: 1});
+  send(fixtures.call('a'), 0);
+  assert.deepEqual(fixtures.started(send(fixtures.call('b'), 1)), []);
+  const actions = send(fixtures.answered('a'), 5);
+  assert.deepEqual(fixtures.started(actions), ['b']);
+});
+
+nodeTest.test(
+  'a call sent twice runs once, and each sending is answered',
+  () => {
+    const {send} = fixtures.gateFixture();
+    send(fixtures.order('a'), 0);
+    assert.deepEqual(fixtures.started(send(fixtures.order('a'), 1)), []);
+    assert.equal(
+      fixtures.only(send(fixtures.answered('a'), 5), 'answer').length,
+      1,
+    );
+    const late = send(fixtures.order('a'), 6);
+    assert.deepEqual(fixtures.started(late), []);
+    assert.equal(fixtures.only(late, 'answer').length, 1);
+  },
+);
+
+nodeTest.test('a resend to another incarnation has an unknown outcome', () => {
+  const {send} = fixtures.gateFixture();
+  const other = fixtures.order('a', {resend: true, gateIncarnation: 6});
+  const actions = send(other, 0);
+  assert.deepEqual(fixtures.refusals(actions), ['a LINK_FAILED UNKNOWN']);
+  assert.deepEqual(fixtures.started(actions), []);
+  const own = fixtures.order('b', {resend: true, gateIncarnation: 7});
+  assert.deepEqual(fixtures.started(send(own, 0)), ['b']);
+});
+
+nodeTest.test('a cancel before the run removes the call', () => {
+  const {send} = fixtures.gateFixture({slots: 1});
+  send(fixtures.call('a'), 0);
+  send(fixtures.call('b'), 0);
+  const actions = send({kind: 'cancel', callId: 'b'}, 1);
+  assert.deepEqual(fixtures.refusals(actions), ['b CANCELLED NOT_RUN']);
+  assert.deepEqual(fixtures.started(send(fixtures.answered('a'), 2)), []);
+});
+
+nodeTest.test('a cancel during the run aborts it', () => {
+  const {send} = fixtures.gateFixture();
+  send(fixtures.order('a'), 0);
+  const actions = send({kind: 'cancel', callId: 'a'}, 1);
+  assert.equal(fixtures.only(actions, 'abort').length, 1);
+  assert.deepEqual(fixtures.refusals(actions), ['a CANCELLED UNKNOWN']);
+});
+
+nodeTest.test('a request that arrives after its cancel does not run', () => {
+  const {send} = fixtures.gateFixture();
+  send({kind: 'cancel', callId: 'a'}, 0);
+  const actions = send(fixtures.order('a'), 1);
+  assert.deepEqual(fixtures.refusals(actions), ['a CANCELLED NOT_RUN']);
+  assert.deepEqual(fixtures.started(actions), []);
+});
+
+nodeTest.test(
+  'an answer to a lost source is dropped, the run completes',
+  () => {
+    const {send} = fixtures.gateFixture({slots: 1});
+    send(fixtures.order('a'), 0);
+    const lost = send({kind: 'source-lost', linkId: 1}, 1);
+    assert.equal(fixtures.only(lost, 'abort').length, 0);
+    assert.deepEqual(send(fixtures.answered('a'), 2), []);
+    assert.deepEqual(fixtures.started(send(fixtures.call('b'), 3)), ['b']);
+  },
+);
+
+nodeTest.test(
+  'a stop lets what is in flight finish, then reports drained',
+  () => {
+    const {send} = fixtures.gateFixture({slots: 1});
+    send(fixtures.order('a'), 0);
+    send(fixtures.call('b'), 0);
+    const stopped = send({kind: 'stop'}, 1);
+    assert.deepEqual(fixtures.refusals(stopped), ['b LEAVING NOT_RUN']);
+    assert.equal(fixtures.only(stopped, 'drained').length, 0);
+    assert.deepEqual(fixtures.refusals(send(fixtures.call('c'), 2)), [
+      'c LEAVING NOT_RUN',
+    ]);
+    const last = send(fixtures.answered('a'), 3);
+    assert.equal(fixtures.only(last, 'answer').length, 1);
+    assert.equal(fixtures.only(last, 'drained').length, 1);
+  },
+);
+
+nodeTest.test(
+  'a data centre that is out gets no new work, queued or new',
+  () => {
+    const {send, view} = fixtures.gateFixture({slots: 1});
+    send(fixtures.call('a'), 0);
+    send(fixtures.call('b'), 0);
+    view.configuration = fixtures.configuration({
+      exceptions: [fixtures.dataCentreOut('dc-1')],
+    });
+    assert.deepEqual(fixtures.refusals(send(fixtures.call('c'), 1)), [
+      'c DATA_CENTRE_OUT NOT_RUN',
+      'b DATA_CENTRE_OUT NOT_RUN',
+    ]);
+    assert.equal(
+      fixtures.only(send(fixtures.answered('a'), 2), 'answer').length,
+      1,
+    );
+  },
+);
+
+nodeTest.test('a run past its deadline is aborted, its outcome unknown', () => {
+  const {gate, send} = fixtures.gateFixture({slots: 1});
+  send(fixtures.order('a', {deadlineMs: 100}), 0);
+  send(fixtures.order('b', {deadlineMs: 90}), 0);
+  assert.equal(gate.nextWakeMs(), 90);
+  assert.deepEqual(fixtures.refusals(send({kind: 'tick'}, 90)), [
+    'b DEADLINE NOT_RUN',
+  ]);
+  const actions = send({kind: 'tick'}, 100);
+  assert.equal(fixtures.only(actions, 'abort').length, 1);
+  assert.deepEqual(fixtures.refusals(actions), ['a DEADLINE UNKNOWN']);
+});
+
+nodeTest.test('what the backend server did not run is not run', () => {
+  const {send} = fixtures.gateFixture();
+  send(fixtures.order('a'), 0);
+  send(fixtures.order('b'), 0);
+  const shed = send(fixtures.failed('a', {kind: 'shed', retryAfterMs: 70}), 1);
+  assert.deepEqual(fixtures.refusals(shed), ['a SERVER_SHED NOT_RUN']);
+  const broken = send(fixtures.failed('b', {kind: 'broken'}), 1);
+  assert.deepEqual(fixtures.refusals(broken), ['b SERVER_FAILED UNKNOWN']);
+});
--- /dev/null
+++ b/src/common/gate/gate_fixtures.test.ts
@@ -0,0 +1,225 @@
+/** Builders shared by the tests of the gate. */
+import * as generated from '../../generated/configuration.js';
+import * as peer from '../../generated/peer.js';
+import * as inForce from '../configuration/configuration_in_force.js';
+import * as fleet from '../control/fleet_view.js';
+import * as counters from '../counters.js';
+import * as invariants from '../invariants.js';
+import * as randomSource from '../random_source.js';
+import * as units from '../units.js';
+import * as contract from './gate_contract.js';
+import * as gateCore from './gate_core.js';
+
+const EPOCH_START_MS = 1_700_000_000_000;
+
+export const SOURCE: contract.CallSource = {
+  kind: 'link',
+  linkId: 1,
+  nodeId: 'entry-1',
+};
+
+/** Returns the instant `ms` after the start of a test. */
+export function at(ms: number): units.Instant {
+  return {monotonicMs: ms, epochMs: EPOCH_START_MS + ms};
+}
+
+const CLASSES: readonly generated.RequestClass[] = [
+  ['price', 'interactive', 500, true],
+  ['lookup', 'must-arrive', 5_000, true],
+  ['history', 'deferrable', 5_000, true],
+  ['order', 'interactive', 2_000, false],
+].map(([name, kind, deadlineMs, idempotent]) => ({
+  name: name as string,
+  kind: kind as generated.RequestClass['kind'],
+  deadlineMs: deadlineMs as number,
+  idempotent: idempotent as boolean,
+  maxAttempts: 3,
+  hedgeAfterMs: 0,
+}));
+
+/** Builds a configuration with the test's classes. */
+export function configuration(
+  changes: Partial<generated.Configuration> = {},
+  revision = 1,
+): inForce.ConfigurationInForce {
+  return new inForce.ConfigurationInForce(revision, {
+    defaults: {},
+    classes: [...CLASSES],
+    services: [],
+    exceptions: [],
+    ...changes,
+  });
+}
+
+/** Builds an exception that takes a data centre out. */
+export function dataCentreOut(dataCentre: string): generated.DataCentreOut {
+  return {
+    id: `out-${dataCentre}`,
+    kind: 'data-centre-out',
+    dataCentre,
+    reason: 'power work',
+    author: 'ana',
+    timeMs: 1,
+  };
+}
+
+/** Builds a member of the test's service. */
+export function memberView(nodeId: string): fleet.MemberView {
+  return {
+    member: peer.Member.create({nodeId, service: 'orders', dataCentre: 'dc-1'}),
+    roster: 'joined',
+    liveness: peer.LivenessState.ALIVE,
+    provisional: false,
+  };
+}
+
+/** A fleet view and key holder standing that a test sets. */
+export class FakeView implements fleet.FleetView {
+  configuration: inForce.ConfigurationInForce | undefined = configuration();
+  rosterOffset = 10;
+  stale = false;
+  nodeIds: readonly string[] = ['gate-1', 'gate-2', 'gate-3'];
+  home: string | undefined = 'gate-1';
+  confirmedAgeMs = 0;
+  sinceMs: number | undefined = 0;
+
+  membersOf(): readonly fleet.MemberView[] {
+    return this.nodeIds.map(memberView);
+  }
+
+  member(nodeId: string): fleet.MemberView | undefined {
+    return this.nodeIds.includes(nodeId) ? memberView(nodeId) : undefined;
+  }
+
+  homeOf(): string | undefined {
+    return this.home;
+  }
+
+  rosterConfirmedAgeMs(): number {
+    return this.confirmedAgeMs;
+  }
+
+  holderSinceMs(): number | undefined {
+    return this.sinceMs;
+  }
+}
+
+/** A gate core with its surroundings. */
+export interface GateFixture {
+  readonly gate: gateCore.GateCore;
+  readonly view: FakeView;
+  readonly counters: counters.MemoryCounters;
+  /** Hands an event to the core and returns the actions. */
+  send(event: contract.GateEvent, ms: number): readonly contract.GateAction[];
+}
+
+/** Builds a gate whose backend server is warm, unless `state` says otherwise. */
+export function gateFixture(
+  options: {
+    readonly slots?: number;
+    readonly calls?: number;
+    readonly keys?: number;
+    readonly nodeId?: string;
+    readonly state?: 'absent' | 'ready';
+    readonly seed?: number;
+  } = {},
+): GateFixture {
+  const view = new FakeView();
+  const count = new counters.MemoryCounters();
+  const gate = new gateCore.GateCore({
+    nodeId: options.nodeId ?? 'gate-1',
+    service: 'orders',
+    dataCentre: 'dc-1',
+    incarnation: 7,
+    slots: options.slots ?? 2,
+    bounds: {calls: options.calls ?? 64, keys: options.keys ?? 16},
+    view,
+    holder: view,
+    counters: count,
+    invariants: new invariants.Invariants(count),
+    random: new randomSource.SeededRandom(options.seed ?? 1),
+  });
+  const send = (event: contract.GateEvent, ms: number) =>
+    gate.handle(event, at(ms));
+  if (options.state !== 'absent') {
+    send({kind: 'server-state', state: 'ready', slots: 0}, 0);
+  }
+  return {gate, view, counters: count, send};
+}
+
+/** Builds a call of an idempotent class. */
+export function call(
+  callId: string,
+  changes: Partial<peer.CallRequest> = {},
+): contract.GateEvent {
+  const request = peer.CallRequest.create({
+    callId,
+    service: 'orders',
+    className: 'price',
+    method: 'GET',
+    path: `/price/${callId}`,
+    deadlineMs: 500,
+    rosterOffset: 10,
+    fingerprint: `fp-${callId}`,
+  });
+  return {kind: 'call', source: SOURCE, call: {...request, ...changes}};
+}
+
+/** Builds a call of a class that is not idempotent. */
+export function order(
+  callId: string,
+  changes: Partial<peer.CallRequest> = {},
+): contract.GateEvent {
+  return call(callId, {className: 'order', deadlineMs: 2_000, ...changes});
+}
+
+/** Builds the backend server's answer to a run. */
+export function answered(callId: string, run = 1): contract.GateEvent {
+  return {
+    kind: 'server-answered',
+    callId,
+    run,
+    status: 200,
+    headers: [],
+    body: Buffer.from(`answer to ${callId}`),
+  };
+}
+
+/** Builds the failure of a run. */
+export function failed(
+  callId: string,
+  failure: contract.ServerFailure,
+  run = 1,
+): contract.GateEvent {
+  return {kind: 'server-failed', callId, run, failure};
+}
+
+/** Returns the actions of one kind. */
+export function only<K extends contract.GateAction['kind']>(
+  actions: readonly contract.GateAction[],
+  kind: K,
+): ReadonlyArray<Extract<contract.GateAction, {readonly kind: K}>> {
+  return actions.filter(
+    (a): a is Extract<contract.GateAction, {readonly kind: K}> =>
+      a.kind === kind,
+  );
+}
+
+/** Returns `call id reason outcome` of each refusal. */
+export function refusals(
+  actions: readonly contract.GateAction[],
+): readonly string[] {
+  return only(actions, 'refuse').map(({refusal}) =>
+    [refusal.callId, refusal.reason, refusal.outcome]
+      .join(' ')
+      .replace('REFUSAL_REASON_', '')
+      .replace('OUTCOME_', ''),
+  );
+}
+
+/** Returns the call ids of the runs started. */
+export function started(
+  actions: readonly contract.GateAction[],
+): readonly string[] {
+  return only(actions, 'run').map(a => a.call.callId);
+}
--- /dev/null
+++ b/src/common/gate/responder.ts
@@ -0,0 +1,98 @@
+/** Answers and refusals of a gate, with its load and configuration revision. */
+import * as peer from '../../generated/peer.js';
+import * as counterNames from '../counter_names.js';
+import * as units from '../units.js';
+import * as record from './call_record.js';
+import * as contract from './gate_contract.js';
+import * as gateOptions from './gate_options.js';
+
+/** What a gate says of itself and its siblings with each reply. */
+export interface LoadSource {
+  /** Load of this gate. */
+  loadReport(now: units.Instant): peer.LoadReport;
+
+  /** Siblings believed to have room, best first. */
+  alternatives(now: units.Instant): readonly peer.Alternative[];
+
+  /** Time after which to come back, for a refusal that sets none. */
+  retryAfterMs(reason: peer.RefusalReason): units.Millis;
+}
+
+/** Receives the actions of a core in order. */
+export type Emit = (action: contract.GateAction) => void;
+
+/** Sends results of calls to their sources. */
+export class Responder {
+  constructor(
+    private readonly options: gateOptions.GateOptions,
+    private readonly load: LoadSource,
+    private readonly emit: Emit,
+  ) {}
+
+  /** Sends the result of a call. */
+  reply(
+    source: contract.CallSource,
+    callId: string,
+    result: record.CallResult,
+    now: units.Instant,
+  ): void {
+    if (result.kind === 'answered') {
+      this.answer(source, callId, result.answer, now);
+    } else {
+      this.refuse(source, callId, result.detail, now);
+    }
+  }
+
+  private answer(
+    source: contract.CallSource,
+    callId: string,
+    answer: record.ServerAnswer,
+    now: units.Instant,
+  ): void {
+    this.emit({
+      kind: 'answer',
+      source,
+      answer: {
+        callId,
+        status: answer.status,
+        headers: answer.headers,
+        body: Buffer.from(answer.body),
+        load: this.load.loadReport(now),
+        configurationRevision: this.revision,
+        replayed: answer.replayed,
+      },
+    });
+  }
+
+  private refuse(
+    source: contract.CallSource,
+    callId: string,
+    detail: record.RefusalDetail,
+    now: units.Instant,
+  ): void {
+    const {reason, outcome} = detail;
+    this.options.counters.increment(counterNames.refusalCounter(reason));
+    const notRun = outcome === peer.Outcome.NOT_RUN;
+    this.emit({
+      kind: 'refuse',
+      source,
+      refusal: {
+        callId,
+        reason,
+        outcome,
+        retryAfterMs: Math.ceil(
+          detail.retryAfterMs ?? this.load.retryAfterMs(reason),
+        ),
+        alternatives: notRun ? this.load.alternatives(now) : [],
+        load: this.load.loadReport(now),
+        configurationRevision: this.revision,
+        serverDied: detail.serverDied ?? false,
+        homeNodeId: detail.homeNodeId ?? '',
+      },
+    });
+  }
+
+  private get revision(): number {
+    return this.options.view.configuration?.revision ?? 0;
+  }
+}
