--- /dev/null
+++ b/src/common/entry/outcome_tally.ts
@@ -0,0 +1,27 @@
+/** What is known about the execution of a request over all its attempts. */
+import * as peer from '../../generated/peer.js';
+
+/** Collects the outcomes of settled attempts; never claims more than they prove. */
+export class OutcomeTally {
+  private ran = false;
+  private unknown = false;
+
+  /** Adds the outcome of an attempt that was sent. */
+  add(outcome: peer.Outcome): void {
+    if (outcome === peer.Outcome.NOT_RUN) return;
+    if (outcome === peer.Outcome.RAN) this.ran = true;
+    else this.unknown = true;
+  }
+
+  /** Whether no settled attempt can have run. */
+  get allNotRun(): boolean {
+    return !this.ran && !this.unknown;
+  }
+
+  /** Returns the outcome of the request, given whether an attempt is still open. */
+  combined(attemptOpen: boolean): peer.Outcome {
+    if (this.ran) return peer.Outcome.RAN;
+    if (this.unknown || attemptOpen) return peer.Outcome.UNKNOWN;
+    return peer.Outcome.NOT_RUN;
+  }
+}
