Add the load tool in virtual time: fleets of the cores, scenarios, policies, targets

Cause: policies of choice and admission must be compared on the same seeds.

The clock, the network, the backend servers (processor sharing, cold start, bursts, fast failure, crash) and an audit of what callers are promised are fakes under test/fakes; bench/ adds deployments, open-loop arrivals, a baseline gate, targets and the command line. Latency counts from the intended arrival.

--- /dev/null
+++ b/bench/policies.ts
@@ -0,0 +1,89 @@
+/** Policies that the load tool compares. */
+import * as entryCore from '../src/common/entry/entry_core.js';
+import * as gateCore from '../src/common/gate/gate_core.js';
+import * as settings from '../src/generated/settings.js';
+import * as fleets from '../test/fakes/virtual_service.js';
+import * as nodes from '../test/fakes/virtual_service_node.js';
+import * as plainGate from './plain_gate.js';
+
+/** A way to choose backend servers, with the gate that admits at them. */
+export interface Policy {
+  readonly name: string;
+  readonly selector: settings.Settings['selector'];
+  readonly cores: fleets.CoreFactory;
+}
+
+const MAX_CALLS = 4_096;
+const MAX_KEYS = 10_000;
+const PLAIN_GATE_SUFFIX = '+plain-gate';
+
+const SELECTORS: readonly settings.Settings['selector'][] = [
+  {kind: 'redirect'},
+  {kind: 'in-band'},
+  {kind: 'probe-pool'},
+  {kind: 'least-in-flight'},
+  {kind: 'round-robin'},
+  {kind: 'random'},
+];
+
+function buildEntry(ctx: fleets.CoreContext): nodes.NodeCores['entry'] {
+  return new entryCore.EntryCore({
+    ...ctx.member,
+    selector: ctx.selector,
+    maxCalls: MAX_CALLS,
+    view: ctx.view,
+    counters: ctx.counters,
+    invariants: ctx.invariants,
+    random: ctx.random,
+  });
+}
+
+function buildGate(ctx: fleets.CoreContext): nodes.NodeCores['gate'] {
+  return new gateCore.GateCore({
+    ...ctx.member,
+    bounds: {calls: MAX_CALLS, keys: MAX_KEYS},
+    view: ctx.view,
+    holder: {
+      rosterConfirmedAgeMs: () => ctx.view.rosterConfirmedAgeMs(),
+      holderSinceMs: () => ctx.holderSinceMs,
+    },
+    counters: ctx.counters,
+    invariants: ctx.invariants,
+    random: ctx.random,
+  });
+}
+
+/** Builds the cores that the product runs. */
+export function productCores(ctx: fleets.CoreContext): nodes.NodeCores {
+  const entry = buildEntry(ctx);
+  return ctx.hasServer ? {entry, gate: buildGate(ctx)} : {entry};
+}
+
+function plainGateCores(ctx: fleets.CoreContext): nodes.NodeCores {
+  const entry = buildEntry(ctx);
+  return ctx.hasServer ? {entry, gate: new plainGate.PlainGate()} : {entry};
+}
+
+/** All policies: each selector with the product's gate and with the baseline gate. */
+export const POLICIES: readonly Policy[] = SELECTORS.flatMap(selector => [
+  {name: selector.kind, selector, cores: productCores},
+  {
+    name: selector.kind + PLAIN_GATE_SUFFIX,
+    selector,
+    cores: plainGateCores,
+  },
+]);
+
+/** Policies that a run compares when none is named. */
+export const DEFAULT_POLICIES: readonly string[] = [
+  'redirect',
+  'in-band',
+  'least-in-flight',
+  'random',
+  'random+plain-gate',
+];
+
+/** Returns the policy of that name, undefined if there is none. */
+export function policyNamed(name: string): Policy | undefined {
+  return POLICIES.find(p => p.name === name);
+}
--- /dev/null
+++ b/test/fakes/virtual_service.test.ts
@@ -0,0 +1,174 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+
+import * as entryContract from '../../src/common/entry/entry_contract.js';
+import * as randomSource from '../../src/common/random_source.js';
+import * as peer from '../../src/generated/peer.js';
+import * as audits from './virtual_service_audit.js';
+import * as clocks from './virtual_service_clock.js';
+import * as nodes from './virtual_service_node.js';
+import * as runner from './virtual_service_runner.js';
+import * as servers from './virtual_service_server.js';
+
+const SLOTS = 4;
+
+function warmServer(clock: clocks.VirtualClock): servers.VirtualServer {
+  const random = new randomSource.SeededRandom(1);
+  return new servers.VirtualServer({slots: SLOTS, medianMs: 10}, clock, random);
+}
+
+function request(): entryContract.CallerRequest {
+  return {
+    requestId: 'r1',
+    service: 'stock',
+    requestClass: {
+      name: 'a',
+      kind: 'interactive',
+      deadlineMs: 100,
+      idempotent: false,
+      maxAttempts: 2,
+      hedgeAfterMs: 0,
+    },
+    method: 'POST',
+    path: '/stock',
+    headers: [],
+    body: Buffer.from('r1'),
+    deadlineMs: 100,
+    idempotencyKey: '',
+    depth: 0,
+    fingerprint: 'r1',
+  };
+}
+
+function refusal(outcome: peer.Outcome): nodes.Final {
+  const detail = peer.CallRefusal.create({outcome});
+  return {kind: 'refuse', requestId: 'r1', refusal: detail, attempts: 1};
+}
+
+function answer(body: Buffer): nodes.Final {
+  const detail = peer.CallAnswer.create({status: 200, body});
+  return {
+    kind: 'respond',
+    requestId: 'r1',
+    answer: detail,
+    servedBy: 'a',
+    attempts: 1,
+  };
+}
+
+const NODE = {nodeId: 'a', server: undefined} as nodes.VirtualNode;
+
+interface AuditFixture {
+  readonly clock: clocks.VirtualClock;
+  readonly audit: audits.Audit;
+  run(): void;
+}
+
+function auditOfOneRequest(): AuditFixture {
+  const clock = new clocks.VirtualClock();
+  const audit = new audits.Audit(() => clock.nowMs);
+  audit.onSubmit(request(), false, 'order');
+  const call = peer.CallRequest.create({callId: 'r1.1'});
+  return {clock, audit, run: () => audit.onRun(NODE, call)};
+}
+
+nodeTest.test('tasks run in order of time, then of scheduling', () => {
+  const clock = new clocks.VirtualClock();
+  const seen: string[] = [];
+  clock.after(2, () => seen.push('c'));
+  clock.after(1, () => seen.push('a'));
+  clock.after(1, () => seen.push('b'));
+  clock.runUntil(1.5);
+  assert.deepEqual(seen, ['a', 'b']);
+  clock.runUntil(3);
+  assert.deepEqual(seen, ['a', 'b', 'c']);
+  assert.equal(clock.nowMs, 3);
+});
+
+nodeTest.test('a slowed server finishes later by its factor', () => {
+  const finishedAt = (factor: number): number => {
+    const clock = new clocks.VirtualClock();
+    const server = warmServer(clock);
+    let atMs = 0;
+    server.begin(() => (atMs = clock.nowMs));
+    server.slow(factor, 10_000);
+    clock.runUntil(10_000);
+    return atMs;
+  };
+  const ratio = finishedAt(5) / finishedAt(1);
+  assert.ok(Math.abs(ratio - 5) < 0.001, `${ratio}`);
+});
+
+nodeTest.test('a cold server counts runs above what it can carry', () => {
+  const clock = new clocks.VirtualClock();
+  const server = warmServer(clock);
+  server.turnCold(4_000, true);
+  server.begin(() => undefined);
+  assert.equal(server.coldBreaches, 0);
+  server.begin(() => undefined);
+  assert.equal(server.coldBreaches, 1);
+  clock.runUntil(5_000);
+  assert.equal(server.capacity, SLOTS);
+});
+
+nodeTest.test(
+  'a crash breaks the runs in progress and refuses new ones',
+  () => {
+    const clock = new clocks.VirtualClock();
+    const server = warmServer(clock);
+    const seen: string[] = [];
+    server.begin(r => seen.push(r.kind));
+    server.crash();
+    server.begin(r => seen.push(r.kind));
+    clock.runUntil(1_000);
+    assert.deepEqual(seen, ['broken', 'not-sent']);
+  },
+);
+
+nodeTest.test(
+  'the audit finds a false not-run before and after the run',
+  () => {
+    const before = auditOfOneRequest();
+    before.run();
+    before.audit.onFinal('r1', refusal(peer.Outcome.NOT_RUN));
+    assert.deepEqual(before.audit.counts(), {'false-not-run': 1});
+    const after = auditOfOneRequest();
+    after.audit.onFinal('r1', refusal(peer.Outcome.NOT_RUN));
+    after.run();
+    assert.deepEqual(after.audit.counts(), {'false-not-run': 1});
+  },
+);
+
+nodeTest.test(
+  'the audit finds second runs, second, late, missing and foreign answers',
+  () => {
+    const twice = auditOfOneRequest();
+    twice.run();
+    twice.run();
+    twice.audit.onFinal('r1', answer(runner.answerTo(Buffer.from('r1'))));
+    twice.audit.onFinal('r1', answer(runner.answerTo(Buffer.from('r1'))));
+    assert.deepEqual(twice.audit.counts(), {'ran-twice': 1, 'two-finals': 1});
+    const foreign = auditOfOneRequest();
+    foreign.clock.runUntil(1_000);
+    foreign.audit.onFinal('r1', answer(runner.answerTo(Buffer.from('r2'))));
+    assert.deepEqual(foreign.audit.counts(), {
+      'late-final': 1,
+      'foreign-answer': 1,
+    });
+    const missing = auditOfOneRequest();
+    missing.clock.runUntil(1_000);
+    missing.audit.finish([]);
+    assert.deepEqual(missing.audit.counts(), {'no-final': 1});
+  },
+);
+
+nodeTest.test(
+  'the audit finds new work in what has been out for too long',
+  () => {
+    const fixture = auditOfOneRequest();
+    fixture.audit.onOut('a');
+    fixture.clock.runUntil(audits.OUT_BOUND_MS + 1);
+    fixture.run();
+    assert.deepEqual(fixture.audit.counts(), {'work-into-out': 1});
+  },
+);
--- /dev/null
+++ b/test/fakes/virtual_service.ts
@@ -0,0 +1,367 @@
+/** A fleet of nodes of the real cores in virtual time, with faults to inject. */
+import * as uuid from 'uuid';
+
+import * as generated from '../../src/generated/configuration.js';
+import * as settings from '../../src/generated/settings.js';
+import * as peer from '../../src/generated/peer.js';
+import * as inForce from '../../src/common/configuration/configuration_in_force.js';
+import * as fleetView from '../../src/common/control/fleet_view.js';
+import * as counters from '../../src/common/counters.js';
+import * as invariants from '../../src/common/invariants.js';
+import * as randomSource from '../../src/common/random_source.js';
+import * as units from '../../src/common/units.js';
+import * as clocks from './virtual_service_clock.js';
+import * as network from './virtual_service_network.js';
+import * as nodes from './virtual_service_node.js';
+import * as servers from './virtual_service_server.js';
+import * as views from './virtual_service_view.js';
+
+/** A node of a fleet; without `medianMs` it is an entry only. */
+export interface NodeShape {
+  readonly nodeId: string;
+  readonly service: string;
+  readonly dataCentre: string;
+  readonly region: string;
+  readonly slots: number;
+  readonly medianMs?: units.Millis;
+}
+
+/** A fleet at its start. */
+export interface FleetShape {
+  readonly nodes: readonly NodeShape[];
+  readonly configuration: generated.Configuration;
+  readonly network: network.NetworkOptions;
+  /** Longest time until a change is in force on a node. */
+  readonly spreadMs: units.Millis;
+}
+
+/** What the cores of a node are built with. */
+export interface CoreContext {
+  readonly member: peer.Member;
+  readonly hasServer: boolean;
+  /** Time at which the node became a holder of idempotency keys. */
+  readonly holderSinceMs: units.EpochMs;
+  readonly selector: settings.Settings['selector'];
+  readonly view: views.VirtualView;
+  readonly counters: counters.Counters;
+  readonly invariants: invariants.Invariants;
+  readonly random: randomSource.RandomSource;
+}
+
+/** Builds the cores of a node. */
+export type CoreFactory = (ctx: CoreContext) => nodes.NodeCores;
+
+/** Sees what the fleet does. */
+export interface FleetObserver {
+  onDispatch(node: nodes.VirtualNode, call: peer.CallRequest): void;
+  onRun(node: nodes.VirtualNode, call: peer.CallRequest): void;
+  onCoreError(node: nodes.VirtualNode, err: unknown): void;
+}
+
+/** What a fleet is built with. */
+export interface FleetOptions {
+  readonly shape: FleetShape;
+  readonly seed: number;
+  readonly selector: settings.Settings['selector'];
+  readonly cores: CoreFactory;
+  readonly observer: FleetObserver;
+}
+
+const DEATH_NOTICE_MS = 1_000;
+const SUSPECT_SPREAD_MS = 500;
+const DATAGRAM_SIZE_SAMPLE = 64;
+const SERVER_RESTART_MS = 500;
+const KEY_BYTES = 16;
+const BYTE_VALUES = 256;
+
+/** Runs a fleet; all randomness comes from its seed. */
+export class VirtualFleet implements nodes.NodeSurroundings {
+  readonly clock = new clocks.VirtualClock();
+  readonly counters = new counters.MemoryCounters();
+  readonly random: randomSource.RandomSource;
+  readonly network: network.VirtualNetwork;
+  readonly nodes: readonly nodes.VirtualNode[];
+  /** Bytes of all datagrams, from the size of each of a sample. */
+  datagramBytes = 0;
+  /** Nodes whose planned stop is complete. */
+  readonly drained = new Set<string>();
+
+  private readonly byId: ReadonlyMap<string, nodes.VirtualNode>;
+  private readonly checks: invariants.Invariants;
+  private state: views.ViewState;
+  private requests = 0;
+  private datagramSize = 0;
+  private datagramCount = 0;
+  private incarnation = 1;
+
+  constructor(private readonly options: FleetOptions) {
+    const {shape, seed} = options;
+    this.random = new randomSource.SeededRandom(seed);
+    this.checks = new invariants.Invariants(this.counters);
+    this.network = new network.VirtualNetwork(
+      this.clock,
+      this.random,
+      shape.network,
+    );
+    const members = shape.nodes.map(n => ({
+      shape: n,
+      member: this.memberOf(n),
+    }));
+    this.state = new views.ViewState(
+      1,
+      new inForce.ConfigurationInForce(1, shape.configuration),
+      members
+        .filter(m => m.shape.medianMs !== undefined)
+        .map(m => joined(m.member)),
+    );
+    this.nodes = members.map(m => this.buildNode(m.shape, m.member));
+    this.byId = new Map(this.nodes.map(n => [n.nodeId, n]));
+    for (const n of this.nodes) this.startNode(n);
+  }
+
+  node(nodeId: string): nodes.VirtualNode | undefined {
+    return this.byId.get(nodeId);
+  }
+
+  /** Nodes with a backend server of `service`. */
+  serversOf(service: string): readonly nodes.VirtualNode[] {
+    return this.nodes.filter(
+      n => n.server !== undefined && n.member.service === service,
+    );
+  }
+
+  /** Returns a request id that is unique in the fleet. */
+  nextRequestId(): string {
+    return `r${++this.requests}`;
+  }
+
+  /** Returns an idempotency key made now. */
+  nextKey(): string {
+    const random = Uint8Array.from({length: KEY_BYTES}, () =>
+      this.random.nextInt(BYTE_VALUES),
+    );
+    return uuid.v7({msecs: this.clock.instant.epochMs, random, seq: 0});
+  }
+
+  /** Puts the configuration made by `change` in force, node by node. */
+  configure(
+    change: (cfg: generated.Configuration) => generated.Configuration,
+  ): void {
+    const cfg = this.state.configuration;
+    const next = new inForce.ConfigurationInForce(
+      cfg.revision + 1,
+      change(cfg.document),
+    );
+    this.spread(next, this.state.members, this.options.shape.spreadMs);
+  }
+
+  /** Takes a data centre out as an operator does. */
+  takeDataCentreOut(dataCentre: string): void {
+    const exception: generated.DataCentreOut = {
+      id: `out-${dataCentre}`,
+      kind: 'data-centre-out',
+      dataCentre,
+      reason: 'work on the power supply',
+      author: 'operator',
+      timeMs: 0,
+    };
+    this.configure(cfg => ({
+      ...cfg,
+      exceptions: [...cfg.exceptions, exception],
+    }));
+  }
+
+  /** Returns a data centre that was taken out. */
+  returnDataCentre(dataCentre: string): void {
+    this.configure(cfg => ({
+      ...cfg,
+      exceptions: cfg.exceptions.filter(
+        e => e.kind !== 'data-centre-out' || e.dataCentre !== dataCentre,
+      ),
+    }));
+  }
+
+  /** Stops a node as planned; its roster record spreads as configuration does. */
+  stop(n: nodes.VirtualNode): void {
+    this.changeMember(
+      n,
+      m => ({...m, roster: 'leaving'}),
+      this.options.shape.spreadMs,
+    );
+    n.tellGate({kind: 'stop'});
+  }
+
+  /** Kills the backend server of a node and starts it again, cold. */
+  crashServer(n: nodes.VirtualNode): void {
+    if (n.server!.isUp) n.crashServer();
+  }
+
+  /** Kills a node together with its backend server, and starts both again after a time. */
+  crashNode(
+    n: nodes.VirtualNode,
+    downMs: units.Millis,
+    warmUpMs: units.Millis,
+  ): void {
+    n.server?.crash();
+    n.kill();
+    this.setLiveness(n, peer.LivenessState.DEAD);
+    this.clock.after(downMs, () => this.restartNode(n, warmUpMs));
+  }
+
+  onServerDeath(n: nodes.VirtualNode): void {
+    this.clock.after(SERVER_RESTART_MS, () =>
+      this.restartServer(n, this.warmUpMs),
+    );
+  }
+
+  /** Time over which backend servers warm up. */
+  warmUpMs = 4_000;
+
+  onSuspect(from: nodes.VirtualNode, report: peer.SuspectReport): void {
+    for (const n of this.nodes) {
+      if (n === from) continue;
+      const delayMs = SUSPECT_SPREAD_MS * this.random.next();
+      this.clock.after(delayMs, () => n.tellGate({kind: 'suspect', report}));
+    }
+  }
+
+  onDrained(n: nodes.VirtualNode): void {
+    this.drained.add(n.nodeId);
+  }
+
+  onDispatch(n: nodes.VirtualNode, call: peer.CallRequest): void {
+    this.options.observer.onDispatch(n, call);
+  }
+
+  onRun(n: nodes.VirtualNode, call: peer.CallRequest): void {
+    this.options.observer.onRun(n, call);
+  }
+
+  onCoreError(n: nodes.VirtualNode, err: unknown): void {
+    this.options.observer.onCoreError(n, err);
+  }
+
+  datagramSent(datagram: peer.Datagram): void {
+    if (this.datagramCount++ % DATAGRAM_SIZE_SAMPLE === 0) {
+      this.datagramSize = peer.Datagram.encode(datagram).finish().length;
+    }
+    this.datagramBytes += this.datagramSize;
+  }
+
+  /** Announces a backend server that started cold. */
+  restartServer(n: nodes.VirtualNode, warmUpMs: units.Millis): void {
+    n.server!.restart(warmUpMs);
+    n.tellGate({
+      kind: 'server-state',
+      state: 'starting',
+      slots: n.member.slots,
+    });
+    n.tellGate({kind: 'server-state', state: 'ready', slots: n.member.slots});
+  }
+
+  private restartNode(n: nodes.VirtualNode, warmUpMs: units.Millis): void {
+    n.server?.restart(warmUpMs);
+    this.incarnation++;
+    const incarnation = this.incarnation;
+    this.changeMember(
+      n,
+      m => ({...m, member: {...m.member, incarnation}}),
+      DEATH_NOTICE_MS,
+    );
+    this.setLiveness(n, peer.LivenessState.ALIVE);
+    this.startNode(n, incarnation);
+  }
+
+  private startNode(n: nodes.VirtualNode, incarnation = 1): void {
+    n.view.adopt(this.state);
+    const member = {...n.member, incarnation};
+    n.start(this.options.cores(this.contextOf(n, member)));
+    n.tellGate({kind: 'server-state', state: 'ready', slots: member.slots});
+  }
+
+  private contextOf(n: nodes.VirtualNode, member: peer.Member): CoreContext {
+    return {
+      member,
+      hasServer: n.server !== undefined,
+      holderSinceMs: this.clock.instant.epochMs,
+      selector: this.options.selector,
+      view: n.view,
+      counters: this.counters,
+      invariants: this.checks,
+      random: new randomSource.SeededRandom(this.random.nextInt(2 ** 31)),
+    };
+  }
+
+  private setLiveness(
+    n: nodes.VirtualNode,
+    liveness: peer.LivenessState,
+  ): void {
+    this.changeMember(n, m => ({...m, liveness}), DEATH_NOTICE_MS);
+  }
+
+  private changeMember(
+    n: nodes.VirtualNode,
+    change: (m: fleetView.MemberView) => fleetView.MemberView,
+    spreadMs: units.Millis,
+  ): void {
+    const members = this.state.members.map(m =>
+      m.member.nodeId === n.nodeId ? change(m) : m,
+    );
+    this.spread(this.state.configuration, members, spreadMs);
+  }
+
+  private spread(
+    cfg: inForce.ConfigurationInForce,
+    members: readonly fleetView.MemberView[],
+    spreadMs: units.Millis,
+  ): void {
+    const state = new views.ViewState(this.state.version + 1, cfg, members);
+    this.state = state;
+    for (const n of this.nodes) {
+      this.clock.after(spreadMs * this.random.next(), () =>
+        n.view.adopt(state),
+      );
+    }
+  }
+
+  private buildNode(shape: NodeShape, member: peer.Member): nodes.VirtualNode {
+    const server =
+      shape.medianMs === undefined
+        ? undefined
+        : new servers.VirtualServer(
+            {slots: shape.slots, medianMs: shape.medianMs},
+            this.clock,
+            new randomSource.SeededRandom(this.random.nextInt(2 ** 31)),
+          );
+    return new nodes.VirtualNode(
+      member,
+      new views.VirtualView(this.state),
+      server,
+      this,
+    );
+  }
+
+  private memberOf(shape: NodeShape): peer.Member {
+    return {
+      nodeId: shape.nodeId,
+      service: shape.service,
+      dataCentre: shape.dataCentre,
+      region: shape.region,
+      ip: '127.0.0.1',
+      httpPort: 0,
+      peerPort: 0,
+      operatorPort: 0,
+      slots: shape.slots,
+      incarnation: 1,
+    };
+  }
+}
+
+function joined(member: peer.Member): fleetView.MemberView {
+  return {
+    member,
+    roster: 'joined',
+    liveness: peer.LivenessState.ALIVE,
+    provisional: false,
+  };
+}
--- /dev/null
+++ b/test/fakes/virtual_service_audit.ts
@@ -0,0 +1,165 @@
+/** Checks what callers are promised, over all nodes of a virtual fleet. */
+import * as entryContract from '../../src/common/entry/entry_contract.js';
+import * as peer from '../../src/generated/peer.js';
+import * as units from '../../src/common/units.js';
+import * as nodes from './virtual_service_node.js';
+import * as runner from './virtual_service_runner.js';
+
+/** Promises that can be broken. */
+export type BreachKind =
+  | 'two-finals'
+  | 'no-final'
+  | 'late-final'
+  | 'foreign-answer'
+  | 'false-not-run'
+  | 'ran-twice'
+  | 'work-into-out'
+  | 'cold-overload'
+  | 'core-error';
+
+/** A broken promise. */
+export interface AuditBreach {
+  readonly kind: BreachKind;
+  readonly timeMs: units.MonotonicMs;
+  readonly detail: string;
+}
+
+/** Time after which nothing new may enter what is out or leaving. */
+export const OUT_BOUND_MS = 3_000;
+/** Time past its deadline at which a request must have its final word. */
+export const FINAL_BOUND_MS = 50;
+
+/** What is known of one request to one entry. */
+class RequestRecord {
+  runs = 0;
+  final: nodes.Final | 'entry-died';
+
+  constructor(
+    readonly request: entryContract.CallerRequest,
+    readonly idempotent: boolean,
+    readonly operation: string,
+    readonly finalByMs: units.MonotonicMs,
+  ) {}
+}
+
+/** Follows requests from submission to final word. */
+export class Audit {
+  readonly breaches: AuditBreach[] = [];
+  private readonly requests = new Map<string, RequestRecord>();
+  private readonly runsByOperation = new Map<string, number>();
+  private readonly outSince = new Map<string, units.MonotonicMs>();
+
+  constructor(private readonly nowMs: () => units.MonotonicMs) {}
+
+  /** Registers a request; requests of one `operation` may run once if not idempotent. */
+  onSubmit(
+    request: entryContract.CallerRequest,
+    idempotent: boolean,
+    operation: string,
+  ): void {
+    const finalByMs = this.nowMs() + request.deadlineMs + FINAL_BOUND_MS;
+    this.requests.set(
+      request.requestId,
+      new RequestRecord(request, idempotent, operation, finalByMs),
+    );
+  }
+
+  onRun(node: nodes.VirtualNode, call: peer.CallRequest): void {
+    const requestId = call.callId.slice(0, call.callId.lastIndexOf('.'));
+    const record = this.requests.get(requestId);
+    if (record === undefined) return;
+    record.runs++;
+    this.checkRunCount(record, node.nodeId);
+    if (isNotRun(record.final)) {
+      this.report(
+        'false-not-run',
+        `${requestId} ran at ${node.nodeId} after its refusal`,
+      );
+    }
+    const outSinceMs = this.outSince.get(node.nodeId);
+    if (outSinceMs !== undefined && this.nowMs() - outSinceMs > OUT_BOUND_MS) {
+      this.report('work-into-out', `${requestId} at ${node.nodeId}`);
+    }
+  }
+
+  onFinal(requestId: string, final: nodes.Final): void {
+    const record = this.requests.get(requestId)!;
+    if (record.final !== undefined) this.report('two-finals', requestId);
+    record.final = final ?? 'entry-died';
+    if (final === undefined) return;
+    if (this.nowMs() > record.finalByMs) this.report('late-final', requestId);
+    this.checkAnswer(record, final);
+    if (isNotRun(final) && record.runs > 0) {
+      this.report(
+        'false-not-run',
+        `${requestId} ran ${record.runs} times before its refusal`,
+      );
+    }
+  }
+
+  /** Notes that a node takes no new work from now on. */
+  onOut(nodeId: string): void {
+    if (!this.outSince.has(nodeId)) this.outSince.set(nodeId, this.nowMs());
+  }
+
+  onBack(nodeId: string): void {
+    this.outSince.delete(nodeId);
+  }
+
+  onCoreError(node: nodes.VirtualNode, err: unknown): void {
+    const text =
+      err instanceof Error ? (err.stack ?? err.message) : String(err);
+    this.report('core-error', `${node.nodeId}: ${text}`);
+  }
+
+  /** Checks at the end that every request whose time has passed has its final word. */
+  finish(all: readonly nodes.VirtualNode[]): void {
+    for (const [requestId, record] of this.requests) {
+      const isOpen = record.final === undefined;
+      if (isOpen && this.nowMs() > record.finalByMs) {
+        this.report('no-final', requestId);
+      }
+    }
+    for (const node of all) {
+      const breaches = node.server?.coldBreaches ?? 0;
+      if (breaches > 0) {
+        this.report('cold-overload', `${node.nodeId}: ${breaches} runs`);
+      }
+    }
+  }
+
+  /** Number of breaches by kind. */
+  counts(): Readonly<Record<string, number>> {
+    const counts: Record<string, number> = {};
+    for (const b of this.breaches) counts[b.kind] = (counts[b.kind] ?? 0) + 1;
+    return counts;
+  }
+
+  private checkRunCount(record: RequestRecord, nodeId: string): void {
+    if (record.idempotent) return;
+    const runs = (this.runsByOperation.get(record.operation) ?? 0) + 1;
+    this.runsByOperation.set(record.operation, runs);
+    if (runs > 1) this.report('ran-twice', `${record.operation} at ${nodeId}`);
+  }
+
+  private checkAnswer(record: RequestRecord, final: nodes.Final): void {
+    if (final?.kind !== 'respond') return;
+    const expected = runner.answerTo(record.request.body);
+    if (!expected.equals(final.answer.body)) {
+      this.report('foreign-answer', record.request.requestId);
+    }
+  }
+
+  private report(kind: BreachKind, detail: string): void {
+    this.breaches.push({kind, timeMs: this.nowMs(), detail});
+  }
+}
+
+function isNotRun(final: nodes.Final | 'entry-died'): boolean {
+  return (
+    final !== undefined &&
+    final !== 'entry-died' &&
+    final.kind === 'refuse' &&
+    final.refusal.outcome === peer.Outcome.NOT_RUN
+  );
+}
