--- a/test/fakes/virtual_service.ts
+++ b/test/fakes/virtual_service.ts
@@ -89,6 +89,7 @@
   private readonly byId: ReadonlyMap<string, nodes.VirtualNode>;
   private readonly checks: invariants.Invariants;
   private state: views.ViewState;
+  private departures: readonly views.Departure[] = [];
   private requests = 0;
   private datagramSize = 0;
   private datagramCount = 0;
@@ -113,6 +114,7 @@
       members
         .filter(m => m.shape.medianMs !== undefined)
         .map(m => joined(m.member)),
+      [],
     );
     this.nodes = members.map(m => this.buildNode(m.shape, m.member));
     this.byId = new Map(this.nodes.map(n => [n.nodeId, n]));
@@ -183,6 +185,7 @@
 
   /** Stops a node as planned; its roster record spreads as configuration does. */
   stop(n: nodes.VirtualNode): void {
+    this.addDeparture(n);
     this.changeMember(
       n,
       m => ({...m, roster: 'leaving'}),
@@ -261,6 +264,7 @@
 
   private restartNode(n: nodes.VirtualNode, warmUpMs: units.Millis): void {
     n.server?.restart(warmUpMs);
+    this.addDeparture(n);
     this.incarnation++;
     const incarnation = this.incarnation;
     this.changeMember(
@@ -272,6 +276,15 @@
     this.startNode(n, incarnation);
   }
 
+  private addDeparture(n: nodes.VirtualNode): void {
+    const departure = {
+      nodeId: n.nodeId,
+      service: n.member.service,
+      at: this.clock.instant,
+    };
+    this.departures = [...this.departures, departure];
+  }
+
   private startNode(n: nodes.VirtualNode, incarnation = 1): void {
     n.view.adopt(this.state);
     const member = {...n.member, incarnation};
@@ -315,7 +328,12 @@
     members: readonly fleetView.MemberView[],
     spreadMs: units.Millis,
   ): void {
-    const state = new views.ViewState(this.state.version + 1, cfg, members);
+    const state = new views.ViewState(
+      this.state.version + 1,
+      cfg,
+      members,
+      this.departures,
+    );
     this.state = state;
     for (const n of this.nodes) {
       this.clock.after(spreadMs * this.random.next(), () =>
