Add the operators' command line

Cause: operators publish configuration, take data centres and servers out and back, and settle changes whose outcome they could not see. A change is appended once; its outcome is read back from the log by its id, so a lost answer is no reason to append again. Found by the tests: a wait that is no whole number of milliseconds made the log client fail; it is rounded up now.

--- /dev/null
+++ b/src/cli/commands/config_publish.ts
@@ -0,0 +1,28 @@
+/** `geraniumloft config publish`. */
+import * as clipanion from 'clipanion';
+
+import * as operation from '../../common/configuration/operation.js';
+import * as changeCommand from '../change_command.js';
+import * as configurationFile from '../configuration_file.js';
+
+/** Publishes a whole configuration. */
+export class ConfigPublishCommand extends changeCommand.ChangeCommand {
+  static override paths = [['config', 'publish']];
+  static override usage = clipanion.Command.Usage({
+    category: 'Configuration',
+    description: 'Publish a configuration file in place of the accepted one.',
+    examples: [
+      [
+        'Publish a file',
+        '$0 config publish caroni.jsonc --reason "new class for stock checks"',
+      ],
+    ],
+  });
+
+  readonly file = clipanion.Option.String({required: true});
+
+  protected override operation(): operation.Operation {
+    const configuration = configurationFile.readConfiguration(this.file);
+    return {kind: 'replace', configuration};
+  }
+}
--- /dev/null
+++ b/src/cli/configuration_file.ts
@@ -0,0 +1,38 @@
+/** Reads a configuration file and checks it. */
+import * as fs from 'node:fs';
+
+import * as operation from '../common/configuration/operation.js';
+import * as documentChecker from '../common/documents/document_checker.js';
+import * as documentFault from '../common/documents/document_fault.js';
+import * as generated from '../generated/configuration.js';
+import * as cliErrors from './cli_errors.js';
+
+/**
+ * Reads a configuration, JSON with comments.
+ *
+ * @throws cliErrors.CommandError with one line for each fault.
+ */
+export function readConfiguration(path: string): generated.Configuration {
+  const checker = new documentChecker.DocumentChecker<generated.Configuration>(
+    generated.CONFIGURATION_SCHEMA,
+  );
+  const checked = checker.checkText(readText(path));
+  if (checked.kind === 'invalid') {
+    throw cliErrors.invalid(
+      ...checked.faults.map(f => documentFault.formatFault(path, f)),
+    );
+  }
+  const parsed = operation.checkConfiguration(checked.value);
+  if (parsed.kind === 'ok') return parsed.value;
+  throw cliErrors.invalid(...parsed.faults.map(f => `${path}: ${f}`));
+}
+
+function readText(path: string): string {
+  try {
+    return fs.readFileSync(path, 'utf8');
+  } catch (err) {
+    throw cliErrors.invalid(
+      `${path}: ${err instanceof Error ? err.message : String(err)}`,
+    );
+  }
+}
--- a/src/common/entry/entry_fixtures.test.ts
+++ b/src/common/entry/entry_fixtures.test.ts
@@ -75,6 +75,18 @@
     });
   }
 
+  keyHome(): undefined {
+    return undefined;
+  }
+
+  rosterConfirmedAgeMs(): number {
+    return 0;
+  }
+
+  keyLeaseValid(): boolean {
+    return true;
+  }
+
   membersOf(service: string): readonly fleetView.MemberView[] {
     return [...this.members.values()].filter(m => m.member.service === service);
   }
--- a/src/node/log_client.ts
+++ b/src/node/log_client.ts
@@ -112,7 +112,7 @@
         method,
         body,
         dispatcher: this.dispatcher,
-        signal: AbortSignal.timeout(timeoutMs),
+        signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
       });
       const text = await boundedText(res.body);
       if (res.statusCode !== 200) throw new Error(`status ${res.statusCode}`);
--- a/src/node/operator_client.ts
+++ b/src/node/operator_client.ts
@@ -49,10 +49,12 @@
     );
   }
 
-  peerState(): Promise<control.PeerState> {
-    return this.call('pull state', options =>
-      this.client.peerState.query(undefined, options),
-    );
+  /** Returns what the node knows from a log offset on. */
+  peerState(fromOffset: number): Promise<control.PeerState> {
+    return this.call('pull state', async options => {
+      const state = await this.client.peerState.query(fromOffset, options);
+      return state as control.PeerState;
+    });
   }
 
   /** Hands over idempotency keys; returns how many the peer took. */
--- a/src/node/operator_router.ts
+++ b/src/node/operator_router.ts
@@ -21,6 +21,14 @@
   );
 }
 
+/** Accepts an offset of the log. */
+function parseOffset(input: unknown): number {
+  if (typeof input === 'number' && Number.isSafeInteger(input) && input >= 0) {
+    return input;
+  }
+  throw new TypeError('expected an offset');
+}
+
 /** Accepts an encoded key handover in base64. */
 function parseHandover(input: unknown): string {
   if (typeof input !== 'string' || input.length > MAX_HANDOVER_LENGTH) {
@@ -38,7 +46,9 @@
   explain: builder.procedure
     .input(parseServiceName)
     .query(({ctx, input}) => ctx.explain(input)),
-  peerState: builder.procedure.query(({ctx}) => ctx.peerState()),
+  peerState: builder.procedure
+    .input(parseOffset)
+    .query(({ctx, input}) => ctx.peerState(input)),
   receiveKeys: builder.procedure
     .input(parseHandover)
     .mutation(({ctx, input}) => {
--- a/src/node/operator_server.test.ts
+++ b/src/node/operator_server.test.ts
@@ -23,10 +23,13 @@
     status: () => ({nodeId: 'orders-1'}) as contract.NodeStatus,
     configuration: () => undefined,
     explain: service => ({service}),
-    peerState: () => ({
+    peerState: fromOffset => ({
       nodeId: 'orders-1',
-      rosterOffset: 7,
+      rosterOffset: fromOffset + 7,
       roster: [],
+      departures: [],
+      complete: true,
+      provisional: [],
       logAgeMs: 1,
     }),
     receiveKeys: handover => void received.push(handover),
@@ -73,7 +76,7 @@
   assert.equal((await started.client.status()).nodeId, 'orders-1');
   assert.equal(await started.client.configuration(), null);
   assert.deepEqual(await started.client.explain('orders'), {service: 'orders'});
-  assert.equal((await started.client.peerState()).rosterOffset, 7);
+  assert.equal((await started.client.peerState(3)).rosterOffset, 10);
   assert.equal(await started.client.handOverKeys(HANDOVER), 1);
   assert.equal(received[0].entries[0].key, 'k');
 });
--- a/test/stand_ins/log/log_stand_in.ts
+++ b/test/stand_ins/log/log_stand_in.ts
@@ -14,6 +14,8 @@
   readonly slowMs: number;
   /** Appends that take effect but whose answer is lost; counts down. */
   readonly loseAppendAnswers: number;
+  /** Appends that are lost before they take effect; counts down. */
+  readonly dropAppends: number;
   /** Records kept. */
   readonly retention: number;
 }
@@ -23,6 +25,7 @@
   silent: false,
   slowMs: 0,
   loseAppendAnswers: 0,
+  dropAppends: 0,
   retention: 100_000,
 };
 
@@ -91,6 +94,11 @@
 
   private append(body: Buffer, res: http.ServerResponse): void {
     this.appends += 1;
+    if (this.mode.dropAppends > 0) {
+      this.setMode({dropAppends: this.mode.dropAppends - 1});
+      res.destroy();
+      return;
+    }
     const offset = this.log.append(body);
     if (this.mode.loseAppendAnswers > 0) {
       this.setMode({loseAppendAnswers: this.mode.loseAppendAnswers - 1});
