Race silent runs, order the queue by class and deadline, bound the memory of calls

Cause: an idempotent call on a connection gone silent waited for its deadline; the queue was first in first out; finished calls kept their bodies. - An idempotent call silent for the progress timeout (or four recent service times, if longer) gets one second run on a fresh connection, first answer wins, under a budget of 0.1 second runs a run. With no free slot the silent run is aborted and gives up its slot, or one loss of all connections would hold every slot until the deadlines. - The queue goes by class kind, then deadline; one in four taken and a quarter of the places are must-arrive. A deadline that the estimate cannot meet is refused at once. - Finished calls are kept as results: 30 s past the deadline if they must not run twice, 1 s if idempotent. A full memory refuses only the former. Ruled out: one bound for all finished calls, at 500 calls/s the 4096 entries would fill in 8 s and refuse idempotent calls for nothing. Disabled once each, one or two tests failed: idempotence check and budget of second runs, bound of repeats after a failure to send, memory of cancels, incarnation check of resends, disclaimed runs, memory bound, must-arrive turn, attach of known calls.

--- /dev/null
+++ b/src/common/admission/service_times.ts
@@ -0,0 +1,75 @@
+/** Service times of a backend server by request class, learned from its answers. */
+import * as units from '../units.js';
+
+/** Weight of a new sample in the recent service time. */
+const RECENT_WEIGHT = 0.1;
+
+/** Weights of a new sample in the usual service time, below and above it. */
+const USUAL_WEIGHT_BELOW = 0.02;
+const USUAL_WEIGHT_ABOVE = 0.01;
+
+/** Samples of a class after which its usual service time counts as learned. */
+const LEARNED_SAMPLES = 10;
+
+/** Most classes learned; requests of further ones share the mean of all. */
+const CLASSES_BOUND = 64;
+
+interface Learned {
+  readonly samples: number;
+  readonly recentMs: units.Millis;
+  readonly usualMs: units.Millis;
+}
+
+/** Recent and usual service times. */
+export class ServiceTimes {
+  private readonly byClass = new Map<string, Learned>();
+  private all: Learned = {samples: 0, recentMs: 0, usualMs: 0};
+
+  /** Recent service time over all classes, 0 before the first sample. */
+  get recentMs(): units.Millis {
+    return this.all.recentMs;
+  }
+
+  /** Recent service time of a class, or over all classes if it has no sample. */
+  recentOfMs(className: string): units.Millis {
+    return this.byClass.get(className)?.recentMs ?? this.all.recentMs;
+  }
+
+  /** Usual service time of a class, undefined until it is learned. */
+  usualOfMs(className: string): units.Millis | undefined {
+    const learned = this.byClass.get(className);
+    if (!learned || learned.samples < LEARNED_SAMPLES) return undefined;
+    return learned.usualMs;
+  }
+
+  /** Takes a sample; `keepUsual` leaves the usual time as it is unless the sample is below. */
+  add(className: string, serviceMs: units.Millis, keepUsual: boolean): void {
+    this.all = learn(this.all, serviceMs, keepUsual);
+    const learned = this.byClass.get(className);
+    if (!learned && this.byClass.size >= CLASSES_BOUND) return;
+    const before = learned ?? {samples: 0, recentMs: 0, usualMs: 0};
+    this.byClass.set(className, learn(before, serviceMs, keepUsual));
+  }
+}
+
+function learn(
+  before: Learned,
+  serviceMs: units.Millis,
+  keepUsual: boolean,
+): Learned {
+  if (before.samples === 0) {
+    return {samples: 1, recentMs: serviceMs, usualMs: serviceMs};
+  }
+  const above = serviceMs > before.usualMs;
+  const weightAbove = keepUsual ? 0 : USUAL_WEIGHT_ABOVE;
+  const usualWeight = above ? weightAbove : USUAL_WEIGHT_BELOW;
+  return {
+    samples: before.samples + 1,
+    recentMs: mix(before.recentMs, serviceMs, RECENT_WEIGHT),
+    usualMs: mix(before.usualMs, serviceMs, usualWeight),
+  };
+}
+
+function mix(old: number, sample: number, weight: number): number {
+  return old + (sample - old) * weight;
+}
--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -39,6 +39,8 @@
 
 /** Counters other than refusals and retries, with what each counts. */
 export const COUNTER_DESCRIPTIONS = {
+  'gate.second-run':
+    'Second runs of idempotent requests whose first run was silent.',
   'invariant.breached': 'Invariants that did not hold.',
   'malformed.datagram':
     'Datagrams that could not be decoded or exceeded a bound.',
--- a/src/common/gate/call_record.ts
+++ b/src/common/gate/call_record.ts
@@ -42,13 +42,9 @@
   | {readonly kind: 'delegated'; readonly nodeId: string}
   /** Waits for the result of another call with the same key. */
   | {readonly kind: 'joined'; readonly ownerCallId: string}
-  | {
-      readonly kind: 'finished';
-      readonly result: CallResult;
-      readonly finishedMs: units.MonotonicMs;
-    };
+  | {readonly kind: 'finished'};
 
-/** A call from its arrival until it is forgotten. */
+/** A call from its arrival until its end. */
 export class CallRecord {
   state: CallState = {kind: 'waiting'};
 
@@ -58,8 +54,8 @@
   /** Runs of which a byte may have left, whatever their end. */
   runsSent = 0;
 
-  /** Whether a failure to send was already answered by one more run. */
-  resentAfterNotSent = false;
+  /** Whether the call was sent again after a run of which no byte left. */
+  repeatedAfterNotSent = false;
 
   constructor(
     readonly call: peer.CallRequest,
@@ -79,6 +75,16 @@
     return this.arrivedMs + this.call.deadlineMs;
   }
 
+  /** Name of the call's class. */
+  get className(): string {
+    return this.requestClass.name;
+  }
+
+  /** Who waits when room is short. */
+  get classKind(): generated.RequestClass['kind'] {
+    return this.requestClass.kind;
+  }
+
   /** Whether a second run does no harm. */
   get idempotent(): boolean {
     return this.requestClass.idempotent;
--- a/src/common/gate/call_table.ts
+++ b/src/common/gate/call_table.ts
@@ -3,18 +3,32 @@
 import * as units from '../units.js';
 import * as record from './call_record.js';
 
-/** Time for which a call is remembered past its deadline. */
+/** Time past its deadline for which a call that must not run twice is remembered. */
 export const CALL_MEMORY_MARGIN_MS = 30_000;
 
+/** Time past its deadline for which an idempotent call is remembered. */
+const IDEMPOTENT_MARGIN_MS = 1_000;
+
+/** Finished calls remembered for each call that may be in progress. */
+const FINISHED_PER_LIVE = 8;
+
 /** Most bytes of finished answers kept for calls that are sent again. */
 const ANSWER_BYTES_BOUND = 4 * 1024 * 1024;
 
 const PURGE_INTERVAL_MS = 1_000;
 
-/** Bounded table of calls; a call that is still wanted is never evicted. */
+/** What is kept of a call after its end. */
+interface FinishedCall {
+  readonly result: record.CallResult;
+  readonly forgetMs: units.MonotonicMs;
+}
+
+/** Bounded table of calls; a call that could run twice if forgotten is never evicted. */
 export class CallTable {
   private readonly live = new Map<string, record.CallRecord>();
-  private readonly finished = new Map<string, record.CallRecord>();
+  private readonly finished = new Map<string, FinishedCall>();
+  /** Ids of the finished calls whose answers are kept, oldest first. */
+  private readonly answered = new Set<string>();
   /** Cancelled calls whose request has not been seen, with the time to forget them. */
   private readonly cancelled = new Map<string, units.MonotonicMs>();
   private answerBytes = 0;
@@ -32,14 +46,22 @@
     return this.live.size;
   }
 
-  /** Whether another call can be remembered. */
-  get hasRoom(): boolean {
-    return this.live.size < this.bound && this.finished.size < this.bound;
+  /** Whether another call can be taken and remembered as long as its class requires. */
+  hasRoom(idempotent: boolean): boolean {
+    if (this.live.size >= this.bound) return false;
+    return (
+      idempotent || this.live.size + this.finished.size < this.finishedBound
+    );
+  }
+
+  /** Returns the call of that id, if it has not finished. */
+  liveCall(callId: string): record.CallRecord | undefined {
+    return this.live.get(callId);
   }
 
-  /** Returns the call of that id, if it is remembered. */
-  get(callId: string): record.CallRecord | undefined {
-    return this.live.get(callId) ?? this.finished.get(callId);
+  /** Returns the result of the call of that id, if it has finished and is remembered. */
+  resultOf(callId: string): record.CallResult | undefined {
+    return this.finished.get(callId)?.result;
   }
 
   /** Adds a call that has not finished. */
@@ -64,57 +86,68 @@
     result: record.CallResult,
     now: units.MonotonicMs,
   ): void {
-    rec.state = {kind: 'finished', result, finishedMs: now};
+    rec.state = {kind: 'finished'};
     this.live.delete(rec.callId);
-    this.finished.set(rec.callId, rec);
-    this.answerBytes += bytesOf(rec);
-    if (this.answerBytes > ANSWER_BYTES_BOUND) this.dropOldestAnswers();
+    const full = this.finished.size >= this.finishedBound;
+    if (full && rec.idempotent) return;
+    const forgetMs = Math.max(rec.deadlineMs, now) + marginOf(rec);
+    this.finished.set(rec.callId, {result, forgetMs});
+    this.keepAnswer(rec.callId, result);
   }
 
   /** Forgets what nobody can ask for any more. */
   purge(now: units.MonotonicMs): void {
     if (now < this.nextPurgeMs) return;
     this.nextPurgeMs = now + PURGE_INTERVAL_MS;
-    for (const rec of this.finished.values()) {
-      if (forgetMs(rec) <= now) this.forget(rec);
+    for (const [callId, call] of this.finished) {
+      if (call.forgetMs <= now) this.forget(callId, call);
     }
     for (const [callId, untilMs] of this.cancelled) {
       if (untilMs <= now) this.cancelled.delete(callId);
     }
   }
 
-  /** Keeps of the oldest answers just that the calls ran. */
-  private dropOldestAnswers(): void {
-    for (const rec of this.finished.values()) {
+  private get finishedBound(): number {
+    return this.bound * FINISHED_PER_LIVE;
+  }
+
+  private keepAnswer(callId: string, result: record.CallResult): void {
+    if (result.kind !== 'answered') return;
+    this.answered.add(callId);
+    this.answerBytes += bytesOf(result);
+    for (const oldest of this.answered) {
       if (this.answerBytes <= ANSWER_BYTES_BOUND) return;
-      if (rec.state.kind !== 'finished') continue;
-      this.answerBytes -= bytesOf(rec);
-      rec.state = {...rec.state, result: withoutBody(rec.state.result)};
+      this.dropAnswer(oldest);
     }
   }
 
-  private forget(rec: record.CallRecord): void {
-    this.answerBytes -= bytesOf(rec);
-    this.finished.delete(rec.callId);
+  /** Keeps of a finished call just that it ran. */
+  private dropAnswer(callId: string): void {
+    const call = this.finished.get(callId);
+    this.answered.delete(callId);
+    if (!call) return;
+    this.answerBytes -= bytesOf(call.result);
+    this.finished.set(callId, {...call, result: RAN_WITHOUT_ANSWER});
   }
-}
 
-function forgetMs(rec: record.CallRecord): units.MonotonicMs {
-  if (rec.state.kind !== 'finished') return Infinity;
-  return Math.max(rec.deadlineMs, rec.state.finishedMs) + CALL_MEMORY_MARGIN_MS;
+  private forget(callId: string, call: FinishedCall): void {
+    if (this.answered.delete(callId)) this.answerBytes -= bytesOf(call.result);
+    this.finished.delete(callId);
+  }
 }
 
-function withoutBody(result: record.CallResult): record.CallResult {
-  if (result.kind === 'refused') return result;
-  const detail = {
+const RAN_WITHOUT_ANSWER: record.CallResult = {
+  kind: 'refused',
+  detail: {
     reason: peer.RefusalReason.BAD_ANSWER,
     outcome: peer.Outcome.RAN,
-  };
-  return {kind: 'refused', detail};
+  },
+};
+
+function marginOf(rec: record.CallRecord): units.Millis {
+  return rec.idempotent ? IDEMPOTENT_MARGIN_MS : CALL_MEMORY_MARGIN_MS;
 }
 
-function bytesOf(rec: record.CallRecord): number {
-  const {state} = rec;
-  if (state.kind !== 'finished' || state.result.kind !== 'answered') return 0;
-  return state.result.answer.body.length;
+function bytesOf(result: record.CallResult): number {
+  return result.kind === 'answered' ? result.answer.body.length : 0;
 }
--- a/src/common/gate/gate_core.ts
+++ b/src/common/gate/gate_core.ts
@@ -1,6 +1,8 @@
 /** Decides which calls run on the backend server beside this node, when, and what they are told. */
 import * as peer from '../../generated/peer.js';
+import * as admission from '../admission/admission.js';
 import * as core from '../core.js';
+import * as errors from '../errors.js';
 import * as invariants from '../invariants.js';
 import * as units from '../units.js';
 import * as callTable from './call_table.js';
@@ -11,7 +13,8 @@
 import * as responder from './responder.js';
 import * as runSupervisor from './run_supervisor.js';
 
-const SHED_RETRY_AFTER_MS = 100;
+type Answered = Extract<contract.GateEvent, {readonly kind: 'server-answered'}>;
+type Failed = Extract<contract.GateEvent, {readonly kind: 'server-failed'}>;
 
 /** The gate in front of one backend server. */
 export class GateCore implements core.Core<
@@ -19,11 +22,12 @@
   contract.GateAction
 > {
   private actions: contract.GateAction[] = [];
+  private lastMs: units.MonotonicMs = 0;
   private readonly calls: callTable.CallTable;
   private readonly runs: runSupervisor.RunSupervisor;
   private readonly entrance: entrance.Entrance;
+  private readonly admission: admission.Admission<record.CallRecord>;
   private readonly responder: responder.Responder;
-  private readonly waiting: record.CallRecord[] = [];
   private drainedSent = false;
 
   constructor(private readonly options: gateOptions.GateOptions) {
@@ -31,6 +35,12 @@
     this.calls = new callTable.CallTable(options.bounds.calls);
     this.runs = new runSupervisor.RunSupervisor(options, emit);
     this.entrance = new entrance.Entrance(options);
+    this.admission = new admission.Admission({
+      random: options.random,
+      tuning: () => gateOptions.tuningInForce(options),
+      slots: () => this.entrance.slots,
+      inFlight: () => this.runs.inFlight,
+    });
     this.responder = new responder.Responder(options, this, emit);
   }
 
@@ -39,6 +49,7 @@
     now: units.Instant,
   ): readonly contract.GateAction[] {
     this.actions = [];
+    this.lastMs = now.monotonicMs;
     this.apply(event, now);
     this.advance(now);
     return this.actions;
@@ -48,6 +59,8 @@
     let next = this.runs.nextSettleMs ?? Infinity;
     for (const rec of this.calls.liveRecords) {
       next = Math.min(next, rec.deadlineMs);
+      const silentMs = this.silentMs(rec);
+      if (silentMs > this.lastMs) next = Math.min(next, silentMs);
     }
     return next === Infinity ? undefined : next;
   }
@@ -56,9 +69,9 @@
   loadReport(): peer.LoadReport {
     return {
       inFlight: this.runs.inFlight,
-      queued: this.waiting.length,
-      limit: this.limit,
-      latencyUs: 0,
+      queued: this.admission.queue.size,
+      limit: this.admission.limit,
+      latencyUs: Math.round(this.admission.recentMs * units.MICROS_PER_MS),
       cold: false,
       leaving: this.entrance.isLeaving,
       ageMs: 0,
@@ -71,12 +84,8 @@
   }
 
   /** Time after which to come back. */
-  retryAfterMs(): units.Millis {
-    return 0;
-  }
-
-  private get limit(): number {
-    return this.entrance.slots;
+  retryAfterMs(reason: peer.RefusalReason): units.Millis {
+    return this.admission.retryAfterMs(reason);
   }
 
   private apply(event: contract.GateEvent, now: units.Instant): void {
@@ -115,38 +124,40 @@
     call: peer.CallRequest,
     now: units.Instant,
   ): void {
-    const known = this.calls.get(call.callId);
-    if (known) return this.attach(known, source, now);
-    const detail = this.refusalOnArrival(call);
-    if (detail) {
-      const result = {kind: 'refused', detail} as const;
-      return this.responder.reply(source, call.callId, result, now);
-    }
+    if (this.isKnown(source, call, now)) return;
     const requestClass = this.options.view.configuration?.requestClass(
       call.className,
     );
-    if (!requestClass) return;
+    const detail = this.refusalOnArrival(call);
+    if (detail || !requestClass) {
+      const given = detail ?? notRun(peer.RefusalReason.NO_ROUTE);
+      return this.refuseUnrecorded(source, call.callId, given, now);
+    }
     const rec = new record.CallRecord(
       call,
       requestClass,
       now.monotonicMs,
       source,
     );
+    if (!this.calls.hasRoom(rec.idempotent)) {
+      const full = notRun(peer.RefusalReason.NO_ROOM);
+      return this.refuseUnrecorded(source, call.callId, full, now);
+    }
     this.calls.add(rec);
-    this.waiting.push(rec);
+    this.admit(rec, now);
   }
 
-  /** A call that is known already: its new source waits for the result, or gets it. */
-  private attach(
-    rec: record.CallRecord,
+  /** A call that was seen before: its new source waits for the result, or gets it. */
+  private isKnown(
     source: contract.CallSource,
+    call: peer.CallRequest,
     now: units.Instant,
-  ): void {
-    if (rec.state.kind === 'finished') {
-      this.responder.reply(source, rec.callId, rec.state.result, now);
-    } else {
-      rec.source = source;
-    }
+  ): boolean {
+    const live = this.calls.liveCall(call.callId);
+    if (live) live.source = source;
+    const result = this.calls.resultOf(call.callId);
+    if (result) this.responder.reply(source, call.callId, result, now);
+    return live !== undefined || result !== undefined;
   }
 
   private refusalOnArrival(
@@ -162,25 +173,34 @@
       };
     }
     const closed = this.entrance.refusalReason();
-    if (closed) return notRun(closed);
-    if (!this.options.view.configuration?.requestClass(call.className)) {
-      return notRun(peer.RefusalReason.NO_ROUTE);
-    }
-    const queueLength = gateOptions.tuningInForce(this.options).queueLength;
-    const full =
-      this.runs.inFlight >= this.limit && this.waiting.length >= queueLength;
-    if (full || !this.calls.hasRoom) {
-      return notRun(peer.RefusalReason.NO_ROOM);
+    return closed && notRun(closed);
+  }
+
+  /** Queues a call, or refuses it or a less entitled one. */
+  private admit(rec: record.CallRecord, now: units.Instant): void {
+    const offer = this.admission.offer(rec, now.monotonicMs);
+    switch (offer.kind) {
+      case 'queued':
+        return;
+      case 'displaced':
+        return this.refuse(offer.item, peer.RefusalReason.NO_ROOM, now);
+      case 'full':
+        return this.refuse(rec, peer.RefusalReason.NO_ROOM, now);
+      case 'too-late':
+        return this.refuse(rec, peer.RefusalReason.DEADLINE, now);
+      default:
+        return invariants.assertNever(offer);
     }
-    return undefined;
   }
 
   private onCancel(callId: string, now: units.Instant): void {
-    const rec = this.calls.get(callId);
-    if (!rec) return this.calls.addCancelled(callId, now.monotonicMs);
-    if (rec.state.kind === 'finished') return;
-    this.runs.abortAll(rec, now.monotonicMs);
-    this.refuse(rec, peer.RefusalReason.CANCELLED, now);
+    const rec = this.calls.liveCall(callId);
+    if (rec) {
+      this.runs.abortAll(rec, now.monotonicMs);
+      this.refuse(rec, peer.RefusalReason.CANCELLED, now);
+    } else if (!this.calls.resultOf(callId)) {
+      this.calls.addCancelled(callId, now.monotonicMs);
+    }
   }
 
   private onSourceLost(linkId: number): void {
@@ -192,39 +212,35 @@
     }
   }
 
-  private onAnswered(
-    event: Extract<contract.GateEvent, {readonly kind: 'server-answered'}>,
-    now: units.Instant,
-  ): void {
-    const rec = this.calls.get(event.callId);
+  private onAnswered(event: Answered, now: units.Instant): void {
+    const rec = this.calls.liveCall(event.callId);
     const run = this.runs.end(rec, event.callId, event.run);
     if (!rec || !run) return;
+    this.admission.onAnswered(rec, now.monotonicMs - run.startedMs);
     this.runs.abortAll(rec, now.monotonicMs);
     const {status, headers, body} = event;
     const answer = {status, headers, body, replayed: false};
     this.finish(rec, {kind: 'answered', answer}, now);
   }
 
-  private onFailed(
-    event: Extract<contract.GateEvent, {readonly kind: 'server-failed'}>,
-    now: units.Instant,
-  ): void {
-    const rec = this.calls.get(event.callId);
+  private onFailed(event: Failed, now: units.Instant): void {
+    const rec = this.calls.liveCall(event.callId);
     const run = this.runs.end(rec, event.callId, event.run);
     if (!rec || !run) return;
     const {failure} = event;
-    if (failure.kind === 'not-sent' || failure.kind === 'shed') rec.runsSent--;
+    const disclaimed = failure.kind === 'not-sent' || failure.kind === 'shed';
+    if (disclaimed) rec.runsSent--;
     if (rec.runs.length > 0) return;
     switch (failure.kind) {
       case 'not-sent':
-        return this.refuse(rec, peer.RefusalReason.SERVER_FAILED, now);
+        return this.onNotSent(rec, now);
       case 'shed':
         return this.finishRefused(
           rec,
           {
             reason: peer.RefusalReason.SERVER_SHED,
             outcome: rec.outcomeSoFar,
-            retryAfterMs: failure.retryAfterMs || SHED_RETRY_AFTER_MS,
+            retryAfterMs: failure.retryAfterMs,
           },
           now,
         );
@@ -237,20 +253,27 @@
     }
   }
 
+  /** Sends a call once more, unless that failed before. */
+  private onNotSent(rec: record.CallRecord, now: units.Instant): void {
+    if (rec.repeatedAfterNotSent) {
+      return this.refuse(rec, peer.RefusalReason.SERVER_FAILED, now);
+    }
+    rec.repeatedAfterNotSent = true;
+    rec.state = {kind: 'waiting'};
+    this.admission.queue.putFirst(rec);
+  }
+
   private onServerLost(now: units.Instant): void {
     this.entrance.setServer('absent', 0);
     for (const rec of [...this.calls.liveRecords]) {
       if (rec.state.kind !== 'running') continue;
       this.runs.dropAll(rec);
-      this.finishRefused(
-        rec,
-        {
-          reason: peer.RefusalReason.SERVER_FAILED,
-          outcome: rec.outcomeSoFar,
-          serverDied: true,
-        },
-        now,
-      );
+      const detail = {
+        reason: peer.RefusalReason.SERVER_FAILED,
+        outcome: rec.outcomeSoFar,
+        serverDied: true,
+      };
+      this.finishRefused(rec, detail, now);
     }
   }
 
@@ -260,6 +283,7 @@
     this.runs.settle(now.monotonicMs);
     this.expire(now);
     this.dispatch(now);
+    this.replaceSilent(now);
     if (this.entrance.isStopping && this.calls.liveCount === 0) {
       this.sendDrained();
     }
@@ -275,24 +299,89 @@
 
   private dispatch(now: units.Instant): void {
     const closed = this.entrance.refusalReason();
-    while (this.waiting.length > 0) {
-      if (!closed && this.runs.inFlight >= this.limit) return;
-      const rec = this.waiting[0];
-      if (closed) {
+    if (closed) {
+      for (const rec of this.admission.queue.items()) {
         this.refuse(rec, closed, now);
+      }
+      return;
+    }
+    while (this.admission.hasRoom) {
+      const rec = this.admission.queue.take();
+      if (!rec) return;
+      if (this.admission.isInTime(rec, now.monotonicMs)) {
+        this.start(rec, now);
+      } else {
+        this.refuse(rec, peer.RefusalReason.DEADLINE, now);
+      }
+    }
+  }
+
+  private start(rec: record.CallRecord, now: units.Instant): void {
+    this.guard(rec, now, () => {
+      const site = gateOptions.siteOf(this.options, 'start run');
+      const {inFlight} = this.runs;
+      const {limit} = this.admission;
+      const {slots} = this.entrance;
+      this.options.invariants.check(
+        inFlight < limit && limit <= slots,
+        site,
+        `${inFlight} in flight, limit ${limit}, ${slots} slots`,
+      );
+      this.options.invariants.check(
+        this.entrance.refusalReason() === undefined,
+        site,
+        `call ${rec.callId} dispatched while the gate takes no new work`,
+      );
+      this.runs.start(rec, now.monotonicMs);
+    });
+  }
+
+  /** Gives idempotent calls whose run is silent a second one on a fresh connection. */
+  private replaceSilent(now: units.Instant): void {
+    if (this.entrance.refusalReason()) return;
+    for (const rec of [...this.calls.liveRecords]) {
+      if (this.silentMs(rec) > now.monotonicMs) continue;
+      if (!this.runs.second.tryTake()) return;
+      this.options.counters.increment('gate.second-run');
+      if (this.admission.hasRoom) {
+        this.start(rec, now);
       } else {
-        this.waiting.shift();
-        this.runs.start(rec, now.monotonicMs);
+        this.runs.abortAll(rec, now.monotonicMs);
+        rec.state = {kind: 'waiting'};
+        this.admission.queue.putFirst(rec);
       }
     }
   }
 
+  /** Time at which the only run of a call counts as silent. */
+  private silentMs(rec: record.CallRecord): units.MonotonicMs {
+    const {progressTimeoutMs} = gateOptions.tuningInForce(this.options);
+    const {recentMs} = this.admission;
+    const dueMs = this.runs.second.dueMs(rec, progressTimeoutMs, recentMs);
+    return dueMs ?? Infinity;
+  }
+
   private sendDrained(): void {
     if (this.drainedSent) return;
     this.drainedSent = true;
     this.actions.push({kind: 'drained'});
   }
 
+  /** Refuses the call if an invariant is breached while it is handled. */
+  private guard(
+    rec: record.CallRecord,
+    now: units.Instant,
+    work: () => void,
+  ): void {
+    try {
+      work();
+    } catch (err) {
+      if (!(err instanceof errors.InvariantError)) throw err;
+      this.runs.abortAll(rec, now.monotonicMs);
+      this.refuse(rec, peer.RefusalReason.INTERNAL, now);
+    }
+  }
+
   private refuse(
     rec: record.CallRecord,
     reason: peer.RefusalReason,
@@ -314,12 +403,20 @@
     result: record.CallResult,
     now: units.Instant,
   ): void {
-    const index = this.waiting.indexOf(rec);
-    if (index >= 0) this.waiting.splice(index, 1);
+    this.admission.queue.remove(rec);
     this.calls.finish(rec, result, now.monotonicMs);
     if (!rec.source) return;
     this.responder.reply(rec.source, rec.callId, result, now);
   }
+
+  private refuseUnrecorded(
+    source: contract.CallSource,
+    callId: string,
+    detail: record.RefusalDetail,
+    now: units.Instant,
+  ): void {
+    this.responder.reply(source, callId, {kind: 'refused', detail}, now);
+  }
 }
 
 function notRun(reason: peer.RefusalReason): record.RefusalDetail {
--- a/src/common/gate/run_supervisor.ts
+++ b/src/common/gate/run_supervisor.ts
@@ -3,12 +3,16 @@
 import * as record from './call_record.js';
 import * as gateOptions from './gate_options.js';
 import * as responder from './responder.js';
+import * as secondRuns from './second_runs.js';
 
 /** Time after an abort for which the run still counts as in flight. */
 const ABORT_SETTLE_MS = 50;
 
 /** Knows every run that the backend server may be working on. */
 export class RunSupervisor {
+  /** Budget of second runs. */
+  readonly second = new secondRuns.SecondRuns();
+
   /** Aborted runs by call and run, with the time at which they no longer count. */
   private readonly aborted = new Map<string, units.MonotonicMs>();
   private running = 0;
@@ -48,6 +52,7 @@
     rec.runsStarted = run;
     rec.runsSent++;
     this.running++;
+    if (run === 1) this.second.onFirstRun();
     this.emit({
       kind: 'run',
       call: rec.call,
--- a/src/common/units.ts
+++ b/src/common/units.ts
@@ -14,3 +14,6 @@
   readonly monotonicMs: MonotonicMs;
   readonly epochMs: EpochMs;
 }
+
+/** Microseconds in a millisecond. */
+export const MICROS_PER_MS = 1_000;
