--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -41,7 +41,11 @@
 export const COUNTER_DESCRIPTIONS = {
   'gate.second-run':
     'Second runs of idempotent requests whose first run was silent.',
+  'configuration.rejected':
+    'Configuration changes in the log that were not accepted.',
   'invariant.breached': 'Invariants that did not hold.',
+  'log.append-failed': 'Appends to the log that failed or were not answered.',
+  'log.gap': 'Times the log no longer held the records to be read next.',
   'malformed.datagram':
     'Datagrams that could not be decoded or exceeded a bound.',
   'malformed.frame':
@@ -50,6 +54,7 @@
     'HTTP requests that could not be parsed or exceeded a bound.',
   'malformed.log-record': 'Log records that were skipped.',
   'malformed.announcement': 'Backend server announcements that were rejected.',
+  'roster.full': 'Joins passed over because the roster is full.',
   'source.rejected':
     'Connections and datagrams from addresses that are not configured.',
 } as const satisfies Readonly<Record<string, string>>;
