Entry: routing by load reports, retry budgets, link recovery, keyed homes

Cause: the thin core knew only its own attempts and retried once. Choice: power of two choices on reports that lose weight with age, within the nearest group that has room; redirection to siblings that a full gate names; members that failed are avoided for a growing time. Retries, redirections and must-arrive attempts draw on separate budgets of the service, so that a redirection to a gate with room is cheap and none is earned when gates are full. A silent link leads to the same attempt again at the same gate; only what may be repeated goes elsewhere after that. Keyed requests go to the home only. Ruled out: one bucket for all prices, where redirections starve real retries.

--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -39,6 +39,17 @@
 
 /** Counters other than refusals and retries, with what each counts. */
 export const COUNTER_DESCRIPTIONS = {
+  'entry.answered': 'Requests whose caller was given a whole answer.',
+  'entry.attempts': 'Attempts sent to gates for the first time.',
+  'entry.caller-gone': 'Requests whose caller left before the end.',
+  'entry.foreign':
+    'Answers, refusals and link events from a node that the attempt was not sent to.',
+  'entry.hedges': 'Attempts made beside a slow first one.',
+  'entry.received': 'Requests received from callers.',
+  'entry.resends': 'Attempts sent again to the same gate over a fresh link.',
+  'entry.unmatched':
+    'Answers, refusals and link events of attempts that had ended.',
+  'entry.waits': 'Waits between attempts of one request.',
   'invariant.breached': 'Invariants that did not hold.',
   'malformed.datagram':
     'Datagrams that could not be decoded or exceeded a bound.',
--- a/src/common/entry/call_requests.ts
+++ b/src/common/entry/call_requests.ts
@@ -3,6 +3,14 @@
 import * as fleetView from '../control/fleet_view.js';
 import * as units from '../units.js';
 import * as call from './call.js';
+import * as chainHeaders from './chain_headers.js';
+
+/**
+ * Kept back from the deadline given to a gate, so that its refusal, which knows whether the
+ * request ran, arrives before the caller's deadline.
+ */
+const RETURN_ALLOWANCE_MS = 5;
+const RETURN_ALLOWANCE_SHARE = 0.1;
 
 /** Builds the message of an attempt, sent for the first time or again. */
 export function callRequest(
@@ -18,9 +26,9 @@
     className: req.requestClass.name,
     method: req.method,
     path: req.path,
-    headers: req.headers,
+    headers: chainHeaders.withRetriesLeft(req.headers, c.retriesLeft),
     body: req.body,
-    deadlineMs: Math.max(1, Math.floor(c.deadlineAtMs - nowMs)),
+    deadlineMs: gateDeadlineMs(c.deadlineAtMs - nowMs),
     idempotencyKey: req.idempotencyKey,
     attempt: attempt.number,
     resend: attempt.resends > 0,
@@ -32,3 +40,11 @@
     fingerprint: req.fingerprint,
   };
 }
+
+function gateDeadlineMs(leftMs: units.Millis): units.Millis {
+  const allowanceMs = Math.min(
+    RETURN_ALLOWANCE_MS,
+    leftMs * RETURN_ALLOWANCE_SHARE,
+  );
+  return Math.max(1, Math.floor(leftMs - allowanceMs));
+}
--- a/src/common/entry/entry_core.ts
+++ b/src/common/entry/entry_core.ts
@@ -1,23 +1,35 @@
 /** Takes callers' requests, chooses gates, retries, and gives each caller one truthful end. */
-import * as generated from '../../generated/settings.js';
 import * as peer from '../../generated/peer.js';
 import * as fleetView from '../control/fleet_view.js';
 import * as core from '../core.js';
-import * as counterNames from '../counter_names.js';
 import * as counters from '../counters.js';
+import * as errors from '../errors.js';
 import * as invariants from '../invariants.js';
 import * as randomSource from '../random_source.js';
-import * as outstanding from '../routing/outstanding.js';
+import * as failureKind from '../retries/failure_kind.js';
+import * as serviceBudgets from '../retries/service_budgets.js';
+import * as router from '../routing/router.js';
 import * as selector from '../routing/selector.js';
 import * as units from '../units.js';
+import * as attemptFailures from './attempt_failures.js';
+import * as attemptSender from './attempt_sender.js';
 import * as call from './call.js';
-import * as callRequests from './call_requests.js';
+import * as callEnder from './call_ender.js';
+import * as callRunner from './call_runner.js';
+import * as callTable from './call_table.js';
 import * as contract from './entry_contract.js';
-import * as refusals from './refusals.js';
+import * as keyedPlanner from './keyed_planner.js';
+import * as linkRecovery from './link_recovery.js';
+import * as unkeyedPlanner from './unkeyed_planner.js';
 
 const FULL_RETRY_AFTER_MS = 100;
-const NO_SERVER_RETRY_AFTER_MS = 1_000;
-const LINK_RETRY_AFTER_MS = 100;
+const NOT_READY_RETRY_AFTER_MS = 1_000;
+
+/** Status from which an answer says that the backend server failed. */
+const FIRST_ERROR_STATUS = 500;
+
+/** Error statuses after which an idempotent request is worth another attempt. */
+const RETRYABLE_STATUSES: ReadonlySet<number> = new Set([500, 502, 503, 504]);
 
 /** What an entry is made with. */
 export interface EntryOptions {
@@ -25,7 +37,7 @@
   readonly dataCentre: string;
   readonly region: string;
   readonly incarnation: number;
-  readonly selector: generated.Settings['selector'];
+  readonly selector: selector.SelectorSettings;
   /** Most calls in progress at once. */
   readonly maxCalls: number;
   readonly view: fleetView.FleetView;
@@ -34,6 +46,8 @@
   readonly random: randomSource.RandomSource;
 }
 
+type CallEvent = Exclude<contract.EntryEvent, {readonly kind: 'tick'}>;
+
 interface OpenAttempt {
   readonly call: call.Call;
   readonly attempt: call.Attempt;
@@ -44,51 +58,108 @@
   contract.EntryEvent,
   contract.EntryAction
 > {
-  private readonly calls = new Map<string, call.Call>();
-  private readonly attempts = new Map<string, OpenAttempt>();
-  private readonly own = new outstanding.Outstanding();
+  private readonly calls = new callTable.CallTable();
+  private readonly budgets = new serviceBudgets.ServiceBudgets();
+  private readonly router: router.Router;
+  private readonly ender: callEnder.CallEnder;
+  private readonly runner: callRunner.CallRunner;
   private actions: contract.EntryAction[] = [];
 
-  constructor(private readonly options: EntryOptions) {}
+  constructor(private readonly options: EntryOptions) {
+    const {calls, budgets} = this;
+    this.router = new router.Router({
+      ...options,
+      here: options,
+      settings: options.selector,
+    });
+    const own = this.router.own;
+    const sender = new attemptSender.AttemptSender({...options, calls, own});
+    this.ender = new callEnder.CallEnder({...options, calls, sender});
+    const planning = {...options, budgets, router: this.router};
+    this.runner = new callRunner.CallRunner({
+      ...planning,
+      sender,
+      ender: this.ender,
+      unkeyed: new unkeyedPlanner.UnkeyedPlanner(planning),
+      keyed: new keyedPlanner.KeyedPlanner(planning),
+      emit: actions => void this.actions.push(...actions),
+    });
+  }
 
   handle(
     event: contract.EntryEvent,
     now: units.Instant,
   ): readonly contract.EntryAction[] {
     this.actions = [];
-    this.dispatchEvent(event, now.monotonicMs);
+    if (event.kind === 'tick') this.onTick(now.monotonicMs);
+    else this.onCallEvent(event, now.monotonicMs);
     return this.actions;
   }
 
   nextWakeMs(): units.MonotonicMs | undefined {
-    let wake: units.MonotonicMs | undefined;
-    for (const c of this.calls.values()) {
-      if (wake === undefined || c.deadlineAtMs < wake) wake = c.deadlineAtMs;
+    return this.calls.nextWakeMs();
+  }
+
+  private onTick(nowMs: units.MonotonicMs): void {
+    for (;;) {
+      const c = this.calls.takeDue(nowMs);
+      if (c === undefined) return;
+      this.guard(c, () => this.runner.wake(c, nowMs));
     }
-    return wake;
   }
 
-  private dispatchEvent(
-    event: contract.EntryEvent,
-    nowMs: units.MonotonicMs,
-  ): void {
+  private onCallEvent(event: CallEvent, nowMs: units.MonotonicMs): void {
+    this.guard(this.callOf(event), () => this.handleEvent(event, nowMs));
+  }
+
+  /** Works on a call; a breach of an invariant fails the call, not the process. */
+  private guard(c: call.Call | undefined, work: () => void): void {
+    try {
+      work();
+    } catch (err) {
+      if (!(err instanceof errors.InvariantError)) throw err;
+      if (c !== undefined && this.calls.get(c.request.requestId) === c) {
+        this.refuse(c, peer.RefusalReason.INTERNAL, NOT_READY_RETRY_AFTER_MS);
+      }
+    }
+    if (c !== undefined) this.calls.reschedule(c);
+  }
+
+  private callOf(event: CallEvent): call.Call | undefined {
+    switch (event.kind) {
+      case 'request':
+        return undefined;
+      case 'caller-gone':
+        return this.calls.get(event.requestId);
+      case 'answer':
+        return this.calls.ofAttempt(event.answer.callId);
+      case 'refusal':
+        return this.calls.ofAttempt(event.refusal.callId);
+      case 'link-failed':
+      case 'link-silent':
+        return this.calls.ofAttempt(event.callId);
+      case 'load':
+        return undefined;
+      default:
+        return invariants.assertNever(event);
+    }
+  }
+
+  private handleEvent(event: CallEvent, nowMs: units.MonotonicMs): void {
     switch (event.kind) {
       case 'request':
         return this.onRequest(event.request, nowMs);
       case 'caller-gone':
         return this.onCallerGone(event.requestId);
       case 'answer':
-        return this.onAnswer(event.nodeId, event.answer);
+        return this.onAnswer(event.nodeId, event.answer, nowMs);
       case 'refusal':
         return this.onRefusal(event.nodeId, event.refusal, nowMs);
       case 'link-failed':
-        return this.onLinkFailed(event.callId, event.sent, nowMs);
       case 'link-silent':
-        return this.onLinkFailed(event.callId, true, nowMs);
+        return this.onLinkEvent(event, nowMs);
       case 'load':
-        return;
-      case 'tick':
-        return this.onTick(nowMs);
+        return this.router.onRelayedReport(event.nodeId, event.load, nowMs);
       default:
         return invariants.assertNever(event);
     }
@@ -98,66 +169,61 @@
     request: contract.CallerRequest,
     nowMs: units.MonotonicMs,
   ): void {
+    const {counters: count, invariants: hold} = this.options;
+    count.increment('entry.received');
+    hold.check(
+      this.calls.get(request.requestId) === undefined,
+      {step: 'take request', peer: request.service},
+      'a request id is used once',
+    );
     const c = new call.Call(request, nowMs);
-    if (this.calls.size >= this.options.maxCalls) {
-      return this.refuse(c, peer.RefusalReason.NO_ROOM, FULL_RETRY_AFTER_MS);
-    }
-    this.calls.set(request.requestId, c);
-    this.attempt(c, nowMs);
-  }
-
-  private attempt(c: call.Call, nowMs: units.MonotonicMs): void {
-    const member = this.choose(c);
-    if (member === undefined) {
-      return this.refuse(
-        c,
-        peer.RefusalReason.NO_SERVER,
-        NO_SERVER_RETRY_AFTER_MS,
-      );
+    const refusal = this.refusalAtOnce(c);
+    if (refusal !== undefined) {
+      return this.refuse(c, refusal, FULL_RETRY_AFTER_MS);
     }
-    const attempt = c.openAttempt(member, nowMs);
-    this.attempts.set(attempt.callId, {call: c, attempt});
-    this.own.add(member.nodeId);
-    const {view} = this.options;
-    this.actions.push({
-      kind: 'dispatch',
-      nodeId: member.nodeId,
-      call: callRequests.callRequest(c, attempt, view, nowMs),
-    });
+    this.calls.add(c);
+    this.guard(c, () => this.runner.start(c, nowMs));
   }
 
-  private choose(c: call.Call): peer.Member | undefined {
-    const {view, random} = this.options;
-    const {service, idempotencyKey} = c.request;
-    if (idempotencyKey === '') {
-      return selector.leastOutstanding(
-        view,
-        service,
-        c.tried,
-        this.own,
-        random,
-      );
-    }
-    const home = view.homeOf(service, idempotencyKey);
-    return home === undefined ? undefined : view.member(home)?.member;
+  /** Returns why a request is refused before any attempt, undefined if it is taken. */
+  private refusalAtOnce(c: call.Call): peer.RefusalReason | undefined {
+    const {service, depth} = c.request;
+    const {view, maxCalls} = this.options;
+    const tuning = view.configuration?.tuningOf(service);
+    if (tuning === undefined) return peer.RefusalReason.NOT_READY;
+    if (depth > tuning.maxDepth) return peer.RefusalReason.TOO_DEEP;
+    this.budgets.of(service).onCall(tuning.retryBudgetRatio);
+    if (this.calls.size >= maxCalls) return peer.RefusalReason.NO_ROOM;
+    return undefined;
   }
 
   private onCallerGone(requestId: string): void {
     const c = this.calls.get(requestId);
-    if (c !== undefined) this.close(c);
+    if (c === undefined) return;
+    this.options.counters.increment('entry.caller-gone');
+    this.actions.push(...this.ender.close(c));
   }
 
-  private onAnswer(nodeId: string, answer: peer.CallAnswer): void {
-    const open = this.settle(nodeId, answer.callId, peer.Outcome.RAN);
+  private onAnswer(
+    nodeId: string,
+    answer: peer.CallAnswer,
+    nowMs: units.MonotonicMs,
+  ): void {
+    this.router.onReport(nodeId, answer.load, nowMs);
+    const open = this.openAttempt(nodeId, answer.callId);
     if (open === undefined) return;
-    this.actions.push({
-      kind: 'respond',
-      requestId: open.call.request.requestId,
-      answer,
-      servedBy: nodeId,
-      attempts: open.call.attempts,
-    });
-    this.close(open.call);
+    const {call: c, attempt} = open;
+    this.runner.settle(c, attempt, peer.Outcome.RAN);
+    this.noteFirstAttempt(open, false);
+    const failed = answer.status >= FIRST_ERROR_STATUS;
+    if (failed) this.router.failures.onFailure(nodeId, nowMs);
+    else this.router.failures.onSuccess(nodeId);
+    if (mayReplace(c, answer)) {
+      c.errorAnswer = {nodeId, answer};
+      const failure = attemptFailures.serverFailure(nodeId);
+      return this.runner.afterFailure(c, failure, nowMs);
+    }
+    this.actions.push(...this.ender.respond(c, {nodeId, answer}));
   }
 
   private onRefusal(
@@ -165,105 +231,66 @@
     refusal: peer.CallRefusal,
     nowMs: units.MonotonicMs,
   ): void {
-    const open = this.settle(nodeId, refusal.callId, refusal.outcome);
-    if (open !== undefined) {
-      this.afterFailure(open.call, {...refusal, nodeId}, nowMs);
+    this.router.onReport(nodeId, refusal.load, nowMs);
+    for (const a of refusal.alternatives) {
+      this.router.onRelayedReport(a.nodeId, a.load, nowMs);
     }
+    const open = this.openAttempt(nodeId, refusal.callId);
+    if (open === undefined) return;
+    this.runner.settle(open.call, open.attempt, refusal.outcome);
+    const kind = failureKind.failureKind(refusal.reason);
+    this.noteFirstAttempt(open, kind === 'full');
+    if (kind === 'failed' || kind === 'absent') {
+      this.router.failures.onFailure(nodeId, nowMs);
+    }
+    this.runner.afterFailure(open.call, {...refusal, nodeId}, nowMs);
   }
 
-  private onLinkFailed(
-    callId: string,
-    sent: boolean,
+  private onLinkEvent(
+    event: Extract<CallEvent, {readonly kind: 'link-failed' | 'link-silent'}>,
     nowMs: units.MonotonicMs,
   ): void {
-    const nodeId = this.attempts.get(callId)?.attempt.nodeId ?? '';
-    const outcome = sent ? peer.Outcome.UNKNOWN : peer.Outcome.NOT_RUN;
-    const open = this.settle(nodeId, callId, outcome);
+    const open = this.openAttempt(event.nodeId, event.callId);
     if (open === undefined) return;
-    this.afterFailure(
-      open.call,
-      {
-        nodeId,
-        reason: peer.RefusalReason.LINK_FAILED,
-        outcome,
-        retryAfterMs: LINK_RETRY_AFTER_MS,
-        alternatives: [],
-        homeNodeId: '',
-      },
-      nowMs,
-    );
+    this.router.failures.onFailure(event.nodeId, nowMs);
+    const {call: c, attempt} = open;
+    const step =
+      event.kind === 'link-silent'
+        ? linkRecovery.afterSilence(c, attempt)
+        : linkRecovery.afterBreak(c, attempt, event.sent);
+    this.runner.afterLinkEvent(c, attempt, step, nowMs);
   }
 
-  private afterFailure(
-    c: call.Call,
-    failure: call.AttemptFailure,
-    nowMs: units.MonotonicMs,
-  ): void {
-    c.lastFailure = failure;
-    if (c.tally.allNotRun && c.attempts < 2) {
-      this.options.counters.increment(
-        counterNames.retryCounter(failure.reason),
-      );
-      return this.attempt(c, nowMs);
+  /** Returns the open attempt `callId` at `nodeId`, and counts what matches none. */
+  private openAttempt(nodeId: string, callId: string): OpenAttempt | undefined {
+    const c = this.calls.ofAttempt(callId);
+    const attempt = c?.attempt(callId);
+    if (c === undefined || attempt === undefined) {
+      this.options.counters.increment('entry.unmatched');
+      return undefined;
     }
-    this.refuse(c, failure.reason, failure.retryAfterMs);
-  }
-
-  private onTick(nowMs: units.MonotonicMs): void {
-    for (const c of [...this.calls.values()]) {
-      if (c.deadlineAtMs > nowMs) continue;
-      this.refuse(c, peer.RefusalReason.DEADLINE, 0);
+    if (attempt.nodeId !== nodeId) {
+      this.options.counters.increment('entry.foreign');
+      return undefined;
     }
+    return {call: c, attempt};
   }
 
-  /** Ends the attempt `callId` at `nodeId`; undefined if it is not open there. */
-  private settle(
-    nodeId: string,
-    callId: string,
-    outcome: peer.Outcome,
-  ): OpenAttempt | undefined {
-    const open = this.attempts.get(callId);
-    if (open === undefined || open.attempt.nodeId !== nodeId) return undefined;
-    this.forget(open);
-    open.call.settle(open.attempt, outcome);
-    return open;
-  }
-
-  private forget(open: OpenAttempt): void {
-    this.attempts.delete(open.attempt.callId);
-    this.own.remove(open.attempt.nodeId);
+  private noteFirstAttempt(open: OpenAttempt, full: boolean): void {
+    if (open.attempt.number > 1) return;
+    this.budgets.of(open.call.request.service).onFirstAttempt(full);
   }
 
-  /** Gives the caller the final refusal. */
   private refuse(
     c: call.Call,
     reason: peer.RefusalReason,
     retryAfterMs: units.Millis,
   ): void {
-    const refusal = refusals.callerRefusal({
-      callId: c.request.requestId,
-      reason,
-      outcome: c.outcome(),
-      retryAfterMs,
-      configurationRevision: this.options.view.configuration?.revision ?? 0,
-    });
-    this.options.counters.increment(counterNames.refusalCounter(reason));
-    this.actions.push({
-      kind: 'refuse',
-      requestId: c.request.requestId,
-      refusal,
-      attempts: c.attempts,
-    });
-    this.close(c);
+    this.actions.push(...this.ender.refuse(c, reason, retryAfterMs));
   }
+}
 
-  /** Drops a call and cancels what is still open. */
-  private close(c: call.Call): void {
-    this.calls.delete(c.request.requestId);
-    for (const attempt of c.openAttempts) {
-      this.forget({call: c, attempt});
-      const {nodeId, callId} = attempt;
-      this.actions.push({kind: 'cancel', nodeId, callId});
-    }
-  }
+/** Whether an answer with an error status may be replaced by that of another attempt. */
+function mayReplace(c: call.Call, answer: peer.CallAnswer): boolean {
+  return c.idempotent && !c.keyed && RETRYABLE_STATUSES.has(answer.status);
 }
--- a/src/common/entry/outcome_tally.ts
+++ b/src/common/entry/outcome_tally.ts
@@ -13,11 +13,6 @@
     else this.unknown = true;
   }
 
-  /** Whether no settled attempt can have run. */
-  get allNotRun(): boolean {
-    return !this.ran && !this.unknown;
-  }
-
   /** Returns the outcome of the request, given whether an attempt is still open. */
   combined(attemptOpen: boolean): peer.Outcome {
     if (this.ran) return peer.Outcome.RAN;
--- /dev/null
+++ b/src/common/entry/unkeyed_planner.ts
@@ -0,0 +1,131 @@
+/** Steps of a request without an idempotency key. */
+import * as peer from '../../generated/peer.js';
+import * as fleetView from '../control/fleet_view.js';
+import * as randomSource from '../random_source.js';
+import * as failureKind from '../retries/failure_kind.js';
+import * as retryBudget from '../retries/retry_budget.js';
+import * as retryPolicy from '../retries/retry_policy.js';
+import * as serviceBudgets from '../retries/service_budgets.js';
+import * as router from '../routing/router.js';
+import * as units from '../units.js';
+import * as call from './call.js';
+import * as nextStep from './next_step.js';
+
+/** What planners decide by. */
+export interface PlannerOptions {
+  readonly view: fleetView.FleetView;
+  readonly router: router.Router;
+  readonly budgets: serviceBudgets.ServiceBudgets;
+  readonly random: randomSource.RandomSource;
+}
+
+/** Returns what the attempt after the newest failure costs. */
+export function priceOfNext(c: call.Call): retryBudget.Price {
+  const failure = c.lastFailure;
+  if (failure === undefined) return 'none';
+  const kind = failureKind.failureKind(failure.reason);
+  return failureKind.priceAfter(kind, failure.outcome);
+}
+
+/** Tries members of the service, within the bounds of class, budget and deadline. */
+export class UnkeyedPlanner implements nextStep.Planner {
+  constructor(private readonly options: PlannerOptions) {}
+
+  first(c: call.Call, nowMs: units.MonotonicMs): nextStep.NextStep {
+    return this.attemptAnywhere(c, nowMs);
+  }
+
+  afterFailure(
+    c: call.Call,
+    failure: call.AttemptFailure,
+    nowMs: units.MonotonicMs,
+  ): nextStep.NextStep {
+    const decision = retryPolicy.decide(this.retryState(c, failure, nowMs));
+    switch (decision.kind) {
+      case 'give-up':
+        return nextStep.refuseFor(failure);
+      case 'wait':
+        return nextStep.waitOrRefuse(c, nowMs, this.options.random);
+      case 'again':
+        return this.again(c, failure, decision.price, nowMs);
+    }
+  }
+
+  afterWait(c: call.Call, nowMs: units.MonotonicMs): nextStep.NextStep {
+    c.startRound();
+    if (!this.pay(c, priceOfNext(c))) {
+      return nextStep.waitOrRefuse(c, nowMs, this.options.random);
+    }
+    return this.attemptAnywhere(c, nowMs);
+  }
+
+  private again(
+    c: call.Call,
+    failure: call.AttemptFailure,
+    price: retryBudget.Price,
+    nowMs: units.MonotonicMs,
+  ): nextStep.NextStep {
+    if (!this.pay(c, price)) {
+      if (retryPolicy.mustArrive(c.request.requestClass)) {
+        return nextStep.waitOrRefuse(c, nowMs, this.options.random);
+      }
+      return nextStep.refuseFor(
+        price === 'retry'
+          ? {...failure, reason: peer.RefusalReason.RETRY_BUDGET}
+          : failure,
+      );
+    }
+    const {service} = c.request;
+    const member = this.options.router.chooseAlternative(
+      failure.alternatives,
+      service,
+      c.tried,
+      nowMs,
+    );
+    return member === undefined
+      ? this.attemptAnywhere(c, nowMs)
+      : {kind: 'attempt', member};
+  }
+
+  private attemptAnywhere(
+    c: call.Call,
+    nowMs: units.MonotonicMs,
+  ): nextStep.NextStep {
+    const {service, requestClass} = c.request;
+    const choice = this.options.router.choose(service, c.tried, nowMs);
+    if (choice !== undefined) return {kind: 'attempt', member: choice.member};
+    return retryPolicy.mustArrive(requestClass)
+      ? nextStep.waitOrRefuse(c, nowMs, this.options.random)
+      : nextStep.refuseFor(c.lastFailure);
+  }
+
+  /** Takes the price of the next attempt from the budget and notes it on the call. */
+  private pay(c: call.Call, price: retryBudget.Price): boolean {
+    const {service, requestClass} = c.request;
+    const budget = this.options.budgets.of(service);
+    if (!budget.take(price, retryPolicy.mustArrive(requestClass))) return false;
+    if (price === 'redirect') c.redirects++;
+    if (price === 'retry') c.retries++;
+    return true;
+  }
+
+  private retryState(
+    c: call.Call,
+    failure: call.AttemptFailure,
+    nowMs: units.MonotonicMs,
+  ): retryPolicy.RetryState {
+    const {service, requestClass} = c.request;
+    return {
+      requestClass,
+      reason: failure.reason,
+      outcome: failure.outcome,
+      allNotRun: c.provenNotRun,
+      attempts: c.attempts,
+      redirects: c.redirects,
+      executions: c.runs,
+      retriesLeft: c.retriesLeft,
+      freshMember: this.options.router.hasFresh(service, c.tried, nowMs),
+      timeLeftMs: c.deadlineAtMs - nowMs,
+    };
+  }
+}
--- /dev/null
+++ b/src/common/entry/wake_queue.test.ts
@@ -0,0 +1,41 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as fc from 'fast-check';
+
+import * as wakeQueue from './wake_queue.js';
+
+const SEED = Number(process.env['SEED'] ?? 11);
+
+nodeTest.test(`ids come out in order of their last time, seed ${SEED}`, () => {
+  const step = fc.tuple(fc.integer({min: 0, max: 9}), fc.nat(100), fc.nat(9));
+  fc.assert(
+    fc.property(fc.array(step, {maxLength: 60}), steps => {
+      const queue = new wakeQueue.WakeQueue();
+      const model = new Map<string, number>();
+      for (const [id, atMs, choice] of steps) {
+        if (choice === 0) {
+          queue.delete(`${id}`);
+          model.delete(`${id}`);
+        } else {
+          queue.set(`${id}`, atMs);
+          model.set(`${id}`, atMs);
+        }
+        const least = model.size > 0 ? Math.min(...model.values()) : undefined;
+        assert.equal(queue.nextMs(), least);
+      }
+      const times: number[] = [];
+      for (;;) {
+        const id = queue.takeDue(100);
+        if (id === undefined) break;
+        times.push(model.get(id) ?? -1);
+        model.delete(id);
+      }
+      assert.equal(model.size, 0);
+      assert.deepEqual(
+        times,
+        [...times].sort((a, b) => a - b),
+      );
+    }),
+    {seed: SEED},
+  );
+});
