--- a/src/common/entry/entry_core.ts
+++ b/src/common/entry/entry_core.ts
@@ -169,9 +169,8 @@
     request: contract.CallerRequest,
     nowMs: units.MonotonicMs,
   ): void {
-    const {counters: count, invariants: hold} = this.options;
-    count.increment('entry.received');
-    hold.check(
+    this.options.counters.increment('entry.received');
+    this.options.invariants.check(
       this.calls.get(request.requestId) === undefined,
       {step: 'take request', peer: request.service},
       'a request id is used once',
