--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -43,6 +43,17 @@
     'Second runs of idempotent requests whose first run was silent.',
   'configuration.rejected':
     'Configuration changes in the log that were not accepted.',
+  'entry.answered': 'Requests whose caller was given a whole answer.',
+  'entry.attempts': 'Attempts sent to gates for the first time.',
+  'entry.caller-gone': 'Requests whose caller left before the end.',
+  'entry.foreign':
+    'Answers, refusals and link events from a node that the attempt was not sent to.',
+  'entry.hedges': 'Attempts made beside a slow first one.',
+  'entry.received': 'Requests received from callers.',
+  'entry.resends': 'Attempts sent again to the same gate over a fresh link.',
+  'entry.unmatched':
+    'Answers, refusals and link events of attempts that had ended.',
+  'entry.waits': 'Waits between attempts of one request.',
   'invariant.breached': 'Invariants that did not hold.',
   'log.append-failed': 'Appends to the log that failed or were not answered.',
   'log.gap': 'Times the log no longer held the records to be read next.',
