Add sockets, links, server connections and the event loop of a node

Cause: the cores need their surroundings: HTTP for callers, links between nodes, connections to the backend server, datagrams, the log. Ruled out: key handover over links (the operator port has it). Compiles; not run yet.

--- /dev/null
+++ b/src/node/datagram_socket.ts
@@ -0,0 +1,101 @@
+/** Datagrams between nodes over UDP. */
+import * as dgram from 'node:dgram';
+import * as net from 'node:net';
+
+import * as counters from '../common/counters.js';
+import * as peer from '../generated/peer.js';
+import * as eventSource from './event_source.js';
+
+/** Where to listen and what to accept. */
+export interface DatagramOptions {
+  readonly ip: string;
+  readonly port: number;
+  /** Largest datagram accepted and sent, in bytes. */
+  readonly maxBytes: number;
+  /** Addresses from which datagrams are accepted. */
+  readonly sources: readonly string[];
+}
+
+/** A datagram that arrived. */
+export interface DatagramEvent {
+  readonly kind: 'datagram';
+  readonly datagram: peer.Datagram;
+}
+
+/** The UDP socket of a node. */
+export class DatagramSocket implements AsyncDisposable {
+  private readonly socket: dgram.Socket;
+  private readonly sources: ReadonlySet<string>;
+  private readonly source = new eventSource.EventSource<DatagramEvent>();
+  private closed = false;
+
+  /** Datagrams that could be decoded, from configured addresses. */
+  readonly events = this.source.stream;
+
+  constructor(
+    private readonly options: DatagramOptions,
+    private readonly count: counters.Counters,
+  ) {
+    this.sources = new Set(options.sources);
+    this.socket = dgram.createSocket(
+      net.isIPv6(options.ip) ? 'udp6' : 'udp4',
+      (bytes, from) => this.receive(bytes, from.address),
+    );
+    this.socket.on('error', () => this.count.increment('datagram.failed'));
+  }
+
+  /** Binds the socket. */
+  async listen(): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.socket.once('error', reject);
+      this.socket.bind(this.options.port, this.options.ip, () => {
+        this.socket.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  /** Sends a datagram; losses are not reported. */
+  send(ip: string, port: number, datagram: peer.Datagram): void {
+    const bytes = peer.Datagram.encode(datagram).finish();
+    if (this.closed || bytes.length > this.options.maxBytes) {
+      this.count.increment('datagram.failed');
+      return;
+    }
+    this.count.increment('datagram.sent');
+    this.count.increment('datagram.sent-bytes', bytes.length);
+    this.socket.send(bytes, port, ip, err => {
+      if (err) this.count.increment('datagram.failed');
+    });
+  }
+
+  private receive(bytes: Buffer, address: string): void {
+    if (!this.sources.has(address)) {
+      this.count.increment('source.rejected');
+      return;
+    }
+    const datagram = this.decode(bytes);
+    if (datagram === undefined) {
+      this.count.increment('malformed.datagram');
+      return;
+    }
+    this.count.increment('datagram.received');
+    this.source.emit({kind: 'datagram', datagram});
+  }
+
+  private decode(bytes: Buffer): peer.Datagram | undefined {
+    if (bytes.length > this.options.maxBytes) return undefined;
+    try {
+      const datagram = peer.Datagram.decode(bytes);
+      return datagram.nodeId === '' ? undefined : datagram;
+    } catch {
+      return undefined;
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    if (this.closed) return;
+    this.closed = true;
+    await new Promise<void>(resolve => this.socket.close(() => resolve()));
+  }
+}
--- /dev/null
+++ b/src/node/event_loop.ts
@@ -0,0 +1,273 @@
+/** One loop on one thread: events in order to the cores, their actions carried out at once. */
+import * as most from 'most';
+
+import * as control from '../common/control/control_contract.js';
+import * as fleetView from '../common/control/fleet_view.js';
+import * as counters from '../common/counters.js';
+import * as entry from '../common/entry/entry_contract.js';
+import * as gate from '../common/gate/gate_contract.js';
+import * as invariants from '../common/invariants.js';
+import * as units from '../common/units.js';
+import * as peer from '../generated/peer.js';
+import * as clock from './clock.js';
+import * as controlActions from './control_actions.js';
+import * as coreInputs from './core_inputs.js';
+import * as entryActions from './entry_actions.js';
+import * as gateActions from './gate_actions.js';
+import * as linkEvent from './link_event.js';
+import * as logger from './logger.js';
+import * as nodeEvent from './node_event.js';
+import * as peerLinks from './peer_links.js';
+import * as serverState from './server_state.js';
+
+/** Longest time between two ticks. */
+const COARSE_TICK_MS: units.Millis = 250;
+
+/** What the loop joins. */
+export interface EventLoopParts {
+  readonly cores: coreInputs.NodeCores;
+  readonly view: fleetView.FleetView;
+  readonly links: peerLinks.PeerLinks;
+  readonly server: serverState.ServerState;
+  readonly entryActions: entryActions.EntryActions;
+  readonly gateActions: gateActions.GateActions;
+  readonly controlActions: controlActions.ControlActions;
+  readonly count: counters.Counters;
+  readonly log: logger.Logger;
+}
+
+/** Feeds the cores and carries out their actions. */
+export class EventLoop implements coreInputs.CoreInputs, Disposable {
+  private queue: nodeEvent.NodeEvent[] = [];
+  private now: units.Instant = clock.now();
+  private busy = false;
+  private timer: NodeJS.Timeout | undefined;
+  private timerDueMs = Infinity;
+  private stopped = false;
+
+  constructor(private readonly parts: EventLoopParts) {}
+
+  /** Takes events until the stream ends. */
+  observe(events: most.Stream<nodeEvent.NodeEvent>): void {
+    void events.observe(event => this.take(event));
+    this.arm();
+  }
+
+  /** Takes an event; events that arise while one is handled wait for its end. */
+  take(event: nodeEvent.NodeEvent): void {
+    this.queue.push(event);
+    if (this.busy || this.stopped) return;
+    this.busy = true;
+    this.now = clock.now();
+    while (this.queue.length > 0) {
+      const batch = this.queue;
+      this.queue = [];
+      for (const next of batch) this.handleSafely(next);
+    }
+    this.busy = false;
+    this.arm();
+  }
+
+  toEntry(event: entry.EntryEvent): void {
+    for (const action of this.parts.cores.entry.handle(event, this.now)) {
+      this.parts.entryActions.run(action, this);
+    }
+  }
+
+  toGate(event: gate.GateEvent): void {
+    for (const action of this.parts.cores.gate.handle(event, this.now)) {
+      this.parts.gateActions.run(action, this);
+    }
+  }
+
+  toControl(event: control.ControlEvent): void {
+    for (const action of this.parts.cores.control.handle(event, this.now)) {
+      this.parts.controlActions.run(action, this);
+    }
+  }
+
+  [Symbol.dispose](): void {
+    this.stopped = true;
+    clearTimeout(this.timer);
+  }
+
+  /** An error costs the event's request at most, never the process. */
+  private handleSafely(event: nodeEvent.NodeEvent): void {
+    try {
+      this.handle(event);
+    } catch (err) {
+      this.parts.count.increment('loop.failed-event');
+      this.parts.log.error(`event ${event.kind}: ${describe(err)}`);
+      this.refuseAfterError(event);
+    }
+  }
+
+  private handle(event: nodeEvent.NodeEvent): void {
+    switch (event.kind) {
+      case 'caller-request':
+        return this.toEntry({kind: 'request', request: event.request});
+      case 'caller-gone':
+        return this.toEntry(event);
+      case 'announced':
+        return this.parts.server.announced(event.announcement, this);
+      case 'link-answer':
+        return this.handleAnswer(event);
+      case 'link-refusal':
+        return this.handleRefusal(event);
+      case 'link-failed':
+        return this.handleLinkFailed(event);
+      case 'link-silent':
+        return this.handleLinkSilent(event);
+      case 'link-call':
+        return this.handleCall(event);
+      case 'link-cancel':
+        return this.toGate({kind: 'cancel', callId: event.callId});
+      case 'link-lost':
+        return this.toGate({kind: 'source-lost', linkId: event.linkId});
+      case 'server-lost':
+        return this.parts.server.lost(this);
+      case 'server-answered':
+      case 'server-failed':
+      case 'keys-received':
+        return this.toGate(event);
+      case 'datagram':
+      case 'log-read':
+      case 'log-read-failed':
+      case 'appended':
+      case 'append-failed':
+      case 'peer-state':
+      case 'peer-state-failed':
+        return this.toControl(event);
+      case 'tick':
+        return this.handleTick();
+      case 'stop':
+        this.toControl(event);
+        return this.toGate(event);
+      default:
+        return invariants.assertNever(event);
+    }
+  }
+
+  private handleAnswer(
+    event: Extract<linkEvent.LinkEvent, {readonly kind: 'link-answer'}>,
+  ): void {
+    const {nodeId, owner, answer} = event;
+    this.noteVersions(nodeId, answer.configurationRevision, 0);
+    if (owner === 'entry') this.toEntry({kind: 'answer', nodeId, answer});
+    else this.toGate({kind: 'delegate-answered', answer});
+  }
+
+  private handleRefusal(
+    event: Extract<linkEvent.LinkEvent, {readonly kind: 'link-refusal'}>,
+  ): void {
+    const {nodeId, owner, refusal} = event;
+    this.noteVersions(nodeId, refusal.configurationRevision, 0);
+    if (owner === 'entry') this.toEntry({kind: 'refusal', nodeId, refusal});
+    else this.toGate({kind: 'delegate-refused', refusal});
+  }
+
+  private handleLinkFailed(
+    event: Extract<linkEvent.LinkEvent, {readonly kind: 'link-failed'}>,
+  ): void {
+    const {nodeId, owner, callId, sent} = event;
+    if (owner === 'entry') {
+      this.toEntry({kind: 'link-failed', nodeId, callId, sent});
+    } else if (sent) {
+      this.toGate({kind: 'delegate-lost', callId});
+    } else {
+      const refusal = gateActions.notDelegated(callId);
+      this.toGate({kind: 'delegate-refused', refusal});
+    }
+  }
+
+  private handleLinkSilent(
+    event: Extract<linkEvent.LinkEvent, {readonly kind: 'link-silent'}>,
+  ): void {
+    const {nodeId, owner, callId} = event;
+    if (owner === 'entry') this.toEntry({kind: 'link-silent', nodeId, callId});
+    else this.toGate({kind: 'delegate-lost', callId});
+  }
+
+  private handleCall(
+    event: Extract<linkEvent.LinkEvent, {readonly kind: 'link-call'}>,
+  ): void {
+    const {linkId, nodeId, call} = event;
+    this.noteVersions(nodeId, call.configurationRevision, call.rosterOffset);
+    this.toGate({kind: 'call', source: {kind: 'link', linkId, nodeId}, call});
+  }
+
+  private handleTick(): void {
+    this.parts.links.tick(this.now.monotonicMs);
+    this.toControl({kind: 'tick'});
+    this.toGate({kind: 'tick'});
+    this.toEntry({kind: 'tick'});
+  }
+
+  /** Tells the control core of a peer that knows more than this node. */
+  private noteVersions(
+    nodeId: string,
+    configurationRevision: number,
+    rosterOffset: number,
+  ): void {
+    const {view} = this.parts;
+    const behind =
+      configurationRevision > (view.configuration?.revision ?? 0) ||
+      rosterOffset > view.rosterOffset;
+    if (!behind) return;
+    this.toControl({
+      kind: 'versions-seen',
+      nodeId,
+      configurationRevision,
+      rosterOffset,
+    });
+  }
+
+  private refuseAfterError(event: nodeEvent.NodeEvent): void {
+    const refusal = {
+      reason: peer.RefusalReason.INTERNAL,
+      outcome: peer.Outcome.UNKNOWN,
+    };
+    if (event.kind === 'link-call') {
+      const {callId} = event.call;
+      const value = peer.CallRefusal.fromPartial({callId, ...refusal});
+      this.parts.links.reply(event.linkId, {body: {$case: 'refusal', value}});
+    } else if (event.kind === 'caller-request') {
+      const {requestId} = event.request;
+      const value = peer.CallRefusal.fromPartial({callId: requestId, ...refusal});
+      this.parts.entryActions.run(
+        {kind: 'refuse', requestId, refusal: value, attempts: 0},
+        this,
+      );
+    }
+  }
+
+  /** Sets the timer to the earliest time that a core or a link waits for. */
+  private arm(): void {
+    if (this.stopped) return;
+    const {cores, links} = this.parts;
+    const nowMs = clock.monotonicMs();
+    const dueMs = Math.min(
+      nowMs + COARSE_TICK_MS,
+      links.nextWakeMs(),
+      cores.entry.nextWakeMs() ?? Infinity,
+      cores.gate.nextWakeMs() ?? Infinity,
+      cores.control.nextWakeMs() ?? Infinity,
+    );
+    if (dueMs >= this.timerDueMs) return;
+    clearTimeout(this.timer);
+    this.timerDueMs = dueMs;
+    this.timer = setTimeout(
+      () => this.fire(),
+      Math.max(1, Math.ceil(dueMs - nowMs)),
+    );
+  }
+
+  private fire(): void {
+    this.timerDueMs = Infinity;
+    this.take({kind: 'tick'});
+  }
+}
+
+function describe(err: unknown): string {
+  return err instanceof Error ? (err.stack ?? err.message) : String(err);
+}
--- /dev/null
+++ b/src/node/frame_codec.ts
@@ -0,0 +1,72 @@
+/** Frames on links between nodes: a length prefix, then an encoded `peer.Frame`. */
+import * as wire from '@bufbuild/protobuf/wire';
+
+import * as errors from '../common/errors.js';
+import * as peer from '../generated/peer.js';
+
+/** Length of the prefix, in bytes. */
+const PREFIX_BYTES = 4;
+
+const EMPTY = Buffer.alloc(0);
+
+/** Returns the frame with its length prefix. */
+export function encodeFrame(frame: peer.Frame): Buffer {
+  const writer = new wire.BinaryWriter().fixed32(0);
+  const bytes = peer.Frame.encode(frame, writer).finish();
+  const buffer = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+  buffer.writeUInt32BE(bytes.byteLength - PREFIX_BYTES, 0);
+  return buffer;
+}
+
+/** Cuts a byte stream into frames; memory is bounded by the largest frame and one chunk. */
+export class FrameReader {
+  private pending: Buffer = EMPTY;
+
+  constructor(
+    private readonly maxFrameBytes: number,
+    /** Names the other end in errors. */
+    private readonly peerName: string,
+  ) {}
+
+  /**
+   * Takes the next bytes and returns the frames that they complete.
+   *
+   * @throws errors.MalformedInputError on a frame that is too long or cannot be decoded.
+   */
+  push(chunk: Buffer): readonly peer.Frame[] {
+    const bytes =
+      this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+    const frames: peer.Frame[] = [];
+    let start = 0;
+    while (bytes.length - start >= PREFIX_BYTES) {
+      const length = this.checkedLength(bytes.readUInt32BE(start));
+      const end = start + PREFIX_BYTES + length;
+      if (end > bytes.length) break;
+      frames.push(this.decode(bytes.subarray(start + PREFIX_BYTES, end)));
+      start = end;
+    }
+    this.pending = start === bytes.length ? EMPTY : bytes.subarray(start);
+    return frames;
+  }
+
+  private checkedLength(length: number): number {
+    if (length <= this.maxFrameBytes) return length;
+    throw this.malformed(`frame of ${length} bytes`);
+  }
+
+  private decode(bytes: Uint8Array): peer.Frame {
+    try {
+      return peer.Frame.decode(bytes);
+    } catch (err) {
+      throw this.malformed('frame cannot be decoded', err);
+    }
+  }
+
+  private malformed(
+    message: string,
+    cause?: unknown,
+  ): errors.MalformedInputError {
+    const site = {step: 'read frame', peer: this.peerName};
+    return new errors.MalformedInputError(message, site, {cause});
+  }
+}
--- /dev/null
+++ b/src/node/framed_socket.ts
@@ -0,0 +1,84 @@
+/** A TCP connection that carries frames; the frames of one turn of the loop leave in one write. */
+import * as net from 'node:net';
+
+import * as errors from '../common/errors.js';
+import * as peer from '../generated/peer.js';
+import * as frameCodec from './frame_codec.js';
+
+/** What the owner of a framed socket is told. */
+export interface FramedSocketListener {
+  onConnect(): void;
+  onFrame(frame: peer.Frame): void;
+  /** A frame could not be read; the socket closes next. */
+  onMalformed(): void;
+  /** Called once, when the connection has ended for whatever cause. */
+  onClose(): void;
+}
+
+/** Interval of TCP keep-alive probes, in milliseconds. */
+const KEEP_ALIVE_MS = 30_000;
+
+/** Sends and receives frames on one connection. */
+export class FramedSocket implements Disposable {
+  private readonly reader: frameCodec.FrameReader;
+  private corked = false;
+
+  constructor(
+    private readonly socket: net.Socket,
+    maxFrameBytes: number,
+    peerName: string,
+    private readonly listener: FramedSocketListener,
+  ) {
+    this.reader = new frameCodec.FrameReader(maxFrameBytes, peerName);
+    socket.setNoDelay(true);
+    socket.setKeepAlive(true, KEEP_ALIVE_MS);
+    socket.on('connect', () => listener.onConnect());
+    socket.on('data', chunk => this.receive(chunk));
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => listener.onClose());
+  }
+
+  /** Bytes accepted by `send` that the operating system has not taken. */
+  get queuedBytes(): number {
+    return this.socket.writableLength;
+  }
+
+  /** Sends a frame; without effect once the connection has ended. */
+  send(frame: peer.Frame): void {
+    if (!this.socket.writable) return;
+    if (!this.corked) {
+      this.corked = true;
+      this.socket.cork();
+      process.nextTick(() => this.uncork());
+    }
+    this.socket.write(frameCodec.encodeFrame(frame));
+  }
+
+  /** Ends the connection after what was sent has left. */
+  end(): void {
+    this.socket.end();
+  }
+
+  /** Ends the connection at once. */
+  [Symbol.dispose](): void {
+    this.socket.destroy();
+  }
+
+  private uncork(): void {
+    this.corked = false;
+    this.socket.uncork();
+  }
+
+  private receive(chunk: Buffer): void {
+    try {
+      for (const frame of this.reader.push(chunk)) {
+        if (this.socket.destroyed) return;
+        this.listener.onFrame(frame);
+      }
+    } catch (err) {
+      if (!(err instanceof errors.MalformedInputError)) throw err;
+      this.listener.onMalformed();
+      this.socket.destroy();
+    }
+  }
+}
--- /dev/null
+++ b/src/node/http_entry.ts
@@ -0,0 +1,418 @@
+/** HTTP for callers, and for the backend server's announcements. */
+import * as http from 'node:http';
+import type * as net from 'node:net';
+
+import * as uuid from 'uuid';
+
+import * as fleetView from '../common/control/fleet_view.js';
+import * as counterNames from '../common/counter_names.js';
+import * as counters from '../common/counters.js';
+import * as entryContract from '../common/entry/entry_contract.js';
+import * as units from '../common/units.js';
+import * as peer from '../generated/peer.js';
+import * as bodyReader from './body_reader.js';
+import * as eventSource from './event_source.js';
+import * as httpHeaders from './http_headers.js';
+import * as refusalResponse from './refusal_response.js';
+import * as requestFingerprint from './request_fingerprint.js';
+import * as serverAnnouncement from './server_announcement.js';
+import * as tcpListener from './tcp_listener.js';
+
+/** Longest deadline that a caller may set, in milliseconds. */
+const MAX_DEADLINE_MS: units.Millis = 600_000;
+
+/** Time allowed for a caller to send the headers of a request. */
+const HEADERS_TIMEOUT_MS: units.Millis = 10_000;
+
+/** Time allowed for a caller to send a request whole. */
+const REQUEST_TIMEOUT_MS: units.Millis = 30_000;
+
+/** Idle time after which a caller's connection is closed. */
+const KEEP_ALIVE_TIMEOUT_MS: units.Millis = 60_000;
+
+/** Largest announcement, in bytes. */
+const MAX_ANNOUNCEMENT_BYTES = 4_096;
+
+const MAX_REQUEST_ID_LENGTH = 128;
+
+const MAX_IDEMPOTENCY_KEY_LENGTH = 256;
+
+const NOT_READY_RETRY_AFTER_MS = 1_000;
+
+const FULL_RETRY_AFTER_MS = 100;
+
+/** Where to listen and what to accept. */
+export interface HttpEntryOptions {
+  readonly ip: string;
+  readonly port: number;
+  readonly maxBodyBytes: number;
+  readonly maxHeaderBytes: number;
+  /** Most requests in progress at once. */
+  readonly maxCalls: number;
+  /** Addresses from which announcements are accepted. */
+  readonly serverSources: readonly string[];
+}
+
+/** What happens on the HTTP port. */
+export type HttpEntryEvent =
+  | {
+      readonly kind: 'caller-request';
+      readonly request: entryContract.CallerRequest;
+    }
+  | {readonly kind: 'caller-gone'; readonly requestId: string}
+  | {
+      readonly kind: 'announced';
+      readonly announcement: serverAnnouncement.ServerAnnouncement;
+    };
+
+/** A request that waits for its response. */
+interface Exchange {
+  readonly req: http.IncomingMessage;
+  readonly res: http.ServerResponse;
+  /** Name that the caller knows the request by. */
+  readonly callerRequestId: string;
+}
+
+/** The HTTP server of a node. */
+export class HttpEntry implements AsyncDisposable {
+  private readonly server: http.Server;
+  private readonly serverSources: ReadonlySet<string>;
+  private readonly exchanges = new Map<string, Exchange>();
+  private readonly source = new eventSource.EventSource<HttpEntryEvent>();
+  private idleWaiters: ReadonlyArray<() => void> = [];
+  private reading = 0;
+  private closing = false;
+
+  /** Callers' requests, read whole, and announcements. */
+  readonly events = this.source.stream;
+
+  constructor(
+    private readonly options: HttpEntryOptions,
+    private readonly view: fleetView.FleetView,
+    private readonly fingerprint: requestFingerprint.RequestFingerprint,
+    private readonly count: counters.Counters,
+  ) {
+    this.serverSources = new Set(options.serverSources);
+    this.server = http.createServer(
+      {
+        maxHeaderSize: options.maxHeaderBytes,
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        requestTimeout: REQUEST_TIMEOUT_MS,
+        keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+        noDelay: true,
+      },
+      (req, res) => this.accept(req, res),
+    );
+    this.server.on('clientError', (err, socket) =>
+      this.rejectMalformed(socket as net.Socket),
+    );
+    this.server.maxConnections = 4 * options.maxCalls;
+  }
+
+  /** Starts to accept connections. */
+  async listen(): Promise<void> {
+    await tcpListener.listen(this.server, this.options);
+  }
+
+  /** Number of requests that have not been answered. */
+  get inProgress(): number {
+    return this.exchanges.size + this.reading;
+  }
+
+  /** Gives a caller the whole answer to its request. */
+  respond(requestId: string, answer: peer.CallAnswer): void {
+    const exchange = this.take(requestId);
+    if (exchange === undefined) return;
+    const headers: string[] = [];
+    for (const {name, value} of answer.headers) headers.push(name, value);
+    if (!hasNoBody(exchange.req.method ?? '', answer.status)) {
+      headers.push('Content-Length', String(answer.body.length));
+    }
+    headers.push(httpHeaders.REQUEST_ID_HEADER, exchange.callerRequestId);
+    this.write(exchange.res, answer.status, headers, answer.body);
+  }
+
+  /** Tells a caller that its request is refused. */
+  refuse(
+    requestId: string,
+    refusal: Pick<peer.CallRefusal, 'reason' | 'outcome' | 'retryAfterMs'>,
+  ): void {
+    const exchange = this.take(requestId);
+    if (exchange === undefined) return;
+    const {res, callerRequestId} = exchange;
+    const response = refusalResponse.refusalResponse(refusal, callerRequestId);
+    this.write(res, response.status, response.headers, response.body);
+  }
+
+  /** Asks callers to connect elsewhere from now on; requests are still served. */
+  announceClosing(): void {
+    this.closing = true;
+  }
+
+  /** Resolves once no request is in progress. */
+  idle(): Promise<void> {
+    if (this.inProgress === 0) return Promise.resolve();
+    return new Promise(resolve => {
+      this.idleWaiters = [...this.idleWaiters, resolve];
+    });
+  }
+
+  private accept(req: http.IncomingMessage, res: http.ServerResponse): void {
+    if (req.url === serverAnnouncement.ANNOUNCEMENT_PATH) {
+      void this.acceptAnnouncement(req, res);
+      return;
+    }
+    void this.acceptCall(req, res);
+  }
+
+  private async acceptAnnouncement(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    if (!this.serverSources.has(req.socket.remoteAddress ?? '')) {
+      this.count.increment('source.rejected');
+      return this.write(res, 403, [], EMPTY);
+    }
+    const read = await bodyReader.readBody(req, MAX_ANNOUNCEMENT_BYTES);
+    const announcement =
+      read.kind === 'whole' && req.method === 'POST'
+        ? serverAnnouncement.parseAnnouncement(read.body)
+        : undefined;
+    if (announcement === undefined) {
+      this.count.increment('malformed.announcement');
+      return this.write(res, 400, [], EMPTY);
+    }
+    this.source.emit({kind: 'announced', announcement});
+    this.write(res, 204, [], EMPTY);
+  }
+
+  private async acceptCall(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    const requestId = uuid.v7();
+    const callerRequestId = callerRequestIdOf(req) ?? requestId;
+    if (this.inProgress >= this.options.maxCalls) {
+      const reason = peer.RefusalReason.NO_ROOM;
+      return this.refuseUnread(res, callerRequestId, reason);
+    }
+    this.reading++;
+    const read = await bodyReader.readBody(req, this.options.maxBodyBytes);
+    this.reading--;
+    switch (read.kind) {
+      case 'cut-short':
+        this.settleIdle();
+        return;
+      case 'too-long':
+        return this.refuseUnread(
+          res,
+          callerRequestId,
+          peer.RefusalReason.TOO_LARGE,
+        );
+      case 'whole':
+        this.exchanges.set(requestId, {req, res, callerRequestId});
+        res.once('close', () => this.callerGone(requestId));
+        return this.admit(requestId, req, callerRequestId, read.body);
+    }
+  }
+
+  private admit(
+    requestId: string,
+    req: http.IncomingMessage,
+    callerRequestId: string,
+    body: Buffer,
+  ): void {
+    const method = req.method ?? '';
+    const path = req.url ?? '';
+    const route = this.view.configuration?.matchRoute(method, path);
+    if (route === undefined) {
+      const known = this.view.configuration !== undefined;
+      const reason = known
+        ? peer.RefusalReason.NO_ROUTE
+        : peer.RefusalReason.NOT_READY;
+      return this.refuseUnrun(requestId, reason);
+    }
+    const fields = callFields(req);
+    if (fields === undefined) {
+      this.count.increment('malformed.http');
+      return this.refuseUnrun(requestId, peer.RefusalReason.BAD_REQUEST);
+    }
+    const {service, requestClass} = route;
+    const request: entryContract.CallerRequest = {
+      requestId,
+      service,
+      requestClass,
+      method,
+      path,
+      headers: [
+        ...httpHeaders.forwardedRequestHeaders(req.rawHeaders),
+        {name: httpHeaders.REQUEST_ID_HEADER, value: callerRequestId},
+      ],
+      body,
+      deadlineMs: fields.deadlineMs ?? requestClass.deadlineMs,
+      idempotencyKey: fields.idempotencyKey,
+      depth: fields.depth,
+      retriesLeft: fields.retriesLeft,
+      fingerprint: this.fingerprint.of(service, method, path, body),
+    };
+    this.source.emit({kind: 'caller-request', request});
+  }
+
+  private refuseUnrun(requestId: string, reason: peer.RefusalReason): void {
+    this.count.increment(counterNames.refusalCounter(reason));
+    this.refuse(requestId, {
+      reason,
+      outcome: peer.Outcome.NOT_RUN,
+      retryAfterMs: NOT_READY_RETRY_AFTER_MS,
+    });
+  }
+
+  /** Refuses a request whose body has not been read, and closes the connection. */
+  private refuseUnread(
+    res: http.ServerResponse,
+    callerRequestId: string,
+    reason: peer.RefusalReason,
+  ): void {
+    this.count.increment(counterNames.refusalCounter(reason));
+    const {status, headers, body} = refusalResponse.refusalResponse(
+      {
+        reason,
+        outcome: peer.Outcome.NOT_RUN,
+        retryAfterMs: FULL_RETRY_AFTER_MS,
+      },
+      callerRequestId,
+    );
+    this.write(res, status, [...headers, 'Connection', 'close'], body);
+    this.settleIdle();
+  }
+
+  private rejectMalformed(socket: net.Socket): void {
+    this.count.increment('malformed.http');
+    if (!socket.writable) {
+      socket.destroy();
+      return;
+    }
+    socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
+  }
+
+  private take(requestId: string): Exchange | undefined {
+    const exchange = this.exchanges.get(requestId);
+    this.exchanges.delete(requestId);
+    return exchange;
+  }
+
+  private callerGone(requestId: string): void {
+    if (this.take(requestId) !== undefined) {
+      this.count.increment('caller.gone');
+      this.source.emit({kind: 'caller-gone', requestId});
+    }
+    this.settleIdle();
+  }
+
+  private write(
+    res: http.ServerResponse,
+    status: number,
+    headers: readonly string[],
+    body: Buffer,
+  ): void {
+    const closing = this.closing ? ['Connection', 'close'] : [];
+    res.writeHead(status, [...headers, ...closing]);
+    res.end(body);
+  }
+
+  private settleIdle(): void {
+    if (this.inProgress > 0) return;
+    const waiters = this.idleWaiters;
+    this.idleWaiters = [];
+    for (const resolve of waiters) resolve();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const closed = new Promise<void>(resolve =>
+      this.server.close(() => resolve()),
+    );
+    this.server.closeAllConnections();
+    this.source[Symbol.dispose]();
+    await closed;
+  }
+}
+
+const EMPTY = Buffer.alloc(0);
+
+const NO_CONTENT = 204;
+
+const NOT_MODIFIED = 304;
+
+/** Whether a response has no body of its own, so that its length is not written. */
+function hasNoBody(method: string, status: number): boolean {
+  return method === 'HEAD' || status === NO_CONTENT || status === NOT_MODIFIED;
+}
+
+/** What a caller's headers say about the call. */
+interface CallFields {
+  readonly deadlineMs: units.Millis | undefined;
+  readonly idempotencyKey: string;
+  readonly depth: number;
+  readonly retriesLeft: number | undefined;
+}
+
+/** Returns undefined if a header is malformed. */
+function callFields(req: http.IncomingMessage): CallFields | undefined {
+  const deadlineMs = integerHeader(
+    req,
+    httpHeaders.DEADLINE_HEADER,
+    MAX_DEADLINE_MS,
+  );
+  const depth = integerHeader(req, httpHeaders.DEPTH_HEADER, MAX_COUNT);
+  const retriesLeft = integerHeader(
+    req,
+    httpHeaders.RETRIES_LEFT_HEADER,
+    MAX_COUNT,
+  );
+  const idempotencyKey = singleHeader(req, httpHeaders.IDEMPOTENCY_KEY_HEADER);
+  if (
+    deadlineMs === 'malformed' ||
+    depth === 'malformed' ||
+    retriesLeft === 'malformed' ||
+    (idempotencyKey ?? '').length > MAX_IDEMPOTENCY_KEY_LENGTH
+  ) {
+    return undefined;
+  }
+  return {
+    deadlineMs,
+    idempotencyKey: idempotencyKey ?? '',
+    depth: depth ?? 0,
+    retriesLeft,
+  };
+}
+
+/** Largest depth and number of retries that a caller may name. */
+const MAX_COUNT = 1_000;
+
+function integerHeader(
+  req: http.IncomingMessage,
+  name: string,
+  max: number,
+): number | undefined | 'malformed' {
+  const text = singleHeader(req, name);
+  if (text === undefined) return undefined;
+  if (!/^\d{1,9}$/.test(text)) return 'malformed';
+  return Math.min(Number(text), max);
+}
+
+function singleHeader(
+  req: http.IncomingMessage,
+  name: string,
+): string | undefined {
+  const value = req.headers[name.toLowerCase()];
+  return typeof value === 'string' ? value : undefined;
+}
+
+function callerRequestIdOf(req: http.IncomingMessage): string | undefined {
+  const value = singleHeader(req, httpHeaders.REQUEST_ID_HEADER);
+  const usable =
+    value !== undefined &&
+    value.length <= MAX_REQUEST_ID_LENGTH &&
+    /^[\x21-\x7e]+$/.test(value);
+  return usable ? value : undefined;
+}
--- /dev/null
+++ b/src/node/http_headers.ts
@@ -0,0 +1,103 @@
+/** Names of HTTP headers, and the headers that are not passed on. */
+import * as peer from '../generated/peer.js';
+
+/** Time left for a request, in milliseconds. */
+export const DEADLINE_HEADER = 'Geraniumloft-Deadline-Ms';
+
+/** Name of a request, returned with its answer. */
+export const REQUEST_ID_HEADER = 'Geraniumloft-Request-Id';
+
+/** Number of hops above a call. */
+export const DEPTH_HEADER = 'Geraniumloft-Depth';
+
+/** Retries left to the whole call chain. */
+export const RETRIES_LEFT_HEADER = 'Geraniumloft-Retries-Left';
+
+/** Key under which a non-idempotent request runs at most once. */
+export const IDEMPOTENCY_KEY_HEADER = 'Idempotency-Key';
+
+/** What a refusal says about execution. */
+export const OUTCOME_HEADER = 'Geraniumloft-Outcome';
+
+/** Why a request was refused. */
+export const REASON_HEADER = 'Geraniumloft-Reason';
+
+/** When to come back, in milliseconds; `Retry-After` has it in seconds. */
+export const RETRY_AFTER_MS_HEADER = 'Geraniumloft-Retry-After-Ms';
+
+/** Headers that concern one connection only, and the length, which is written anew. */
+const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'content-length',
+  'expect',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Headers that a node sets itself on the way to the backend server. */
+const OWN_REQUEST_HEADERS: ReadonlySet<string> = new Set([
+  DEADLINE_HEADER.toLowerCase(),
+  DEPTH_HEADER.toLowerCase(),
+  REQUEST_ID_HEADER.toLowerCase(),
+]);
+
+/** Returns the caller's headers that travel to the backend server. */
+export function forwardedRequestHeaders(
+  rawHeaders: readonly string[],
+): readonly peer.Header[] {
+  const named = connectionOptions(rawHeaders);
+  return pairs(rawHeaders).filter(({name}) => {
+    const lower = name.toLowerCase();
+    return (
+      !HOP_BY_HOP_HEADERS.has(lower) &&
+      !OWN_REQUEST_HEADERS.has(lower) &&
+      !named.has(lower)
+    );
+  });
+}
+
+/** Returns the backend server's headers that travel to the caller. */
+export function forwardedAnswerHeaders(
+  rawHeaders: readonly string[],
+): readonly peer.Header[] {
+  const named = connectionOptions(rawHeaders);
+  return pairs(rawHeaders).filter(({name}) => {
+    const lower = name.toLowerCase();
+    return !HOP_BY_HOP_HEADERS.has(lower) && !named.has(lower);
+  });
+}
+
+/** Returns the value of the header `name`, undefined if absent. */
+export function findHeader(
+  headers: readonly peer.Header[],
+  name: string,
+): string | undefined {
+  const lower = name.toLowerCase();
+  return headers.find(h => h.name.toLowerCase() === lower)?.value;
+}
+
+function pairs(rawHeaders: readonly string[]): readonly peer.Header[] {
+  const headers: peer.Header[] = [];
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    headers.push({name: rawHeaders[i], value: rawHeaders[i + 1]});
+  }
+  return headers;
+}
+
+const NO_OPTIONS: ReadonlySet<string> = new Set();
+
+/** Header names that a `Connection` header declares to be hop-by-hop. */
+function connectionOptions(rawHeaders: readonly string[]): ReadonlySet<string> {
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    if (rawHeaders[i].toLowerCase() !== 'connection') continue;
+    const names = rawHeaders[i + 1].split(',');
+    return new Set(names.map(name => name.trim().toLowerCase()));
+  }
+  return NO_OPTIONS;
+}
--- /dev/null
+++ b/src/node/link_event.ts
@@ -0,0 +1,51 @@
+/** What links between nodes report. */
+import * as peer from '../generated/peer.js';
+
+/** Which core of this node sent an attempt over a link. */
+export type AttemptOwner = 'entry' | 'gate';
+
+/** What happens on links. */
+export type LinkEvent =
+  | {
+      readonly kind: 'link-answer';
+      readonly nodeId: string;
+      readonly owner: AttemptOwner;
+      readonly answer: peer.CallAnswer;
+    }
+  | {
+      readonly kind: 'link-refusal';
+      readonly nodeId: string;
+      readonly owner: AttemptOwner;
+      readonly refusal: peer.CallRefusal;
+    }
+  /** The attempt's link broke or could not be opened. */
+  | {
+      readonly kind: 'link-failed';
+      readonly nodeId: string;
+      readonly owner: AttemptOwner;
+      readonly callId: string;
+      /** Whether a byte of the attempt may have left. */
+      readonly sent: boolean;
+    }
+  /** The attempt's link makes no progress: a ping went unanswered. */
+  | {
+      readonly kind: 'link-silent';
+      readonly nodeId: string;
+      readonly owner: AttemptOwner;
+      readonly callId: string;
+    }
+  | {
+      readonly kind: 'link-call';
+      readonly linkId: number;
+      readonly nodeId: string;
+      readonly call: peer.CallRequest;
+    }
+  | {readonly kind: 'link-cancel'; readonly callId: string}
+  /** A link opened by another node has ended. */
+  | {readonly kind: 'link-lost'; readonly linkId: number};
+
+/** Identity of this node on its links. */
+export interface LinkIdentity {
+  readonly nodeId: string;
+  readonly incarnation: number;
+}
--- /dev/null
+++ b/src/node/node_event.ts
@@ -0,0 +1,32 @@
+/** Everything that happens to a node, as one union. */
+import * as control from '../common/control/control_contract.js';
+import * as peer from '../generated/peer.js';
+import * as datagramSocket from './datagram_socket.js';
+import * as httpEntry from './http_entry.js';
+import * as linkEvent from './link_event.js';
+import * as serverConnections from './server_connections.js';
+
+/** Results of work on the log and of pulls from peers. */
+export type RemoteStateEvent = Extract<
+  control.ControlEvent,
+  {
+    readonly kind:
+      | 'log-read'
+      | 'log-read-failed'
+      | 'appended'
+      | 'append-failed'
+      | 'peer-state'
+      | 'peer-state-failed';
+  }
+>;
+
+/** An event of a socket, a timer or the process. */
+export type NodeEvent =
+  | httpEntry.HttpEntryEvent
+  | linkEvent.LinkEvent
+  | serverConnections.ServerEvent
+  | datagramSocket.DatagramEvent
+  | RemoteStateEvent
+  | {readonly kind: 'keys-received'; readonly handover: peer.KeyHandover}
+  | {readonly kind: 'tick'}
+  | {readonly kind: 'stop'};
--- /dev/null
+++ b/src/node/peer_links.ts
@@ -0,0 +1,192 @@
+/** Links between nodes: one kept link in each direction of a pair. */
+import * as net from 'node:net';
+
+import * as counters from '../common/counters.js';
+import * as units from '../common/units.js';
+import * as peer from '../generated/peer.js';
+import * as eventSource from './event_source.js';
+import * as incomingLink from './incoming_link.js';
+import * as linkEvent from './link_event.js';
+import * as outgoingLink from './outgoing_link.js';
+import * as tcpListener from './tcp_listener.js';
+
+/** Idle time after which a link is closed. */
+const IDLE_CLOSE_MS: units.Millis = 300_000;
+
+/** Time between searches for idle links. */
+const IDLE_SWEEP_MS: units.Millis = 30_000;
+
+/** Time that a silent link stays open, so that its calls are matched on the fresh one first. */
+const SILENT_LINGER_MS: units.Millis = 1_000;
+
+/** Time allowed to other nodes to close their side of a link at a stop. */
+const CLOSE_TIMEOUT_MS: units.Millis = 200;
+
+/** Room for headers and fields of a frame besides its body, in bytes. */
+const FRAME_OVERHEAD_BYTES = 4096;
+
+/** Where to listen and what to accept. */
+export interface PeerLinksOptions {
+  readonly identity: linkEvent.LinkIdentity;
+  readonly ip: string;
+  readonly port: number;
+  /** Addresses from which links are accepted. */
+  readonly sources: readonly string[];
+  readonly maxBodyBytes: number;
+  readonly maxHeaderBytes: number;
+  /** Most links accepted at once. */
+  readonly maxLinks: number;
+}
+
+/** Owns all links of a node. */
+export class PeerLinks implements AsyncDisposable {
+  private readonly server: net.Server;
+  private readonly outgoing = new Map<string, outgoingLink.OutgoingLink>();
+  private readonly lingering = new Set<outgoingLink.OutgoingLink>();
+  private readonly incoming = new Map<number, incomingLink.IncomingLink>();
+  private readonly sources: ReadonlySet<string>;
+  private readonly source = new eventSource.EventSource<linkEvent.LinkEvent>();
+  private readonly maxFrameBytes: number;
+  private nextLinkId = 1;
+  private sweepDueMs: units.MonotonicMs;
+
+  /** What happens on the links. */
+  readonly events = this.source.stream;
+
+  constructor(
+    private readonly options: PeerLinksOptions,
+    private readonly count: counters.Counters,
+    private readonly nowMs: () => units.MonotonicMs,
+  ) {
+    this.sources = new Set(options.sources);
+    this.maxFrameBytes =
+      options.maxBodyBytes + 2 * options.maxHeaderBytes + FRAME_OVERHEAD_BYTES;
+    this.sweepDueMs = nowMs() + IDLE_SWEEP_MS;
+    this.server = net.createServer({noDelay: true}, socket =>
+      this.accept(socket),
+    );
+    this.server.maxConnections = options.maxLinks;
+  }
+
+  /** Starts to accept links. */
+  async listen(): Promise<void> {
+    await tcpListener.listen(this.server, this.options);
+  }
+
+  /** Sends an attempt over the kept link, or a fresh one. */
+  sendCall(
+    target: outgoingLink.LinkTarget,
+    call: peer.CallRequest,
+    owner: linkEvent.AttemptOwner,
+    progressTimeoutMs: units.Millis,
+  ): void {
+    const link = this.linkTo(target, progressTimeoutMs);
+    link.sendCall(call, owner, progressTimeoutMs);
+  }
+
+  /** Tells a gate that an attempt is no longer wanted. */
+  sendCancel(nodeId: string, callId: string): void {
+    this.outgoing.get(nodeId)?.sendCancel(callId);
+  }
+
+  /** Answers a call that came over a link; dropped if the link has ended. */
+  reply(linkId: number, frame: peer.Frame): void {
+    const link = this.incoming.get(linkId);
+    if (link === undefined) this.count.increment('link.answer-dropped');
+    else link.send(frame);
+  }
+
+  /** Returns when `tick` is due. */
+  nextWakeMs(): units.MonotonicMs {
+    let dueMs = this.sweepDueMs;
+    for (const link of this.outgoing.values()) {
+      dueMs = Math.min(dueMs, link.dueMs() ?? dueMs);
+    }
+    return dueMs;
+  }
+
+  /** Checks the progress of busy links and closes idle ones. */
+  tick(nowMs: units.MonotonicMs): void {
+    for (const link of [...this.outgoing.values()]) link.check(nowMs);
+    if (nowMs < this.sweepDueMs) return;
+    this.sweepDueMs = nowMs + IDLE_SWEEP_MS;
+    for (const link of [...this.outgoing.values()]) {
+      if (!link.busy && link.idleMs(nowMs) > IDLE_CLOSE_MS) {
+        link[Symbol.dispose]();
+      }
+    }
+  }
+
+  private linkTo(
+    target: outgoingLink.LinkTarget,
+    progressTimeoutMs: units.Millis,
+  ): outgoingLink.OutgoingLink {
+    const kept = this.outgoing.get(target.nodeId);
+    if (kept?.usable && isSameAddress(kept.target, target)) return kept;
+    kept?.[Symbol.dispose]();
+    const link = new outgoingLink.OutgoingLink(target, progressTimeoutMs, {
+      identity: this.options.identity,
+      maxFrameBytes: this.maxFrameBytes,
+      count: this.count,
+      nowMs: this.nowMs,
+      emit: event => this.source.emit(event),
+      onUnusable: unusable => this.discard(unusable),
+    });
+    this.count.increment('link.opened');
+    this.outgoing.set(target.nodeId, link);
+    return link;
+  }
+
+  private discard(link: outgoingLink.OutgoingLink): void {
+    if (this.outgoing.get(link.target.nodeId) === link) {
+      this.outgoing.delete(link.target.nodeId);
+    }
+    if (this.lingering.delete(link)) return;
+    this.lingering.add(link);
+    const timer = setTimeout(
+      () => link[Symbol.dispose](),
+      SILENT_LINGER_MS,
+    );
+    timer.unref();
+  }
+
+  private accept(socket: net.Socket): void {
+    if (!this.sources.has(socket.remoteAddress ?? '')) {
+      this.count.increment('source.rejected');
+      socket.destroy();
+      return;
+    }
+    const linkId = this.nextLinkId++;
+    const link = new incomingLink.IncomingLink(linkId, socket, {
+      identity: this.options.identity,
+      maxFrameBytes: this.maxFrameBytes,
+      count: this.count,
+      emit: event => this.source.emit(event),
+      onClose: closed => this.incoming.delete(closed.linkId),
+    });
+    this.incoming.set(linkId, link);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const closed = new Promise<void>(resolve =>
+      this.server.close(() => resolve()),
+    );
+    for (const link of [...this.outgoing.values(), ...this.lingering]) {
+      link[Symbol.dispose]();
+    }
+    for (const link of this.incoming.values()) link.end();
+    this.source[Symbol.dispose]();
+    const timer = setTimeout(() => {
+      for (const link of this.incoming.values()) link[Symbol.dispose]();
+    }, CLOSE_TIMEOUT_MS);
+    await closed;
+    clearTimeout(timer);
+  }
+}
+
+function isSameAddress(
+  a: outgoingLink.LinkTarget,
+  b: outgoingLink.LinkTarget,
+): boolean {
+  return a.ip === b.ip && a.port === b.port;
+}
--- /dev/null
+++ b/src/node/server_connection.ts
@@ -0,0 +1,223 @@
+/** One connection to the backend server; it carries one request at a time. */
+import type * as http from 'node:http';
+
+import * as undici from 'undici';
+
+import * as gate from '../common/gate/gate_contract.js';
+import * as units from '../common/units.js';
+import * as peer from '../generated/peer.js';
+import * as httpHeaders from './http_headers.js';
+
+/** Time allowed to open a connection. */
+const CONNECT_TIMEOUT_MS: units.Millis = 1_000;
+
+/** Idle time after which a connection is closed. */
+export const IDLE_TIMEOUT_MS: units.Millis = 20_000;
+
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+const UNAVAILABLE = 503;
+const NOT_RUN = 'not-run';
+const MS_PER_SECOND = 1_000;
+
+/** A request on its way to the backend server. */
+export interface ServerRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly peer.Header[];
+  readonly body: Buffer;
+}
+
+/** How a run ended. */
+export type RunResult =
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly headers: readonly peer.Header[];
+      readonly body: Buffer;
+    }
+  | {
+      readonly kind: 'failed';
+      readonly failure: gate.ServerFailure;
+      /** The backend server's port refused the connection. */
+      readonly refused: boolean;
+    };
+
+/** Where the connection goes and what it accepts. */
+export interface ServerConnectionOptions {
+  readonly origin: string;
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+}
+
+/** A connection to the backend server. */
+export class ServerConnection implements Disposable {
+  private readonly client: undici.Client;
+  private destroyed = false;
+
+  /** Time of the end of the last request, undefined before the first. */
+  lastUsedMs: units.MonotonicMs | undefined;
+
+  constructor(
+    options: ServerConnectionOptions,
+    /** Called when an idle connection has ended. */
+    onDisconnect: (connection: ServerConnection) => void,
+  ) {
+    this.client = new undici.Client(options.origin, {
+      pipelining: 1,
+      connect: {timeout: CONNECT_TIMEOUT_MS, noDelay: true},
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: IDLE_TIMEOUT_MS,
+      keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
+      maxHeaderSize: options.maxHeaderBytes,
+      maxResponseSize: options.maxBodyBytes,
+    });
+    this.client.on('disconnect', () => onDisconnect(this));
+  }
+
+  /** Whether the connection must not be used again. */
+  get ended(): boolean {
+    return this.destroyed;
+  }
+
+  /** Sends a request and reports its end once. */
+  run(request: ServerRequest, onEnd: (result: RunResult) => void): void {
+    const headers: string[] = [];
+    for (const {name, value} of request.headers) headers.push(name, value);
+    this.client.dispatch(
+      {
+        method: request.method as undici.Dispatcher.HttpMethod,
+        path: request.path,
+        headers,
+        body: request.body.length === 0 ? null : request.body,
+      },
+      new RunHandler(request, onEnd),
+    );
+  }
+
+  /** Closes the connection at once; a request under way fails. */
+  [Symbol.dispose](): void {
+    if (this.destroyed) return;
+    this.destroyed = true;
+    void this.client.destroy();
+  }
+}
+
+/** Collects one answer. */
+class RunHandler implements undici.Dispatcher.DispatchHandler {
+  private readonly chunks: Buffer[] = [];
+  private started = false;
+  private status = 0;
+  private rawHeaders: readonly string[] = [];
+  private answering = false;
+  private done = false;
+
+  constructor(
+    private readonly request: ServerRequest,
+    private readonly onEnd: (result: RunResult) => void,
+  ) {}
+
+  onRequestStart(): void {
+    this.started = true;
+  }
+
+  onResponseStart(
+    controller: undici.Dispatcher.DispatchController,
+    status: number,
+    headers: http.IncomingHttpHeaders,
+  ): void {
+    if (status < 200) return;
+    this.answering = true;
+    this.status = status;
+    this.rawHeaders = flattened(headers);
+    if (!this.isOwnAnswer(headers) || !this.isDelimited(headers)) {
+      controller.abort(new Error('answer cannot be relayed'));
+    }
+  }
+
+  onResponseData(
+    unusedController: undici.Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    const body = Buffer.concat(this.chunks);
+    const failure = this.shedFailure();
+    if (failure) {
+      this.end({kind: 'failed', failure, refused: false});
+      return;
+    }
+    this.end({
+      kind: 'answered',
+      status: this.status,
+      headers: httpHeaders.forwardedAnswerHeaders(this.rawHeaders),
+      body,
+    });
+  }
+
+  onResponseError(
+    unusedController: undici.Dispatcher.DispatchController,
+    err: Error,
+  ): void {
+    const refused = (err as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+    this.end({kind: 'failed', failure: this.failureOf(err), refused});
+  }
+
+  private failureOf(err: Error): gate.ServerFailure {
+    if (!this.started) return {kind: 'not-sent'};
+    const malformed = err instanceof undici.errors.HTTPParserError;
+    return {kind: this.answering || malformed ? 'bad-answer' : 'broken'};
+  }
+
+  private end(result: RunResult): void {
+    if (this.done) return;
+    this.done = true;
+    this.onEnd(result);
+  }
+
+  /** An answer that names another request belongs to another caller. */
+  private isOwnAnswer(headers: http.IncomingHttpHeaders): boolean {
+    const name = httpHeaders.REQUEST_ID_HEADER;
+    const answered = headers[name.toLowerCase()];
+    const sent = httpHeaders.findHeader(this.request.headers, name);
+    return answered === undefined || answered === sent;
+  }
+
+  /** Without a length or chunks, a body that was cut short looks whole. */
+  private isDelimited(headers: http.IncomingHttpHeaders): boolean {
+    return (
+      headers['content-length'] !== undefined ||
+      headers['transfer-encoding'] !== undefined ||
+      this.request.method === 'HEAD' ||
+      this.status === NO_CONTENT ||
+      this.status === NOT_MODIFIED
+    );
+  }
+
+  private shedFailure(): gate.ServerFailure | undefined {
+    if (this.status !== UNAVAILABLE) return undefined;
+    const headers = httpHeaders.forwardedAnswerHeaders(this.rawHeaders);
+    const find = (name: string) => httpHeaders.findHeader(headers, name);
+    if (find(httpHeaders.OUTCOME_HEADER) !== NOT_RUN) return undefined;
+    const retryAfterMs = Number(
+      find(httpHeaders.RETRY_AFTER_MS_HEADER) ??
+        Number(find('Retry-After') ?? 0) * MS_PER_SECOND,
+    );
+    return {
+      kind: 'shed',
+      retryAfterMs: Number.isFinite(retryAfterMs) ? retryAfterMs : 0,
+    };
+  }
+}
+
+function flattened(headers: http.IncomingHttpHeaders): readonly string[] {
+  const flat: string[] = [];
+  for (const [name, value] of Object.entries(headers)) {
+    const values = Array.isArray(value) ? value : [value ?? ''];
+    for (const one of values) flat.push(name, one);
+  }
+  return flat;
+}
--- /dev/null
+++ b/test/stand_ins/server/announcer.ts
@@ -0,0 +1,45 @@
+/** Announces the stand-in to its node, again and again, as the node may start later. */
+import * as http from 'node:http';
+
+const INTERVAL_MS = 500;
+
+/** What is announced. */
+export interface Announcement {
+  readonly state: 'starting' | 'ready' | 'leaving';
+  readonly ip: string;
+  readonly port: number;
+  readonly slots: number;
+  readonly processId: string;
+}
+
+/** Sends announcements to one node. */
+export class Announcer implements Disposable {
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly node: {readonly ip: string; readonly port: number},
+    private readonly current: () => Announcement,
+  ) {}
+
+  start(): void {
+    this.announce();
+    this.timer = setInterval(() => this.announce(), INTERVAL_MS);
+  }
+
+  announce(): void {
+    const req = http.request({
+      host: this.node.ip,
+      port: this.node.port,
+      path: '/.geraniumloft/backend-server',
+      method: 'POST',
+      agent: false,
+    });
+    req.on('error', () => undefined);
+    req.on('response', res => res.resume());
+    req.end(JSON.stringify(this.current()));
+  }
+
+  [Symbol.dispose](): void {
+    clearInterval(this.timer);
+  }
+}
