Run the whole path: daemon, backend server stand-in, test with real processes

Cause: a request has to go from a caller through entry and gate to a backend server in separate processes before anything can be measured. Ruled out: passing on the backend server's Geraniumloft-Request-Id, -Outcome and -Reason headers; a node alone speaks for its request.

--- a/src/node/event_loop.ts
+++ b/src/node/event_loop.ts
@@ -233,7 +233,10 @@
       this.parts.links.reply(event.linkId, {body: {$case: 'refusal', value}});
     } else if (event.kind === 'caller-request') {
       const {requestId} = event.request;
-      const value = peer.CallRefusal.fromPartial({callId: requestId, ...refusal});
+      const value = peer.CallRefusal.fromPartial({
+        callId: requestId,
+        ...refusal,
+      });
       this.parts.entryActions.run(
         {kind: 'refuse', requestId, refusal: value, attempts: 0},
         this,
--- a/src/node/http_headers.ts
+++ b/src/node/http_headers.ts
@@ -47,30 +47,25 @@
   REQUEST_ID_HEADER.toLowerCase(),
 ]);
 
+/** Headers by which a node alone speaks to callers. */
+const OWN_ANSWER_HEADERS: ReadonlySet<string> = new Set([
+  REQUEST_ID_HEADER.toLowerCase(),
+  OUTCOME_HEADER.toLowerCase(),
+  REASON_HEADER.toLowerCase(),
+]);
+
 /** Returns the caller's headers that travel to the backend server. */
 export function forwardedRequestHeaders(
   rawHeaders: readonly string[],
 ): readonly peer.Header[] {
-  const named = connectionOptions(rawHeaders);
-  return pairs(rawHeaders).filter(({name}) => {
-    const lower = name.toLowerCase();
-    return (
-      !HOP_BY_HOP_HEADERS.has(lower) &&
-      !OWN_REQUEST_HEADERS.has(lower) &&
-      !named.has(lower)
-    );
-  });
+  return forwarded(rawHeaders, OWN_REQUEST_HEADERS);
 }
 
 /** Returns the backend server's headers that travel to the caller. */
 export function forwardedAnswerHeaders(
   rawHeaders: readonly string[],
 ): readonly peer.Header[] {
-  const named = connectionOptions(rawHeaders);
-  return pairs(rawHeaders).filter(({name}) => {
-    const lower = name.toLowerCase();
-    return !HOP_BY_HOP_HEADERS.has(lower) && !named.has(lower);
-  });
+  return forwarded(rawHeaders, OWN_ANSWER_HEADERS);
 }
 
 /** Returns the value of the header `name`, undefined if absent. */
@@ -82,10 +77,18 @@
   return headers.find(h => h.name.toLowerCase() === lower)?.value;
 }
 
-function pairs(rawHeaders: readonly string[]): readonly peer.Header[] {
+function forwarded(
+  rawHeaders: readonly string[],
+  own: ReadonlySet<string>,
+): readonly peer.Header[] {
+  const named = connectionOptions(rawHeaders);
   const headers: peer.Header[] = [];
   for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
-    headers.push({name: rawHeaders[i], value: rawHeaders[i + 1]});
+    const name = rawHeaders[i];
+    const lower = name.toLowerCase();
+    if (HOP_BY_HOP_HEADERS.has(lower) || own.has(lower)) continue;
+    if (named.has(lower)) continue;
+    headers.push({name, value: rawHeaders[i + 1]});
   }
   return headers;
 }
--- /dev/null
+++ b/src/node/node_cores.ts
@@ -0,0 +1,81 @@
+/** Builds the decision logic of a node from its settings. */
+import * as controlCore from '../common/control/control_core.js';
+import * as counters from '../common/counters.js';
+import * as entryCore from '../common/entry/entry_core.js';
+import * as gateCore from '../common/gate/gate_core.js';
+import * as invariants from '../common/invariants.js';
+import * as randomSource from '../common/random_source.js';
+import * as peer from '../generated/peer.js';
+import * as generated from '../generated/settings.js';
+
+/** The cores of a node. */
+export interface Cores {
+  readonly entry: entryCore.EntryCore;
+  readonly gate: gateCore.GateCore;
+  readonly control: controlCore.ControlCore;
+}
+
+/** Returns this node as a member of the fleet. */
+export function ownMember(
+  settings: generated.Settings,
+  incarnation: number,
+): peer.Member {
+  const {nodeId, service, dataCentre, region, ip, ports, slots} = settings;
+  return {
+    nodeId,
+    service,
+    dataCentre,
+    region,
+    ip,
+    httpPort: ports.http,
+    peerPort: ports.peer,
+    operatorPort: ports.operator,
+    slots,
+    incarnation,
+  };
+}
+
+/** Builds the cores; entry and gate see the fleet through the control core. */
+export function buildCores(
+  settings: generated.Settings,
+  self: peer.Member,
+  count: counters.Counters,
+  checks: invariants.Invariants,
+): Cores {
+  const {nodeId, service, dataCentre, region, slots, bounds} = settings;
+  const {incarnation} = self;
+  const random = new randomSource.SeededRandom(seedOf(nodeId, incarnation));
+  const shared = {counters: count, invariants: checks, random};
+  const control = new controlCore.ControlCore({...shared, self});
+  const own = {nodeId, service, dataCentre, region, incarnation};
+  const view = control;
+  const gate = new gateCore.GateCore({
+    ...shared,
+    ...own,
+    slots,
+    bounds,
+    view,
+    holder: {
+      rosterConfirmedAgeMs: nowMs => control.rosterConfirmedAgeMs(nowMs),
+      holderSinceMs: () => undefined,
+    },
+  });
+  const {selector} = settings;
+  const entry = new entryCore.EntryCore({
+    ...shared,
+    ...own,
+    selector,
+    maxCalls: bounds.calls,
+    view,
+  });
+  return {entry, gate, control};
+}
+
+/** Nodes that start together must not choose alike. */
+function seedOf(nodeId: string, incarnation: number): number {
+  let seed = incarnation | 0;
+  for (const char of nodeId) {
+    seed = (Math.imul(seed, 31) + (char.codePointAt(0) ?? 0)) | 0;
+  }
+  return seed;
+}
--- /dev/null
+++ b/src/node/node_sockets.ts
@@ -0,0 +1,88 @@
+/** The sockets of a node, made from its settings. */
+import * as fleetView from '../common/control/fleet_view.js';
+import * as counters from '../common/counters.js';
+import * as generated from '../generated/settings.js';
+import * as clock from './clock.js';
+import * as datagramSocket from './datagram_socket.js';
+import * as httpEntry from './http_entry.js';
+import * as linkEvent from './link_event.js';
+import * as logClient from './log_client.js';
+import * as peerLinks from './peer_links.js';
+import * as remoteState from './remote_state.js';
+import * as requestFingerprint from './request_fingerprint.js';
+import * as resourceStack from './resource_stack.js';
+import * as serverConnections from './server_connections.js';
+
+/** Links accepted for each member that the bounds allow. */
+const LINKS_PER_MEMBER = 2;
+
+/** Everything through which a node reaches others. */
+export interface NodeSockets {
+  readonly http: httpEntry.HttpEntry;
+  readonly links: peerLinks.PeerLinks;
+  readonly datagrams: datagramSocket.DatagramSocket;
+  readonly connections: serverConnections.ServerConnections;
+  readonly remote: remoteState.RemoteState;
+}
+
+/** Makes the sockets, owned by `resources`; nothing listens yet. */
+export async function makeSockets(
+  settings: generated.Settings,
+  identity: linkEvent.LinkIdentity,
+  view: fleetView.FleetView,
+  count: counters.Counters,
+  resources: resourceStack.ResourceStack,
+): Promise<NodeSockets> {
+  const {ip, ports, bounds, peerSources, serverSources} = settings;
+  const sizes = {
+    maxBodyBytes: bounds.bodyBytes,
+    maxHeaderBytes: bounds.headerBytes,
+  };
+  const fingerprint = await requestFingerprint.RequestFingerprint.load();
+  const log = resources.use(new logClient.HttpLogClient(settings.logService));
+  const remote = resources.use(new remoteState.RemoteState(log));
+  const datagrams = resources.use(
+    new datagramSocket.DatagramSocket(
+      {
+        ip,
+        port: ports.peer,
+        maxBytes: bounds.datagramBytes,
+        sources: peerSources,
+      },
+      count,
+    ),
+  );
+  const connections = resources.use(
+    new serverConnections.ServerConnections(sizes, count, clock.monotonicMs),
+  );
+  const links = resources.use(
+    new peerLinks.PeerLinks(
+      {
+        ...sizes,
+        identity,
+        ip,
+        port: ports.peer,
+        sources: peerSources,
+        maxLinks: LINKS_PER_MEMBER * bounds.members,
+      },
+      count,
+      clock.monotonicMs,
+    ),
+  );
+  const http = resources.use(
+    new httpEntry.HttpEntry(
+      {...sizes, ip, port: ports.http, maxCalls: bounds.calls, serverSources},
+      view,
+      fingerprint,
+      count,
+    ),
+  );
+  return {http, links, datagrams, connections, remote};
+}
+
+/** Starts to listen for peers and then for callers. */
+export async function listen(sockets: NodeSockets): Promise<void> {
+  await sockets.datagrams.listen();
+  await sockets.links.listen();
+  await sockets.http.listen();
+}
--- a/src/node/outgoing_link.ts
+++ b/src/node/outgoing_link.ts
@@ -161,7 +161,7 @@
         return;
       case 'pong':
         if (frame.body.value.nonce !== this.nonce) return;
-            return;
+        return;
       case 'hello':
         if (frame.body.value.nodeId !== this.target.nodeId) this.reject();
         return;
--- a/src/node/peer_links.ts
+++ b/src/node/peer_links.ts
@@ -143,10 +143,7 @@
     }
     if (this.lingering.delete(link)) return;
     this.lingering.add(link);
-    const timer = setTimeout(
-      () => link[Symbol.dispose](),
-      SILENT_LINGER_MS,
-    );
+    const timer = setTimeout(() => link[Symbol.dispose](), SILENT_LINGER_MS);
     timer.unref();
   }
 
--- a/src/node/server_connection.ts
+++ b/src/node/server_connection.ts
@@ -109,7 +109,7 @@
   private readonly chunks: Buffer[] = [];
   private started = false;
   private status = 0;
-  private rawHeaders: readonly string[] = [];
+  private headers: http.IncomingHttpHeaders = {};
   private answering = false;
   private done = false;
 
@@ -130,7 +130,7 @@
     if (status < 200) return;
     this.answering = true;
     this.status = status;
-    this.rawHeaders = flattened(headers);
+    this.headers = headers;
     if (!this.isOwnAnswer(headers) || !this.isDelimited(headers)) {
       controller.abort(new Error('answer cannot be relayed'));
     }
@@ -153,7 +153,7 @@
     this.end({
       kind: 'answered',
       status: this.status,
-      headers: httpHeaders.forwardedAnswerHeaders(this.rawHeaders),
+      headers: httpHeaders.forwardedAnswerHeaders(flattened(this.headers)),
       body,
     });
   }
@@ -199,8 +199,7 @@
 
   private shedFailure(): gate.ServerFailure | undefined {
     if (this.status !== UNAVAILABLE) return undefined;
-    const headers = httpHeaders.forwardedAnswerHeaders(this.rawHeaders);
-    const find = (name: string) => httpHeaders.findHeader(headers, name);
+    const find = (name: string) => this.headers[name.toLowerCase()];
     if (find(httpHeaders.OUTCOME_HEADER) !== NOT_RUN) return undefined;
     const retryAfterMs = Number(
       find(httpHeaders.RETRY_AFTER_MS_HEADER) ??
--- a/src/node/server_connections.ts
+++ b/src/node/server_connections.ts
@@ -182,11 +182,7 @@
     return this.check;
   }
 
-  private fail(
-    callId: string,
-    run: number,
-    failure: gate.ServerFailure,
-  ): void {
+  private fail(callId: string, run: number, failure: gate.ServerFailure): void {
     this.source.emit({kind: 'server-failed', callId, run, failure});
   }
 
@@ -221,9 +217,7 @@
 }
 
 /** Adds what the backend server is told of the call to the caller's headers. */
-function serverRequest(
-  request: RunRequest,
-): serverConnection.ServerRequest {
+function serverRequest(request: RunRequest): serverConnection.ServerRequest {
   const {method, path, headers, body, depth} = request.call;
   const deadlineMs = String(Math.ceil(request.deadlineMs));
   return {
--- /dev/null
+++ b/test/paths/child.ts
@@ -0,0 +1,131 @@
+/** Processes of the product and of the stand-ins, started by tests. */
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+import * as net from 'node:net';
+import * as os from 'node:os';
+import * as path from 'node:path';
+
+const START_TIMEOUT_MS = 10_000;
+
+const STOP_TIMEOUT_MS = 10_000;
+
+const BUILD_ROOT = path.resolve(import.meta.dirname, '../..');
+
+/** A started process; disposing it kills it. */
+export class Child implements AsyncDisposable {
+  private readonly exited: Promise<number | null>;
+  private output = '';
+
+  constructor(
+    readonly process: childProcess.ChildProcess,
+    readonly name: string,
+  ) {
+    this.exited = new Promise(resolve =>
+      process.once('exit', code => resolve(code)),
+    );
+    for (const stream of [process.stdout, process.stderr]) {
+      stream?.on('data', chunk => (this.output += String(chunk)));
+    }
+  }
+
+  /** Everything printed so far. */
+  get printed(): string {
+    return this.output;
+  }
+
+  signal(name: NodeJS.Signals): void {
+    this.process.kill(name);
+  }
+
+  /** Resolves with the exit status, null after a signal. */
+  async exitStatus(): Promise<number | null> {
+    return within(this.exited, STOP_TIMEOUT_MS, `${this.name} to exit`);
+  }
+
+  /** Resolves once `text` has been printed. */
+  async prints(text: string): Promise<void> {
+    await until(
+      () => this.output.includes(text),
+      START_TIMEOUT_MS,
+      () => `${this.name} to print ${text}; it printed ${this.output}`,
+    );
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.process.kill('SIGCONT');
+    this.process.kill('SIGKILL');
+    await this.exited;
+  }
+}
+
+/** Starts a compiled program of the repository. */
+export function startProgram(
+  name: string,
+  program: string,
+  args: readonly string[],
+): Child {
+  const file = path.join(BUILD_ROOT, program);
+  const started = childProcess.spawn(process.execPath, [file, ...args], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  return new Child(started, name);
+}
+
+/** Writes a temporary file, removed with the process. */
+export function temporaryFile(name: string, text: string): string {
+  const directory = fs.mkdtempSync(path.join(os.tmpdir(), 'geraniumloft-'));
+  process.once('exit', () => fs.rmSync(directory, {recursive: true}));
+  const file = path.join(directory, name);
+  fs.writeFileSync(file, text);
+  return file;
+}
+
+/** Returns ports that were free just now. */
+export async function freePorts(count: number): Promise<readonly number[]> {
+  const servers = await Promise.all(
+    Array.from({length: count}, () => {
+      const server = net.createServer();
+      return new Promise<net.Server>(resolve =>
+        server.listen(0, '127.0.0.1', () => resolve(server)),
+      );
+    }),
+  );
+  const ports = servers.map(s => (s.address() as net.AddressInfo).port);
+  await Promise.all(servers.map(s => new Promise(done => s.close(done))));
+  return ports;
+}
+
+/** Waits for a condition; fails after the timeout. */
+export async function until(
+  condition: () => boolean | Promise<boolean>,
+  timeoutMs: number,
+  describe: () => string,
+): Promise<void> {
+  const endMs = performance.now() + timeoutMs;
+  while (!(await condition())) {
+    if (performance.now() > endMs) {
+      throw new Error(`timed out waiting for ${describe()}`);
+    }
+    await new Promise(resolve => setTimeout(resolve, 10));
+  }
+}
+
+/** Fails if a promise does not settle in time. */
+export async function within<T>(
+  promise: Promise<T>,
+  timeoutMs: number,
+  what: string,
+): Promise<T> {
+  let timer: NodeJS.Timeout | undefined;
+  const timeout = new Promise<never>((_resolve, reject) => {
+    timer = setTimeout(
+      () => reject(new Error(`timed out waiting for ${what}`)),
+      timeoutMs,
+    );
+  });
+  try {
+    return await Promise.race([promise, timeout]);
+  } finally {
+    clearTimeout(timer);
+  }
+}
