--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -39,7 +39,6 @@
 
 /** Counters other than refusals and retries, with what each counts. */
 export const COUNTER_DESCRIPTIONS = {
-  'caller.gone': 'Callers that left before their answer.',
   'configuration.rejected':
     'Configuration changes in the log that were not accepted.',
   'datagram.failed': 'Datagrams that could not be sent.',
--- a/src/node/http_entry.ts
+++ b/src/node/http_entry.ts
@@ -303,7 +303,6 @@
 
   private callerGone(requestId: string): void {
     if (this.take(requestId) !== undefined) {
-      this.count.increment('caller.gone');
       this.source.emit({kind: 'caller-gone', requestId});
     }
     this.settleIdle();
