--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -41,9 +41,33 @@
 export const COUNTER_DESCRIPTIONS = {
   'configuration.rejected':
     'Configuration changes in the log that were not accepted.',
+  'datagram.failed': 'Datagrams that could not be sent.',
+  'datagram.received': 'Datagrams received.',
+  'datagram.sent': 'Datagrams sent.',
+  'datagram.sent-bytes': 'Bytes sent in datagrams.',
+  'entry.answered': 'Requests whose caller was given a whole answer.',
+  'entry.attempts': 'Attempts sent to gates for the first time.',
+  'entry.caller-gone': 'Requests whose caller left before the end.',
+  'entry.foreign':
+    'Answers, refusals and link events from a node that the attempt was not sent to.',
+  'entry.hedges': 'Attempts made beside a slow first one.',
+  'entry.received': 'Requests received from callers.',
+  'entry.resends': 'Attempts sent again to the same gate over a fresh link.',
+  'entry.unmatched':
+    'Answers, refusals and link events of attempts that had ended.',
+  'entry.waits': 'Waits between attempts of one request.',
+  'gate.second-run':
+    'Second runs of idempotent requests whose first run was silent.',
   'invariant.breached': 'Invariants that did not hold.',
+  'link.answer-dropped': 'Answers whose link had ended.',
+  'link.failed-attempt': 'Attempts whose link broke or could not be opened.',
+  'link.late-answer': 'Answers to attempts that were no longer waited for.',
+  'link.opened': 'Links opened to other nodes.',
+  'link.silent': 'Links given up because a ping went unanswered.',
   'log.append-failed': 'Appends to the log that failed or were not answered.',
   'log.gap': 'Times the log no longer held the records to be read next.',
+  'loop.failed-event': 'Events whose handling failed.',
+  'malformed.announcement': 'Backend server announcements that were rejected.',
   'malformed.datagram':
     'Datagrams that could not be decoded or exceeded a bound.',
   'malformed.frame':
@@ -51,8 +75,9 @@
   'malformed.http':
     'HTTP requests that could not be parsed or exceeded a bound.',
   'malformed.log-record': 'Log records that were skipped.',
-  'malformed.announcement': 'Backend server announcements that were rejected.',
   'roster.full': 'Joins passed over because the roster is full.',
+  'server.connection-opened': 'Connections opened to the backend server.',
+  'server.lost': 'Times the backend server was found to have gone.',
   'source.rejected':
     'Connections and datagrams from addresses that are not configured.',
 } as const satisfies Readonly<Record<string, string>>;
