--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -58,6 +58,8 @@
   'entry.waits': 'Waits between attempts of one request.',
   'gate.second-run':
     'Second runs of idempotent requests whose first run was silent.',
+  'gossip.unknown-sender':
+    'Datagrams of nodes that are in neither the roster nor gossip.',
   'invariant.breached': 'Invariants that did not hold.',
   'link.answer-dropped': 'Answers whose link had ended.',
   'link.failed-attempt': 'Attempts whose link broke or could not be opened.',
