Wire pulls of state from an offset and the sender of load notices

Cause: the control contract gained an offset for pulls and a sender for datagrams of nodes that are not in the roster yet. Test: whole run, 85 passed.

--- a/src/node/control_actions.ts
+++ b/src/node/control_actions.ts
@@ -26,7 +26,7 @@
       case 'read-log':
         return this.remote.read(action.from, action.limit, action.waitMs);
       case 'pull-state':
-        return this.remote.pull(action.member);
+        return this.remote.pull(action.member, action.fromOffset);
       case 'notice':
         return this.take(action.notice, inputs);
       default:
--- a/src/node/gate_actions.ts
+++ b/src/node/gate_actions.ts
@@ -140,6 +140,7 @@
       updates: [],
       suspects: [],
       members: [],
+      sender: undefined,
     };
     for (const nodeId of nodeIds) {
       const target = memberDirectory.linkTarget(view, nodeId);
--- a/src/node/remote_state.ts
+++ b/src/node/remote_state.ts
@@ -37,15 +37,15 @@
     );
   }
 
-  /** Pulls the state of a peer. */
-  pull(member: peer.Member): void {
+  /** Pulls what a peer knows from a log offset on. */
+  pull(member: peer.Member, fromOffset: number): void {
     const {nodeId, ip, operatorPort} = member;
     const client = new operatorClient.OperatorClient({
       ip,
       port: operatorPort,
       timeoutMs: PULL_TIMEOUT_MS,
     });
-    client.peerState().then(
+    client.peerState(fromOffset).then(
       (state: control.PeerState) =>
         this.source.emit({kind: 'peer-state', state}),
       () => this.source.emit({kind: 'peer-state-failed', nodeId}),
--- a/test/fakes/virtual_service_node.ts
+++ b/test/fakes/virtual_service_node.ts
@@ -371,6 +371,7 @@
       updates: [],
       suspects: [],
       members: [],
+      sender: undefined,
     };
     for (const nodeId of nodeIds) {
       this.around.datagramSent(datagram);
