Limit concurrency by gradient, start slowly, detect silent cold servers

Cause: the gate used all announced slots at all times. - Limit: gradient of the service times over about 50 answers, lowered by the share of failures and by sheds. Ruled out: faster gradients (under noise they spiral down to a limit of 1 to 6), AIMD on each slow answer (4% of goodput lost at twice the load), a ramp by time alone, a ramp reference that follows each answer (it crept up and let the ramp complete on a third of the capacity). Disabled once each, at least one test failed: ramp by time, ramp by answers, setback streak, spell length, answers of a spell, error status, shed interval, return of a data centre, hold while starting, wait for the server's death.

--- /dev/null
+++ b/src/common/admission/cold_detector.ts
@@ -0,0 +1,42 @@
+/** Detects that a warm backend server has turned cold without a signal. */
+import * as units from '../units.js';
+
+/** Usual service times after which an answer is slow, or a run overdue. */
+export const SLOW_RATIO = 4;
+
+/** Length of a spell without any answer at speed; bursts of a noisy neighbour end before it. */
+const SPELL_MS = 100;
+
+/** Slow answers and overdue runs that make a spell. */
+const SPELL_RUNS = 5;
+
+/** Slow answers among them: runs alone may be overdue because their connections are silent. */
+const SPELL_ANSWERS = 2;
+
+/** Follows the spell of slow answers that is under way, if any. */
+export class ColdDetector {
+  private slowAnswers = 0;
+  private sinceMs: units.MonotonicMs = Infinity;
+
+  /** Takes an answer that took `ratio` usual service times. */
+  onAnswer(ratio: number, startedMs: units.MonotonicMs): void {
+    if (ratio <= SLOW_RATIO) return this.reset();
+    this.slowAnswers++;
+    this.sinceMs = Math.min(this.sinceMs, startedMs);
+  }
+
+  /** Whether the backend server has turned cold, with so many runs overdue. */
+  isCold(overdueRuns: number, now: units.MonotonicMs): boolean {
+    return (
+      this.slowAnswers >= SPELL_ANSWERS &&
+      this.slowAnswers + overdueRuns >= SPELL_RUNS &&
+      now - this.sinceMs >= SPELL_MS
+    );
+  }
+
+  /** Ends the spell. */
+  reset(): void {
+    this.slowAnswers = 0;
+    this.sinceMs = Infinity;
+  }
+}
--- a/src/common/admission/service_times.ts
+++ b/src/common/admission/service_times.ts
@@ -8,6 +8,9 @@
 const USUAL_WEIGHT_BELOW = 0.02;
 const USUAL_WEIGHT_ABOVE = 0.01;
 
+/** Weight above it while the server is slow: a lasting change is learned, a passing one is not. */
+const USUAL_WEIGHT_WHILE_SLOW = 0.0005;
+
 /** Samples of a class after which its usual service time counts as learned. */
 const LEARNED_SAMPLES = 10;
 
@@ -42,26 +45,39 @@
     return learned.usualMs;
   }
 
-  /** Takes a sample; `keepUsual` leaves the usual time as it is unless the sample is below. */
-  add(className: string, serviceMs: units.Millis, keepUsual: boolean): void {
-    this.all = learn(this.all, serviceMs, keepUsual);
+  /** Returns a service time of a class in usual ones, 1 until those are learned. */
+  ratioOf(className: string, serviceMs: units.Millis): number {
+    const usualMs = this.usualOfMs(className);
+    return usualMs ? serviceMs / usualMs : 1;
+  }
+
+  /** Takes the recent service times as the usual ones: the backend server has changed. */
+  relearn(): void {
+    for (const [className, learned] of this.byClass) {
+      this.byClass.set(className, {...learned, usualMs: learned.recentMs});
+    }
+  }
+
+  /** Takes a sample; `isSlow` tells that the server is slow or cold at present. */
+  add(className: string, serviceMs: units.Millis, isSlow: boolean): void {
+    this.all = learn(this.all, serviceMs, isSlow);
     const learned = this.byClass.get(className);
     if (!learned && this.byClass.size >= CLASSES_BOUND) return;
     const before = learned ?? {samples: 0, recentMs: 0, usualMs: 0};
-    this.byClass.set(className, learn(before, serviceMs, keepUsual));
+    this.byClass.set(className, learn(before, serviceMs, isSlow));
   }
 }
 
 function learn(
   before: Learned,
   serviceMs: units.Millis,
-  keepUsual: boolean,
+  isSlow: boolean,
 ): Learned {
   if (before.samples === 0) {
     return {samples: 1, recentMs: serviceMs, usualMs: serviceMs};
   }
   const above = serviceMs > before.usualMs;
-  const weightAbove = keepUsual ? 0 : USUAL_WEIGHT_ABOVE;
+  const weightAbove = isSlow ? USUAL_WEIGHT_WHILE_SLOW : USUAL_WEIGHT_ABOVE;
   const usualWeight = above ? weightAbove : USUAL_WEIGHT_BELOW;
   return {
     samples: before.samples + 1,
--- /dev/null
+++ b/src/common/admission/slow_start.ts
@@ -0,0 +1,118 @@
+/** Ramp of the concurrency of a backend server in cold start, by time and by evidence. */
+import * as tuning from '../configuration/tuning.js';
+import * as units from '../units.js';
+
+/** Answers at speed that each slot of the present step must have given before the next step. */
+const ANSWERS_PER_SLOT = 2;
+
+/** Slowness, relative to the best of this ramp, from which an answer is slow. */
+const SLOW_FACTOR = 4;
+
+/** Slow answers in a row that set the ramp back. */
+const SLOW_STREAK = 3;
+
+/** Weight of a new answer in the smoothed service time. */
+const SMOOTHING_WEIGHT = 0.1;
+
+interface Ramp {
+  /** Time from which the steps are counted; later than the true start after a setback. */
+  readonly startedMs: units.MonotonicMs;
+  readonly cap: number;
+  readonly answersAtSpeed: number;
+  readonly slowInARow: number;
+  /** Smoothed service time, in usual service times; 0 before the first answer. */
+  readonly smoothed: number;
+  /** Least smoothed service time on this ramp; it does not follow a server that slows down. */
+  readonly reference: number;
+}
+
+/** Limits a cold backend server; idle until it is started. */
+export class SlowStart {
+  private ramp: Ramp | undefined;
+
+  constructor(private readonly tuning: () => tuning.Tuning) {}
+
+  /** Whether a ramp is under way. */
+  get isCold(): boolean {
+    return this.ramp !== undefined;
+  }
+
+  /** Returns the most requests that may be in flight. */
+  capFor(slots: number): number {
+    return this.ramp ? Math.min(slots, this.ramp.cap) : slots;
+  }
+
+  /** Starts the ramp from its foot. */
+  restart(now: units.MonotonicMs): void {
+    const {coldStartMs, coldStartSlots} = this.tuning();
+    this.ramp = coldStartMs === 0 ? undefined : rampAt(now, coldStartSlots);
+  }
+
+  /**
+   * Takes an answer that took `ratio` usual service times.
+   *
+   * @returns whether the answer completed the ramp.
+   */
+  onAnswer(ratio: number, slots: number, now: units.MonotonicMs): boolean {
+    if (!this.ramp) return false;
+    const {reference} = this.ramp;
+    const isSlow = reference > 0 && ratio > reference * SLOW_FACTOR;
+    this.ramp = isSlow
+      ? this.afterSlow(this.ramp, slots, now)
+      : this.afterAtSpeed(this.ramp, ratio, slots, now);
+    if (this.ramp.cap < slots) return false;
+    this.ramp = undefined;
+    return true;
+  }
+
+  /** Sets the ramp back: the server failed or shed under the present step. */
+  onFailure(slots: number, now: units.MonotonicMs): void {
+    if (this.ramp) this.ramp = this.afterSlow(this.ramp, slots, now);
+  }
+
+  private afterSlow(ramp: Ramp, slots: number, now: units.MonotonicMs): Ramp {
+    const slowInARow = ramp.slowInARow + 1;
+    if (slowInARow < SLOW_STREAK) return {...ramp, slowInARow};
+    const {coldStartMs, coldStartSlots} = this.tuning();
+    const cap = Math.max(coldStartSlots, Math.floor(ramp.cap / 2));
+    const steps = Math.max(1, slots - coldStartSlots);
+    const takenMs = (coldStartMs * (cap - coldStartSlots)) / steps;
+    const {smoothed, reference} = ramp;
+    return {...rampAt(now - takenMs, cap), smoothed, reference};
+  }
+
+  private afterAtSpeed(
+    ramp: Ramp,
+    ratio: number,
+    slots: number,
+    now: units.MonotonicMs,
+  ): Ramp {
+    const smoothed = smooth(ramp.smoothed, ratio);
+    const next = {
+      ...ramp,
+      slowInARow: 0,
+      answersAtSpeed: ramp.answersAtSpeed + 1,
+      smoothed,
+      reference: ramp.reference ? Math.min(ramp.reference, smoothed) : smoothed,
+    };
+    const enough = next.answersAtSpeed >= ramp.cap * ANSWERS_PER_SLOT;
+    if (!enough || ramp.cap >= this.capByTime(ramp, slots, now)) return next;
+    return {...next, cap: ramp.cap + 1, answersAtSpeed: 0};
+  }
+
+  private capByTime(ramp: Ramp, slots: number, now: units.MonotonicMs): number {
+    const {coldStartMs, coldStartSlots} = this.tuning();
+    const share = Math.min(1, (now - ramp.startedMs) / coldStartMs);
+    return Math.floor(coldStartSlots + (slots - coldStartSlots) * share);
+  }
+}
+
+function rampAt(startedMs: units.MonotonicMs, cap: number): Ramp {
+  const foot = {startedMs, cap, answersAtSpeed: 0, slowInARow: 0};
+  return {...foot, smoothed: 0, reference: 0};
+}
+
+function smooth(smoothed: number, ratio: number): number {
+  if (smoothed === 0) return ratio;
+  return smoothed + (ratio - smoothed) * SMOOTHING_WEIGHT;
+}
--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -39,6 +39,8 @@
 
 /** Counters other than refusals and retries, with what each counts. */
 export const COUNTER_DESCRIPTIONS = {
+  'gate.cold-detected':
+    'Warm backend servers found to have turned cold without a signal.',
   'gate.second-run':
     'Second runs of idempotent requests whose first run was silent.',
   'configuration.rejected':
--- a/src/common/gate/call_record.ts
+++ b/src/common/gate/call_record.ts
@@ -27,6 +27,14 @@
   | {readonly kind: 'answered'; readonly answer: ServerAnswer}
   | {readonly kind: 'refused'; readonly detail: RefusalDetail};
 
+/** Returns the refusal of a call that was never dispatched. */
+export function notRun(
+  reason: peer.RefusalReason,
+  retryAfterMs?: units.Millis,
+): RefusalDetail {
+  return {reason, outcome: peer.Outcome.NOT_RUN, retryAfterMs};
+}
+
 /** One sending of a call to the backend server. */
 export interface Run {
   readonly run: number;
@@ -42,6 +50,8 @@
   | {readonly kind: 'delegated'; readonly nodeId: string}
   /** Waits for the result of another call with the same key. */
   | {readonly kind: 'joined'; readonly ownerCallId: string}
+  /** Its connection broke; until then the server's death may explain it. */
+  | {readonly kind: 'broken'; readonly untilMs: units.MonotonicMs}
   | {readonly kind: 'finished'};
 
 /** A call from its arrival until its end. */
@@ -75,6 +85,13 @@
     return this.arrivedMs + this.call.deadlineMs;
   }
 
+  /** Time at which something is due for the call, whatever happens. */
+  get wakeMs(): units.MonotonicMs {
+    return this.state.kind === 'broken'
+      ? Math.min(this.deadlineMs, this.state.untilMs)
+      : this.deadlineMs;
+  }
+
   /** Name of the call's class. */
   get className(): string {
     return this.requestClass.name;
--- a/src/common/gate/entrance.ts
+++ b/src/common/gate/entrance.ts
@@ -9,6 +9,7 @@
   private server: control.ServerState = 'absent';
   private announcedSlots = 0;
   private stopping = false;
+  private out = false;
 
   constructor(private readonly options: gateOptions.GateOptions) {}
 
@@ -27,10 +28,30 @@
     return this.stopping;
   }
 
-  /** Takes note of an announcement; 0 slots stands for the configured number. */
-  setServer(state: control.ServerState, slots: number): void {
+  /** Whether the backend server has announced itself and is not ready yet. */
+  get isStarting(): boolean {
+    return this.server === 'starting';
+  }
+
+  /**
+   * Takes note of an announcement; 0 slots stands for the configured number.
+   *
+   * @returns whether a life of the backend server, or its readiness, begins.
+   */
+  setServer(state: control.ServerState, slots: number): 'begins' | 'goes-on' {
+    const before = this.server;
     this.server = state;
     this.announcedSlots = slots > 0 ? slots : this.options.slots;
+    const takesWork = state === 'starting' || state === 'ready';
+    return takesWork && state !== before ? 'begins' : 'goes-on';
+  }
+
+  /** Whether the data centre or the backend server was out when last asked and is not now. */
+  hasReturned(): boolean {
+    const wasOut = this.out;
+    const reason = this.outReason();
+    this.out = reason !== undefined;
+    return wasOut && !this.out;
   }
 
   /** Refuses all new work from now on. */
@@ -41,15 +62,20 @@
   /** Returns why no new work may be dispatched, undefined if it may. */
   refusalReason(): peer.RefusalReason | undefined {
     if (this.stopping) return peer.RefusalReason.LEAVING;
+    if (!this.options.view.configuration) return peer.RefusalReason.NOT_READY;
+    return this.outReason() ?? this.serverRefusal();
+  }
+
+  private outReason(): peer.RefusalReason | undefined {
     const cfg = this.options.view.configuration;
-    if (!cfg) return peer.RefusalReason.NOT_READY;
+    if (!cfg) return undefined;
     if (cfg.isDataCentreOut(this.options.dataCentre)) {
       return peer.RefusalReason.DATA_CENTRE_OUT;
     }
     if (cfg.isServerOut(this.options.nodeId)) {
       return peer.RefusalReason.SERVER_OUT;
     }
-    return this.serverRefusal();
+    return undefined;
   }
 
   private serverRefusal(): peer.RefusalReason | undefined {
--- a/src/common/gate/gate_options.ts
+++ b/src/common/gate/gate_options.ts
@@ -6,7 +6,6 @@
 import * as invariants from '../invariants.js';
 import * as randomSource from '../random_source.js';
 import * as tuning from '../configuration/tuning.js';
-import * as keyHolder from '../idempotency/key_holder.js';
 
 /** Bounds of the tables of a gate. */
 export interface GateBounds {
@@ -27,8 +26,6 @@
   readonly slots: number;
   readonly bounds: GateBounds;
   readonly view: fleet.FleetView;
-  /** What is known of this node as a holder of idempotency keys. */
-  readonly holder: keyHolder.KeyHolder;
   readonly counters: counters.Counters;
   readonly invariants: invariants.Invariants;
   readonly random: randomSource.RandomSource;
--- /dev/null
+++ b/src/common/gate/gate_parts.ts
@@ -0,0 +1,41 @@
+/** The parts of a gate that its steps share. */
+import * as admission from '../admission/admission.js';
+import * as callTable from './call_table.js';
+import * as record from './call_record.js';
+import * as entrance from './entrance.js';
+import * as gateOptions from './gate_options.js';
+import * as responder from './responder.js';
+import * as runSupervisor from './run_supervisor.js';
+
+/** State of a gate, one part for each subject. */
+export interface GateParts {
+  readonly options: gateOptions.GateOptions;
+  readonly calls: callTable.CallTable;
+  readonly runs: runSupervisor.RunSupervisor;
+  readonly entrance: entrance.Entrance;
+  readonly admission: admission.Admission<record.CallRecord>;
+  readonly responder: responder.Responder;
+}
+
+/** Builds the parts of a gate. */
+export function createParts(
+  options: gateOptions.GateOptions,
+  load: responder.LoadSource,
+  emit: responder.Emit,
+): GateParts {
+  const runs = new runSupervisor.RunSupervisor(options, emit);
+  const gateEntrance = new entrance.Entrance(options);
+  return {
+    options,
+    calls: new callTable.CallTable(options.bounds.calls),
+    runs,
+    entrance: gateEntrance,
+    admission: new admission.Admission({
+      random: options.random,
+      tuning: () => gateOptions.tuningInForce(options),
+      slots: () => gateEntrance.slots,
+      inFlight: () => runs.inFlight,
+    }),
+    responder: new responder.Responder(options, load, emit),
+  };
+}
