Generate validators instead of compiling schemas at start

Ruled out: dropping the schema check for configuration read from the log, which would let a bad record into force.

--- a/src/cli/configuration_file.ts
+++ b/src/cli/configuration_file.ts
@@ -4,6 +4,7 @@
 import * as operation from '../common/configuration/operation.js';
 import * as documentChecker from '../common/documents/document_checker.js';
 import * as documentFault from '../common/documents/document_fault.js';
+import * as validation from '../common/documents/validation.js';
 import * as generated from '../generated/configuration.js';
 import * as cliErrors from './cli_errors.js';
 
@@ -14,7 +15,7 @@
  */
 export function readConfiguration(path: string): generated.Configuration {
   const checker = new documentChecker.DocumentChecker<generated.Configuration>(
-    generated.CONFIGURATION_SCHEMA,
+    validation.CONFIGURATION,
   );
   const checked = checker.checkText(readText(path));
   if (checked.kind === 'invalid') {
--- a/src/common/configuration/operation.ts
+++ b/src/common/configuration/operation.ts
@@ -1,7 +1,6 @@
 /** Operations on the configuration, as carried by changes in the log. */
-import * as ajv from 'ajv';
-
 import * as generated from '../../generated/configuration.js';
+import * as validation from '../documents/validation.js';
 import * as invariants from '../invariants.js';
 
 /** What a change does to the configuration. */
@@ -18,52 +17,14 @@
   | {readonly kind: 'ok'; readonly value: T}
   | {readonly kind: 'invalid'; readonly faults: readonly string[]};
 
-const OPERATION_SCHEMA = {
-  $id: 'operation',
-  type: 'object',
-  required: ['kind'],
-  oneOf: [
-    {
-      type: 'object',
-      additionalProperties: false,
-      required: ['kind', 'configuration'],
-      properties: {
-        kind: {const: 'replace'},
-        configuration: {type: 'object'},
-      },
-    },
-    {
-      type: 'object',
-      additionalProperties: false,
-      required: ['kind', 'exception'],
-      properties: {
-        kind: {const: 'add-exception'},
-        exception: {$ref: 'configuration#/definitions/exception'},
-      },
-    },
-    {
-      type: 'object',
-      additionalProperties: false,
-      required: ['kind', 'id'],
-      properties: {
-        kind: {const: 'remove-exception'},
-        id: {$ref: 'configuration#/definitions/name'},
-      },
-    },
-  ],
-} as const;
-
-const schemas = new ajv.Ajv({allErrors: true, useDefaults: true});
-schemas.addSchema(generated.CONFIGURATION_SCHEMA);
-const isOperation = schemas.compile<Operation>(OPERATION_SCHEMA);
-const isConfiguration = schemas.compile<generated.Configuration>({
-  $ref: 'configuration#',
-});
+function isOperation(value: unknown): value is Operation {
+  return validation.OPERATION.accepts(value);
+}
 
 function faultsOf(
-  errors: readonly ajv.ErrorObject[] | null | undefined,
+  errors: readonly validation.SchemaError[],
 ): readonly string[] {
-  return (errors ?? []).map(e => `${e.instancePath || '/'} ${e.message ?? ''}`);
+  return errors.map(e => `${e.instancePath || '/'} ${e.message ?? ''}`);
 }
 
 function invalid(...faults: readonly string[]): {
@@ -86,8 +47,8 @@
   value: unknown,
 ): Result<generated.Configuration> {
   const copy: unknown = structuredCloneJson(value);
-  if (!isConfiguration(copy)) {
-    return invalid(...faultsOf(isConfiguration.errors));
+  if (!validation.CONFIGURATION.accepts(copy)) {
+    return invalid(...faultsOf(validation.CONFIGURATION.errors));
   }
   const faults = semanticFaults(copy);
   return faults.length > 0 ? invalid(...faults) : {kind: 'ok', value: copy};
@@ -106,7 +67,9 @@
   const json = parseJson(text);
   if (json.kind === 'invalid') return json;
   const value = json.value;
-  if (!isOperation(value)) return invalid(...faultsOf(isOperation.errors));
+  if (!isOperation(value)) {
+    return invalid(...faultsOf(validation.OPERATION.errors));
+  }
   if (value.kind !== 'replace') return {kind: 'ok', value};
   const configuration = checkConfiguration(value.configuration);
   if (configuration.kind === 'invalid') return configuration;
--- a/src/common/documents/document_checker.test.ts
+++ b/src/common/documents/document_checker.test.ts
@@ -6,13 +6,12 @@
 import * as settings from '../../generated/settings.js';
 import * as checker from './document_checker.js';
 import * as fault from './document_fault.js';
+import * as validation from './validation.js';
 
 const SEED = Number(process.env['SEED'] ?? 20261203);
 
 function settingsChecker(): checker.DocumentChecker<settings.Settings> {
-  return new checker.DocumentChecker<settings.Settings>(
-    settings.SETTINGS_SCHEMA,
-  );
+  return new checker.DocumentChecker<settings.Settings>(validation.SETTINGS);
 }
 
 function validText(extra = ''): string {
--- a/src/common/documents/document_checker.ts
+++ b/src/common/documents/document_checker.ts
@@ -1,8 +1,8 @@
 /** Checks JSON with comments against a schema; faults name line, column and key. */
-import * as ajv from 'ajv';
 import * as jsonc from 'jsonc-parser';
 
 import * as documentFault from './document_fault.js';
+import * as validation from './validation.js';
 
 /** Result of a check. */
 export type CheckedDocument<T> =
@@ -18,27 +18,9 @@
 /** Deepest nesting accepted. */
 const MAX_DOCUMENT_DEPTH = 64;
 
-const IPV4 = /^(?:(?:25[0-5]|2[0-4]\d|1?\d?\d)(?:\.(?!$)|$)){4}$/;
-const IPV6 = /^[0-9a-fA-F:]{2,39}$/;
-
-/** Whether the text is an IP address. */
-function isIp(text: string): boolean {
-  return IPV4.test(text) || (IPV6.test(text) && text.includes(':'));
-}
-
 /** Checks documents of one schema; fills in defaults. */
 export class DocumentChecker<T> {
-  private readonly validate: ajv.ValidateFunction<T>;
-
-  constructor(schema: object) {
-    const checker = new ajv.Ajv({
-      allErrors: true,
-      useDefaults: true,
-      strict: false,
-    });
-    checker.addFormat('ip', isIp);
-    this.validate = checker.compile<T>(schema);
-  }
+  constructor(private readonly schema: validation.Schema<T>) {}
 
   /** Parses and checks a text. */
   checkText(text: string): CheckedDocument<T> {
@@ -54,17 +36,17 @@
     const duplicates = duplicateKeyFaults(text, tree);
     if (duplicates.length > 0) return {kind: 'invalid', faults: duplicates};
     const value: unknown = jsonc.getNodeValue(tree);
-    if (this.validate(value)) return {kind: 'valid', value};
+    if (this.schema.accepts(value)) return {kind: 'valid', value};
     return {
       kind: 'invalid',
-      faults: schemaFaults(text, tree, this.validate.errors ?? []),
+      faults: schemaFaults(text, tree, this.schema.errors),
     };
   }
 
   /** Checks a value that has been parsed already; `value` gets its defaults filled in. */
   checkValue(value: unknown): CheckedDocument<T> {
-    if (this.validate(value)) return {kind: 'valid', value};
-    const faults = relevantErrors(this.validate.errors ?? []).map(err => ({
+    if (this.schema.accepts(value)) return {kind: 'valid', value};
+    const faults = relevantErrors(this.schema.errors).map(err => ({
       line: 1,
       column: 1,
       key: pathOf(err).join('.'),
@@ -174,7 +156,7 @@
 function schemaFaults(
   text: string,
   tree: jsonc.Node,
-  errors: readonly ajv.ErrorObject[],
+  errors: readonly validation.SchemaError[],
 ): readonly documentFault.DocumentFault[] {
   return relevantErrors(errors).map(err => {
     const path = pathOf(err);
@@ -185,8 +167,8 @@
 
 /** Drops the summary of `oneOf` where a branch explains the fault. */
 function relevantErrors(
-  errors: readonly ajv.ErrorObject[],
-): readonly ajv.ErrorObject[] {
+  errors: readonly validation.SchemaError[],
+): readonly validation.SchemaError[] {
   const specific = errors.filter(
     err => err.keyword !== 'oneOf' && err.keyword !== 'const',
   );
@@ -201,7 +183,7 @@
 }
 
 /** Path of the key at fault: the unknown key itself, not the object around it. */
-function pathOf(err: ajv.ErrorObject): readonly string[] {
+function pathOf(err: validation.SchemaError): readonly string[] {
   const path = err.instancePath.split('/').slice(1).map(unescapePointer);
   return err.keyword === 'additionalProperties'
     ? [...path, String(err.params['additionalProperty'])]
@@ -225,7 +207,7 @@
   return tree;
 }
 
-function describe(err: ajv.ErrorObject): string {
+function describe(err: validation.SchemaError): string {
   switch (err.keyword) {
     case 'additionalProperties':
       return 'unknown key';
--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -3,6 +3,7 @@
 
 import * as checker from '../common/documents/document_checker.js';
 import * as documentFault from '../common/documents/document_fault.js';
+import * as validation from '../common/documents/validation.js';
 import * as errors from '../common/errors.js';
 import * as generated from '../generated/settings.js';
 
@@ -27,7 +28,7 @@
   fileName: string,
 ): generated.Settings {
   const check = new checker.DocumentChecker<generated.Settings>(
-    generated.SETTINGS_SCHEMA,
+    validation.SETTINGS,
   );
   const checked = check.checkText(text);
   switch (checked.kind) {
--- a/tools/generate.mjs
+++ b/tools/generate.mjs
@@ -1,6 +1,8 @@
 /** Generates src/generated from schema/: message codecs, types and schema constants. */
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs';
+import * as ajv from 'ajv';
+import * as standalone from 'ajv/dist/standalone/index.js';
 import * as json2ts from 'json-schema-to-typescript';
 
 const JSON_SCHEMAS = ['settings', 'configuration'];
@@ -41,12 +43,57 @@
     ignoreMinAndMaxItems: true,
     unreachableDefinitions: true,
   });
-  const constant = `/** JSON schema of ${schema.title}. */\nexport const ${name.toUpperCase()}_SCHEMA = ${JSON.stringify(schema, null, 2)} as const;\n`;
   fs.writeFileSync(
     `src/generated/${name}.ts`,
-    `${BANNER}\n${toReadonly(types)}\n${constant}`,
+    `${BANNER}\n${toReadonly(types)}`,
   );
 }
+/** Names of the generated validators and the schemas they check. */
+const VALIDATORS = {
+  validateSettings: 'settings',
+  validateConfiguration: 'configuration',
+  validateOperation: 'operation',
+};
+
+/** IPv4 dotted quad or IPv6 text. */
+const IP_FORMAT =
+  /^(?:(?:(?:25[0-5]|2[0-4]\d|1?\d?\d)\.){3}(?:25[0-5]|2[0-4]\d|1?\d?\d)|[0-9a-fA-F]*:[0-9a-fA-F:.]*)$/;
+
+/** Replaces the calls of require() in the validators by imports. */
+function toImports(code) {
+  const imports = [];
+  const body = code.replace(
+    /require\("([^"]+)"\)\.default/g,
+    (unused, path) => {
+      const name = `runtime${imports.length}`;
+      imports.push(`import * as ${name} from '${path}.js';`);
+      return `${name}.default.default`;
+    },
+  );
+  return `${imports.join('\n')}\n${body}`;
+}
+
+/** Generates validators that need no compiler at run time. */
+function generateValidators() {
+  const compiler = new ajv.Ajv({
+    allErrors: true,
+    useDefaults: true,
+    strict: false,
+    code: {source: true, esm: true, lines: true},
+  });
+  compiler.addFormat('ip', IP_FORMAT);
+  for (const id of Object.values(VALIDATORS)) {
+    const text = fs.readFileSync(`schema/${id}.schema.json`, 'utf8');
+    compiler.addSchema(JSON.parse(text));
+  }
+  const code = standalone.default.default(compiler, VALIDATORS);
+  fs.writeFileSync(
+    'src/generated/validators.ts',
+    `// @ts-nocheck\n${BANNER}${toImports(code)}`,
+  );
+}
+
+generateValidators();
 childProcess.execFileSync('node_modules/.bin/buf', ['generate'], {
   stdio: 'inherit',
 });
