Keep idempotency keys at their home: at most one run of each key

Cause: a call with a key was run like any other. The home judges each key on arrival and again at dispatch: memory, roster offset, home, lease, takeover wait, age. Memory is bounded by count, time and bytes of answers and evicts nothing inside its window. A full home delegates to a sibling with room and keeps the memory; a planned stop hands settled keys to their next homes before it reports drained. Ruled out: a fence by the time of the run (a delegated or queued call of a paused home would escape it); refusing keys without a time; eviction of the oldest key (it could run again).

--- a/src/common/gate/arrivals.ts
+++ b/src/common/gate/arrivals.ts
@@ -5,13 +5,17 @@
 import * as callEnds from './call_ends.js';
 import * as record from './call_record.js';
 import * as contract from './gate_contract.js';
+import * as delegations from './delegations.js';
 import * as gateParts from './gate_parts.js';
+import * as keyedCalls from './keyed_calls.js';
 
 /** Takes calls into the queue, or refuses them at once. */
 export class Arrivals {
   constructor(
     private readonly parts: gateParts.GateParts,
     private readonly ends: callEnds.CallEnds,
+    private readonly keyed: keyedCalls.KeyedCalls,
+    private readonly delegations: delegations.Delegations,
   ) {}
 
   /** Takes a call. */
@@ -27,6 +31,7 @@
       return this.parts.responder.reply(source, call.callId, result, now);
     }
     this.parts.calls.add(rec);
+    if (rec.key !== '' && !this.keyed.admits(rec, now)) return;
     this.admit(rec, now);
   }
 
@@ -34,7 +39,9 @@
   onCancel(callId: string, now: units.Instant): void {
     const {calls, runs} = this.parts;
     const rec = calls.liveCall(callId);
-    if (rec) {
+    if (rec && this.keyed.mustGoOn(rec)) {
+      this.detach(rec, now);
+    } else if (rec) {
       runs.abortAll(rec, now.monotonicMs);
       this.ends.refuse(rec, peer.RefusalReason.CANCELLED, now);
     } else if (!calls.resultOf(callId)) {
@@ -121,9 +128,9 @@
       case 'queued':
         return;
       case 'displaced':
-        return this.ends.refuse(offer.item, this.fullReason, now);
+        return this.refuseForRoom(offer.item, now);
       case 'full':
-        return this.ends.refuse(rec, this.fullReason, now);
+        return this.refuseForRoom(rec, now);
       case 'too-late':
         return this.ends.refuse(rec, peer.RefusalReason.DEADLINE, now);
       default:
@@ -131,6 +138,23 @@
     }
   }
 
+  private refuseForRoom(rec: record.CallRecord, now: units.Instant): void {
+    if (rec.key !== '' && this.delegations.delegate(rec, now)) return;
+    this.ends.refuse(rec, this.fullReason, now);
+  }
+
+  /** Answers the cancellation of a call that goes on without its source. */
+  private detach(rec: record.CallRecord, now: units.Instant): void {
+    if (!rec.source) return;
+    const detail = {
+      reason: peer.RefusalReason.CANCELLED,
+      outcome: peer.Outcome.UNKNOWN,
+    };
+    const result = {kind: 'refused', detail} as const;
+    this.parts.responder.reply(rec.source, rec.callId, result, now);
+    rec.source = undefined;
+  }
+
   private get fullReason(): peer.RefusalReason {
     return this.parts.admission.isCold
       ? peer.RefusalReason.COLD_START
--- a/src/common/gate/call_ends.ts
+++ b/src/common/gate/call_ends.ts
@@ -1,5 +1,6 @@
 /** Ends of calls: the result is remembered and goes to who waits for it. */
 import * as peer from '../../generated/peer.js';
+import * as emitter from '../emitter.js';
 import * as errors from '../errors.js';
 import * as invariants from '../invariants.js';
 import * as units from '../units.js';
@@ -7,8 +8,20 @@
 import * as gateOptions from './gate_options.js';
 import * as gateParts from './gate_parts.js';
 
+/** A call that has ended. */
+export interface EndedCall {
+  readonly rec: record.CallRecord;
+  readonly result: record.CallResult;
+  readonly now: units.Instant;
+}
+
 /** Ends calls. */
 export class CallEnds {
+  private readonly endEmitter = new emitter.Emitter<EndedCall>();
+
+  /** Fires for each call that ends, before its result goes to its source. */
+  readonly onEnd = this.endEmitter.event;
+
   constructor(private readonly parts: gateParts.GateParts) {}
 
   /** Refuses a call; the outcome is what is known of its runs. */
@@ -42,6 +55,7 @@
     const {admission, calls, responder} = this.parts;
     admission.queue.remove(rec);
     calls.finish(rec, result, now.monotonicMs);
+    this.endEmitter.fire({rec, result, now});
     if (!rec.source) return;
     responder.reply(rec.source, rec.callId, result, now);
   }
--- a/src/common/gate/call_record.ts
+++ b/src/common/gate/call_record.ts
@@ -120,6 +120,10 @@
 
   /** What can be said of the execution while no answer is known. */
   get outcomeSoFar(): peer.Outcome {
-    return this.runsSent > 0 ? peer.Outcome.UNKNOWN : peer.Outcome.NOT_RUN;
+    const mayHaveRun =
+      this.runsSent > 0 ||
+      this.state.kind === 'joined' ||
+      this.state.kind === 'delegated';
+    return mayHaveRun ? peer.Outcome.UNKNOWN : peer.Outcome.NOT_RUN;
   }
 }
--- a/src/common/gate/dispatcher.ts
+++ b/src/common/gate/dispatcher.ts
@@ -6,12 +6,14 @@
 import * as record from './call_record.js';
 import * as gateOptions from './gate_options.js';
 import * as gateParts from './gate_parts.js';
+import * as keyedCalls from './keyed_calls.js';
 
 /** Starts runs on the backend server while there is room. */
 export class Dispatcher {
   constructor(
     private readonly parts: gateParts.GateParts,
     private readonly ends: callEnds.CallEnds,
+    private readonly keyed: keyedCalls.KeyedCalls,
   ) {}
 
   /** Starts the waiting calls for which there is room; refuses all if the gate is closed. */
@@ -65,6 +67,8 @@
   private start(rec: record.CallRecord, now: units.Instant): void {
     this.ends.guard(rec, now, () => {
       this.checkMayStart(rec);
+      const detail = this.keyed.refusalAtDispatch(rec, now);
+      if (detail) return this.ends.refuseWith(rec, detail, now);
       this.parts.runs.start(rec, now.monotonicMs);
     });
   }
--- a/src/common/gate/gate_core.ts
+++ b/src/common/gate/gate_core.ts
@@ -7,9 +7,12 @@
 import * as arrivals from './arrivals.js';
 import * as callEnds from './call_ends.js';
 import * as dispatcher from './dispatcher.js';
+import * as delegations from './delegations.js';
 import * as contract from './gate_contract.js';
 import * as gateOptions from './gate_options.js';
 import * as gateParts from './gate_parts.js';
+import * as keyedCalls from './keyed_calls.js';
+import * as responder from './responder.js';
 import * as serverResults from './server_results.js';
 
 /** The gate in front of one backend server. */
@@ -21,20 +24,30 @@
   private lastMs: units.MonotonicMs = 0;
   private readonly parts: gateParts.GateParts;
   private readonly ends: callEnds.CallEnds;
+  private readonly keyed: keyedCalls.KeyedCalls;
+  private readonly delegations: delegations.Delegations;
   private readonly arrivals: arrivals.Arrivals;
   private readonly dispatcher: dispatcher.Dispatcher;
   private readonly results: serverResults.ServerResults;
   private drainedSent = false;
 
   constructor(private readonly options: gateOptions.GateOptions) {
-    this.parts = gateParts.createParts(
-      options,
-      this,
-      action => void this.actions.push(action),
-    );
+    const emit: responder.Emit = action => void this.actions.push(action);
+    this.parts = gateParts.createParts(options, this, emit);
     this.ends = new callEnds.CallEnds(this.parts);
-    this.arrivals = new arrivals.Arrivals(this.parts, this.ends);
-    this.dispatcher = new dispatcher.Dispatcher(this.parts, this.ends);
+    this.keyed = new keyedCalls.KeyedCalls(this.parts, this.ends, emit);
+    this.delegations = new delegations.Delegations(this.parts, this.ends, emit);
+    this.arrivals = new arrivals.Arrivals(
+      this.parts,
+      this.ends,
+      this.keyed,
+      this.delegations,
+    );
+    this.dispatcher = new dispatcher.Dispatcher(
+      this.parts,
+      this.ends,
+      this.keyed,
+    );
     this.results = new serverResults.ServerResults(this.parts, this.ends);
   }
 
@@ -50,7 +63,10 @@
   }
 
   nextWakeMs(): units.MonotonicMs | undefined {
-    let next = this.parts.runs.nextSettleMs ?? Infinity;
+    let next = Math.min(
+      this.parts.runs.nextSettleMs ?? Infinity,
+      this.drainedSent ? Infinity : (this.keyed.nextWakeMs ?? Infinity),
+    );
     for (const rec of this.parts.calls.liveRecords) {
       next = Math.min(next, rec.wakeMs);
       const silentMs = this.dispatcher.silentMs(rec);
@@ -74,8 +90,8 @@
   }
 
   /** Siblings believed to have room. */
-  alternatives(): readonly peer.Alternative[] {
-    return [];
+  alternatives(now: units.Instant): readonly peer.Alternative[] {
+    return this.parts.siblings.withRoom(now.monotonicMs);
   }
 
   /** Time after which to come back. */
@@ -102,11 +118,20 @@
       case 'stop':
         return this.parts.entrance.stop();
       case 'sibling-load':
-      case 'suspect':
+        return this.parts.siblings.onReport(
+          event.nodeId,
+          event.load,
+          now.monotonicMs,
+        );
       case 'delegate-answered':
+        return this.delegations.onAnswered(event.answer, now);
       case 'delegate-refused':
+        return this.delegations.onRefused(event.refusal, now);
       case 'delegate-lost':
+        return this.delegations.onLost(event.callId, now);
       case 'keys-received':
+        return this.keyed.onReceived(event.handover, now);
+      case 'suspect':
       case 'tick':
         return;
       default:
@@ -128,6 +153,7 @@
   private advance(now: units.Instant): void {
     const {admission, calls, entrance, runs} = this.parts;
     calls.purge(now.monotonicMs);
+    this.keyed.purge(now);
     runs.settle(now.monotonicMs);
     if (entrance.hasReturned() || entrance.isStarting) {
       admission.restart(now.monotonicMs);
@@ -137,7 +163,7 @@
     this.expire(now);
     this.dispatcher.dispatch(now);
     this.dispatcher.replaceSilent(now);
-    if (entrance.isStopping && calls.liveCount === 0) this.sendDrained();
+    if (entrance.isStopping) this.finishStop(now);
   }
 
   private detectCold(now: units.Instant): void {
@@ -158,8 +184,12 @@
     }
   }
 
-  private sendDrained(): void {
+  /** Reports that nothing is in flight and the keys are handed over. */
+  private finishStop(now: units.Instant): void {
     if (this.drainedSent) return;
+    const handedOver = this.keyed.handOver(now);
+    if (!handedOver || this.parts.calls.liveCount > 0) return;
+    this.keyed.countLost();
     this.drainedSent = true;
     this.actions.push({kind: 'drained'});
   }
--- a/src/common/gate/gate_parts.ts
+++ b/src/common/gate/gate_parts.ts
@@ -6,6 +6,7 @@
 import * as gateOptions from './gate_options.js';
 import * as responder from './responder.js';
 import * as runSupervisor from './run_supervisor.js';
+import * as siblingLoads from './sibling_loads.js';
 
 /** State of a gate, one part for each subject. */
 export interface GateParts {
@@ -15,6 +16,7 @@
   readonly entrance: entrance.Entrance;
   readonly admission: admission.Admission<record.CallRecord>;
   readonly responder: responder.Responder;
+  readonly siblings: siblingLoads.SiblingLoads;
 }
 
 /** Builds the parts of a gate. */
@@ -37,5 +39,6 @@
       inFlight: () => runs.inFlight,
     }),
     responder: new responder.Responder(options, load, emit),
+    siblings: new siblingLoads.SiblingLoads(options),
   };
 }
--- /dev/null
+++ b/src/common/gate/sibling_loads.ts
@@ -0,0 +1,91 @@
+/** Load of the other gates of the service, as they told it. */
+import * as peer from '../../generated/peer.js';
+import * as fleet from '../control/fleet_view.js';
+import * as units from '../units.js';
+import * as gateOptions from './gate_options.js';
+
+/** Age from which a report says nothing any more. */
+const REPORT_AGE_MAX_MS = 2_000;
+
+/** Most siblings named in one refusal. */
+const ALTERNATIVES = 2;
+
+interface Report {
+  readonly load: peer.LoadReport;
+  readonly atMs: units.MonotonicMs;
+}
+
+/** A sibling with its report. */
+export interface Sibling {
+  readonly nodeId: string;
+  readonly load: peer.LoadReport;
+}
+
+/** Reports of sibling gates. */
+export class SiblingLoads {
+  private readonly reports = new Map<string, Report>();
+
+  constructor(private readonly options: gateOptions.GateOptions) {}
+
+  /** Node ids of the siblings that may take work. */
+  siblingIds(): readonly string[] {
+    return this.members().map(m => m.member.nodeId);
+  }
+
+  /** Takes a report. */
+  onReport(
+    nodeId: string,
+    load: peer.LoadReport,
+    now: units.MonotonicMs,
+  ): void {
+    if (!this.options.view.member(nodeId)) return;
+    this.reports.set(nodeId, {load, atMs: now - load.ageMs});
+  }
+
+  /** Siblings believed to have room, best first: own data centre, then most room. */
+  withRoom(now: units.MonotonicMs): readonly Sibling[] {
+    const siblings = this.members().flatMap(m => {
+      const sibling = this.siblingAt(m.member.nodeId, now);
+      if (!sibling || roomOf(sibling.load) <= 0) return [];
+      const isNear = m.member.dataCentre === this.options.dataCentre;
+      return [{sibling, isNear, tie: this.options.random.next()}];
+    });
+    siblings.sort(
+      (a, b) =>
+        Number(b.isNear) - Number(a.isNear) ||
+        roomOf(b.sibling.load) - roomOf(a.sibling.load) ||
+        a.tie - b.tie,
+    );
+    return siblings.slice(0, ALTERNATIVES).map(s => s.sibling);
+  }
+
+  /** Counts a call that is about to go to a sibling, until its next report. */
+  onSent(nodeId: string): void {
+    const report = this.reports.get(nodeId);
+    if (!report) return;
+    const load = {...report.load, inFlight: report.load.inFlight + 1};
+    this.reports.set(nodeId, {...report, load});
+  }
+
+  private siblingAt(
+    nodeId: string,
+    now: units.MonotonicMs,
+  ): Sibling | undefined {
+    const report = this.reports.get(nodeId);
+    if (!report) return undefined;
+    const ageMs = Math.round(now - report.atMs);
+    if (ageMs > REPORT_AGE_MAX_MS || report.load.leaving) return undefined;
+    return {nodeId, load: {...report.load, ageMs}};
+  }
+
+  private members(): readonly fleet.MemberView[] {
+    const {nodeId, service, view} = this.options;
+    return view
+      .membersOf(service)
+      .filter(m => m.member.nodeId !== nodeId && fleet.mayTakeWork(view, m));
+  }
+}
+
+function roomOf(load: peer.LoadReport): number {
+  return load.limit - load.inFlight - load.queued;
+}
