--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -39,14 +39,6 @@
 
 /** Counters other than refusals and retries, with what each counts. */
 export const COUNTER_DESCRIPTIONS = {
-  'gate.cold-detected':
-    'Warm backend servers found to have turned cold without a signal.',
-  'gate.delegated': 'Requests with a key that a full home let a sibling run.',
-  'gate.key-import-refused':
-    'Keys of a former home for which the memory had no room.',
-  'gate.key-lost': 'Keys that no other home took at a planned stop.',
-  'gate.second-run':
-    'Second runs of idempotent requests whose first run was silent.',
   'configuration.rejected':
     'Configuration changes in the log that were not accepted.',
   'datagram.failed': 'Datagrams that could not be sent.',
@@ -64,6 +56,12 @@
   'entry.unmatched':
     'Answers, refusals and link events of attempts that had ended.',
   'entry.waits': 'Waits between attempts of one request.',
+  'gate.cold-detected':
+    'Warm backend servers found to have turned cold without a signal.',
+  'gate.delegated': 'Requests with a key that a full home let a sibling run.',
+  'gate.key-import-refused':
+    'Keys of a former home for which the memory had no room.',
+  'gate.key-lost': 'Keys that no other home took at a planned stop.',
   'gate.second-run':
     'Second runs of idempotent requests whose first run was silent.',
   'gossip.unknown-sender':
