Entry: count own attempts exactly and weigh distance against load

And the nearest data centre, often a single server, was left only when nearly full. Change: the report counts for the work of other entries only; own attempts count in full. The best of two near members and one farther is taken, with a score for distance, and chance where little is known. Ruled out: a switch of data centre by a threshold of load.

--- a/src/common/entry/entry_core.ts
+++ b/src/common/entry/entry_core.ts
@@ -208,11 +208,13 @@
     answer: peer.CallAnswer,
     nowMs: units.MonotonicMs,
   ): void {
-    this.router.onReport(nodeId, answer.load, nowMs);
     const open = this.openAttempt(nodeId, answer.callId);
+    if (open !== undefined) {
+      this.runner.settle(open.call, open.attempt, peer.Outcome.RAN);
+    }
+    this.router.onReport(nodeId, answer.load, nowMs);
     if (open === undefined) return;
-    const {call: c, attempt} = open;
-    this.runner.settle(c, attempt, peer.Outcome.RAN);
+    const {call: c} = open;
     this.noteFirstAttempt(open, false);
     const failed = answer.status >= FIRST_ERROR_STATUS;
     if (failed) this.router.failures.onFailure(nodeId, nowMs);
@@ -230,13 +232,15 @@
     refusal: peer.CallRefusal,
     nowMs: units.MonotonicMs,
   ): void {
+    const open = this.openAttempt(nodeId, refusal.callId);
+    if (open !== undefined) {
+      this.runner.settle(open.call, open.attempt, refusal.outcome);
+    }
     this.router.onReport(nodeId, refusal.load, nowMs);
     for (const a of refusal.alternatives) {
       this.router.onRelayedReport(a.nodeId, a.load, nowMs);
     }
-    const open = this.openAttempt(nodeId, refusal.callId);
     if (open === undefined) return;
-    this.runner.settle(open.call, open.attempt, refusal.outcome);
     const kind = failureKind.failureKind(refusal.reason);
     this.noteFirstAttempt(open, kind === 'full');
     if (kind === 'failed' || kind === 'absent') {
--- a/src/common/routing/load_view.ts
+++ b/src/common/routing/load_view.ts
@@ -19,11 +19,16 @@
 interface Known {
   readonly report: peer.LoadReport;
   readonly madeAtMs: units.MonotonicMs;
+  /** Work at the gate that other entries sent, as a share of its limit. */
+  readonly others: number;
 }
 
 /** What is expected of a gate now. */
 export interface Estimate {
-  /** Work in progress and waiting as a share of the limit, own attempts included. */
+  /**
+   * Work in progress and waiting as a share of the limit: the reported work of other entries,
+   * which loses weight with age, and the own attempts, which are known exactly.
+   */
   readonly utilisation: number;
   /** Concurrency limit, in requests. */
   readonly limit: number;
@@ -58,9 +63,10 @@
     const madeAtMs = nowMs - report.ageMs;
     const known = this.reports.get(m.nodeId);
     if (known !== undefined && known.madeAtMs > madeAtMs) return;
+    const others = this.othersShare(m.nodeId, report, madeAtMs);
     this.reports.delete(m.nodeId);
-    this.reports.set(m.nodeId, {report, madeAtMs});
-    this.groups.add(groupOf(m), reportedUtilisation(report), nowMs);
+    this.reports.set(m.nodeId, {report, madeAtMs, others});
+    this.groups.add(groupOf(m), others, nowMs);
     if (this.reports.size > MAX_MEMBERS) {
       const [oldest] = this.reports.keys();
       this.reports.delete(oldest);
@@ -74,34 +80,33 @@
     const weight =
       ageMs === undefined ? 0 : utilisation.weightAtAge(ageMs, this.halfLifeMs);
     const limit = this.limit(m, known, nowMs);
-    const sinceMs = known && weight > 0 ? known.madeAtMs : -Infinity;
-    const unreported = this.own.startedAfter(m.nodeId, sinceMs);
+    const ownOutstanding = this.own.at(m.nodeId);
     const expected = this.groups.of(groupOf(m), nowMs);
-    const reported = known ? reportedUtilisation(known.report) : expected;
-    const share = weight * reported + (1 - weight) * expected;
+    const reported = known?.others ?? expected;
+    const others = weight * reported + (1 - weight) * expected;
     const cold = this.isCold(known, nowMs);
+    const penalty = cold ? COLD_SCORE : 0;
     return {
-      utilisation: share + unreported / limit,
+      utilisation: others + ownOutstanding / limit,
       limit,
       ageMs,
       weight,
       cold,
       leaving: known?.report.leaving ?? false,
-      ownOutstanding: this.own.at(m.nodeId),
-      score: share + (unreported + 1) / limit + (cold ? COLD_SCORE : 0),
+      ownOutstanding,
+      score: others + (ownOutstanding + 1) / limit + penalty,
     };
   }
 
-  /** Returns the mean utilisation expected of members. */
-  meanUtilisation(
-    members: readonly peer.Member[],
-    nowMs: units.MonotonicMs,
+  /** Returns the load that other entries cause, own attempts older than the report taken off. */
+  private othersShare(
+    nodeId: string,
+    report: peer.LoadReport,
+    madeAtMs: units.MonotonicMs,
   ): number {
-    const sum = members.reduce(
-      (total, m) => total + this.groups.of(groupOf(m), nowMs),
-      0,
-    );
-    return sum / members.length;
+    const {inFlight, queued, limit} = report;
+    const own = this.own.at(nodeId) - this.own.startedAfter(nodeId, madeAtMs);
+    return Math.max(0, inFlight + queued - own) / Math.max(1, limit);
   }
 
   private limit(
@@ -125,7 +130,3 @@
 function groupOf(m: peer.Member): string {
   return `${m.service}/${m.dataCentre}`;
 }
-
-function reportedUtilisation(report: peer.LoadReport): number {
-  return (report.inFlight + report.queued) / Math.max(1, report.limit);
-}
--- a/src/common/routing/selector.ts
+++ b/src/common/routing/selector.ts
@@ -14,8 +14,15 @@
 /** Age at which a load report weighs half, unless settings say otherwise. */
 const DEFAULT_HALF_LIFE_MS = 100;
 
-/** Utilisation of the nearest members at which requests begin to go farther. */
-const SPILL_FROM_UTILISATION = 0.75;
+/** Added to the score of a member for its distance. */
+const DISTANCE_SCORES: Readonly<Record<locality.Locality, number>> = {
+  'data-centre': 0,
+  region: 0.15,
+  elsewhere: 0.75,
+};
+
+/** Most that chance adds to the score of a member of which nothing recent is known. */
+const JITTER_SCORE = 0.1;
 
 /** Taken off the score of the own gate, which needs no link. */
 const OWN_GATE_SCORE = 0.1;
@@ -64,58 +71,54 @@
       case 'in-band':
       case 'probe-pool':
       case 'redirect':
-        return this.betterOfTwo(this.nearest(members, nowMs), nowMs);
+        return this.bestOfSample(members, nowMs);
       default:
         return invariants.assertNever(settings);
     }
   }
 
-  /** Returns the score of a member; the least is the best. */
+  /** Returns the score of a member, its distance included; the least is the best. */
   scoreOf(m: peer.Member, nowMs: units.MonotonicMs): number {
-    const {score} = this.options.loads.estimate(m, nowMs);
-    const ownGate = m.nodeId === this.options.here.nodeId;
-    return ownGate ? score - OWN_GATE_SCORE : score;
-  }
-
-  /** Returns the share of requests that pass over the group `i` of `groups` for farther ones. */
-  spillShare(
-    groups: readonly (readonly peer.Member[])[],
-    i: number,
-    nowMs: units.MonotonicMs,
-  ): number {
-    if (i + 1 >= groups.length) return 0;
-    const near = this.options.loads.meanUtilisation(groups[i], nowMs);
-    const far = this.options.loads.meanUtilisation(groups[i + 1], nowMs);
-    const excess =
-      (near - SPILL_FROM_UTILISATION) / (1 - SPILL_FROM_UTILISATION);
-    const nearRoom = Math.max(0, 1 - near);
-    const farRoom = Math.max(0, 1 - far);
-    if (excess <= 0 || farRoom === 0) return 0;
-    return (Math.min(1, excess) * farRoom) / (farRoom + nearRoom);
+    const {here, loads} = this.options;
+    const {score} = loads.estimate(m, nowMs);
+    if (m.nodeId === here.nodeId) return score - OWN_GATE_SCORE;
+    return score + DISTANCE_SCORES[locality.localityOf(here, m)];
   }
 
-  private nearest(
+  /**
+   * Takes the best of two members of the nearest group and one of a farther group, which is
+   * better only when its room makes up for the way.
+   */
+  private bestOfSample(
     members: readonly peer.Member[],
     nowMs: units.MonotonicMs,
-  ): readonly peer.Member[] {
+  ): peer.Member {
     const groups = locality.byLocality(this.options.here, members);
-    let i = 0;
-    while (this.options.random.next() < this.spillShare(groups, i, nowMs)) i++;
-    return groups[i];
+    const sample = [...this.two(groups[0])];
+    const farther = groups.slice(1).flat();
+    if (farther.length > 0) sample.push(this.any(farther));
+    let best = sample[0];
+    let bestScore = this.jitteredScore(best, nowMs);
+    for (const m of sample.slice(1)) {
+      const score = this.jitteredScore(m, nowMs);
+      if (score < bestScore) [best, bestScore] = [m, score];
+    }
+    return best;
   }
 
-  private betterOfTwo(
-    members: readonly peer.Member[],
-    nowMs: units.MonotonicMs,
-  ): peer.Member {
+  /** Scores that rest on little knowledge vary, lest all entries choose alike. */
+  private jitteredScore(m: peer.Member, nowMs: units.MonotonicMs): number {
+    const {weight} = this.options.loads.estimate(m, nowMs);
+    const jitter = this.options.random.next() * JITTER_SCORE * (1 - weight);
+    return this.scoreOf(m, nowMs) + jitter;
+  }
+
+  private two(members: readonly peer.Member[]): readonly peer.Member[] {
     const {random} = this.options;
-    if (members.length === 1) return members[0];
+    if (members.length === 1) return members;
     const i = random.nextInt(members.length);
     const j = (i + 1 + random.nextInt(members.length - 1)) % members.length;
-    const [first, second] = [members[i], members[j]];
-    return this.scoreOf(second, nowMs) < this.scoreOf(first, nowMs)
-      ? second
-      : first;
+    return [members[i], members[j]];
   }
 
   private any(members: readonly peer.Member[]): peer.Member {
--- a/src/common/routing/utilisation.ts
+++ b/src/common/routing/utilisation.ts
@@ -1,4 +1,4 @@
-/** Smoothed utilisation of the gates of one service in one data centre. */
+/** Smoothed utilisation, by other entries, of the gates of one service in one data centre. */
 import * as units from '../units.js';
 
 /** Utilisation assumed of gates that nothing is known of. */
