--- a/src/common/entry/entry_core.test.ts
+++ b/src/common/entry/entry_core.test.ts
@@ -73,3 +73,122 @@
   const end = fixtures.refused(entry.handle({kind: 'request', request: req}));
   assert.equal(end.reason, NO_ROOM);
 });
+
+const ONCE = fixtures.requestClass({name: 'order', idempotent: false});
+const MUST_ARRIVE = fixtures.requestClass({kind: 'must-arrive'});
+
+nodeTest.test(
+  'a silent link leads to the same attempt at the same gate',
+  () => {
+    const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+    const first = entry.send(fixtures.request('r'));
+    const again = fixtures.dispatched(entry.linkSilent(first));
+    assert.equal(again.nodeId, first.nodeId);
+    assert.equal(again.call.callId, first.call.callId);
+    assert.equal(again.call.resend, true);
+    assert.equal(again.call.gateIncarnation, 7);
+    const elsewhere = fixtures.dispatched(entry.linkSilent(again));
+    assert.notEqual(elsewhere.nodeId, first.nodeId);
+    assert.equal(elsewhere.call.callId, 'r.2');
+  },
+);
+
+nodeTest.test('what must not run twice is only asked for at its gate', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const req = fixtures.request('r', {requestClass: ONCE});
+  const first = entry.send(req);
+  const again = fixtures.dispatched(entry.linkSilent(first));
+  assert.deepEqual(entry.linkSilent(again), []);
+  const later = fixtures.dispatched(entry.tickAt(50));
+  assert.equal(later.nodeId, first.nodeId);
+  assert.equal(later.call.callId, 'r.1');
+  const end = fixtures.refused(entry.tickAt(1_000));
+  assert.equal(end.outcome, UNKNOWN);
+});
+
+nodeTest.test('after a broken link it is asked for once, then unknown', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const req = fixtures.request('r', {requestClass: ONCE});
+  const first = entry.send(req);
+  const again = fixtures.dispatched(entry.linkFailed(first, true));
+  assert.equal(again.nodeId, first.nodeId);
+  assert.equal(again.call.resend, true);
+  const end = fixtures.refused(entry.linkFailed(again, false));
+  assert.equal(end.outcome, UNKNOWN);
+});
+
+nodeTest.test('an attempt that was never sent goes to another member', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const req = fixtures.request('r', {requestClass: ONCE});
+  const first = entry.send(req);
+  const other = fixtures.dispatched(entry.linkFailed(first, false));
+  assert.notEqual(other.nodeId, first.nodeId);
+  assert.equal(other.call.resend, false);
+});
+
+nodeTest.test('must-arrive requests wait for room and are answered', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const req = fixtures.request('r', {requestClass: MUST_ARRIVE});
+  const first = entry.send(req);
+  const second = fixtures.dispatched(entry.refuse(first));
+  assert.deepEqual(entry.refuse(second), []);
+  const wakeMs = entry.core.nextWakeMs() ?? 0;
+  assert.ok(wakeMs >= 20 && wakeMs < 1_000);
+  const third = fixtures.dispatched(entry.tickAt(wakeMs));
+  assert.deepEqual(kinds(entry.answer(third)), ['respond']);
+});
+
+nodeTest.test('a full service refuses other classes at once', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  let last;
+  for (let i = 0; i < 200; i++) {
+    let d = entry.send(fixtures.request(`r${i}`));
+    for (;;) {
+      const actions = entry.refuse(d);
+      if (actions.some(a => a.kind === 'refuse')) {
+        last = fixtures.refused(actions);
+        break;
+      }
+      d = fixtures.dispatched(actions);
+    }
+  }
+  assert.equal(last?.reason, NO_ROOM);
+  assert.equal(last?.retryAfterMs, 20);
+  assert.ok(entry.counters.get('entry.attempts') < 1.1 * 200);
+});
+
+nodeTest.test('a hedge runs beside a slow attempt and the loser ends', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const requestClass = fixtures.requestClass({hedgeAfterMs: 30});
+  const first = entry.send(fixtures.request('r', {requestClass}));
+  const hedge = fixtures.dispatched(entry.tickAt(30));
+  assert.notEqual(hedge.nodeId, first.nodeId);
+  assert.deepEqual(kinds(entry.answer(hedge)), ['respond', 'cancel']);
+  assert.deepEqual(entry.answer(first), []);
+  assert.equal(entry.counters.get('entry.unmatched'), 1);
+});
+
+nodeTest.test('an error answer is given when no attempt ends better', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const first = entry.send(fixtures.request('r'));
+  const actions = entry.answer(first, {status: 500});
+  const second = fixtures.dispatched(actions);
+  const end = entry.refuse(second, {reason: peer.RefusalReason.QUARANTINED});
+  assert.deepEqual(kinds(end), ['respond']);
+});
+
+nodeTest.test('retries left travel with the attempts', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const first = entry.send(fixtures.request('r', {retriesLeft: 1}));
+  const left = (d: typeof first) =>
+    d.call.headers.find(h => h.name === 'geraniumloft-retries-left')?.value;
+  assert.equal(left(first), '1');
+  const failure = {
+    reason: peer.RefusalReason.SERVER_FAILED,
+    outcome: UNKNOWN,
+  };
+  const second = fixtures.dispatched(entry.refuse(first, failure));
+  assert.equal(left(second), '0');
+  const end = fixtures.refused(entry.refuse(second, failure));
+  assert.equal(end.outcome, UNKNOWN);
+});
