--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -56,6 +56,8 @@
   'entry.unmatched':
     'Answers, refusals and link events of attempts that had ended.',
   'entry.waits': 'Waits between attempts of one request.',
+  'gate.cold-detected':
+    'Warm backend servers found to have turned cold without a signal.',
   'gate.second-run':
     'Second runs of idempotent requests whose first run was silent.',
   'gossip.unknown-sender':
