--- a/bench/experiment.ts
+++ b/bench/experiment.ts
@@ -68,6 +68,7 @@
           if (this.measuring) this.executed++;
           this.audit.onRun(node, call);
         },
+        onServerDeath: (unused, cause) => this.audit.onServerDeath(cause),
         onCoreError: (node, err) => this.audit.onCoreError(node, err),
       },
     });
--- a/test/fakes/virtual_service_audit.ts
+++ b/test/fakes/virtual_service_audit.ts
@@ -15,6 +15,7 @@
   | 'ran-twice'
   | 'work-into-out'
   | 'cold-overload'
+  | 'crash-repeated'
   | 'core-error';
 
 /** A broken promise. */
@@ -29,6 +30,11 @@
 /** Time past its deadline at which a request must have its final word. */
 export const FINAL_BOUND_MS = 50;
 
+/** Deaths of backend servers after which a request must not run again. */
+const MOST_DEATHS = 2;
+/** Time in which a quarantine is known everywhere. */
+const QUARANTINE_SPREAD_MS = 2_000;
+
 /** What is known of one request to one entry. */
 class RequestRecord {
   runs = 0;
@@ -47,6 +53,7 @@
   readonly breaches: AuditBreach[] = [];
   private readonly requests = new Map<string, RequestRecord>();
   private readonly runsByOperation = new Map<string, number>();
+  private readonly deaths = new Map<string, readonly units.MonotonicMs[]>();
   private readonly outSince = new Map<string, units.MonotonicMs>();
 
   constructor(private readonly nowMs: () => units.MonotonicMs) {}
@@ -70,6 +77,7 @@
     if (record === undefined) return;
     record.runs++;
     this.checkRunCount(record, node.nodeId);
+    this.checkDeaths(call);
     if (isNotRun(record.final)) {
       this.report(
         'false-not-run',
@@ -97,6 +105,13 @@
     }
   }
 
+  /** Notes the death of a backend server, with the request that caused it, if one did. */
+  onServerDeath(cause: peer.CallRequest | undefined): void {
+    if (cause === undefined) return;
+    const before = this.deaths.get(cause.fingerprint) ?? [];
+    this.deaths.set(cause.fingerprint, [...before, this.nowMs()]);
+  }
+
   /** Notes that a node takes no new work from now on. */
   onOut(nodeId: string): void {
     if (!this.outSince.has(nodeId)) this.outSince.set(nodeId, this.nowMs());
@@ -142,6 +157,17 @@
     if (runs > 1) this.report('ran-twice', `${record.operation} at ${nodeId}`);
   }
 
+  private checkDeaths(call: peer.CallRequest): void {
+    const deaths = this.deaths.get(call.fingerprint) ?? [];
+    if (deaths.length < MOST_DEATHS) return;
+    const sinceMs = this.nowMs() - deaths[MOST_DEATHS - 1];
+    if (sinceMs <= QUARANTINE_SPREAD_MS) return;
+    this.report(
+      'crash-repeated',
+      `${call.callId} after ${deaths.length} deaths`,
+    );
+  }
+
   private checkAnswer(record: RequestRecord, final: nodes.Final): void {
     if (final?.kind !== 'respond') return;
     const expected = runner.answerTo(record.request.body);
