--- a/bench/experiment.ts
+++ b/bench/experiment.ts
@@ -172,8 +172,9 @@
     onFinal: (final: nodes.Final) => void,
     operation = request.requestId,
   ): void {
-    this.audit.onSubmit(request, request.requestClass.idempotent, operation);
-    this.drawEntry().submit(request, final => {
+    const entry = this.drawEntry();
+    this.audit.onSubmit(entry, request, request.requestClass.idempotent, operation);
+    entry.submit(request, final => {
       this.audit.onFinal(request.requestId, final);
       onFinal(final);
     });
--- /dev/null
+++ b/test/runs/decision_run_shape.ts
@@ -0,0 +1,110 @@
+/** The fleet of a randomised decision run. */
+import * as generated from '../../src/generated/configuration.js';
+import * as randomSource from '../../src/common/random_source.js';
+import * as fleets from '../fakes/virtual_service.js';
+import * as runner from '../fakes/virtual_service_runner.js';
+
+/** Service of all servers. */
+export const SERVICE = 'stock';
+
+/** Path of requests that kill the backend server. */
+export const CRASHING_PATH = runner.CRASHING_PATH;
+
+/** Time over which a cold backend server warms up; shorter than the gates' ramp. */
+export const SERVER_WARM_UP_MS = 800;
+
+const COLD_START_MS = 1_000;
+const FEWEST_SERVERS = 3;
+const MOST_SERVERS = 6;
+const SLOTS = 4;
+const MEDIAN_MS = 20;
+const PROGRESS_TIMEOUT_MS = 100;
+const SPREAD_MS = 1_500;
+const DATA_CENTRES = ['couva', 'freeport', 'chaguanas'];
+const REGION = 'tt-central';
+
+const CLASSES: readonly generated.RequestClass[] = [
+  {
+    name: 'price-page',
+    kind: 'interactive',
+    deadlineMs: 400,
+    idempotent: true,
+    maxAttempts: 3,
+    hedgeAfterMs: 60,
+  },
+  {
+    name: 'order-history',
+    kind: 'deferrable',
+    deadlineMs: 800,
+    idempotent: true,
+    maxAttempts: 3,
+    hedgeAfterMs: 0,
+  },
+  {
+    name: 'stock-check',
+    kind: 'must-arrive',
+    deadlineMs: 1_500,
+    idempotent: true,
+    maxAttempts: 4,
+    hedgeAfterMs: 0,
+  },
+  {
+    name: 'place-order',
+    kind: 'must-arrive',
+    deadlineMs: 1_000,
+    idempotent: false,
+    maxAttempts: 3,
+    hedgeAfterMs: 0,
+  },
+];
+
+/** Builds the fleet: servers in three data centres and one entry without a server. */
+export function build(random: randomSource.RandomSource): fleets.FleetShape {
+  const count =
+    FEWEST_SERVERS + random.nextInt(MOST_SERVERS - FEWEST_SERVERS + 1);
+  const nodes = Array.from({length: count}, (unused, i) => ({
+    ...place(i),
+    nodeId: `${SERVICE}-${i + 1}`,
+    service: SERVICE,
+    slots: SLOTS,
+    medianMs: MEDIAN_MS,
+  }));
+  const entry = {...place(0), nodeId: 'entry', service: 'other', slots: 1};
+  return {
+    nodes: [...nodes, entry],
+    configuration: configuration(),
+    network: {
+      insideMs: 0.1,
+      betweenMs: 1,
+      betweenRegionsMs: 20,
+      datagramLoss: 0.05,
+      duplicates: 0.01,
+      progressTimeoutMs: PROGRESS_TIMEOUT_MS,
+    },
+    spreadMs: SPREAD_MS,
+  };
+}
+
+function place(i: number): {
+  readonly dataCentre: string;
+  readonly region: string;
+} {
+  return {dataCentre: DATA_CENTRES[i % DATA_CENTRES.length], region: REGION};
+}
+
+function configuration(): generated.Configuration {
+  const routes = CLASSES.map(c => ({
+    method: 'POST' as const,
+    pathPrefix: `/${c.name}`,
+    class: c.name,
+  }));
+  return {
+    defaults: {
+      coldStartMs: COLD_START_MS,
+      progressTimeoutMs: PROGRESS_TIMEOUT_MS,
+    },
+    classes: CLASSES,
+    services: [{name: SERVICE, routes}],
+    exceptions: [],
+  };
+}
--- /dev/null
+++ b/test/runs/decision_runs.test.ts
@@ -0,0 +1,44 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as fc from 'fast-check';
+
+import * as decisionRun from './decision_run.js';
+import * as faults from './decision_faults.js';
+
+const DEFAULT_SEED = 20_241;
+const RUNS = 200;
+const MOST_FAULTS = 6;
+const SHRINK_LIMIT_MS = 150_000;
+const SHOWN_BREACHES = 5;
+
+const seed = Number(process.env.SEED ?? DEFAULT_SEED);
+
+function faultArbitrary(): fc.Arbitrary<faults.Fault> {
+  return fc.record({
+    kind: fc.constantFrom(...faults.FAULT_KINDS),
+    atMs: fc.nat(faults.LAST_START_MS),
+    target: fc.nat(100),
+    lengthMs: fc.integer({min: 1, max: faults.LONGEST_MS}),
+  });
+}
+
+nodeTest.test('promises hold under random mixes of faults', () => {
+  console.log(`seed ${seed}`);
+  let answered = 0;
+  const property = fc.property(
+    fc.noShrink(fc.nat()),
+    fc.array(faultArbitrary(), {minLength: 1, maxLength: MOST_FAULTS}),
+    (runSeed, mix) => {
+      const outcome = decisionRun.run({seed: runSeed, faults: mix});
+      assert.deepEqual(outcome.breaches.slice(0, SHOWN_BREACHES), []);
+      answered += outcome.answered;
+    },
+  );
+  fc.assert(property, {
+    seed,
+    numRuns: RUNS,
+    interruptAfterTimeLimit: SHRINK_LIMIT_MS,
+    markInterruptAsFailure: true,
+  });
+  assert.ok(answered > 0, 'some requests were answered');
+});
