--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -67,6 +67,7 @@
   'log.append-failed': 'Appends to the log that failed or were not answered.',
   'log.gap': 'Times the log no longer held the records to be read next.',
   'loop.failed-event': 'Events whose handling failed.',
+  'loop.ticks': 'Times the timer of the event loop fired.',
   'malformed.announcement': 'Backend server announcements that were rejected.',
   'malformed.datagram':
     'Datagrams that could not be decoded or exceeded a bound.',
--- a/src/node/event_loop.ts
+++ b/src/node/event_loop.ts
@@ -267,6 +267,7 @@
 
   private fire(): void {
     this.timerDueMs = Infinity;
+    this.parts.count.increment('loop.ticks');
     this.take({kind: 'tick'});
   }
 }
--- a/test/paths/child.ts
+++ b/test/paths/child.ts
@@ -63,9 +63,11 @@
   name: string,
   program: string,
   args: readonly string[],
+  nodeArgs: readonly string[] = [],
 ): Child {
   const file = path.join(BUILD_ROOT, program);
-  const started = childProcess.spawn(process.execPath, [file, ...args], {
+  const command = [...nodeArgs, file, ...args];
+  const started = childProcess.spawn(process.execPath, command, {
     stdio: ['ignore', 'pipe', 'pipe'],
   });
   return new Child(started, name);
--- a/test/paths/fleet.ts
+++ b/test/paths/fleet.ts
@@ -21,8 +21,10 @@
   readonly service?: string;
   readonly dataCentre?: string;
   readonly mode?: Partial<serverMode.ServerMode>;
-  /** Peer port that other nodes are told, when a relay stands before the node. */
+  /** Settings that differ from the usual ones. */
   readonly settings?: Readonly<Record<string, unknown>>;
+  /** Arguments of the Node.js process itself. */
+  readonly nodeArgs?: readonly string[];
 }
 
 /** A node and the backend server beside it. */
@@ -119,10 +121,12 @@
     };
     const file = child.temporaryFile('node.jsonc', JSON.stringify(settings));
     const node = this.resources.use(
-      child.startProgram(options.nodeId, 'src/node/main.js', [
-        '--settings',
-        file,
-      ]),
+      child.startProgram(
+        options.nodeId,
+        'src/node/main.js',
+        ['--settings', file],
+        options.nodeArgs,
+      ),
     );
     const server = this.startServer(options, serverPort, http);
     await node.prints('listening');
--- a/test/stand_ins/server/server_stand_in.ts
+++ b/test/stand_ins/server/server_stand_in.ts
@@ -19,6 +19,7 @@
   readonly req: http.IncomingMessage;
   readonly res: http.ServerResponse;
   readonly body: Buffer;
+  readonly receivedMs: number;
   readonly expiresAtMs: number;
 }
 
@@ -89,8 +90,9 @@
     if (req.url === '/load') return this.reportLoad(res);
     const deadlineMs = Number(req.headers[DEADLINE_HEADER] ?? Infinity);
     this.record.lastDeadlineMs = deadlineMs;
-    const expiresAtMs = performance.now() + deadlineMs;
-    this.admit({req, res, body, expiresAtMs});
+    const receivedMs = performance.now();
+    const expiresAtMs = receivedMs + deadlineMs;
+    this.admit({req, res, body, receivedMs, expiresAtMs});
   }
 
   private control(
@@ -200,6 +202,8 @@
       this.mode.foreign ? `${requestId}-other` : requestId,
     );
     res.setHeader('X-Checksum', checksum(answer));
+    const servedUs = (performance.now() - job.receivedMs) * 1_000;
+    res.setHeader('X-Served-Us', Math.round(servedUs));
     if (!this.mode.cutShort) {
       res.end(answer);
       return;
