--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -39,6 +39,10 @@
 
 /** Counters other than refusals and retries, with what each counts. */
 export const COUNTER_DESCRIPTIONS = {
+  'gate.cold-detected':
+    'Warm backend servers found to have turned cold without a signal.',
+  'gate.second-run':
+    'Second runs of idempotent requests whose first run was silent.',
   'configuration.rejected':
     'Configuration changes in the log that were not accepted.',
   'datagram.failed': 'Datagrams that could not be sent.',
@@ -58,6 +62,8 @@
   'entry.waits': 'Waits between attempts of one request.',
   'gate.second-run':
     'Second runs of idempotent requests whose first run was silent.',
+  'gossip.unknown-sender':
+    'Datagrams of nodes that are in neither the roster nor gossip.',
   'invariant.breached': 'Invariants that did not hold.',
   'link.answer-dropped': 'Answers whose link had ended.',
   'link.failed-attempt': 'Attempts whose link broke or could not be opened.',
