--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -39,10 +39,6 @@
 
 /** Counters other than refusals and retries, with what each counts. */
 export const COUNTER_DESCRIPTIONS = {
-  'gate.cold-detected':
-    'Warm backend servers found to have turned cold without a signal.',
-  'gate.second-run':
-    'Second runs of idempotent requests whose first run was silent.',
   'configuration.rejected':
     'Configuration changes in the log that were not accepted.',
   'datagram.failed': 'Datagrams that could not be sent.',
@@ -60,6 +56,8 @@
   'entry.unmatched':
     'Answers, refusals and link events of attempts that had ended.',
   'entry.waits': 'Waits between attempts of one request.',
+  'gate.cold-detected':
+    'Warm backend servers found to have turned cold without a signal.',
   'gate.second-run':
     'Second runs of idempotent requests whose first run was silent.',
   'gossip.unknown-sender':
--- a/src/common/gate/gate_fixtures.test.ts
+++ b/src/common/gate/gate_fixtures.test.ts
@@ -103,19 +103,6 @@
     return this.home;
   }
 
-  keyHome(): fleet.KeyHome | undefined {
-    if (this.home === undefined || this.sinceMs === undefined) return undefined;
-    return {
-      nodeId: this.home,
-      sinceMs: this.sinceMs,
-      takeoverAtMs: 0,
-    };
-  }
-
-  keyLeaseValid(): boolean {
-    return this.confirmedAgeMs <= 2_000;
-  }
-
   rosterConfirmedAgeMs(): number {
     return this.confirmedAgeMs;
   }
--- a/src/node/node_cores.ts
+++ b/src/node/node_cores.ts
@@ -55,10 +55,6 @@
     slots,
     bounds,
     view,
-    holder: {
-      rosterConfirmedAgeMs: nowMs => control.rosterConfirmedAgeMs(nowMs),
-      holderSinceMs: () => undefined,
-    },
   });
   const {selector} = settings;
   const entry = new entryCore.EntryCore({
