Test links, frames and datagrams: silent, broken, foreign and malformed input

Cause: open connections go silent and any bytes may arrive at any port. Each guard was taken out once: without the ping verdict the silent-link test fails, without the check of the meant node the foreign-call test, without the length bound the frame-bound test. A lost backend server is reported once, after runs of which no byte left, so that those are refused as not run and never blamed for the death.

--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -67,6 +67,7 @@
   'link.failed-attempt': 'Attempts whose link broke or could not be opened.',
   'link.late-answer': 'Answers to attempts that were no longer waited for.',
   'link.opened': 'Links opened to other nodes.',
+  'link.pings': 'Pings sent on links without progress or after idleness.',
   'link.silent': 'Links given up because a ping went unanswered.',
   'log.append-failed': 'Appends to the log that failed or were not answered.',
   'log.gap': 'Times the log no longer held the records to be read next.',
--- /dev/null
+++ b/src/node/datagram_socket.test.ts
@@ -0,0 +1,93 @@
+import * as assert from 'node:assert/strict';
+import * as dgram from 'node:dgram';
+import * as nodeTest from 'node:test';
+
+import * as fc from 'fast-check';
+
+import * as counters from '../common/counters.js';
+import * as peer from '../generated/peer.js';
+import * as child from '../../test/paths/child.js';
+import * as datagramSocket from './datagram_socket.js';
+
+const SEED = Number(process.env['SEED'] ?? 3);
+const MAX_BYTES = 300;
+const TIMEOUT_MS = 5_000;
+
+interface Receiver extends AsyncDisposable {
+  readonly count: counters.MemoryCounters;
+  readonly received: readonly peer.Datagram[];
+  send(bytes: Uint8Array): Promise<void>;
+}
+
+async function receiver(sources: readonly string[]): Promise<Receiver> {
+  const [port] = await child.freePorts(1);
+  const count = new counters.MemoryCounters();
+  const options = {ip: '127.0.0.1', port, maxBytes: MAX_BYTES, sources};
+  const socket = new datagramSocket.DatagramSocket(options, count);
+  const received: peer.Datagram[] = [];
+  void socket.events.observe(event => void received.push(event.datagram));
+  await socket.listen();
+  const sender = dgram.createSocket('udp4');
+  return {
+    count,
+    received,
+    send: bytes =>
+      new Promise(resolve =>
+        sender.send(bytes, port, '127.0.0.1', () => resolve()),
+      ),
+    async [Symbol.asyncDispose]() {
+      sender.close();
+      await socket[Symbol.asyncDispose]();
+    },
+  };
+}
+
+function datagram(nodeId: string): Uint8Array {
+  return peer.Datagram.encode(
+    peer.Datagram.fromPartial({nodeId, incarnation: 1}),
+  ).finish();
+}
+
+nodeTest.test(`any bytes are decoded or counted, seed ${SEED}`, async () => {
+  await using target = await receiver(['127.0.0.1']);
+  const bytes = fc.uint8Array({minLength: 1, maxLength: MAX_BYTES + 50});
+  const samples = fc.sample(bytes, {seed: SEED, numRuns: 300});
+  const malformed = () => target.count.get('malformed.datagram');
+  for (const [index, sample] of samples.entries()) {
+    await target.send(sample);
+    await child.until(
+      () => malformed() + target.received.length === index + 1,
+      TIMEOUT_MS,
+      () => `datagram ${index} to be decoded or counted`,
+    );
+  }
+  assert.ok(malformed() > 0);
+  await target.send(datagram('orders-1'));
+  await child.until(
+    () => target.received.some(d => d.nodeId === 'orders-1'),
+    TIMEOUT_MS,
+    () => 'the good datagram',
+  );
+});
+
+nodeTest.test('a datagram above the bound is counted', async () => {
+  await using target = await receiver(['127.0.0.1']);
+  await target.send(datagram('x'.repeat(MAX_BYTES)));
+  await child.until(
+    () => target.count.get('malformed.datagram') === 1,
+    TIMEOUT_MS,
+    () => 'the counter',
+  );
+  assert.equal(target.received.length, 0);
+});
+
+nodeTest.test('another source is rejected', async () => {
+  await using target = await receiver(['127.0.0.2']);
+  await target.send(datagram('orders-1'));
+  await child.until(
+    () => target.count.get('source.rejected') === 1,
+    TIMEOUT_MS,
+    () => 'the counter',
+  );
+  assert.equal(target.received.length, 0);
+});
--- a/src/node/outgoing_link.ts
+++ b/src/node/outgoing_link.ts
@@ -145,6 +145,7 @@
   private ping(nowMs: units.MonotonicMs): void {
     this.pingSentMs ??= nowMs;
     this.nonce++;
+    this.context.count.increment('link.pings');
     this.socket.send({body: {$case: 'ping', value: {nonce: this.nonce}}});
   }
 
--- /dev/null
+++ b/src/node/peer_links.test.ts
@@ -0,0 +1,203 @@
+import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
+import * as nodeTest from 'node:test';
+
+import * as counters from '../common/counters.js';
+import * as peer from '../generated/peer.js';
+import * as child from '../../test/paths/child.js';
+import * as relay from '../../test/paths/tcp_relay.js';
+import * as frameCodec from './frame_codec.js';
+import * as linkEvent from './link_event.js';
+import * as peerLinks from './peer_links.js';
+
+const TIMEOUT_MS = 5_000;
+const PROGRESS_TIMEOUT_MS = 50;
+
+/** Links of one node, with what they reported. */
+interface TestLinks extends AsyncDisposable {
+  readonly links: peerLinks.PeerLinks;
+  readonly port: number;
+  readonly count: counters.MemoryCounters;
+  readonly events: readonly linkEvent.LinkEvent[];
+}
+
+async function testLinks(
+  nodeId: string,
+  answer: (links: peerLinks.PeerLinks, event: linkEvent.LinkEvent) => void,
+): Promise<TestLinks> {
+  const [port] = await child.freePorts(1);
+  const count = new counters.MemoryCounters();
+  const links = new peerLinks.PeerLinks(
+    {
+      identity: {nodeId, incarnation: 1},
+      ip: '127.0.0.1',
+      port,
+      sources: ['127.0.0.1'],
+      maxBodyBytes: 4_096,
+      maxHeaderBytes: 1_024,
+      maxLinks: 16,
+    },
+    count,
+    () => performance.now(),
+  );
+  const events: linkEvent.LinkEvent[] = [];
+  void links.events.observe(event => {
+    events.push(event);
+    answer(links, event);
+  });
+  await links.listen();
+  const timer = setInterval(() => links.tick(performance.now()), 5);
+  return {
+    links,
+    port,
+    count,
+    events,
+    async [Symbol.asyncDispose]() {
+      clearInterval(timer);
+      await links[Symbol.asyncDispose]();
+    },
+  };
+}
+
+function entryLinks(): Promise<TestLinks> {
+  return testLinks('entry', () => undefined);
+}
+
+/** A gate that answers each call with its own body. */
+function gateLinks(): Promise<TestLinks> {
+  return testLinks('gate', (links, event) => {
+    if (event.kind !== 'link-call') return;
+    const {callId, body} = event.call;
+    const value = peer.CallAnswer.fromPartial({callId, status: 200, body});
+    links.reply(event.linkId, {body: {$case: 'answer', value}});
+  });
+}
+
+function sendCall(from: TestLinks, port: number, callId: string): void {
+  from.links.sendCall(
+    {nodeId: 'gate', ip: '127.0.0.1', port},
+    peer.CallRequest.fromPartial({callId, body: Buffer.from(callId)}),
+    'entry',
+    PROGRESS_TIMEOUT_MS,
+  );
+}
+
+async function reported(
+  links: TestLinks,
+  kind: linkEvent.LinkEvent['kind'],
+  times = 1,
+): Promise<readonly linkEvent.LinkEvent[]> {
+  const found = () => links.events.filter(event => event.kind === kind);
+  await child.until(
+    () => found().length >= times,
+    TIMEOUT_MS,
+    () => `${times} ${kind}; there were ${JSON.stringify(links.events)}`,
+  );
+  return found();
+}
+
+nodeTest.test('answers go to their own attempts over one link', async () => {
+  await using gate = await gateLinks();
+  await using entry = await entryLinks();
+  const callIds = ['a', 'b', 'c'];
+  for (const callId of callIds) sendCall(entry, gate.port, callId);
+  for (const event of await reported(entry, 'link-answer', 3)) {
+    assert.ok(event.kind === 'link-answer');
+    assert.equal(event.answer.body.toString(), event.answer.callId);
+  }
+  assert.equal(entry.count.get('link.opened'), 1);
+});
+
+nodeTest.test(
+  'a refused connection is a failure with nothing sent',
+  async () => {
+    await using entry = await entryLinks();
+    const [port] = await child.freePorts(1);
+    sendCall(entry, port, 'a');
+    const [event] = await reported(entry, 'link-failed');
+    assert.ok(event.kind === 'link-failed');
+    assert.equal(event.sent, false);
+  },
+);
+
+nodeTest.test('a broken link fails what was sent over it', async () => {
+  await using gate = await testLinks('gate', () => undefined);
+  await using between = await relay.TcpRelay.start(gate.port);
+  await using entry = await entryLinks();
+  sendCall(entry, between.port, 'a');
+  await reported(gate, 'link-call');
+  between.cut();
+  const [event] = await reported(entry, 'link-failed');
+  assert.ok(event.kind === 'link-failed');
+  assert.equal(event.sent, true);
+  await reported(gate, 'link-lost');
+});
+
+nodeTest.test(
+  'a silent link is given up and the next attempt goes over a fresh one',
+  async () => {
+    await using gate = await gateLinks();
+    await using between = await relay.TcpRelay.start(gate.port);
+    await using entry = await entryLinks();
+    sendCall(entry, between.port, 'a');
+    await reported(entry, 'link-answer');
+    between.silence();
+    sendCall(entry, between.port, 'b');
+    const [event] = await reported(entry, 'link-silent');
+    assert.ok(event.kind === 'link-silent');
+    assert.equal(event.callId, 'b');
+    sendCall(entry, between.port, 'b');
+    await reported(entry, 'link-answer', 2);
+    assert.equal(entry.count.get('link.opened'), 2);
+  },
+);
+
+nodeTest.test('slow calls on a link that answers pings stay', async () => {
+  const held: Array<() => void> = [];
+  await using gate = await testLinks('gate', (links, event) => {
+    if (event.kind !== 'link-call') return;
+    const {callId} = event.call;
+    const value = peer.CallAnswer.fromPartial({callId});
+    held.push(() =>
+      links.reply(event.linkId, {body: {$case: 'answer', value}}),
+    );
+  });
+  await using entry = await entryLinks();
+  sendCall(entry, gate.port, 'slow');
+  await child.until(
+    () => entry.count.get('link.pings') >= 4,
+    TIMEOUT_MS,
+    () => 'pings',
+  );
+  for (const answer of held) answer();
+  await reported(entry, 'link-answer');
+  assert.equal(entry.count.get('link.silent'), 0);
+});
+
+nodeTest.test('calls meant for another node are not taken', async () => {
+  await using gate = await testLinks('other', () => undefined);
+  await using entry = await entryLinks();
+  sendCall(entry, gate.port, 'a');
+  await reported(entry, 'link-failed');
+  assert.ok(!gate.events.some(event => event.kind === 'link-call'));
+  assert.equal(gate.count.get('malformed.frame'), 1);
+});
+
+nodeTest.test('malformed frames close their link only', async () => {
+  await using gate = await gateLinks();
+  await using entry = await entryLinks();
+  const request = peer.CallRequest.fromPartial({callId: 'x'});
+  const first = frameCodec.encodeFrame({
+    body: {$case: 'request', value: request},
+  });
+  for (const bytes of [Buffer.from('GET / HTTP/1.1\r\n\r\n'), first]) {
+    const socket = net.connect(gate.port, '127.0.0.1');
+    socket.on('error', () => undefined);
+    const closed = new Promise(resolve => socket.once('close', resolve));
+    socket.resume().write(bytes);
+    await child.within(closed, TIMEOUT_MS, 'the link to close');
+  }
+  assert.equal(gate.count.get('malformed.frame'), 2);
+  sendCall(entry, gate.port, 'a');
+  await reported(entry, 'link-answer');
+});
--- a/src/node/server_connections.ts
+++ b/src/node/server_connections.ts
@@ -56,6 +56,9 @@
   private readonly source = new eventSource.EventSource<ServerEvent>();
   private address: ServerAddress | undefined;
   private check: Promise<boolean> | undefined;
+  /** Nothing listens at the address; it is not tried before the next announcement. */
+  private isLost = false;
+  private lossReported = false;
 
   /** Ends of runs, and the loss of the backend server. */
   readonly events = this.source.stream;
@@ -69,6 +72,8 @@
   /** Sets where the backend server listens. */
   setAddress(address: ServerAddress): void {
     const {ip, port} = address;
+    this.isLost = false;
+    this.lossReported = false;
     if (this.address?.ip === ip && this.address.port === port) return;
     this.address = address;
     this.dropIdle();
@@ -105,6 +110,7 @@
   private connectionFor(
     request: RunRequest,
   ): serverConnection.ServerConnection | undefined {
+    if (this.isLost) return undefined;
     const kept = request.freshConnection
       ? undefined
       : this.keptConnection(request.idempotent);
@@ -151,24 +157,43 @@
       }
       case 'failed':
         if (result.failure.kind === 'shed') this.release(connection);
-        else connection[Symbol.dispose]();
+        if (connection.ended) {
+          this.fail(callId, request.run, result.failure);
+          return;
+        }
+        if (result.failure.kind !== 'shed') connection[Symbol.dispose]();
         void this.reportFailure(callId, request.run, result);
     }
   }
 
-  /** The loss of the backend server is reported before the failures that it caused. */
+  /**
+   * Reports a failed run. The loss of the backend server comes before the failures that it caused,
+   * but after that of a run of which no byte left, as that one cannot be to blame.
+   */
   private async reportFailure(
     callId: string,
     run: number,
     result: Extract<serverConnection.RunResult, {readonly kind: 'failed'}>,
   ): Promise<void> {
-    const mayBeLost = result.failure.kind !== 'shed';
-    const lost = result.refused || (mayBeLost && (await this.isServerLost()));
-    if (lost) this.reportLost();
+    switch (result.failure.kind) {
+      case 'not-sent':
+        if (result.refused) setImmediate(() => this.reportLost());
+        this.isLost ||= result.refused;
+        break;
+      case 'broken':
+      case 'bad-answer':
+        if (await this.isServerLost()) this.reportLost();
+        break;
+      case 'shed':
+        break;
+    }
     this.fail(callId, run, result.failure);
   }
 
   private reportLost(): void {
+    if (this.lossReported) return;
+    this.isLost = true;
+    this.lossReported = true;
     this.count.increment('server.lost');
     this.dropIdle();
     this.source.emit({kind: 'server-lost'});
