--- a/src/node/node_status.ts
+++ b/src/node/node_status.ts
@@ -13,7 +13,7 @@
   readonly server: serverState.ServerState;
   load(): peer.LoadReport;
   counters(): Readonly<Record<string, number>>;
-  peerState(): control.PeerState;
+  peerState(fromOffset: number | undefined): control.PeerState;
   receiveKeys(handover: peer.KeyHandover): void;
 }
 
@@ -54,8 +54,8 @@
     }));
   }
 
-  peerState(): control.PeerState {
-    return this.sources.peerState();
+  peerState(fromOffset: number | undefined): control.PeerState {
+    return this.sources.peerState(fromOffset);
   }
 
   receiveKeys(handover: peer.KeyHandover): void {
--- a/src/node/operator_client.ts
+++ b/src/node/operator_client.ts
@@ -49,8 +49,8 @@
     );
   }
 
-  /** Returns what the node knows from a log offset on. */
-  peerState(fromOffset: number): Promise<control.PeerState> {
+  /** Returns what the node knows from a log offset on, or all it knows. */
+  peerState(fromOffset?: number): Promise<control.PeerState> {
     return this.call('pull state', async options => {
       const state = await this.client.peerState.query(fromOffset, options);
       return state as control.PeerState;
--- a/src/node/operator_contract.ts
+++ b/src/node/operator_contract.ts
@@ -50,8 +50,8 @@
   configuration(): ConfigurationStatus | undefined;
   /** Why a request of the service would go where, as plain data. */
   explain(service: string): unknown;
-  /** What this node knows from a log offset on. */
-  peerState(fromOffset: number): control.PeerState;
+  /** What this node knows from a log offset on, or all it knows. */
+  peerState(fromOffset: number | undefined): control.PeerState;
   /** Takes over idempotency keys from a node that leaves. */
   receiveKeys(handover: peer.KeyHandover): void;
 }
--- a/src/node/operator_router.ts
+++ b/src/node/operator_router.ts
@@ -21,8 +21,9 @@
   );
 }
 
-/** Accepts an offset of the log. */
-function parseOffset(input: unknown): number {
+/** Accepts an offset of the log, or none. */
+function parseOffset(input: unknown): number | undefined {
+  if (input === undefined) return undefined;
   if (typeof input === 'number' && Number.isSafeInteger(input) && input >= 0) {
     return input;
   }
--- a/src/node/operator_server.test.ts
+++ b/src/node/operator_server.test.ts
@@ -25,7 +25,7 @@
     explain: service => ({service}),
     peerState: fromOffset => ({
       nodeId: 'orders-1',
-      rosterOffset: fromOffset + 7,
+      rosterOffset: (fromOffset ?? 0) + 7,
       roster: [],
       departures: [],
       complete: true,
--- a/src/node/remote_state.ts
+++ b/src/node/remote_state.ts
@@ -37,8 +37,8 @@
     );
   }
 
-  /** Pulls what a peer knows from a log offset on. */
-  pull(member: peer.Member, fromOffset: number): void {
+  /** Pulls what a peer knows from a log offset on, or all it knows. */
+  pull(member: peer.Member, fromOffset: number | undefined): void {
     const {nodeId, ip, operatorPort} = member;
     const client = new operatorClient.OperatorClient({
       ip,
--- a/test/fakes/virtual_service_audit.ts
+++ b/test/fakes/virtual_service_audit.ts
@@ -52,7 +52,9 @@
 
   /** Whether the final word is overdue; a paused entry has until it wakes. */
   isOverdue(nowMs: units.MonotonicMs): boolean {
-    return nowMs > Math.max(this.finalByMs, this.entry.wokeAtMs + FINAL_BOUND_MS);
+    return (
+      nowMs > Math.max(this.finalByMs, this.entry.wokeAtMs + FINAL_BOUND_MS)
+    );
   }
 }
 
