--- a/bench/experiment.ts
+++ b/bench/experiment.ts
@@ -173,7 +173,12 @@
     operation = request.requestId,
   ): void {
     const entry = this.drawEntry();
-    this.audit.onSubmit(entry, request, request.requestClass.idempotent, operation);
+    this.audit.onSubmit(
+      entry,
+      request,
+      request.requestClass.idempotent,
+      operation,
+    );
     entry.submit(request, final => {
       this.audit.onFinal(request.requestId, final);
       onFinal(final);
