--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -58,6 +58,10 @@
   'entry.waits': 'Waits between attempts of one request.',
   'gate.cold-detected':
     'Warm backend servers found to have turned cold without a signal.',
+  'gate.delegated': 'Requests with a key that a full home let a sibling run.',
+  'gate.key-import-refused':
+    'Keys of a former home for which the memory had no room.',
+  'gate.key-lost': 'Keys that no other home took at a planned stop.',
   'gate.second-run':
     'Second runs of idempotent requests whose first run was silent.',
   'gossip.unknown-sender':
@@ -67,10 +71,12 @@
   'link.failed-attempt': 'Attempts whose link broke or could not be opened.',
   'link.late-answer': 'Answers to attempts that were no longer waited for.',
   'link.opened': 'Links opened to other nodes.',
+  'link.pings': 'Pings sent on links without progress or after idleness.',
   'link.silent': 'Links given up because a ping went unanswered.',
   'log.append-failed': 'Appends to the log that failed or were not answered.',
   'log.gap': 'Times the log no longer held the records to be read next.',
   'loop.failed-event': 'Events whose handling failed.',
+  'loop.ticks': 'Times the timer of the event loop fired.',
   'malformed.announcement': 'Backend server announcements that were rejected.',
   'malformed.datagram':
     'Datagrams that could not be decoded or exceeded a bound.',
