Quarantine requests that crash servers; refuse work while the view is stale

A retry's own count of deaths is honoured. - A gate refuses new work while its view is stale, finds its own pauses, and goes on after 5 s without any confirmation, counted. - Slow start grows with the square of the time: a server whose capacity comes late in its cold start got more than it could carry from a linear ramp. Ruled out: running suspects alone (a busy gate would hold them until their deadline); a stale view without a bound. The square of the time has no test of its own yet.

--- a/src/common/admission/request_queue.ts
+++ b/src/common/admission/request_queue.ts
@@ -49,7 +49,7 @@
 
   /** Returns all waiting requests. */
   items(): readonly T[] {
-    return [...this.first, ...KINDS_BY_RANK.flatMap(k => this.byKind[k])];
+    return [...this.first, ...this.inOrder()];
   }
 
   /** Number of waiting requests that go before a new one of that kind and deadline. */
@@ -85,20 +85,17 @@
     this.first.push(item);
   }
 
-  /** Takes the request whose turn it is. */
-  take(): T | undefined {
-    const again = this.first.shift();
-    if (again) return again;
-    const mustArrive = this.byKind['must-arrive'];
+  /** Takes the request whose turn it is among those that may start. */
+  take(mayStart: (item: T) => boolean = () => true): T | undefined {
+    const again = this.first.find(mayStart);
     const isTurn = this.sinceMustArrive >= MUST_ARRIVE_TURN - 1;
-    const kind =
-      isTurn && mustArrive.length > 0
-        ? 'must-arrive'
-        : KINDS_BY_RANK.find(k => this.byKind[k].length > 0);
-    if (!kind) return undefined;
-    this.sinceMustArrive =
-      kind === 'must-arrive' ? 0 : this.sinceMustArrive + 1;
-    return this.byKind[kind].shift();
+    const turn = isTurn ? this.byKind['must-arrive'].find(mayStart) : undefined;
+    const item = again ?? turn ?? this.inOrder().find(mayStart);
+    if (!item) return undefined;
+    this.remove(item);
+    const isMustArrive = item.classKind === 'must-arrive';
+    this.sinceMustArrive = isMustArrive ? 0 : this.sinceMustArrive + 1;
+    return item;
   }
 
   /** Removes a request, wherever it waits. */
@@ -109,6 +106,10 @@
     }
   }
 
+  private inOrder(): readonly T[] {
+    return KINDS_BY_RANK.flatMap(kind => this.byKind[kind]);
+  }
+
   private insert(item: T): void {
     const list = this.byKind[item.classKind];
     list.splice(indexByDeadline(list, item.deadlineMs), 0, item);
--- a/src/common/admission/slow_start.ts
+++ b/src/common/admission/slow_start.ts
@@ -76,7 +76,8 @@
     const {coldStartMs, coldStartSlots} = this.tuning();
     const cap = Math.max(coldStartSlots, Math.floor(ramp.cap / 2));
     const steps = Math.max(1, slots - coldStartSlots);
-    const takenMs = (coldStartMs * (cap - coldStartSlots)) / steps;
+    const share = Math.sqrt((cap - coldStartSlots) / steps);
+    const takenMs = coldStartMs * share;
     const {smoothed, reference} = ramp;
     return {...rampAt(now - takenMs, cap), smoothed, reference};
   }
@@ -100,10 +101,12 @@
     return {...next, cap: ramp.cap + 1, answersAtSpeed: 0};
   }
 
+  /** Grows with the square of the time, for servers whose capacity comes late. */
   private capByTime(ramp: Ramp, slots: number, now: units.MonotonicMs): number {
     const {coldStartMs, coldStartSlots} = this.tuning();
     const share = Math.min(1, (now - ramp.startedMs) / coldStartMs);
-    return Math.floor(coldStartSlots + (slots - coldStartSlots) * share);
+    const grown = (slots - coldStartSlots) * share * share;
+    return Math.floor(coldStartSlots + grown);
   }
 }
 
--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -64,6 +64,8 @@
   'gate.key-lost': 'Keys that no other home took at a planned stop.',
   'gate.second-run':
     'Second runs of idempotent requests whose first run was silent.',
+  'gate.stale-accepted':
+    'Times a gate went on with a view that nobody confirmed.',
   'gossip.unknown-sender':
     'Datagrams of nodes that are in neither the roster nor gossip.',
   'invariant.breached': 'Invariants that did not hold.',
--- a/src/common/gate/arrivals.ts
+++ b/src/common/gate/arrivals.ts
@@ -8,6 +8,7 @@
 import * as delegations from './delegations.js';
 import * as gateParts from './gate_parts.js';
 import * as keyedCalls from './keyed_calls.js';
+import * as quarantine from './quarantine.js';
 
 /** Takes calls into the queue, or refuses them at once. */
 export class Arrivals {
@@ -16,6 +17,7 @@
     private readonly ends: callEnds.CallEnds,
     private readonly keyed: keyedCalls.KeyedCalls,
     private readonly delegations: delegations.Delegations,
+    private readonly quarantine: quarantine.Quarantine,
   ) {}
 
   /** Takes a call. */
@@ -80,7 +82,7 @@
     now: units.Instant,
   ): record.CallRecord | record.RefusalDetail {
     const {calls, options} = this.parts;
-    const refusal = this.refusalOnArrival(call);
+    const refusal = this.refusalOnArrival(call, now);
     if (refusal) return refusal;
     const requestClass = options.view.configuration?.requestClass(
       call.className,
@@ -98,6 +100,7 @@
 
   private refusalOnArrival(
     call: peer.CallRequest,
+    now: units.Instant,
   ): record.RefusalDetail | undefined {
     const {calls, entrance, options} = this.parts;
     if (calls.isCancelled(call.callId)) {
@@ -110,7 +113,8 @@
       };
     }
     const closed = entrance.refusalReason();
-    return closed && record.notRun(closed);
+    if (closed) return record.notRun(closed);
+    return this.quarantine.refusalOf(call, now);
   }
 
   /** A class that is unknown here may be in a configuration that the sender knows already. */
--- a/src/common/gate/dispatcher.ts
+++ b/src/common/gate/dispatcher.ts
@@ -7,6 +7,7 @@
 import * as gateOptions from './gate_options.js';
 import * as gateParts from './gate_parts.js';
 import * as keyedCalls from './keyed_calls.js';
+import * as quarantine from './quarantine.js';
 
 /** Starts runs on the backend server while there is room. */
 export class Dispatcher {
@@ -14,6 +15,7 @@
     private readonly parts: gateParts.GateParts,
     private readonly ends: callEnds.CallEnds,
     private readonly keyed: keyedCalls.KeyedCalls,
+    private readonly quarantine: quarantine.Quarantine,
   ) {}
 
   /** Starts the waiting calls for which there is room; refuses all if the gate is closed. */
@@ -22,7 +24,9 @@
     const closed = entrance.refusalReason();
     if (closed) return this.refuseWaiting(closed, now);
     while (admission.hasRoom) {
-      const rec = admission.queue.take();
+      const rec = admission.queue.take(item =>
+        this.quarantine.mayStart(item, now),
+      );
       if (!rec) return;
       if (admission.isInTime(rec, now.monotonicMs)) {
         this.start(rec, now);
@@ -67,7 +71,9 @@
   private start(rec: record.CallRecord, now: units.Instant): void {
     this.ends.guard(rec, now, () => {
       this.checkMayStart(rec);
-      const detail = this.keyed.refusalAtDispatch(rec, now);
+      const detail =
+        this.quarantine.refusalOf(rec.call, now) ??
+        this.keyed.refusalAtDispatch(rec, now);
       if (detail) return this.ends.refuseWith(rec, detail, now);
       this.parts.runs.start(rec, now.monotonicMs);
     });
--- a/src/common/gate/entrance.ts
+++ b/src/common/gate/entrance.ts
@@ -2,14 +2,28 @@
 import * as peer from '../../generated/peer.js';
 import * as control from '../control/control_contract.js';
 import * as invariants from '../invariants.js';
+import * as units from '../units.js';
 import * as gateOptions from './gate_options.js';
 
+/** Interval at which a gate that takes work observes its view. */
+const OBSERVE_INTERVAL_MS = 500;
+
+/** Time without an observation that shows a pause of the process. */
+const PAUSE_MS = 1_500;
+
+/** Longest refusal of new work for the sake of a view that nobody confirms. */
+const STALE_WAIT_MS = 5_000;
+
 /** State of a gate as far as it concerns new work. */
 export class Entrance {
   private server: control.ServerState = 'absent';
   private announcedSlots = 0;
   private stopping = false;
   private out = false;
+  private observedMs: units.MonotonicMs | undefined;
+  private wokeMs: units.MonotonicMs | undefined;
+  private staleSinceMs: units.MonotonicMs | undefined;
+  private staleAccepted = false;
 
   constructor(private readonly options: gateOptions.GateOptions) {}
 
@@ -59,13 +73,50 @@
     this.stopping = true;
   }
 
+  /**
+   * Takes note of the time and of the view. After a pause the view is stale until a confirmation
+   * made since. A view that cannot be confirmed for long goes on as it is, or an outage of the
+   * log and of all peers would stop every gate that was paused.
+   */
+  observe(now: units.MonotonicMs): void {
+    if (now - (this.observedMs ?? now) >= PAUSE_MS) this.wokeMs = now;
+    this.observedMs = now;
+    if (!this.isUnconfirmed(now)) {
+      this.wokeMs = undefined;
+      this.staleSinceMs = undefined;
+      return;
+    }
+    this.staleSinceMs ??= now;
+    const isOver = now - this.staleSinceMs >= STALE_WAIT_MS;
+    if (isOver && !this.staleAccepted) {
+      this.options.counters.increment('gate.stale-accepted');
+    }
+    this.staleAccepted = isOver;
+  }
+
+  /** Time at which to observe again, undefined while no work is taken anyway. */
+  get nextObserveMs(): units.MonotonicMs | undefined {
+    if (this.stopping || this.server === 'absent') return undefined;
+    return (this.observedMs ?? 0) + OBSERVE_INTERVAL_MS;
+  }
+
   /** Returns why no new work may be dispatched, undefined if it may. */
   refusalReason(): peer.RefusalReason | undefined {
     if (this.stopping) return peer.RefusalReason.LEAVING;
+    if (this.staleSinceMs !== undefined && !this.staleAccepted) {
+      return peer.RefusalReason.NOT_READY;
+    }
     if (!this.options.view.configuration) return peer.RefusalReason.NOT_READY;
     return this.outReason() ?? this.serverRefusal();
   }
 
+  private isUnconfirmed(now: units.MonotonicMs): boolean {
+    const {view} = this.options;
+    if (view.stale) return true;
+    const confirmedMs = now - view.rosterConfirmedAgeMs(now);
+    return this.wokeMs !== undefined && confirmedMs < this.wokeMs;
+  }
+
   private outReason(): peer.RefusalReason | undefined {
     const cfg = this.options.view.configuration;
     if (!cfg) return undefined;
--- a/src/common/gate/gate_core.ts
+++ b/src/common/gate/gate_core.ts
@@ -12,6 +12,7 @@
 import * as gateOptions from './gate_options.js';
 import * as gateParts from './gate_parts.js';
 import * as keyedCalls from './keyed_calls.js';
+import * as quarantine from './quarantine.js';
 import * as responder from './responder.js';
 import * as serverResults from './server_results.js';
 
@@ -26,6 +27,7 @@
   private readonly ends: callEnds.CallEnds;
   private readonly keyed: keyedCalls.KeyedCalls;
   private readonly delegations: delegations.Delegations;
+  private readonly quarantine: quarantine.Quarantine;
   private readonly arrivals: arrivals.Arrivals;
   private readonly dispatcher: dispatcher.Dispatcher;
   private readonly results: serverResults.ServerResults;
@@ -36,19 +38,26 @@
     this.parts = gateParts.createParts(options, this, emit);
     this.ends = new callEnds.CallEnds(this.parts);
     this.keyed = new keyedCalls.KeyedCalls(this.parts, this.ends, emit);
+    this.quarantine = new quarantine.Quarantine(this.parts, this.ends, emit);
     this.delegations = new delegations.Delegations(this.parts, this.ends, emit);
     this.arrivals = new arrivals.Arrivals(
       this.parts,
       this.ends,
       this.keyed,
       this.delegations,
+      this.quarantine,
     );
     this.dispatcher = new dispatcher.Dispatcher(
       this.parts,
       this.ends,
       this.keyed,
+      this.quarantine,
+    );
+    this.results = new serverResults.ServerResults(
+      this.parts,
+      this.ends,
+      this.quarantine,
     );
-    this.results = new serverResults.ServerResults(this.parts, this.ends);
   }
 
   handle(
@@ -57,6 +66,7 @@
   ): readonly contract.GateAction[] {
     this.actions = [];
     this.lastMs = now.monotonicMs;
+    this.parts.entrance.observe(now.monotonicMs);
     this.apply(event, now);
     this.advance(now);
     return this.actions;
@@ -65,6 +75,7 @@
   nextWakeMs(): units.MonotonicMs | undefined {
     let next = Math.min(
       this.parts.runs.nextSettleMs ?? Infinity,
+      this.parts.entrance.nextObserveMs ?? Infinity,
       this.drainedSent ? Infinity : (this.keyed.nextWakeMs ?? Infinity),
     );
     for (const rec of this.parts.calls.liveRecords) {
@@ -132,6 +143,7 @@
       case 'keys-received':
         return this.keyed.onReceived(event.handover, now);
       case 'suspect':
+        return this.quarantine.onReport(event.report, now);
       case 'tick':
         return;
       default:
--- /dev/null
+++ b/src/common/gate/quarantine.ts
@@ -0,0 +1,81 @@
+/** Keeps requests that crash backend servers from running again. */
+import * as peer from '../../generated/peer.js';
+import * as suspectRequests from '../quarantine/suspect_requests.js';
+import * as units from '../units.js';
+import * as callEnds from './call_ends.js';
+import * as record from './call_record.js';
+import * as gateParts from './gate_parts.js';
+import * as responder from './responder.js';
+
+/** Connects calls with the table of suspect requests. */
+export class Quarantine {
+  private readonly suspects = new suspectRequests.SuspectRequests();
+
+  constructor(
+    private readonly parts: gateParts.GateParts,
+    ends: callEnds.CallEnds,
+    private readonly emit: responder.Emit,
+  ) {
+    ends.onEnd(({rec, result, now}) => this.onEnd(rec, result, now));
+  }
+
+  /** Returns why a request must not run, undefined if it may. */
+  refusalOf(
+    call: peer.CallRequest,
+    now: units.Instant,
+  ): record.RefusalDetail | undefined {
+    const {fingerprint, deaths = 0} = call;
+    const report = {
+      fingerprint,
+      deaths,
+      expiresInMs: suspectRequests.SUSPICION_MS,
+    };
+    this.suspects.onReport(report, now.monotonicMs);
+    const forMs = this.suspects.quarantinedForMs(fingerprint, now.monotonicMs);
+    if (forMs === 0) return undefined;
+    return record.notRun(peer.RefusalReason.QUARANTINED, forMs);
+  }
+
+  /** Whether a call may start beside what runs: a suspect waits for another suspect's end. */
+  mayStart(rec: record.CallRecord, now: units.Instant): boolean {
+    if (!this.isSuspect(rec, now)) return true;
+    for (const other of this.parts.calls.liveRecords) {
+      if (other === rec || !isExposed(other)) continue;
+      if (this.isSuspect(other, now)) return false;
+    }
+    return true;
+  }
+
+  /** Takes note of the calls that ran when the backend server died. */
+  onServerDied(fingerprints: ReadonlySet<string>, now: units.Instant): void {
+    for (const fingerprint of fingerprints) {
+      const report = this.suspects.onDeath(fingerprint, now.monotonicMs);
+      this.emit({kind: 'report-suspect', report});
+    }
+  }
+
+  /** Takes a report of another gate. */
+  onReport(report: peer.SuspectReport, now: units.Instant): void {
+    this.suspects.onReport(report, now.monotonicMs);
+  }
+
+  private isSuspect(rec: record.CallRecord, now: units.Instant): boolean {
+    return this.suspects.deathsOf(rec.call.fingerprint, now.monotonicMs) > 0;
+  }
+
+  /** A complete answer of the backend server clears the request. */
+  private onEnd(
+    rec: record.CallRecord,
+    result: record.CallResult,
+    now: units.Instant,
+  ): void {
+    const {fingerprint} = rec.call;
+    if (result.kind !== 'answered' || result.answer.replayed) return;
+    this.suspects.onSuccess(fingerprint, now.monotonicMs);
+  }
+}
+
+/** Whether the backend server may be running the call. */
+function isExposed(rec: record.CallRecord): boolean {
+  return rec.state.kind === 'running' || rec.state.kind === 'broken';
+}
--- a/src/common/gate/server_results.ts
+++ b/src/common/gate/server_results.ts
@@ -6,6 +6,7 @@
 import * as record from './call_record.js';
 import * as contract from './gate_contract.js';
 import * as gateParts from './gate_parts.js';
+import * as quarantine from './quarantine.js';
 
 /** Time after a broken connection within which the server's death explains it. */
 const DEATH_VERDICT_MS = 25;
@@ -18,6 +19,7 @@
   constructor(
     private readonly parts: gateParts.GateParts,
     private readonly ends: callEnds.CallEnds,
+    private readonly quarantine: quarantine.Quarantine,
   ) {}
 
   /** Takes a complete answer; the first one of a call wins. */
@@ -51,8 +53,12 @@
   onServerLost(now: units.Instant): void {
     const {calls, entrance, runs} = this.parts;
     entrance.setServer('absent', 0);
-    for (const rec of [...calls.liveRecords]) {
-      if (rec.state.kind !== 'running' && rec.state.kind !== 'broken') continue;
+    const exposed = [...calls.liveRecords].filter(
+      rec => rec.state.kind === 'running' || rec.state.kind === 'broken',
+    );
+    const fingerprints = exposed.map(rec => rec.call.fingerprint);
+    this.quarantine.onServerDied(new Set(fingerprints), now);
+    for (const rec of exposed) {
       runs.dropAll(rec);
       const detail = {
         reason: peer.RefusalReason.SERVER_FAILED,
