Entry: explain where requests of a service would go and why

What: members in order of preference with exclusion, reservation, estimate and score, the budget of the service and the share of full gates, as plain data. Conclusion: EntryCore.explain(service, now) is ready for the operator port.

--- a/src/common/entry/entry_core.test.ts
+++ b/src/common/entry/entry_core.test.ts
@@ -192,3 +192,24 @@
   const end = fixtures.refused(entry.refuse(second, failure));
   assert.equal(end.outcome, UNKNOWN);
 });
+
+nodeTest.test('the explanation names each member and why it is spared', () => {
+  const fleet = new fixtures.FakeFleet(['a', 'b', 'c']);
+  fleet.put(fixtures.member('c'), {roster: 'leaving'});
+  const entry = new fixtures.Entry(fleet);
+  const first = entry.send(fixtures.request('r'));
+  entry.linkFailed(first, false);
+  const {members, selector, fullShare} = entry.core.explain(
+    fixtures.SERVICE,
+    fixtures.at(0),
+  );
+  assert.equal(selector, 'redirect');
+  assert.equal(fullShare, 0);
+  assert.deepEqual(
+    members.map(m => m.exclusion ?? m.reservation),
+    [undefined, 'failed-lately', 'leaving'],
+  );
+  assert.equal(members[0].estimate.ownOutstanding, 1);
+  assert.equal(members[1].nodeId, first.nodeId);
+  assert.equal(members[1].avoidedForMs, 1_000);
+});
--- a/src/common/entry/entry_core.ts
+++ b/src/common/entry/entry_core.ts
@@ -8,6 +8,7 @@
 import * as randomSource from '../random_source.js';
 import * as failureKind from '../retries/failure_kind.js';
 import * as serviceBudgets from '../retries/service_budgets.js';
+import * as explanation from '../routing/explanation.js';
 import * as router from '../routing/router.js';
 import * as selector from '../routing/selector.js';
 import * as units from '../units.js';
@@ -46,6 +47,20 @@
   readonly random: randomSource.RandomSource;
 }
 
+/** Why requests of a service would go where. */
+export interface EntryExplanation extends explanation.RoutingExplanation {
+  /** Revision of the configuration in force, undefined before the first. */
+  readonly configurationRevision: number | undefined;
+  /** Calls of all services in progress at this entry. */
+  readonly callsInProgress: number;
+  /** Retries that the budget of the service holds. */
+  readonly retryTokens: number;
+  /** Redirections that the budget of the service holds. */
+  readonly redirectTokens: number;
+  /** Share of recent first attempts that found their gate full, in [0, 1]. */
+  readonly fullShare: number;
+}
+
 type CallEvent = Exclude<contract.EntryEvent, {readonly kind: 'tick'}>;
 
 interface OpenAttempt {
@@ -100,6 +115,19 @@
     return this.calls.nextWakeMs();
   }
 
+  /** Returns why a request of the service would go where, and what its budget holds. */
+  explain(service: string, now: units.Instant): EntryExplanation {
+    const budget = this.budgets.peek(service);
+    return {
+      ...this.router.explain(service, now.monotonicMs),
+      configurationRevision: this.options.view.configuration?.revision,
+      callsInProgress: this.calls.size,
+      retryTokens: budget.retryTokens,
+      redirectTokens: budget.redirectTokens,
+      fullShare: budget.fullShare,
+    };
+  }
+
   private onTick(nowMs: units.MonotonicMs): void {
     for (;;) {
       const c = this.calls.takeDue(nowMs);
--- a/src/common/retries/service_budgets.ts
+++ b/src/common/retries/service_budgets.ts
@@ -8,6 +8,11 @@
 export class ServiceBudgets {
   private readonly budgets = new Map<string, retryBudget.RetryBudget>();
 
+  /** Returns the budget of a service without keeping a new one. */
+  peek(service: string): retryBudget.RetryBudget {
+    return this.budgets.get(service) ?? new retryBudget.RetryBudget();
+  }
+
   /** Returns the budget of a service, new if it has none. */
   of(service: string): retryBudget.RetryBudget {
     const budget = this.budgets.get(service) ?? new retryBudget.RetryBudget();
--- a/src/common/routing/router.ts
+++ b/src/common/routing/router.ts
@@ -4,12 +4,15 @@
 import * as randomSource from '../random_source.js';
 import * as units from '../units.js';
 import * as candidateList from './candidates.js';
+import * as explanation from './explanation.js';
 import * as failureMemory from './failure_memory.js';
 import * as loadView from './load_view.js';
 import * as locality from './locality.js';
 import * as outstanding from './outstanding.js';
 import * as selector from './selector.js';
 
+const NOT_TRIED: ReadonlySet<string> = new Set();
+
 /** What a router is made with. */
 export interface RouterOptions {
   readonly here: locality.Place;
@@ -111,6 +114,42 @@
     }
   }
 
+  /** Returns how the members of a service stand, best first. */
+  explain(
+    service: string,
+    nowMs: units.MonotonicMs,
+  ): explanation.RoutingExplanation {
+    const members = this.options.view
+      .membersOf(service)
+      .map(m => this.explainMember(m, nowMs))
+      .sort(explanation.byPreference);
+    return {service, selector: this.options.settings.kind, members};
+  }
+
+  private explainMember(
+    m: fleetView.MemberView,
+    nowMs: units.MonotonicMs,
+  ): explanation.MemberExplanation {
+    const {view, here} = this.options;
+    const {nodeId, dataCentre} = m.member;
+    const untilMs = this.failures.avoidedUntilMs(nodeId, nowMs);
+    return {
+      nodeId,
+      dataCentre,
+      locality: locality.localityOf(here, m.member),
+      exclusion: candidateList.exclusionOf(view, m),
+      reservation: candidateList.reservationOf(
+        m,
+        NOT_TRIED,
+        this.failures,
+        nowMs,
+      ),
+      avoidedForMs: untilMs === undefined ? undefined : untilMs - nowMs,
+      estimate: this.loads.estimate(m.member, nowMs),
+      score: this.selector.scoreOf(m.member, nowMs),
+    };
+  }
+
   private candidates(
     service: string,
     tried: ReadonlySet<string>,
