Entry: tell the gate of a retry how many servers the request has killed

Cause: the gates' quarantine asks for the deaths that the sender knows of (CallRequest.deaths); two gates may each have seen one death only. Conclusion: set from refusals with server_died.

--- a/src/common/entry/call.ts
+++ b/src/common/entry/call.ts
@@ -53,6 +53,8 @@
   waits = 0;
   /** Times that a gate named another home of the key. */
   homeHops = 0;
+  /** Backend servers that died while they ran the request. */
+  deaths = 0;
   /** When a second attempt is made beside a slow first one. */
   hedgeAtMs: units.MonotonicMs | undefined;
   /** When the next attempt is made, while the request waits between attempts. */
--- a/src/common/entry/call_requests.ts
+++ b/src/common/entry/call_requests.ts
@@ -38,6 +38,7 @@
     depth: req.depth,
     delegated: false,
     fingerprint: req.fingerprint,
+    deaths: c.deaths > 0 ? c.deaths : undefined,
   };
 }
 
--- a/src/common/entry/entry_core.test.ts
+++ b/src/common/entry/entry_core.test.ts
@@ -213,3 +213,16 @@
   assert.equal(members[1].nodeId, first.nodeId);
   assert.equal(members[1].avoidedForMs, 1_000);
 });
+
+nodeTest.test('a retry tells its gate of the servers that died', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const first = entry.send(fixtures.request('r'));
+  assert.equal(first.call.deaths, undefined);
+  const failure = {
+    reason: peer.RefusalReason.SERVER_FAILED,
+    outcome: UNKNOWN,
+    serverDied: true,
+  };
+  const second = fixtures.dispatched(entry.refuse(first, failure));
+  assert.equal(second.call.deaths, 1);
+});
--- a/src/common/entry/entry_core.ts
+++ b/src/common/entry/entry_core.ts
@@ -269,6 +269,7 @@
       this.router.onRelayedReport(a.nodeId, a.load, nowMs);
     }
     if (open === undefined) return;
+    if (refusal.serverDied) open.call.deaths++;
     const kind = failureKind.failureKind(refusal.reason);
     this.noteFirstAttempt(open, kind === 'full');
     if (kind === 'failed' || kind === 'absent') {
