--- a/test/stand_ins/server/server_stand_in.ts
+++ b/test/stand_ins/server/server_stand_in.ts
@@ -70,6 +70,11 @@
     this.announcer?.announce();
   }
 
+  /** What has been run so far. */
+  get runs(): runRecord.RunCounts {
+    return this.record.counts();
+  }
+
   private get port(): number {
     return (this.server.address() as net.AddressInfo).port;
   }
