--- a/src/node/server_connections.test.ts
+++ b/src/node/server_connections.test.ts
@@ -69,9 +69,10 @@
   }
 }
 
-async function standIn(
-  change: Partial<serverMode.ServerMode>,
-): Promise<{server: serverStandIn.ServerStandIn; port: number}> {
+async function standIn(change: Partial<serverMode.ServerMode>): Promise<{
+  readonly server: serverStandIn.ServerStandIn;
+  readonly port: number;
+}> {
   const mode = {...serverMode.DEFAULT_MODE, ...change};
   const server = new serverStandIn.ServerStandIn(mode);
   return {server, port: await server.listen(0)};
--- /dev/null
+++ b/test/paths/planned_stop.test.ts
@@ -0,0 +1,122 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+
+import * as child from './child.js';
+import * as fleet from './fleet.js';
+
+const TIMEOUT_MS = 10_000;
+
+/** Calls without pause until stopped; returns the answers that were not whole. */
+class SteadyCaller {
+  private stopped = false;
+  private readonly running: Promise<void>;
+  readonly failures: string[] = [];
+  answered = 0;
+
+  constructor(private readonly port: number) {
+    this.running = this.run();
+  }
+
+  async stop(): Promise<void> {
+    this.stopped = true;
+    await this.running;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.stopped) {
+      const method = this.answered % 2 === 0 ? 'GET' : 'POST';
+      try {
+        const answer = await fleet.call(this.port, {
+          method,
+          path: '/orders/1',
+          body: method === 'POST' ? 'mops' : undefined,
+        });
+        if (answer.status === 200) this.answered++;
+        else this.failures.push(answer.body.toString());
+      } catch (err) {
+        this.failures.push(String(err));
+      }
+    }
+  }
+}
+
+nodeTest.test('SIGTERM to a gate under load cuts off nothing', async () => {
+  await using all = await fleet.Fleet.start(fleet.testConfiguration());
+  const pairs = await Promise.all([
+    all.addPair({nodeId: 'catalogue-1', service: 'catalogue'}),
+    all.addPair({nodeId: 'orders-1', mode: {serviceMs: 20}}),
+    all.addPair({nodeId: 'orders-2', mode: {serviceMs: 20}}),
+  ]);
+  await all.ready(pairs);
+  const [entry, leaving, staying] = pairs;
+  const callers = Array.from(
+    {length: 6},
+    () => new SteadyCaller(entry.httpPort),
+  );
+  const answered = () => callers.reduce((sum, c) => sum + c.answered, 0);
+  await child.until(
+    () => answered() > 50,
+    TIMEOUT_MS,
+    () => 'load',
+  );
+  leaving.node.signal('SIGTERM');
+  assert.equal(await leaving.node.exitStatus(), 0, leaving.node.printed);
+  const before = answered();
+  await child.until(
+    () => answered() > before + 50,
+    TIMEOUT_MS,
+    () => 'load',
+  );
+  for (const caller of callers) await caller.stop();
+  assert.deepEqual(
+    callers.flatMap(c => c.failures),
+    [],
+  );
+  const runs = await Promise.all([leaving, staying].map(fleet.runsOf));
+  assert.ok(runs.every(r => Object.values(r.byRequestId).every(n => n === 1)));
+  assert.ok(runs.every(r => r.cancelled === 0));
+});
+
+nodeTest.test('SIGTERM to an entry waits for its callers', async () => {
+  await using all = await fleet.Fleet.start(fleet.testConfiguration());
+  const entry = await all.addPair({
+    nodeId: 'catalogue-1',
+    service: 'catalogue',
+  });
+  const gate = await all.addPair({nodeId: 'orders-1', mode: {serviceMs: 800}});
+  await all.ready([entry, gate]);
+  const answering = fleet.call(entry.httpPort, {path: '/orders/1'});
+  await child.until(
+    async () => (await fleet.runsOf(gate)).total === 1,
+    TIMEOUT_MS,
+    () => 'the run to begin',
+  );
+  entry.node.signal('SIGTERM');
+  assert.equal((await answering).status, 200);
+  assert.equal(await entry.node.exitStatus(), 0, entry.node.printed);
+});
+
+nodeTest.test('a second SIGTERM says what it cuts off', async () => {
+  await using all = await fleet.Fleet.start(fleet.testConfiguration());
+  const pair = await all.addPair({
+    nodeId: 'orders-1',
+    mode: {serviceMs: 60_000},
+  });
+  await all.ready([pair]);
+  const cut = fleet.call(pair.httpPort, {
+    path: '/orders/1',
+    headers: {'Geraniumloft-Deadline-Ms': '60000'},
+  });
+  cut.catch(() => undefined);
+  await child.until(
+    async () => (await fleet.runsOf(pair)).total === 1,
+    TIMEOUT_MS,
+    () => 'the run to begin',
+  );
+  pair.node.signal('SIGTERM');
+  await pair.node.prints('leaving');
+  pair.node.signal('SIGTERM');
+  await pair.node.prints('stop asked again: 1 callers wait, 1 requests run');
+  assert.equal(await pair.node.exitStatus(), 0, pair.node.printed);
+  await assert.rejects(cut);
+});
