--- /dev/null
+++ b/src/common/entry/entry_core.test.ts
@@ -0,0 +1,228 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+
+import * as peer from '../../generated/peer.js';
+import * as fixtures from './entry_fixtures.test.js';
+
+const {NO_ROOM, DEADLINE, NO_SERVER} = peer.RefusalReason;
+const {NOT_RUN, UNKNOWN} = peer.Outcome;
+
+function kinds(actions: readonly {readonly kind: string}[]): readonly string[] {
+  return actions.map(a => a.kind);
+}
+
+nodeTest.test('an answer of the attempt goes to its caller once', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a']));
+  const d = entry.send(fixtures.request('r'));
+  assert.equal(d.call.callId, 'r.1');
+  assert.deepEqual(kinds(entry.answer(d)), ['respond']);
+  assert.deepEqual(entry.answer(d), []);
+});
+
+nodeTest.test('an answer from a node that was not asked is dropped', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const d = entry.send(fixtures.request('r'));
+  const other = {...d, nodeId: d.nodeId === 'a' ? 'b' : 'a'};
+  assert.deepEqual(entry.answer(other), []);
+  assert.deepEqual(kinds(entry.answer(d)), ['respond']);
+});
+
+nodeTest.test('a refusal that did not run is tried at another member', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const first = entry.send(fixtures.request('r'));
+  const second = fixtures.dispatched(entry.refuse(first));
+  assert.notEqual(second.nodeId, first.nodeId);
+  assert.equal(entry.counters.get('retry.no-room'), 1);
+  const end = fixtures.refused(entry.refuse(second));
+  assert.equal(end.reason, NO_ROOM);
+  assert.equal(end.outcome, NOT_RUN);
+});
+
+nodeTest.test('the deadline ends a request at once as unknown', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a']));
+  entry.send(fixtures.request('r'));
+  assert.equal(entry.core.nextWakeMs(), 1_000);
+  const actions = entry.tickAt(1_000);
+  assert.deepEqual(kinds(actions), ['refuse', 'cancel']);
+  assert.equal(fixtures.refused(actions).reason, DEADLINE);
+  assert.equal(fixtures.refused(actions).outcome, UNKNOWN);
+});
+
+nodeTest.test('a caller that left has its attempts cancelled', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a']));
+  const d = entry.send(fixtures.request('r'));
+  const gone = entry.handle({kind: 'caller-gone', requestId: 'r'});
+  assert.deepEqual(kinds(gone), ['cancel']);
+  assert.deepEqual(entry.answer(d), []);
+  assert.equal(entry.core.nextWakeMs(), undefined);
+});
+
+nodeTest.test('without a member the request is refused as not run', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet([]));
+  const req = fixtures.request('r');
+  const end = fixtures.refused(entry.handle({kind: 'request', request: req}));
+  assert.equal(end.reason, NO_SERVER);
+  assert.equal(end.outcome, NOT_RUN);
+});
+
+nodeTest.test('calls beyond the bound are refused at once', () => {
+  const fleet = new fixtures.FakeFleet(['a']);
+  const entry = new fixtures.Entry(fleet, {maxCalls: 1});
+  entry.send(fixtures.request('r'));
+  const req = fixtures.request('s');
+  const end = fixtures.refused(entry.handle({kind: 'request', request: req}));
+  assert.equal(end.reason, NO_ROOM);
+});
+
+const ONCE = fixtures.requestClass({name: 'order', idempotent: false});
+const MUST_ARRIVE = fixtures.requestClass({kind: 'must-arrive'});
+
+nodeTest.test(
+  'a silent link leads to the same attempt at the same gate',
+  () => {
+    const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+    const first = entry.send(fixtures.request('r'));
+    const again = fixtures.dispatched(entry.linkSilent(first));
+    assert.equal(again.nodeId, first.nodeId);
+    assert.equal(again.call.callId, first.call.callId);
+    assert.equal(again.call.resend, true);
+    assert.equal(again.call.gateIncarnation, 7);
+    const elsewhere = fixtures.dispatched(entry.linkSilent(again));
+    assert.notEqual(elsewhere.nodeId, first.nodeId);
+    assert.equal(elsewhere.call.callId, 'r.2');
+  },
+);
+
+nodeTest.test('what must not run twice is only asked for at its gate', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const req = fixtures.request('r', {requestClass: ONCE});
+  const first = entry.send(req);
+  const again = fixtures.dispatched(entry.linkSilent(first));
+  assert.deepEqual(entry.linkSilent(again), []);
+  const later = fixtures.dispatched(entry.tickAt(50));
+  assert.equal(later.nodeId, first.nodeId);
+  assert.equal(later.call.callId, 'r.1');
+  const end = fixtures.refused(entry.tickAt(1_000));
+  assert.equal(end.outcome, UNKNOWN);
+});
+
+nodeTest.test('after a broken link it is asked for once, then unknown', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const req = fixtures.request('r', {requestClass: ONCE});
+  const first = entry.send(req);
+  const again = fixtures.dispatched(entry.linkFailed(first, true));
+  assert.equal(again.nodeId, first.nodeId);
+  assert.equal(again.call.resend, true);
+  const end = fixtures.refused(entry.linkFailed(again, false));
+  assert.equal(end.outcome, UNKNOWN);
+});
+
+nodeTest.test('an attempt that was never sent goes to another member', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const req = fixtures.request('r', {requestClass: ONCE});
+  const first = entry.send(req);
+  const other = fixtures.dispatched(entry.linkFailed(first, false));
+  assert.notEqual(other.nodeId, first.nodeId);
+  assert.equal(other.call.resend, false);
+});
+
+nodeTest.test('must-arrive requests wait for room and are answered', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const req = fixtures.request('r', {requestClass: MUST_ARRIVE});
+  const first = entry.send(req);
+  const second = fixtures.dispatched(entry.refuse(first));
+  assert.deepEqual(entry.refuse(second), []);
+  const wakeMs = entry.core.nextWakeMs() ?? 0;
+  assert.ok(wakeMs >= 20 && wakeMs < 1_000);
+  const third = fixtures.dispatched(entry.tickAt(wakeMs));
+  assert.deepEqual(kinds(entry.answer(third)), ['respond']);
+});
+
+nodeTest.test('a full service refuses other classes at once', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  let last;
+  for (let i = 0; i < 200; i++) {
+    let d = entry.send(fixtures.request(`r${i}`));
+    for (;;) {
+      const actions = entry.refuse(d);
+      if (actions.some(a => a.kind === 'refuse')) {
+        last = fixtures.refused(actions);
+        break;
+      }
+      d = fixtures.dispatched(actions);
+    }
+  }
+  assert.equal(last?.reason, NO_ROOM);
+  assert.equal(last?.retryAfterMs, 20);
+  assert.ok(entry.counters.get('entry.attempts') < 1.1 * 200);
+});
+
+nodeTest.test('a hedge runs beside a slow attempt and the loser ends', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const requestClass = fixtures.requestClass({hedgeAfterMs: 30});
+  const first = entry.send(fixtures.request('r', {requestClass}));
+  const hedge = fixtures.dispatched(entry.tickAt(30));
+  assert.notEqual(hedge.nodeId, first.nodeId);
+  assert.deepEqual(kinds(entry.answer(hedge)), ['respond', 'cancel']);
+  assert.deepEqual(entry.answer(first), []);
+  assert.equal(entry.counters.get('entry.unmatched'), 1);
+});
+
+nodeTest.test('an error answer is given when no attempt ends better', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const first = entry.send(fixtures.request('r'));
+  const actions = entry.answer(first, {status: 500});
+  const second = fixtures.dispatched(actions);
+  const end = entry.refuse(second, {reason: peer.RefusalReason.QUARANTINED});
+  assert.deepEqual(kinds(end), ['respond']);
+});
+
+nodeTest.test('retries left travel with the attempts', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const first = entry.send(fixtures.request('r', {retriesLeft: 1}));
+  const left = (d: typeof first) =>
+    d.call.headers.find(h => h.name === 'geraniumloft-retries-left')?.value;
+  assert.equal(left(first), '1');
+  const failure = {
+    reason: peer.RefusalReason.SERVER_FAILED,
+    outcome: UNKNOWN,
+  };
+  const second = fixtures.dispatched(entry.refuse(first, failure));
+  assert.equal(left(second), '0');
+  const end = fixtures.refused(entry.refuse(second, failure));
+  assert.equal(end.outcome, UNKNOWN);
+});
+
+nodeTest.test('the explanation names each member and why it is spared', () => {
+  const fleet = new fixtures.FakeFleet(['a', 'b', 'c']);
+  fleet.put(fixtures.member('c'), {roster: 'leaving'});
+  const entry = new fixtures.Entry(fleet);
+  const first = entry.send(fixtures.request('r'));
+  entry.linkFailed(first, false);
+  const {members, selector, fullShare} = entry.core.explain(
+    fixtures.SERVICE,
+    fixtures.at(0),
+  );
+  assert.equal(selector, 'redirect');
+  assert.equal(fullShare, 0);
+  assert.deepEqual(
+    members.map(m => m.exclusion ?? m.reservation),
+    [undefined, 'failed-lately', 'leaving'],
+  );
+  assert.equal(members[0].estimate.ownOutstanding, 1);
+  assert.equal(members[1].nodeId, first.nodeId);
+  assert.equal(members[1].avoidedForMs, 1_000);
+});
+
+nodeTest.test('a retry tells its gate of the servers that died', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const first = entry.send(fixtures.request('r'));
+  assert.equal(first.call.deaths, undefined);
+  const failure = {
+    reason: peer.RefusalReason.SERVER_FAILED,
+    outcome: UNKNOWN,
+    serverDied: true,
+  };
+  const second = fixtures.dispatched(entry.refuse(first, failure));
+  assert.equal(second.call.deaths, 1);
+});
--- /dev/null
+++ b/src/common/gate/gate_core.ts
@@ -0,0 +1,208 @@
+/** Decides which calls run on the backend server beside this node, when, and what they are told. */
+import * as peer from '../../generated/peer.js';
+import * as control from '../control/control_contract.js';
+import * as core from '../core.js';
+import * as invariants from '../invariants.js';
+import * as units from '../units.js';
+import * as arrivals from './arrivals.js';
+import * as callEnds from './call_ends.js';
+import * as dispatcher from './dispatcher.js';
+import * as delegations from './delegations.js';
+import * as contract from './gate_contract.js';
+import * as gateOptions from './gate_options.js';
+import * as gateParts from './gate_parts.js';
+import * as keyedCalls from './keyed_calls.js';
+import * as quarantine from './quarantine.js';
+import * as responder from './responder.js';
+import * as serverResults from './server_results.js';
+
+/** The gate in front of one backend server. */
+export class GateCore implements core.Core<
+  contract.GateEvent,
+  contract.GateAction
+> {
+  private actions: contract.GateAction[] = [];
+  private lastMs: units.MonotonicMs = 0;
+  private readonly parts: gateParts.GateParts;
+  private readonly ends: callEnds.CallEnds;
+  private readonly keyed: keyedCalls.KeyedCalls;
+  private readonly delegations: delegations.Delegations;
+  private readonly quarantine: quarantine.Quarantine;
+  private readonly arrivals: arrivals.Arrivals;
+  private readonly dispatcher: dispatcher.Dispatcher;
+  private readonly results: serverResults.ServerResults;
+  private drainedSent = false;
+
+  constructor(private readonly options: gateOptions.GateOptions) {
+    const emit: responder.Emit = action => void this.actions.push(action);
+    this.parts = gateParts.createParts(options, this, emit);
+    this.ends = new callEnds.CallEnds(this.parts);
+    this.keyed = new keyedCalls.KeyedCalls(this.parts, this.ends, emit);
+    this.quarantine = new quarantine.Quarantine(this.parts, this.ends, emit);
+    this.delegations = new delegations.Delegations(this.parts, this.ends, emit);
+    this.arrivals = new arrivals.Arrivals(
+      this.parts,
+      this.ends,
+      this.keyed,
+      this.delegations,
+      this.quarantine,
+    );
+    this.dispatcher = new dispatcher.Dispatcher(
+      this.parts,
+      this.ends,
+      this.keyed,
+      this.quarantine,
+    );
+    this.results = new serverResults.ServerResults(
+      this.parts,
+      this.ends,
+      this.quarantine,
+    );
+  }
+
+  handle(
+    event: contract.GateEvent,
+    now: units.Instant,
+  ): readonly contract.GateAction[] {
+    this.actions = [];
+    this.lastMs = now.monotonicMs;
+    this.parts.entrance.observe(now.monotonicMs);
+    this.apply(event, now);
+    this.advance(now);
+    return this.actions;
+  }
+
+  nextWakeMs(): units.MonotonicMs | undefined {
+    let next = Math.min(
+      this.parts.runs.nextSettleMs ?? Infinity,
+      this.parts.entrance.nextObserveMs ?? Infinity,
+      this.drainedSent ? Infinity : (this.keyed.nextWakeMs ?? Infinity),
+    );
+    for (const rec of this.parts.calls.liveRecords) {
+      next = Math.min(next, rec.wakeMs);
+      const silentMs = this.dispatcher.silentMs(rec);
+      if (silentMs > this.lastMs) next = Math.min(next, silentMs);
+    }
+    return next === Infinity ? undefined : next;
+  }
+
+  /** Load of this gate. */
+  loadReport(): peer.LoadReport {
+    const {admission, entrance, runs} = this.parts;
+    return {
+      inFlight: runs.inFlight,
+      queued: admission.queue.size,
+      limit: admission.limit,
+      latencyUs: Math.round(admission.reportedMs * units.MICROS_PER_MS),
+      cold: admission.isCold,
+      leaving: entrance.isLeaving,
+      ageMs: 0,
+    };
+  }
+
+  /** Siblings believed to have room. */
+  alternatives(now: units.Instant): readonly peer.Alternative[] {
+    return this.parts.siblings.withRoom(now.monotonicMs);
+  }
+
+  /** Time after which to come back. */
+  retryAfterMs(reason: peer.RefusalReason): units.Millis {
+    return this.parts.admission.retryAfterMs(reason);
+  }
+
+  private apply(event: contract.GateEvent, now: units.Instant): void {
+    switch (event.kind) {
+      case 'call':
+        return this.arrivals.onCall(event.source, event.call, now);
+      case 'cancel':
+        return this.arrivals.onCancel(event.callId, now);
+      case 'source-lost':
+        return this.arrivals.onSourceLost(event.linkId);
+      case 'server-answered':
+        return this.results.onAnswered(event, now);
+      case 'server-failed':
+        return this.results.onFailed(event, now);
+      case 'server-state':
+        return this.onServerState(event.state, event.slots, now);
+      case 'server-lost':
+        return this.results.onServerLost(now);
+      case 'stop':
+        return this.parts.entrance.stop();
+      case 'sibling-load':
+        return this.parts.siblings.onReport(
+          event.nodeId,
+          event.load,
+          now.monotonicMs,
+        );
+      case 'delegate-answered':
+        return this.delegations.onAnswered(event.answer, now);
+      case 'delegate-refused':
+        return this.delegations.onRefused(event.refusal, now);
+      case 'delegate-lost':
+        return this.delegations.onLost(event.callId, now);
+      case 'keys-received':
+        return this.keyed.onReceived(event.handover, now);
+      case 'suspect':
+        return this.quarantine.onReport(event.report, now);
+      case 'tick':
+        return;
+      default:
+        return invariants.assertNever(event);
+    }
+  }
+
+  private onServerState(
+    state: control.ServerState,
+    slots: number,
+    now: units.Instant,
+  ): void {
+    const {admission, entrance} = this.parts;
+    const change = entrance.setServer(state, slots);
+    if (change === 'begins') admission.restart(now.monotonicMs);
+  }
+
+  /** Does what time and the last event make due. */
+  private advance(now: units.Instant): void {
+    const {admission, calls, entrance, runs} = this.parts;
+    calls.purge(now.monotonicMs);
+    this.keyed.purge(now);
+    runs.settle(now.monotonicMs);
+    if (entrance.hasReturned() || entrance.isStarting) {
+      admission.restart(now.monotonicMs);
+    }
+    this.detectCold(now);
+    this.results.endBroken(now);
+    this.expire(now);
+    this.dispatcher.dispatch(now);
+    this.dispatcher.replaceSilent(now);
+    if (entrance.isStopping) this.finishStop(now);
+  }
+
+  private detectCold(now: units.Instant): void {
+    const {admission, calls} = this.parts;
+    const runs = [...calls.liveRecords].flatMap(item =>
+      item.runs.map(({startedMs}) => ({item, startedMs})),
+    );
+    if (!admission.detectCold(runs, now.monotonicMs)) return;
+    this.options.counters.increment('gate.cold-detected');
+  }
+
+  private expire(now: units.Instant): void {
+    const {calls, runs} = this.parts;
+    for (const rec of [...calls.liveRecords]) {
+      if (rec.deadlineMs > now.monotonicMs) continue;
+      runs.abortAll(rec, now.monotonicMs);
+      this.ends.refuse(rec, peer.RefusalReason.DEADLINE, now);
+    }
+  }
+
+  /** Reports that nothing is in flight and the keys are handed over. */
+  private finishStop(now: units.Instant): void {
+    if (this.drainedSent) return;
+    const handedOver = this.keyed.handOver(now);
+    if (!handedOver || this.parts.calls.liveCount > 0) return;
+    this.keyed.countLost();
+    this.drainedSent = true;
+    this.actions.push({kind: 'drained'});
+  }
+}
