Pass news by gossip on at once; start from a peer's state behind a long log

Now a node that hears of a suspect or of a member beyond the log tells 4 random members at once and passes it on 16 times. Refreshes are spread over 90 s in place of 20 s.

--- a/src/common/control/control_core.test.ts
+++ b/src/common/control/control_core.test.ts
@@ -178,3 +178,33 @@
     assert.ok(taken > 0);
   },
 );
+
+nodeTest.test('a suspect request is known everywhere within 3 s', () => {
+  const fleet = newFleet(24);
+  fleet.runFor(10_000);
+  const [finder] = nodesOf(fleet);
+  const report = {fingerprint: 'f', deaths: 2, expiresInMs: 60_000};
+  fleet.deliver(finder, {kind: 'suspect-found', report});
+  const knows = (n: virtualFleet.VirtualNode): boolean =>
+    n === finder || n.notices.some(t => t.notice.kind === 'suspect');
+  const tookMs = fleet.runUntil(() => nodesOf(fleet).every(knows), 3_000);
+  assert.notEqual(tookMs, undefined);
+});
+
+nodeTest.test(
+  "a node that starts behind a long log takes a peer's state",
+  () => {
+    const fleet = newFleet(8);
+    fleet.runFor(10_000);
+    const [first] = fleet.options.members;
+    const last = fleet.log.all.at(-1) ?? assert.fail();
+    const record = peer.LogRecord.decode(last.bytes);
+    for (let i = 0; i < 20_000; i++) fleet.append(record);
+    fleet.runFor(5_000);
+    const readsBefore = fleet.log.recordsRead;
+    const born = fleet.start({...first, nodeId: 'born'});
+    const tookMs = fleet.runUntil(() => born.core.rosterOffset > 20_000, 2_000);
+    assert.notEqual(tookMs, undefined);
+    assert.ok(fleet.log.recordsRead - readsBefore < 10_000);
+  },
+);
--- a/src/common/control/control_core.ts
+++ b/src/common/control/control_core.ts
@@ -28,8 +28,11 @@
 /** Time between announcements of this node by gossip while the log does not hold its join. */
 const ANNOUNCE_INTERVAL_MS: units.Millis = 5_000;
 
-/** Random members told at once that this node leaves, besides its siblings. */
-const LEAVING_FANOUT = 8;
+/** Random members told at once of a suspect request, or that this node leaves. */
+const URGENT_FANOUT = 8;
+
+/** Random members to which news by gossip is passed on at once. */
+const NEWS_FANOUT = 4;
 
 /** What the core is made of. */
 export interface ControlOptions {
@@ -231,6 +234,7 @@
     });
     if (taken.answered) this.takeAnswer(taken.answered, datagram);
     this.outbox.send(taken.messages, nowMs);
+    if (taken.hasNews) this.outbox.push(NEWS_FANOUT, nowMs);
   }
 
   /** An answer vouches for the sender's versions as of when the question was sent. */
@@ -276,7 +280,7 @@
     nowMs: units.MonotonicMs,
   ): void {
     if (!this.gossip.spreadSuspect(report, nowMs)) return;
-    this.outbox.push(LEAVING_FANOUT, nowMs);
+    this.outbox.push(URGENT_FANOUT, nowMs);
   }
 
   private noteFolded(
@@ -366,7 +370,7 @@
       this.leavingAnnounced = true;
       this.gossip.provisional.announce(true, nowMs);
       this.outbox.sendNews(this.views.siblings(), nowMs);
-      this.outbox.push(LEAVING_FANOUT, nowMs);
+      this.outbox.push(URGENT_FANOUT, nowMs);
       return;
     }
     this.leavingAnnounced = false;
@@ -392,7 +396,9 @@
   /** Whether this node lacks what the log alone cannot give it now. */
   private needsState(): boolean {
     if (!this.log.complete || this.stale) return true;
-    return this.log.nextOffset === 0 && this.follower.failing;
+    return this.log.nextOffset === 0
+      ? this.follower.failing
+      : this.follower.catchingUp;
   }
 
   private get revision(): number {
--- a/src/common/control/gossip.ts
+++ b/src/common/control/gossip.ts
@@ -21,13 +21,15 @@
 
 /** What a datagram led to. */
 export interface Taken {
+  /** Whether it told of a suspect request or of a member that the log does not hold. */
+  readonly hasNews: boolean;
   readonly from?: peer.Member;
   readonly messages: readonly failureDetector.Message[];
   readonly notices: readonly control.ControlNotice[];
   readonly answered?: failureDetector.AnsweredProbe;
 }
 
-const NOTHING: Taken = {messages: [], notices: []};
+const NOTHING: Taken = {hasNews: false, messages: [], notices: []};
 
 /** Liveness and rumours. */
 export class Gossip {
@@ -122,17 +124,17 @@
   /** Takes a datagram of another node. */
   take(datagram: peer.Datagram, nowMs: units.MonotonicMs): Taken {
     if (datagram.nodeId === this.self.nodeId) return NOTHING;
-    const notices = this.takeItems(datagram, nowMs);
+    const {hasNews, notices} = this.takeItems(datagram, nowMs);
     const from = datagram.sender ?? this.find(datagram.nodeId, nowMs);
     if (from === undefined || from.incarnation > datagram.incarnation) {
       this.count.increment('gossip.unknown-sender');
-      return {messages: [], notices};
+      return {hasNews, messages: [], notices};
     }
     if (from.incarnation < datagram.incarnation) {
-      return {from, messages: [], notices};
+      return {hasNews, from, messages: [], notices};
     }
     this.noteHeard(from, nowMs);
-    return {from, ...this.takeBody(datagram, from, notices, nowMs)};
+    return {hasNews, from, ...this.takeBody(datagram, from, notices, nowMs)};
   }
 
   /** Finds a member by the log or by gossip. */
@@ -157,7 +159,7 @@
     from: peer.Member,
     notices: readonly control.ControlNotice[],
     nowMs: units.MonotonicMs,
-  ): Taken {
+  ): Omit<Taken, 'hasNews'> {
     const {body} = datagram;
     switch (body?.$case) {
       case undefined:
@@ -208,22 +210,25 @@
   private takeItems(
     datagram: peer.Datagram,
     nowMs: units.MonotonicMs,
-  ): readonly control.ControlNotice[] {
+  ): Pick<Taken, 'hasNews' | 'notices'> {
     for (const update of datagram.updates.slice(0, MAX_ITEMS)) {
       this.table.takeUpdate(update, nowMs);
     }
-    for (const told of datagram.members.slice(0, MAX_ITEMS)) {
-      if (this.provisional.take(told, nowMs)) this.memberChanges = -1;
-    }
-    return datagram.suspects
+    const members = datagram.members
+      .slice(0, MAX_ITEMS)
+      .filter(told => this.provisional.take(told, nowMs));
+    if (members.length > 0) this.memberChanges = -1;
+    const notices = datagram.suspects
       .slice(0, MAX_ITEMS)
       .filter(report => this.spreadSuspect(report, nowMs))
-      .map(report => ({kind: 'suspect', report}));
+      .map(report => ({kind: 'suspect', report}) as const);
+    return {hasNews: members.length + notices.length > 0, notices};
   }
 
   private updateMembers(nowMs: units.MonotonicMs): void {
     if (this.memberChanges === this.log.roster.memberChanges) return;
-    if (nowMs - this.membersSetMs < MEMBERS_INTERVAL_MS) return;
+    const isRecent = nowMs - this.membersSetMs < MEMBERS_INTERVAL_MS;
+    if (isRecent && this.memberCount > 1) return;
     this.membersSetMs = nowMs;
     this.memberChanges = this.log.roster.memberChanges;
     const members = new Map(
--- a/src/common/control/log_follower.ts
+++ b/src/common/control/log_follower.ts
@@ -28,6 +28,11 @@
     return this.failures > 0;
   }
 
+  /** Whether reads have begun and not reached the tail yet. */
+  get catchingUp(): boolean {
+    return !this.atTail && this.lastSentMs !== Number.NEGATIVE_INFINITY;
+  }
+
   /** Returns the read to start now, if any; `waitMs` is how long the log may hold it. */
   step(
     from: number,
--- a/src/common/control/record_needs.ts
+++ b/src/common/control/record_needs.ts
@@ -27,8 +27,8 @@
 const JOIN_JITTER_MS: units.Millis = 250;
 const JOIN_JITTER_PER_MEMBER_MS: units.Millis = 3;
 
-/** Jitter of a refresh. */
-const REFRESH_JITTER_MS: units.Millis = 20_000;
+/** Longest time by which a node refreshes earlier; spreads the refreshes of a fleet. */
+const REFRESH_JITTER_MS: units.Millis = 90_000;
 
 /** Longest wait at a stop for the record of leaving. */
 export const LEAVE_TIMEOUT_MS: units.Millis = 5_000;
--- a/src/common/membership/rumours.ts
+++ b/src/common/membership/rumours.ts
@@ -2,7 +2,7 @@
 import * as units from '../units.js';
 
 /** Times each node passes an item on. */
-const SENDS = 8;
+const SENDS = 16;
 
 /** Most items kept; the oldest go first. */
 const MAX_RUMOURS = 256;
--- a/test/fakes/virtual_log.ts
+++ b/test/fakes/virtual_log.ts
@@ -7,6 +7,7 @@
   firstOffset = 0;
   reachable = true;
   reads = 0;
+  recordsRead = 0;
   private readonly waiting = new Set<() => void>();
 
   /** Called with each record as it is stored. */
@@ -31,6 +32,7 @@
     const start = Math.max(from, this.firstOffset);
     const records = this.all.slice(start, start + limit);
     const {firstOffset} = this;
+    this.recordsRead += records.length;
     return {records, firstOffset, nextOffset: start + records.length};
   }
 
