Keep a node from asking for state forever after a late page of old records

Cause: a page of old records that arrived after a peer's state had taken the node ahead made it look as if it were still catching up; as its lease stayed confirmed by pulls, nothing ended that.

--- a/src/common/control/control_core.test.ts
+++ b/src/common/control/control_core.test.ts
@@ -206,5 +206,9 @@
     const tookMs = fleet.runUntil(() => born.core.rosterOffset > 20_000, 2_000);
     assert.notEqual(tookMs, undefined);
     assert.ok(fleet.log.recordsRead - readsBefore < 10_000);
+    fleet.runFor(5_000);
+    const pullsBefore = fleet.traffic.pulls;
+    fleet.runFor(5_000);
+    assert.equal(fleet.traffic.pulls, pullsBefore);
   },
 );
--- a/src/common/control/control_core.ts
+++ b/src/common/control/control_core.ts
@@ -251,7 +251,7 @@
   }
 
   private takeLogRead(page: control.LogPage, now: units.Instant): void {
-    const confirmedMs = this.follower.noteRead(page);
+    const confirmedMs = this.follower.noteRead(page, this.log.nextOffset);
     this.noteFolded(this.log.foldPage(page), now);
     if (confirmedMs !== undefined) this.confirm(confirmedMs);
     this.tellLogReachable(true);
@@ -295,6 +295,7 @@
   }
 
   private noteAdopted(now: units.Instant): void {
+    this.follower.noteAdopted();
     this.homes.noteAdopted(now);
     const own = this.log.roster.entry(this.self.nodeId);
     if (own?.member.incarnation !== this.self.incarnation) return;
--- a/src/common/control/log_follower.ts
+++ b/src/common/control/log_follower.ts
@@ -55,13 +55,25 @@
     };
   }
 
-  /** Notes an answer; returns when the read was sent if it reached the tail. */
-  noteRead(page: control.LogPage): units.MonotonicMs | undefined {
+  /**
+   * Notes an answer; returns when the read was sent if it reached the tail. `ownOffset` is where
+   * this node stands, which a peer's state may have taken ahead of the answer.
+   */
+  noteRead(
+    page: control.LogPage,
+    ownOffset: number,
+  ): units.MonotonicMs | undefined {
     const sentMs = this.sentMs;
     this.sentMs = undefined;
     this.failures = 0;
-    this.atTail = page.records.length < READ_LIMIT;
-    return this.atTail ? sentMs : undefined;
+    const reachedTail = page.records.length < READ_LIMIT;
+    this.atTail = reachedTail || page.nextOffset < ownOffset;
+    return reachedTail ? sentMs : undefined;
+  }
+
+  /** Notes that a peer's state took this node ahead, close to the tail. */
+  noteAdopted(): void {
+    this.atTail = true;
   }
 
   /** Notes that the read failed. */
