Bound reads of the log by fleet size, and datagrams by the longest names

The room kept for a datagram's fixed part did not count the sender as a member with 63 character names.

--- a/src/common/control/control_core.test.ts
+++ b/src/common/control/control_core.test.ts
@@ -212,3 +212,33 @@
     assert.equal(fleet.traffic.pulls, pullsBefore);
   },
 );
+
+nodeTest.test(
+  'datagrams stay within their bound with the longest names',
+  () => {
+    const long = (text: string): string => text.padEnd(63, 'x');
+    const members = virtualFleet.fleetMembers(24, 8).map(m => ({
+      ...m,
+      nodeId: long(m.nodeId),
+      service: long(m.service),
+      dataCentre: long(m.dataCentre),
+      region: long(m.region),
+    }));
+    const fleet = newFleet(24, {members});
+    fleet.runFor(5_000);
+    fleet.log.reachable = false;
+    const [first] = members;
+    fleet.bootstrapPeers = [first];
+    for (let i = 0; i < 4; i++) {
+      fleet.kill(members[5 + i].nodeId);
+      fleet.start({...first, nodeId: long(`born-${i}-`)});
+      const fingerprint = long(`f${i}`);
+      const report = {fingerprint, deaths: 2, expiresInMs: 60_000};
+      const node = fleet.nodes.get(first.nodeId) ?? assert.fail();
+      fleet.deliver(node, {kind: 'suspect-found', report});
+    }
+    fleet.runFor(10_000);
+    const {largest} = fleet.traffic;
+    assert.ok(largest > 600 && largest <= 1_200, `${largest}`);
+  },
+);
--- a/src/common/control/control_core.ts
+++ b/src/common/control/control_core.ts
@@ -340,7 +340,14 @@
     const ageMs = this.upkeep.lease.ageMs(nowMs);
     const waitMs = this.readers.readWaitMs(ageMs, nowMs);
     if (waitMs !== undefined) {
-      this.outbox.add(this.follower.step(this.log.nextOffset, waitMs, nowMs));
+      this.outbox.add(
+        this.follower.step(
+          this.log.nextOffset,
+          waitMs,
+          this.gossip.memberCount,
+          nowMs,
+        ),
+      );
     }
     for (const record of this.records.step(this.needs.current(now), now)) {
       this.outbox.add({kind: 'append', record});
--- a/src/common/control/datagram_contents.ts
+++ b/src/common/control/datagram_contents.ts
@@ -8,8 +8,8 @@
 /** Largest datagram, in bytes. */
 export const MAX_DATAGRAM_BYTES = 1_200;
 
-/** Bytes of a datagram's fixed part, with its longest node id. */
-const FIXED_BYTES = 160;
+/** Bytes of a datagram's other fields, with the sender as a member and its longest names. */
+const FIXED_BYTES = 480;
 
 /** Bytes of a field's tag and length. */
 const FIELD_BYTES = 4;
--- a/src/common/control/log_follower.ts
+++ b/src/common/control/log_follower.ts
@@ -6,8 +6,10 @@
 /** Most records asked for in one read. */
 export const READ_LIMIT = 500;
 
-/** Shortest time between the starts of two reads at the tail. */
-const READ_SPACING_MS: units.Millis = 100;
+/** Shortest time between the starts of two reads at the tail, by the number of members. */
+const READ_SPACING_MIN_MS: units.Millis = 100;
+const READ_SPACING_PER_MEMBER_MS = 1;
+const READ_SPACING_MAX_MS: units.Millis = 450;
 
 /** First and longest wait after a failed read. */
 const RETRY_MIN_MS: units.Millis = 200;
@@ -37,12 +39,13 @@
   step(
     from: number,
     waitMs: units.Millis,
+    members: number,
     nowMs: units.MonotonicMs,
   ): control.ControlAction | undefined {
     if (this.sentMs !== undefined || nowMs < this.notBeforeMs) {
       return undefined;
     }
-    if (this.atTail && nowMs - this.lastSentMs < READ_SPACING_MS) {
+    if (this.atTail && nowMs - this.lastSentMs < readSpacing(members)) {
       return undefined;
     }
     this.sentMs = nowMs;
@@ -85,3 +88,9 @@
     this.notBeforeMs = nowMs + bound / 2 + this.random.nextInt(bound / 2);
   }
 }
+
+/** Bounds the reads of the fleet, which has more readers and more records the larger it is. */
+function readSpacing(members: number): units.Millis {
+  const spacingMs = READ_SPACING_MIN_MS + READ_SPACING_PER_MEMBER_MS * members;
+  return Math.min(READ_SPACING_MAX_MS, spacingMs);
+}
--- a/test/fakes/virtual_fleet.ts
+++ b/test/fakes/virtual_fleet.ts
@@ -58,7 +58,13 @@
 export class VirtualFleet {
   readonly log = new virtualLog.VirtualLog();
   readonly nodes = new Map<string, VirtualNode>();
-  readonly traffic = {datagrams: 0, bytes: 0, pulls: 0, pullBytes: 0};
+  readonly traffic = {
+    datagrams: 0,
+    bytes: 0,
+    largest: 0,
+    pulls: 0,
+    pullBytes: 0,
+  };
   nowMs = 0;
   steps = 0;
   /** Nodes that cannot reach the log, and pairs of nodes that cannot reach each other. */
@@ -224,6 +230,7 @@
     const bytes = peer.Datagram.encode(datagram).finish();
     this.traffic.datagrams++;
     this.traffic.bytes += bytes.length;
+    this.traffic.largest = Math.max(this.traffic.largest, bytes.length);
     if (bytes.length > 1_200) throw new Error(`datagram of ${bytes.length}`);
     const copies = this.random.next() < (this.options.duplication ?? 0) ? 2 : 1;
     for (let i = 0; i < copies; i++) {
