--- /dev/null
+++ b/bench/slopes/state_memory.ts
@@ -0,0 +1,161 @@
+/** Memory of what a node knows, against members, exceptions and keys. */
+import * as uuid from 'uuid';
+
+import * as logState from '../../src/common/control/log_state.js';
+import * as controlCore from '../../src/common/control/control_core.js';
+import * as counters from '../../src/common/counters.js';
+import * as keyMemory from '../../src/common/idempotency/key_memory.js';
+import * as invariants from '../../src/common/invariants.js';
+import * as randomSource from '../../src/common/random_source.js';
+import * as generated from '../../src/generated/configuration.js';
+import * as peer from '../../src/generated/peer.js';
+import * as virtualFleet from '../../test/fakes/virtual_fleet.js';
+import * as heap from './heap.js';
+import * as measurement from './measurement.js';
+
+const SERVICE_SIZE = 29;
+const MEMBER_COUNTS = [150, 600, 1_200, 2_400];
+const EXCEPTION_COUNTS = [30, 100, 300, 1_000];
+const KEY_COUNTS = [500, 1_000, 2_000, 4_000];
+const SEED = 1;
+const TIME_MS = 1_700_000_000_000;
+
+function joinRecord(member: peer.Member): Uint8Array {
+  const value = peer.RosterRecord.fromPartial({
+    event: peer.RosterEvent.JOIN,
+    member,
+    authorNodeId: member.nodeId,
+  });
+  const body = {$case: 'roster' as const, value};
+  const record = {recordId: uuid.v7(), timeMs: TIME_MS, body};
+  return peer.LogRecord.encode(record).finish();
+}
+
+/** A core that has folded the joins of a fleet. */
+function coreOf(count: number): controlCore.ControlCore {
+  const members = virtualFleet.fleetMembers(count, SERVICE_SIZE);
+  const count0 = new counters.MemoryCounters();
+  const core = new controlCore.ControlCore({
+    self: members[0],
+    random: new randomSource.SeededRandom(SEED),
+    counters: count0,
+    invariants: new invariants.Invariants(count0),
+  });
+  const records = members.map((m, offset) => ({offset, bytes: joinRecord(m)}));
+  const page = {records, firstOffset: 0, nextOffset: records.length};
+  const now = {monotonicMs: 1, epochMs: TIME_MS};
+  core.handle({kind: 'log-read', from: 0, page}, now);
+  core.handle({kind: 'tick'}, now);
+  return core;
+}
+
+function exception(i: number): generated.Exception {
+  return {
+    id: `server-out.node-${i}`,
+    kind: 'server-out',
+    server: `node-${i}`,
+    reason: 'replaced after disk noise in the night of Tuesday',
+    author: 'operator',
+    timeMs: TIME_MS,
+  };
+}
+
+function changeRecord(exceptions: readonly generated.Exception[]): Uint8Array {
+  const configuration = {
+    defaults: {},
+    classes: [CLASS],
+    services: [],
+    exceptions,
+  };
+  const value = peer.ConfigurationChange.fromPartial({
+    changeId: uuid.v7(),
+    author: 'operator',
+    reason: 'measurement',
+    operationJson: JSON.stringify({kind: 'replace', configuration}),
+  });
+  const body = {$case: 'change' as const, value};
+  const record = {recordId: value.changeId, timeMs: TIME_MS, body};
+  return peer.LogRecord.encode(record).finish();
+}
+
+const CLASS = {
+  name: 'read',
+  kind: 'interactive',
+  deadlineMs: 500,
+  idempotent: true,
+};
+
+function configuredState(count: number): logState.LogState {
+  const counted = new counters.MemoryCounters();
+  const state = new logState.LogState(
+    new invariants.Invariants(counted),
+    counted,
+  );
+  const exceptions = Array.from({length: count}, (_, i) => exception(i));
+  const records = [{offset: 0, bytes: changeRecord(exceptions)}];
+  state.foldPage({records, firstOffset: 0, nextOffset: 1});
+  if (state.configuration.revision !== 1) {
+    throw new Error('change not accepted');
+  }
+  return state;
+}
+
+function keysOf(count: number): keyMemory.KeyMemory {
+  const memory = new keyMemory.KeyMemory(count);
+  for (let i = 0; i < count; i++) {
+    const key = uuid.v7();
+    memory.begin(key, `fingerprint-${i}`, key, 0);
+    memory.settle(key, {kind: 'ran'});
+  }
+  return memory;
+}
+
+/** Measures bytes kept by each kind of state. */
+export function measureStateMemory(): readonly measurement.Measurement[] {
+  const points = (
+    counts: readonly number[],
+    build: (count: number) => unknown,
+  ) => counts.map(x => ({x, y: heap.keptBytes(() => build(x))}));
+  coreOf(10);
+  configuredState(10);
+  keysOf(10);
+  return [
+    {
+      role: 'roster and liveness',
+      size: 'members',
+      cost: 'bytes',
+      points: points(MEMBER_COUNTS, coreOf),
+    },
+    {
+      role: 'configuration',
+      size: 'exceptions',
+      cost: 'bytes',
+      points: points(EXCEPTION_COUNTS, configuredState),
+    },
+    {
+      role: 'key memory',
+      size: 'keys',
+      cost: 'bytes',
+      points: points(KEY_COUNTS, keysOf),
+    },
+  ];
+}
+
+/** Measures the processor time of folding one change against the number of exceptions. */
+export function measureFoldTime(): readonly measurement.Measurement[] {
+  const points = EXCEPTION_COUNTS.map(x => {
+    configuredState(x);
+    const repeats = 5;
+    const startUs = process.cpuUsage().user;
+    for (let i = 0; i < repeats; i++) configuredState(x);
+    return {x, y: (process.cpuUsage().user - startUs) / repeats};
+  });
+  return [
+    {
+      role: 'configuration',
+      size: 'exceptions',
+      cost: 'us of processor a change',
+      points,
+    },
+  ];
+}
