Tell siblings the load under a rate limit; name siblings with room in refusals

Cause: a full gate could not say where to go instead. Ruled out: telling all siblings of each change (28 datagrams in a service of 29); a first form with no siblings left its wake-up time in the past. Disabled once each, at least one test failed: rotation over siblings, refresh, leaving siblings, siblings without room, count of the datagrams. The two guards of the rate cover each other; disabling one alone fails no test.

--- a/src/common/gate/gate_core.ts
+++ b/src/common/gate/gate_core.ts
@@ -12,6 +12,7 @@
 import * as gateOptions from './gate_options.js';
 import * as gateParts from './gate_parts.js';
 import * as keyedCalls from './keyed_calls.js';
+import * as loadNotices from './load_notices.js';
 import * as quarantine from './quarantine.js';
 import * as responder from './responder.js';
 import * as serverResults from './server_results.js';
@@ -31,6 +32,7 @@
   private readonly arrivals: arrivals.Arrivals;
   private readonly dispatcher: dispatcher.Dispatcher;
   private readonly results: serverResults.ServerResults;
+  private readonly notices: loadNotices.LoadNotices;
   private drainedSent = false;
 
   constructor(private readonly options: gateOptions.GateOptions) {
@@ -39,6 +41,7 @@
     this.ends = new callEnds.CallEnds(this.parts);
     this.keyed = new keyedCalls.KeyedCalls(this.parts, this.ends, emit);
     this.quarantine = new quarantine.Quarantine(this.parts, this.ends, emit);
+    this.notices = new loadNotices.LoadNotices(this.parts, emit);
     this.delegations = new delegations.Delegations(this.parts, this.ends, emit);
     this.arrivals = new arrivals.Arrivals(
       this.parts,
@@ -76,6 +79,7 @@
     let next = Math.min(
       this.parts.runs.nextSettleMs ?? Infinity,
       this.parts.entrance.nextObserveMs ?? Infinity,
+      this.drainedSent ? Infinity : (this.notices.nextWakeMs ?? Infinity),
       this.drainedSent ? Infinity : (this.keyed.nextWakeMs ?? Infinity),
     );
     for (const rec of this.parts.calls.liveRecords) {
@@ -176,6 +180,7 @@
     this.dispatcher.dispatch(now);
     this.dispatcher.replaceSilent(now);
     if (entrance.isStopping) this.finishStop(now);
+    this.notices.observe(this.loadReport(), now.monotonicMs);
   }
 
   private detectCold(now: units.Instant): void {
--- a/src/common/gate/gate_fixtures.test.ts
+++ b/src/common/gate/gate_fixtures.test.ts
@@ -212,6 +212,13 @@
   );
 }
 
+/** Returns the actions that concern calls. */
+export function aboutCalls(
+  actions: readonly contract.GateAction[],
+): readonly contract.GateAction[] {
+  return actions.filter(a => a.kind !== 'tell-siblings');
+}
+
 /** Returns `call id reason outcome` of each refusal. */
 export function refusals(
   actions: readonly contract.GateAction[],
--- a/src/common/gate/gate_options.ts
+++ b/src/common/gate/gate_options.ts
@@ -25,6 +25,8 @@
   /** Requests that the backend server can run at the same time. */
   readonly slots: number;
   readonly bounds: GateBounds;
+  /** Load notices to siblings, in datagrams a second; a default without it. */
+  readonly noticesPerSecond?: number;
   readonly view: fleet.FleetView;
   readonly counters: counters.Counters;
   readonly invariants: invariants.Invariants;
--- /dev/null
+++ b/src/common/gate/load_notices.test.ts
@@ -0,0 +1,114 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+
+import * as peer from '../../generated/peer.js';
+import * as contract from './gate_contract.js';
+import * as fixtures from './gate_fixtures.test.js';
+
+const DATAGRAMS_PER_SECOND = 20;
+const SAVING = 8;
+
+function told(actions: readonly contract.GateAction[]): number {
+  return fixtures
+    .only(actions, 'tell-siblings')
+    .reduce((sum, a) => sum + a.nodeIds.length, 0);
+}
+
+function load(changes: Partial<peer.LoadReport>): peer.LoadReport {
+  return peer.LoadReport.create({limit: 4, ...changes});
+}
+
+nodeTest.test('a gate tells its siblings when its room changes', () => {
+  const {send} = fixtures.gateFixture({slots: 2});
+  const [notice] = fixtures.only(send(fixtures.call('a'), 10), 'tell-siblings');
+  assert.deepEqual(notice.nodeIds, ['gate-2', 'gate-3']);
+  assert.equal(notice.load.inFlight, 1);
+  assert.equal(told(send({kind: 'tick'}, 20)), 0);
+  assert.equal(told(send(fixtures.answered('a'), 30)), 2);
+});
+
+nodeTest.test('notices stay within their rate and reach all siblings', () => {
+  const {gate, send, view} = fixtures.gateFixture({slots: 1});
+  view.nodeIds = Array.from({length: 30}, (unused, i) => `gate-${i + 1}`);
+  const reached = new Set<string>();
+  let sent = 0;
+  for (let ms = 0; ms < 10_000; ms += 10) {
+    const actions = [
+      ...send(fixtures.call(`c${ms}`), ms),
+      ...send(fixtures.answered(`c${ms}`), ms + 5),
+    ];
+    sent += told(actions);
+    for (const a of fixtures.only(actions, 'tell-siblings')) {
+      a.nodeIds.forEach(nodeId => reached.add(nodeId));
+    }
+  }
+  assert.ok(sent <= 10 * DATAGRAMS_PER_SECOND + SAVING, `${sent} datagrams`);
+  assert.equal(reached.size, 29);
+  assert.ok(gate.nextWakeMs() !== undefined);
+});
+
+nodeTest.test('an idle gate repeats its load now and then', () => {
+  const {gate, send} = fixtures.gateFixture();
+  let sent = 0;
+  let ms = 0;
+  for (let wakes = 0; wakes < 100 && ms < 10_000; wakes++) {
+    sent += told(send({kind: 'tick'}, ms));
+    ms = gate.nextWakeMs() ?? Infinity;
+  }
+  assert.ok(sent >= 8 && sent <= 12, `${sent} datagrams`);
+});
+
+nodeTest.test('a gate without siblings has nothing due for them', () => {
+  const {gate, send, view} = fixtures.gateFixture();
+  view.nodeIds = ['gate-1'];
+  for (let ms = 0; ms < 3_000; ms += 100) {
+    assert.equal(told(send({kind: 'tick'}, ms)), 0);
+    assert.ok((gate.nextWakeMs() ?? Infinity) > ms);
+  }
+});
+
+nodeTest.test(
+  'a full gate names siblings with room and the age of the report',
+  () => {
+    const {send, view} = fixtures.gateFixture({slots: 1});
+    view.configuration = fixtures.configuration({defaults: {queueLength: 0}});
+    view.nodeIds = ['gate-1', 'gate-2', 'gate-3', 'gate-4', 'gate-5'];
+    send(
+      {kind: 'sibling-load', nodeId: 'gate-2', load: load({inFlight: 4})},
+      0,
+    );
+    send(
+      {kind: 'sibling-load', nodeId: 'gate-3', load: load({inFlight: 3})},
+      0,
+    );
+    send({kind: 'sibling-load', nodeId: 'gate-4', load: load({})}, 0);
+    send(
+      {kind: 'sibling-load', nodeId: 'gate-5', load: load({leaving: true})},
+      0,
+    );
+    send({kind: 'sibling-load', nodeId: 'stranger', load: load({})}, 0);
+    send(fixtures.call('a'), 40);
+    const [{refusal}] = fixtures.only(send(fixtures.call('b'), 50), 'refuse');
+    assert.deepEqual(
+      refusal.alternatives.map(a => [a.nodeId, a.load?.ageMs]),
+      [
+        ['gate-4', 50],
+        ['gate-3', 50],
+      ],
+    );
+    assert.equal(refusal.load?.inFlight, 1);
+    const full = load({inFlight: 2, queued: 2});
+    send({kind: 'sibling-load', nodeId: 'gate-3', load: full}, 52);
+    const [second] = fixtures.only(send(fixtures.call('d'), 55), 'refuse');
+    assert.deepEqual(
+      second.refusal.alternatives.map(a => a.nodeId),
+      ['gate-4'],
+    );
+    view.configuration = fixtures.configuration({
+      defaults: {queueLength: 0},
+      exceptions: [fixtures.dataCentreOut('dc-1')],
+    });
+    const [out] = fixtures.only(send(fixtures.call('c'), 60), 'refuse');
+    assert.deepEqual(out.refusal.alternatives, []);
+  },
+);
--- a/src/common/gate/sibling_loads.ts
+++ b/src/common/gate/sibling_loads.ts
@@ -3,9 +3,13 @@
 import * as fleet from '../control/fleet_view.js';
 import * as units from '../units.js';
 import * as gateOptions from './gate_options.js';
+import * as loadNotices from './load_notices.js';
 
 /** Age from which a report says nothing any more. */
-const REPORT_AGE_MAX_MS = 2_000;
+const REPORT_AGE_MAX_MS = 15_000;
+
+/** Age at which the room reported counts half. */
+const ROOM_HALF_AGE_MS = 1_000;
 
 /** Most siblings named in one refusal. */
 const ALTERNATIVES = 2;
@@ -46,14 +50,14 @@
   withRoom(now: units.MonotonicMs): readonly Sibling[] {
     const siblings = this.members().flatMap(m => {
       const sibling = this.siblingAt(m.member.nodeId, now);
-      if (!sibling || roomOf(sibling.load) <= 0) return [];
+      if (!sibling || loadNotices.roomOf(sibling.load) <= 0) return [];
       const isNear = m.member.dataCentre === this.options.dataCentre;
       return [{sibling, isNear, tie: this.options.random.next()}];
     });
     siblings.sort(
       (a, b) =>
         Number(b.isNear) - Number(a.isNear) ||
-        roomOf(b.sibling.load) - roomOf(a.sibling.load) ||
+        likelyRoom(b.sibling.load) - likelyRoom(a.sibling.load) ||
         a.tie - b.tie,
     );
     return siblings.slice(0, ALTERNATIVES).map(s => s.sibling);
@@ -86,6 +90,7 @@
   }
 }
 
-function roomOf(load: peer.LoadReport): number {
-  return load.limit - load.inFlight - load.queued;
+/** Room reported, weighed by the age of the report. */
+function likelyRoom(load: peer.LoadReport): number {
+  return loadNotices.roomOf(load) / (1 + load.ageMs / ROOM_HALF_AGE_MS);
 }
