Entry: offer redirections while they find room

Cause: a call whose gate has no free slot waits there though siblings have room. What: the first attempt of a request without a key says that it follows a redirection, while the selector is redirect and the budget of the service holds one. A full gate that names siblings is not counted as lack of room; what the sibling says is. So redirections that find room stay cheap, and at overload, when siblings are full too, no more are offered and gates queue or refuse as before.

--- a/src/common/entry/attempt_sender.ts
+++ b/src/common/entry/attempt_sender.ts
@@ -3,6 +3,7 @@
 import * as fleetView from '../control/fleet_view.js';
 import * as counters from '../counters.js';
 import * as invariants from '../invariants.js';
+import * as serviceBudgets from '../retries/service_budgets.js';
 import * as outstanding from '../routing/outstanding.js';
 import * as units from '../units.js';
 import * as call from './call.js';
@@ -17,6 +18,9 @@
   readonly invariants: invariants.Invariants;
   readonly calls: callTable.CallTable;
   readonly own: outstanding.Outstanding;
+  readonly budgets: serviceBudgets.ServiceBudgets;
+  /** Whether the selector goes where a full gate points. */
+  readonly followsRedirections: boolean;
 }
 
 /** Returns whether a call id is that of an attempt of the request. */
@@ -77,10 +81,19 @@
     attempt: call.Attempt,
     nowMs: units.MonotonicMs,
   ): contract.EntryAction {
+    const call = callRequests.callRequest(c, attempt, this.options.view, nowMs);
+    const redirectable = this.isRedirectable(c, attempt) ? true : undefined;
     return {
       kind: 'dispatch',
       nodeId: attempt.nodeId,
-      call: callRequests.callRequest(c, attempt, this.options.view, nowMs),
+      call: {...call, redirectable},
     };
   }
+
+  /** Whether a redirection of this attempt would be followed: once, while the budget lasts. */
+  private isRedirectable(c: call.Call, attempt: call.Attempt): boolean {
+    const {budgets, followsRedirections} = this.options;
+    if (!followsRedirections || c.keyed || attempt.number > 1) return false;
+    return budgets.of(c.request.service).mayRedirect;
+  }
 }
--- a/src/common/entry/call.ts
+++ b/src/common/entry/call.ts
@@ -53,6 +53,8 @@
   waits = 0;
   /** Times that a gate named another home of the key. */
   homeHops = 0;
+  /** Whether it is settled if the request found room where it looked first. */
+  roomSought = false;
   /** Backend servers that died while they ran the request. */
   deaths = 0;
   /** When a second attempt is made beside a slow first one. */
--- a/src/common/entry/entry_core.test.ts
+++ b/src/common/entry/entry_core.test.ts
@@ -226,3 +226,30 @@
   const second = fixtures.dispatched(entry.refuse(first, failure));
   assert.equal(second.call.deaths, 1);
 });
+
+nodeTest.test('redirections are offered while they find room', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const other = (d: {readonly nodeId: string}) => ({
+    alternatives: [
+      {nodeId: d.nodeId === 'a' ? 'b' : 'a', load: fixtures.load(1)},
+    ],
+  });
+  for (let i = 0; i < 100; i++) {
+    const d = entry.send(fixtures.request(`found${i}`));
+    if (d.call.redirectable !== true) continue;
+    const next = fixtures.dispatched(entry.refuse(d, other(d)));
+    assert.equal(next.nodeId, other(d).alternatives[0].nodeId);
+    assert.equal(next.call.redirectable, undefined);
+    entry.answer(next);
+  }
+  const found = entry.counters.get('retry.no-room');
+  assert.ok(found >= 50);
+  for (let i = 0; i < 100; i++) {
+    const d = entry.send(fixtures.request(`full${i}`));
+    const actions = entry.refuse(d, d.call.redirectable ? other(d) : {});
+    if (actions[0].kind === 'dispatch') entry.refuse(actions[0]);
+  }
+  assert.ok(entry.counters.get('retry.no-room') - found <= 20);
+  const d = entry.send(fixtures.request('last'));
+  assert.equal(d.call.redirectable, undefined);
+});
--- a/src/common/entry/entry_core.ts
+++ b/src/common/entry/entry_core.ts
@@ -57,7 +57,7 @@
   readonly retryTokens: number;
   /** Redirections that the budget of the service holds. */
   readonly redirectTokens: number;
-  /** Share of recent first attempts that found their gate full, in [0, 1]. */
+  /** Share of recent calls that found no room where they looked first, in [0, 1]. */
   readonly fullShare: number;
 }
 
@@ -88,7 +88,13 @@
       settings: options.selector,
     });
     const own = this.router.own;
-    const sender = new attemptSender.AttemptSender({...options, calls, own});
+    const sender = new attemptSender.AttemptSender({
+      ...options,
+      calls,
+      own,
+      budgets,
+      followsRedirections: options.selector.kind === 'redirect',
+    });
     this.ender = new callEnder.CallEnder({...options, calls, sender});
     const planning = {...options, budgets, router: this.router};
     this.runner = new callRunner.CallRunner({
@@ -243,7 +249,7 @@
     this.router.onReport(nodeId, answer.load, nowMs);
     if (open === undefined) return;
     const {call: c} = open;
-    this.noteFirstAttempt(open, false);
+    this.noteRoom(c, false);
     const failed = answer.status >= FIRST_ERROR_STATUS;
     if (failed) this.router.failures.onFailure(nodeId, nowMs);
     else this.router.failures.onSuccess(nodeId);
@@ -271,7 +277,7 @@
     if (open === undefined) return;
     if (refusal.serverDied) open.call.deaths++;
     const kind = failureKind.failureKind(refusal.reason);
-    this.noteFirstAttempt(open, kind === 'full');
+    this.noteRefusal(open, kind === 'full', refusal);
     if (kind === 'failed' || kind === 'absent') {
       this.router.failures.onFailure(nodeId, nowMs);
     }
@@ -308,9 +314,21 @@
     return {call: c, attempt};
   }
 
-  private noteFirstAttempt(open: OpenAttempt, full: boolean): void {
-    if (open.attempt.number > 1) return;
-    this.budgets.of(open.call.request.service).onFirstAttempt(full);
+  /** A full gate that names siblings leaves it to the next attempt whether there is room. */
+  private noteRefusal(
+    open: OpenAttempt,
+    full: boolean,
+    refusal: peer.CallRefusal,
+  ): void {
+    const first = open.attempt.number === 1;
+    if (first && full && refusal.alternatives.length > 0) return;
+    this.noteRoom(open.call, full);
+  }
+
+  private noteRoom(c: call.Call, full: boolean): void {
+    if (c.roomSought) return;
+    c.roomSought = true;
+    this.budgets.of(c.request.service).onRoomSought(full);
   }
 
   private refuse(
--- a/src/common/retries/retry_budget.test.ts
+++ b/src/common/retries/retry_budget.test.ts
@@ -17,7 +17,7 @@
   let count = 0;
   for (let i = 0; i < CALLS; i++) {
     budget.onCall(RETRY_RATIO);
-    budget.onFirstAttempt(full);
+    budget.onRoomSought(full);
     if (budget.take(price, mustArrive)) count++;
   }
   return count;
--- a/src/common/retries/retry_budget.ts
+++ b/src/common/retries/retry_budget.ts
@@ -20,10 +20,10 @@
 /** Redirections earned by one call when no gate is full. */
 const REDIRECT_RATIO = 0.5;
 
-/** Share of full gates at which a call earns no redirection. */
+/** Share of calls that found no room at which a call earns no redirection. */
 const FULL_SHARE_LIMIT = 0.35;
 
-/** Weight of the newest first attempt in the share of full gates. */
+/** Weight of the newest call in the share of calls that found no room. */
 const FULL_SHARE_WEIGHT = 0.1;
 
 /** Further attempts that one call earns for classes that must arrive, also when gates are full. */
@@ -47,7 +47,7 @@
   );
   private share = 0;
 
-  /** Share of recent first attempts that found their gate full, in [0, 1]. */
+  /** Share of recent calls that found no room where they looked first, in [0, 1]. */
   get fullShare(): number {
     return this.share;
   }
@@ -70,8 +70,13 @@
     this.mustArrive.deposit(MUST_ARRIVE_RATIO);
   }
 
-  /** Notes whether the first attempt of a call found its gate full. */
-  onFirstAttempt(full: boolean): void {
+  /** Whether a call may be redirected now. */
+  get mayRedirect(): boolean {
+    return this.redirects.level >= 1;
+  }
+
+  /** Notes whether a call found no room at the first gate, or at the sibling that it named. */
+  onRoomSought(full: boolean): void {
     this.share += FULL_SHARE_WEIGHT * ((full ? 1 : 0) - this.share);
   }
 
