Entry: make no hedges while gates are often full

Cause: in overload with hedging classes, hedges took room from first attempts. Ruled out: a hedge budget of its own; the share of calls without room already tells overload apart.

--- a/src/common/entry/call_runner.ts
+++ b/src/common/entry/call_runner.ts
@@ -157,7 +157,7 @@
     const choice = this.options.router.choose(service, c.tried, nowMs);
     if (choice === undefined || !choice.fresh) return;
     const mustArrive = retryPolicy.mustArrive(requestClass);
-    if (!budgets.of(service).take('retry', mustArrive)) return;
+    if (!budgets.of(service).takeHedge(mustArrive)) return;
     c.retries++;
     this.options.counters.increment('entry.hedges');
     this.options.emit([sender.open(c, choice.member, nowMs)]);
--- a/src/common/retries/retry_budget.test.ts
+++ b/src/common/retries/retry_budget.test.ts
@@ -45,3 +45,10 @@
 nodeTest.test('what costs nothing is always granted', () => {
   assert.equal(taken('none', true, false), CALLS);
 });
+
+nodeTest.test('no hedge is granted when gates are often full', () => {
+  const budget = new retryBudget.RetryBudget();
+  assert.equal(budget.takeHedge(false), true);
+  for (let i = 0; i < 5; i++) budget.onRoomSought(true);
+  assert.equal(budget.takeHedge(false), false);
+});
--- a/src/common/retries/retry_budget.ts
+++ b/src/common/retries/retry_budget.ts
@@ -23,6 +23,9 @@
 /** Share of calls that found no room at which a call earns no redirection. */
 const FULL_SHARE_LIMIT = 0.35;
 
+/** Share of calls that found no room at which no second attempt is made beside a slow one. */
+const HEDGE_FULL_SHARE_LIMIT = 0.1;
+
 /** Weight of the newest call in the share of calls that found no room. */
 const FULL_SHARE_WEIGHT = 0.1;
 
@@ -75,6 +78,12 @@
     return this.redirects.level >= 1;
   }
 
+  /** Takes what an attempt beside a slow one costs; false also when gates are often full. */
+  takeHedge(mustArrive: boolean): boolean {
+    if (this.share >= HEDGE_FULL_SHARE_LIMIT) return false;
+    return this.take('retry', mustArrive);
+  }
+
   /** Notes whether a call found no room at the first gate, or at the sibling that it named. */
   onRoomSought(full: boolean): void {
     this.share += FULL_SHARE_WEIGHT * ((full ? 1 : 0) - this.share);
