--- a/test/fakes/virtual_service_node.ts
+++ b/test/fakes/virtual_service_node.ts
@@ -140,6 +140,7 @@
 
   /** Stops the process for a time; what arrives meanwhile is handled when it wakes. */
   pause(durationMs: units.Millis): void {
+    if (this.isPaused) return;
     this.pausedUntilMs = this.around.clock.nowMs + durationMs;
     this.view.stale = true;
     this.around.clock.after(durationMs + CONFIRMATION_MS, () => {
