Refuse answers that are not valid HTTP; end links that are not read

Cause: an answer whose headers cannot be written threw after its exchange was forgotten, so its caller waited for ever; a peer that reads nothing made the queue of its link grow without bound. Both new tests fail with their mechanism taken out.

--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -75,6 +75,7 @@
   'link.opened': 'Links opened to other nodes.',
   'link.pings': 'Pings sent on links without progress or after idleness.',
   'link.silent': 'Links given up because a ping went unanswered.',
+  'link.unread': 'Links ended because the other node did not read them.',
   'log.append-failed': 'Appends to the log that failed or were not answered.',
   'log.gap': 'Times the log no longer held the records to be read next.',
   'loop.failed-event': 'Events whose handling failed.',
--- a/src/node/http_entry.test.ts
+++ b/src/node/http_entry.test.ts
@@ -183,6 +183,19 @@
   },
 );
 
+nodeTest.test('an answer that is not valid HTTP is refused', async () => {
+  await using entry = await testEntry((http, requestId) =>
+    http.respond(requestId, {
+      ...peer.CallAnswer.fromPartial({status: 200}),
+      headers: [{name: 'bad name', value: 'a\nb'}],
+    }),
+  );
+  const answer = await fleet.call(entry.port, {path: '/orders/1'});
+  assert.equal(answer.status, 502);
+  assert.equal(answer.headers['geraniumloft-reason'], 'bad-answer');
+  assert.equal(answer.headers['geraniumloft-outcome'], 'ran');
+});
+
 nodeTest.test('announcements come from configured sources only', async () => {
   const announcement = {
     method: 'POST',
--- a/src/node/http_entry.ts
+++ b/src/node/http_entry.ts
@@ -12,6 +12,7 @@
 import * as units from '../common/units.js';
 import * as peer from '../generated/peer.js';
 import * as bodyReader from './body_reader.js';
+import * as callerHeaders from './caller_headers.js';
 import * as eventSource from './event_source.js';
 import * as httpHeaders from './http_headers.js';
 import * as refusalResponse from './refusal_response.js';
@@ -19,9 +20,6 @@
 import * as serverAnnouncement from './server_announcement.js';
 import * as tcpListener from './tcp_listener.js';
 
-/** Longest deadline that a caller may set, in milliseconds. */
-const MAX_DEADLINE_MS: units.Millis = 600_000;
-
 /** Time allowed for a caller to send the headers of a request. */
 const HEADERS_TIMEOUT_MS: units.Millis = 10_000;
 
@@ -34,10 +32,6 @@
 /** Largest announcement, in bytes. */
 const MAX_ANNOUNCEMENT_BYTES = 4_096;
 
-const MAX_REQUEST_ID_LENGTH = 128;
-
-const MAX_IDEMPOTENCY_KEY_LENGTH = 256;
-
 const NOT_READY_RETRY_AFTER_MS = 1_000;
 
 const FULL_RETRY_AFTER_MS = 100;
@@ -124,13 +118,18 @@
   respond(requestId: string, answer: peer.CallAnswer): void {
     const exchange = this.take(requestId);
     if (exchange === undefined) return;
+    const {req, res, callerRequestId} = exchange;
     const headers: string[] = [];
     for (const {name, value} of answer.headers) headers.push(name, value);
-    if (!hasNoBody(exchange.req.method ?? '', answer.status)) {
+    if (!hasNoBody(req.method ?? '', answer.status)) {
       headers.push('Content-Length', String(answer.body.length));
     }
-    headers.push(httpHeaders.REQUEST_ID_HEADER, exchange.callerRequestId);
-    this.write(exchange.res, answer.status, headers, answer.body);
+    headers.push(httpHeaders.REQUEST_ID_HEADER, callerRequestId);
+    try {
+      this.write(res, answer.status, headers, answer.body);
+    } catch {
+      this.refuseUnwritable(exchange);
+    }
   }
 
   /** Tells a caller that its request is refused. */
@@ -145,6 +144,18 @@
     this.write(res, response.status, response.headers, response.body);
   }
 
+  /** An answer whose status or headers are not valid HTTP cannot be relayed. */
+  private refuseUnwritable(exchange: Exchange): void {
+    const {res, callerRequestId} = exchange;
+    const reason = peer.RefusalReason.BAD_ANSWER;
+    this.count.increment(counterNames.refusalCounter(reason));
+    const {status, headers, body} = refusalResponse.refusalResponse(
+      {reason, outcome: peer.Outcome.RAN, retryAfterMs: 0},
+      callerRequestId,
+    );
+    this.write(res, status, headers, body);
+  }
+
   /** Asks callers to connect elsewhere from now on; requests are still served. */
   announceClosing(): void {
     this.closing = true;
@@ -195,7 +206,7 @@
     res: http.ServerResponse,
   ): void {
     const requestId = uuid.v7();
-    const callerRequestId = callerRequestIdOf(req) ?? requestId;
+    const callerRequestId = callerHeaders.requestIdOf(req) ?? requestId;
     if (this.inProgress >= this.options.maxCalls) {
       const reason = peer.RefusalReason.NO_ROOM;
       this.refuseUnread(res, callerRequestId, reason);
@@ -248,7 +259,7 @@
         : peer.RefusalReason.NOT_READY;
       return this.refuseUnrun(requestId, reason);
     }
-    const fields = callFields(req);
+    const fields = callerHeaders.callFields(req);
     if (fields === undefined) {
       this.count.increment('malformed.http');
       return this.refuseUnrun(requestId, peer.RefusalReason.BAD_REQUEST);
@@ -365,72 +376,3 @@
 function hasNoBody(method: string, status: number): boolean {
   return method === 'HEAD' || status === NO_CONTENT || status === NOT_MODIFIED;
 }
-
-/** What a caller's headers say about the call. */
-interface CallFields {
-  readonly deadlineMs: units.Millis | undefined;
-  readonly idempotencyKey: string;
-  readonly depth: number;
-  readonly retriesLeft: number | undefined;
-}
-
-/** Returns undefined if a header is malformed. */
-function callFields(req: http.IncomingMessage): CallFields | undefined {
-  const deadlineMs = integerHeader(
-    req,
-    httpHeaders.DEADLINE_HEADER,
-    MAX_DEADLINE_MS,
-  );
-  const depth = integerHeader(req, httpHeaders.DEPTH_HEADER, MAX_COUNT);
-  const retriesLeft = integerHeader(
-    req,
-    httpHeaders.RETRIES_LEFT_HEADER,
-    MAX_COUNT,
-  );
-  const idempotencyKey = singleHeader(req, httpHeaders.IDEMPOTENCY_KEY_HEADER);
-  if (
-    deadlineMs === 'malformed' ||
-    depth === 'malformed' ||
-    retriesLeft === 'malformed' ||
-    (idempotencyKey ?? '').length > MAX_IDEMPOTENCY_KEY_LENGTH
-  ) {
-    return undefined;
-  }
-  return {
-    deadlineMs,
-    idempotencyKey: idempotencyKey ?? '',
-    depth: depth ?? 0,
-    retriesLeft,
-  };
-}
-
-/** Largest depth and number of retries that a caller may name. */
-const MAX_COUNT = 1_000;
-
-function integerHeader(
-  req: http.IncomingMessage,
-  name: string,
-  max: number,
-): number | undefined | 'malformed' {
-  const text = singleHeader(req, name);
-  if (text === undefined) return undefined;
-  if (!/^\d{1,9}$/.test(text)) return 'malformed';
-  return Math.min(Number(text), max);
-}
-
-function singleHeader(
-  req: http.IncomingMessage,
-  name: string,
-): string | undefined {
-  const value = req.headers[name.toLowerCase()];
-  return typeof value === 'string' ? value : undefined;
-}
-
-function callerRequestIdOf(req: http.IncomingMessage): string | undefined {
-  const value = singleHeader(req, httpHeaders.REQUEST_ID_HEADER);
-  const usable =
-    value !== undefined &&
-    value.length <= MAX_REQUEST_ID_LENGTH &&
-    /^[\x21-\x7e]+$/.test(value);
-  return usable ? value : undefined;
-}
--- a/src/node/incoming_link.ts
+++ b/src/node/incoming_link.ts
@@ -17,6 +17,8 @@
 export interface IncomingLinkContext {
   readonly identity: linkEvent.LinkIdentity;
   readonly maxFrameBytes: number;
+  /** Bytes waiting to leave above which the link is ended. */
+  readonly maxQueuedBytes: number;
   readonly count: counters.Counters;
   emit(event: linkEvent.LinkEvent): void;
   onClose(link: IncomingLink): void;
@@ -46,8 +48,13 @@
     connection.setTimeout(HELLO_TIMEOUT_MS, () => this[Symbol.dispose]());
   }
 
-  /** Sends a frame to the node that opened the link. */
+  /** Sends a frame to the node that opened the link; ends a link that is not read. */
   send(frame: peer.Frame): void {
+    if (this.socket.queuedBytes > this.context.maxQueuedBytes) {
+      this.context.count.increment('link.unread');
+      this[Symbol.dispose]();
+      return;
+    }
     this.socket.send(frame);
   }
 
--- a/src/node/outgoing_link.ts
+++ b/src/node/outgoing_link.ts
@@ -13,9 +13,6 @@
 /** Idle time after which a ping goes along with the next attempt. */
 const TRUSTED_IDLE_MS: units.Millis = 1_000;
 
-/** Bytes waiting to leave above which a link takes no new attempt. */
-const MAX_QUEUED_BYTES = 8 * 1024 * 1024;
-
 /** Other end of a link. */
 export interface LinkTarget {
   readonly nodeId: string;
@@ -27,6 +24,8 @@
 export interface OutgoingLinkContext {
   readonly identity: linkEvent.LinkIdentity;
   readonly maxFrameBytes: number;
+  /** Bytes waiting to leave above which the link takes no new attempt. */
+  readonly maxQueuedBytes: number;
   readonly count: counters.Counters;
   nowMs(): units.MonotonicMs;
   emit(event: linkEvent.LinkEvent): void;
@@ -93,7 +92,7 @@
     owner: linkEvent.AttemptOwner,
     progressTimeoutMs: units.Millis,
   ): void {
-    if (!this.usable || this.socket.queuedBytes > MAX_QUEUED_BYTES) {
+    if (!this.usable || this.socket.queuedBytes > this.context.maxQueuedBytes) {
       this.fail(call.callId, owner, false);
       return;
     }
--- a/src/node/peer_links.test.ts
+++ b/src/node/peer_links.test.ts
@@ -183,6 +183,30 @@
   assert.equal(gate.count.get('malformed.frame'), 1);
 });
 
+nodeTest.test('a link that is not read is ended', async () => {
+  await using gate = await gateLinks();
+  const socket = net.connect(gate.port, '127.0.0.1');
+  socket.on('error', () => undefined);
+  const closed = new Promise(resolve => socket.once('close', resolve));
+  const hello = {nodeId: 'entry', incarnation: 1, toNodeId: 'gate'};
+  socket.write(frameCodec.encodeFrame({body: {$case: 'hello', value: hello}}));
+  const value = {
+    ...peer.CallRequest.fromPartial({callId: 'x', body: Buffer.alloc(4_000)}),
+  };
+  const frame = frameCodec.encodeFrame({body: {$case: 'request', value}});
+  const timer = setInterval(() => {
+    for (let i = 0; i < 1_000; i++) socket.write(frame);
+  }, 1);
+  await child.until(
+    () => gate.count.get('link.unread') > 0,
+    TIMEOUT_MS,
+    () => 'the link to be ended',
+  );
+  clearInterval(timer);
+  socket.resume();
+  await child.within(closed, TIMEOUT_MS, 'the end of the connection');
+});
+
 nodeTest.test('malformed frames close their link only', async () => {
   await using gate = await gateLinks();
   await using entry = await entryLinks();
--- a/src/node/peer_links.ts
+++ b/src/node/peer_links.ts
@@ -22,6 +22,9 @@
 /** Time allowed to other nodes to close their side of a link at a stop. */
 const CLOSE_TIMEOUT_MS: units.Millis = 200;
 
+/** Bytes that may wait to leave on a link, in frames of the largest size. */
+const QUEUED_FRAMES = 8;
+
 /** Room for headers and fields of a frame besides its body, in bytes. */
 const FRAME_OVERHEAD_BYTES = 4096;
 
@@ -127,6 +130,7 @@
     const link = new outgoingLink.OutgoingLink(target, progressTimeoutMs, {
       identity: this.options.identity,
       maxFrameBytes: this.maxFrameBytes,
+      maxQueuedBytes: QUEUED_FRAMES * this.maxFrameBytes,
       count: this.count,
       nowMs: this.nowMs,
       emit: event => this.source.emit(event),
@@ -157,6 +161,7 @@
     const link = new incomingLink.IncomingLink(linkId, socket, {
       identity: this.options.identity,
       maxFrameBytes: this.maxFrameBytes,
+      maxQueuedBytes: QUEUED_FRAMES * this.maxFrameBytes,
       count: this.count,
       emit: event => this.source.emit(event),
       onClose: closed => this.incoming.delete(closed.linkId),
