--- a/test/paths/fleet.ts
+++ b/test/paths/fleet.ts
@@ -33,6 +33,7 @@
   readonly service: string;
   readonly httpPort: number;
   readonly peerPort: number;
+  readonly operatorPort: number;
   readonly serverPort: number;
   readonly node: child.Child;
   readonly server: child.Child;
@@ -136,6 +137,7 @@
       service,
       httpPort: http,
       peerPort,
+      operatorPort: operator,
       serverPort,
       node,
       server,
