--- a/src/node/node_cores.ts
+++ b/src/node/node_cores.ts
@@ -35,6 +35,15 @@
   };
 }
 
+/** A peer known by the address of its operator port only. */
+function bootstrapMember(
+  address: generated.Settings['bootstrapPeers'][number],
+): peer.Member {
+  const {ip, port} = address;
+  const nodeId = `bootstrap-${ip}-${port}`;
+  return peer.Member.fromPartial({nodeId, ip, operatorPort: port});
+}
+
 /** Builds the cores; entry and gate see the fleet through the control core. */
 export function buildCores(
   settings: generated.Settings,
@@ -46,7 +55,12 @@
   const {incarnation} = self;
   const random = new randomSource.SeededRandom(seedOf(nodeId, incarnation));
   const shared = {counters: count, invariants: checks, random};
-  const control = new controlCore.ControlCore({...shared, self});
+  const bootstrapPeers = settings.bootstrapPeers.map(bootstrapMember);
+  const control = new controlCore.ControlCore({
+    ...shared,
+    self,
+    bootstrapPeers,
+  });
   const own = {nodeId, service, dataCentre, region, incarnation};
   const view = control;
   const gate = new gateCore.GateCore({
