--- a/src/node/operator_client.ts
+++ b/src/node/operator_client.ts
@@ -1,5 +1,6 @@
 /** Client of another node's operator port. */
 import * as trpc from '@trpc/client';
+import * as undici from 'undici';
 
 import * as control from '../common/control/control_contract.js';
 import * as errors from '../common/errors.js';
@@ -18,6 +19,14 @@
   readonly timeoutMs: units.Millis;
 }
 
+/** Fetches with the library that the node has loaded anyway, not the one built into Node.js. */
+function fetchWithUndici(
+  url: Parameters<typeof fetch>[0],
+  init?: unknown,
+): Promise<undici.Response> {
+  return undici.fetch(String(url), init as undici.RequestInit);
+}
+
 /** Calls the procedures of one node. All methods throw OperatorCallError on failure. */
 export class OperatorClient {
   private readonly url: string;
@@ -27,7 +36,7 @@
     const host = address.ip.includes(':') ? `[${address.ip}]` : address.ip;
     this.url = `http://${host}:${address.port}`;
     this.client = trpc.createTRPCClient<operatorRouter.OperatorRouter>({
-      links: [trpc.httpLink({url: this.url})],
+      links: [trpc.httpLink({url: this.url, fetch: fetchWithUndici})],
     });
   }
 
