Prove the gate in random histories; mend what they found

Cause: the parts were proved one by one; two gates with paused holders, changes of homes, crashes and duplicates were not. Each history is 12 s of virtual time with two gates and fake servers (cold, slow, silent, shedding, crashing), lagging and cut views, pauses, a data centre out and back, changes of homes, keys repeated at both gates, duplicates, resends and cancellations, then a planned stop. Checked: no second run, "not run" true at the time and later, own whole answer, no overload of a cold server, no late work for a data centre out, at most two deaths by a request, a reply to every call, drained with nothing in flight, no invariant breached. Found and mended, each with a unit test but for the wake-up: - A call refused on arrival ran when it came again: its refusal is remembered. - A call cancelled between the break of its connection and the discovery of the server's death escaped suspicion: unanswered runs of the last 50 ms count. - A wake-up time that rounding left in the past made a loop: never below 1 ms. Two deaths by one request within 50 ms at two gates are counted as one in the model; reports merged by the maximum cannot tell them apart.

--- a/src/common/gate/arrivals.ts
+++ b/src/common/gate/arrivals.ts
@@ -30,6 +30,7 @@
     const rec = this.recordOf(source, call, now);
     if ('reason' in rec) {
       const result = {kind: 'refused', detail: rec} as const;
+      this.parts.calls.addRefused(call.callId, result, now.monotonicMs);
       return this.parts.responder.reply(source, call.callId, result, now);
     }
     this.parts.calls.add(rec);
--- a/src/common/gate/call_table.ts
+++ b/src/common/gate/call_table.ts
@@ -12,6 +12,9 @@
 /** Finished calls remembered for each call that may be in progress. */
 const FINISHED_PER_LIVE = 8;
 
+/** Refusals on arrival remembered for each call that may be in progress. */
+const REFUSED_PER_LIVE = 2;
+
 /** Most bytes of finished answers kept for calls that are sent again. */
 const ANSWER_BYTES_BOUND = 4 * 1024 * 1024;
 
@@ -31,6 +34,8 @@
   private readonly answered = new Set<string>();
   /** Cancelled calls whose request has not been seen, with the time to forget them. */
   private readonly cancelled = new Map<string, units.MonotonicMs>();
+  /** Calls refused on arrival, oldest first: the same call sent twice must not run either. */
+  private readonly refused = new Map<string, FinishedCall>();
   private answerBytes = 0;
   private nextPurgeMs: units.MonotonicMs = 0;
 
@@ -61,7 +66,7 @@
 
   /** Returns the result of the call of that id, if it has finished and is remembered. */
   resultOf(callId: string): record.CallResult | undefined {
-    return this.finished.get(callId)?.result;
+    return (this.finished.get(callId) ?? this.refused.get(callId))?.result;
   }
 
   /** Adds a call that has not finished. */
@@ -69,6 +74,19 @@
     this.live.set(rec.callId, rec);
   }
 
+  /** Remembers the refusal of a call that was never added; of too many, the oldest goes. */
+  addRefused(
+    callId: string,
+    result: record.CallResult,
+    now: units.MonotonicMs,
+  ): void {
+    const forgetMs = now + CALL_MEMORY_MARGIN_MS;
+    this.refused.set(callId, {result, forgetMs});
+    if (this.refused.size <= this.bound * REFUSED_PER_LIVE) return;
+    const [oldest] = this.refused.keys();
+    this.refused.delete(oldest);
+  }
+
   /** Remembers that a call was cancelled before its request was seen. */
   addCancelled(callId: string, now: units.MonotonicMs): void {
     if (this.cancelled.size >= this.bound) return;
@@ -102,6 +120,9 @@
     for (const [callId, call] of this.finished) {
       if (call.forgetMs <= now) this.forget(callId, call);
     }
+    for (const [callId, call] of this.refused) {
+      if (call.forgetMs <= now) this.refused.delete(callId);
+    }
     for (const [callId, untilMs] of this.cancelled) {
       if (untilMs <= now) this.cancelled.delete(callId);
     }
--- a/src/common/gate/gate_core.test.ts
+++ b/src/common/gate/gate_core.test.ts
@@ -176,3 +176,18 @@
   assert.equal(gate.loadReport().limit, 4);
   assert.equal(gate.loadReport().cold, false);
 });
+
+nodeTest.test(
+  'a call refused on arrival does not run when it comes again',
+  () => {
+    const {send, view} = fixtures.gateFixture();
+    view.stale = true;
+    assert.deepEqual(fixtures.refusals(send(fixtures.order('a'), 0)), [
+      'a NOT_READY NOT_RUN',
+    ]);
+    view.stale = false;
+    const again = send(fixtures.order('a'), 50);
+    assert.deepEqual(fixtures.started(again), []);
+    assert.deepEqual(fixtures.refusals(again), ['a NOT_READY NOT_RUN']);
+  },
+);
--- a/src/common/gate/gate_core.ts
+++ b/src/common/gate/gate_core.ts
@@ -17,6 +17,9 @@
 import * as responder from './responder.js';
 import * as serverResults from './server_results.js';
 
+/** Least time to the next wake-up, so that rounding never makes a loop of wake-ups. */
+const WAKE_MIN_MS = 1;
+
 /** The gate in front of one backend server. */
 export class GateCore implements core.Core<
   contract.GateEvent,
@@ -87,7 +90,8 @@
       const silentMs = this.dispatcher.silentMs(rec);
       if (silentMs > this.lastMs) next = Math.min(next, silentMs);
     }
-    return next === Infinity ? undefined : next;
+    if (next === Infinity) return undefined;
+    return next > this.lastMs ? next : this.lastMs + WAKE_MIN_MS;
   }
 
   /** Load of this gate. */
--- /dev/null
+++ b/src/common/gate/gate_world.test.ts
@@ -0,0 +1,439 @@
+/** Two gates with fake backend servers in virtual time, for randomised runs. */
+import * as assert from 'node:assert/strict';
+
+import * as uuid from 'uuid';
+
+import * as peer from '../../generated/peer.js';
+import * as invariants from '../invariants.js';
+import * as randomSource from '../random_source.js';
+import * as fixtures from './gate_fixtures.test.js';
+import * as worldNode from './gate_world_node.test.js';
+import * as contract from './gate_contract.js';
+
+const CONFIRM_INTERVAL_MS = 400;
+const REMOVAL_BOUND_MS = 3_000;
+const RUN_MS = 12_000;
+const SETTLE_MS = 15_000;
+const GATE_IDS = ['gate-1', 'gate-2'];
+
+interface Request {
+  readonly id: string;
+  readonly className: string;
+  readonly key: string;
+  readonly kills: boolean;
+}
+
+/** What a run of a test shows. */
+export type WorldReport = Readonly<
+  Record<
+    | 'executed'
+    | 'answered'
+    | 'refused'
+    | 'replayed'
+    | 'secondRuns'
+    | 'quarantined',
+    number
+  >
+>;
+
+/** Virtual time with callers, gates, servers and the log. */
+export class World {
+  nowMs = 0;
+  readonly changes: worldNode.Change[] = [
+    {kind: 'home', atMs: 0, nodeId: 'gate-1'},
+  ];
+  private readonly nodes: ReadonlyMap<string, worldNode.Node>;
+  private readonly random: randomSource.SeededRandom;
+  private readonly agenda = new worldNode.Agenda();
+  private readonly requests = new Map<string, Request>();
+  private readonly delivered = new Set<string>();
+  private readonly replied = new Set<string>();
+  private readonly notRun = new Set<string>();
+  private readonly executions = new Map<string, number>();
+  private readonly deaths = new worldNode.DeathCount();
+  private readonly report = {answered: 0, refused: 0, replayed: 0};
+
+  constructor(seed: number) {
+    this.random = new randomSource.SeededRandom(seed);
+    this.nodes = new Map(
+      GATE_IDS.map((id, i) => [id, new worldNode.Node(id, this, seed + i)]),
+    );
+  }
+
+  /** Runs a random history and checks it; throws at the first fault. */
+  run(): WorldReport {
+    for (const node of this.nodes.values()) this.startNode(node);
+    this.planFaults();
+    this.planRequests();
+    for (const node of this.nodes.values()) {
+      this.at(RUN_MS + 10_000, () => this.send(node, {kind: 'stop'}));
+    }
+    this.playUntil(RUN_MS + 10_000 + SETTLE_MS);
+    this.checkEnd();
+    const count = (name: string) =>
+      [...this.nodes.values()].reduce(
+        (sum, n) => sum + n.counters.get(name),
+        0,
+      );
+    return {
+      ...this.report,
+      executed: [...this.executions.values()].reduce((a, b) => a + b, 0),
+      secondRuns: count('gate.second-run'),
+      quarantined: count('refusal.quarantined'),
+    };
+  }
+
+  private at(ms: number, run: () => void): void {
+    this.agenda.add(ms, run);
+  }
+
+  private after(ms: number, run: () => void): void {
+    this.at(this.nowMs + ms, run);
+  }
+
+  private chance(p: number): boolean {
+    return this.random.next() < p;
+  }
+
+  private between(low: number, high: number): number {
+    return low + this.random.next() * (high - low);
+  }
+
+  private node(nodeId: string): worldNode.Node {
+    const found = this.nodes.get(nodeId);
+    assert.ok(found);
+    return found;
+  }
+
+  private playUntil(endMs: number): void {
+    for (;;) {
+      const next = this.agenda.takeFirst();
+      if (!next || next.atMs > endMs) return;
+      this.nowMs = Math.max(this.nowMs, next.atMs);
+      next.run();
+    }
+  }
+
+  private startNode(node: worldNode.Node): void {
+    const confirm = () => {
+      if (this.nowMs >= node.pausedUntilMs && !node.view.isCut) {
+        node.view.confirm(this.nowMs);
+      }
+      if (this.nowMs < RUN_MS + 20_000) {
+        this.after(CONFIRM_INTERVAL_MS * this.between(0.5, 1), confirm);
+      }
+    };
+    confirm();
+    this.send(node, {
+      kind: 'server-state',
+      state: 'ready',
+      slots: worldNode.SLOTS,
+    });
+    node.upSinceMs = this.nowMs;
+  }
+
+  private planFaults(): void {
+    for (const node of this.nodes.values()) {
+      this.at(this.between(2_000, RUN_MS), () => {
+        node.pausedUntilMs = this.nowMs + this.between(100, 9_000);
+      });
+      const cutMs = this.between(2_000, RUN_MS);
+      this.at(cutMs, () => (node.view.isCut = true));
+      this.at(
+        cutMs + this.between(500, 6_000),
+        () => (node.view.isCut = false),
+      );
+    }
+    let home = 0;
+    for (
+      let ms = this.between(2_000, 5_000);
+      ms < RUN_MS;
+      ms += this.between(3_500, 9_000)
+    ) {
+      home = 1 - home;
+      this.changes.push({kind: 'home', atMs: ms, nodeId: GATE_IDS[home]});
+    }
+    const outMs = this.between(2_000, 5_000);
+    this.changes.push({kind: 'out', atMs: outMs, isOut: true});
+    this.changes.push({
+      kind: 'out',
+      atMs: outMs + this.between(4_000, 7_000),
+      isOut: false,
+    });
+  }
+
+  private planRequests(): void {
+    const perSecond = this.between(10, 120);
+    let ms = 0;
+    while (ms < RUN_MS) {
+      ms += -Math.log(1 - this.random.next()) * (1_000 / perSecond);
+      this.at(ms, () => this.newRequest());
+    }
+  }
+
+  private newRequest(): void {
+    const id = `r${this.requests.size}`;
+    const kills = this.chance(0.002);
+    const isOrder = this.chance(0.5);
+    const msecs = fixtures.at(this.nowMs + this.between(-400, 400)).epochMs;
+    const random = Uint8Array.from({length: 16}, () =>
+      this.random.nextInt(256),
+    );
+    const timed = uuid.v7({msecs: Math.floor(msecs), random});
+    const key =
+      isOrder && this.chance(0.7) ? (this.chance(0.9) ? timed : id) : '';
+    const className = isOrder
+      ? 'order'
+      : this.chance(0.5)
+        ? 'price'
+        : 'history';
+    const request = {id, className, key, kills};
+    this.requests.set(id, request);
+    const attempts =
+      key === '' && !kills && isOrder ? 1 : 1 + this.random.nextInt(4);
+    for (let i = 0; i < attempts; i++) {
+      const delayMs = i === 0 ? 0 : this.between(0, kills ? 5_000 : 9_000);
+      this.after(delayMs + (kills ? i * 50 : 0), () =>
+        this.attempt(request, i),
+      );
+    }
+  }
+
+  private attempt(request: Request, i: number): void {
+    const callId = `${request.id}/${i}`;
+    const node = this.node(GATE_IDS[this.random.nextInt(2)]);
+    const event = fixtures.call(callId, {
+      className: request.className,
+      deadlineMs: Math.ceil(this.between(20, 1_500)),
+      idempotencyKey: request.key,
+      rosterOffset: this.chance(0.1) ? 11 : 10,
+      fingerprint: request.id,
+    });
+    this.delivered.add(callId);
+    this.after(this.between(0, 10), () => this.send(node, event));
+    if (event.kind === 'call' && this.chance(0.1)) {
+      const call = {...event.call, resend: true, gateIncarnation: 7};
+      this.after(this.between(0, 300), () => this.send(node, {...event, call}));
+    }
+    if (this.chance(0.05)) {
+      this.after(this.between(0, 100), () =>
+        this.send(node, {kind: 'cancel', callId}),
+      );
+    }
+  }
+
+  /** Hands an event to a gate; a paused one gets it when it wakes. */
+  private send(node: worldNode.Node, event: contract.GateEvent): void {
+    if (this.nowMs < node.pausedUntilMs) {
+      this.at(node.pausedUntilMs + this.random.next(), () =>
+        this.send(node, event),
+      );
+      return;
+    }
+    const actions = node.gate.handle(event, fixtures.at(this.nowMs));
+    for (const action of actions) this.carryOut(node, action);
+    const wakeMs = node.gate.nextWakeMs();
+    if (wakeMs === undefined || wakeMs === node.wakeMs) return;
+    node.wakeMs = wakeMs;
+    this.at(wakeMs, () => {
+      if (node.wakeMs !== wakeMs) return;
+      node.wakeMs = undefined;
+      this.send(node, {kind: 'tick'});
+    });
+  }
+
+  private carryOut(node: worldNode.Node, action: contract.GateAction): void {
+    switch (action.kind) {
+      case 'run':
+        return this.startRun(node, action.call, action.run);
+      case 'abort': {
+        const name = `${action.callId}/${action.run}`;
+        return this.after(this.between(0, 40), () => node.running.delete(name));
+      }
+      case 'answer':
+        return this.onAnswer(action.answer);
+      case 'refuse':
+        return this.onRefusal(action.refusal);
+      case 'delegate':
+        return this.delegate(node, action.nodeId, action.call);
+      case 'tell-siblings':
+        for (const nodeId of action.nodeIds) {
+          const {nodeId: from} = node;
+          const event = {
+            kind: 'sibling-load',
+            nodeId: from,
+            load: action.load,
+          } as const;
+          if (this.nodes.has(nodeId)) this.sendLater(nodeId, event);
+        }
+        return;
+      case 'report-suspect': {
+        const {report} = action;
+        for (const nodeId of GATE_IDS) {
+          this.sendLater(nodeId, {kind: 'suspect', report});
+        }
+        return;
+      }
+      case 'hand-over':
+        return this.sendLater(action.nodeId, {
+          kind: 'keys-received',
+          handover: action.handover,
+        });
+      case 'drained':
+        assert.equal(node.running.size, 0, 'drained with requests in flight');
+        node.drained = true;
+        return;
+      default:
+        return invariants.assertNever(action);
+    }
+  }
+
+  private sendLater(nodeId: string, event: contract.GateEvent): void {
+    this.after(this.between(1, 10), () => this.send(this.node(nodeId), event));
+  }
+
+  private delegate(
+    home: worldNode.Node,
+    nodeId: string,
+    call: peer.CallRequest,
+  ): void {
+    const callId = call.callId;
+    if (this.chance(0.2)) {
+      return this.sendLater(home.nodeId, {kind: 'delegate-lost', callId});
+    }
+    const source = {kind: 'link', linkId: 2, nodeId: home.nodeId} as const;
+    this.sendLater(nodeId, {kind: 'call', source, call});
+    this.after(this.between(100, 900), () => {
+      this.send(home, {kind: 'delegate-lost', callId});
+    });
+  }
+
+  private startRun(
+    node: worldNode.Node,
+    call: peer.CallRequest,
+    run: number,
+  ): void {
+    const {callId} = call;
+    const failure = this.chance(0.06) ? this.random.nextInt(3) : undefined;
+    const fail = (kind: 'not-sent' | 'shed' | 'broken', ms: number) =>
+      this.after(ms, () => {
+        node.running.delete(`${callId}/${run}`);
+        const shed = {kind: 'shed', retryAfterMs: 10} as const;
+        const given = kind === 'shed' ? shed : {kind};
+        this.send(node, fixtures.failed(callId, given, run));
+      });
+    if (failure === 0 || !node.isUp) return fail('not-sent', 1);
+    if (failure === 1) return fail('shed', 1);
+    this.execute(node, call, run);
+    const request = this.requests.get(call.fingerprint);
+    if (request?.kills) return this.after(3, () => this.kill(node, request.id));
+    if (failure === 2) return fail('broken', this.between(1, 50));
+    this.finishLater(node, call, run);
+  }
+
+  /** The backend server begins a run: the facts that every refusal has to agree with. */
+  private execute(
+    node: worldNode.Node,
+    call: peer.CallRequest,
+    run: number,
+  ): void {
+    const ms = this.nowMs;
+    node.running.set(`${call.callId}/${run}`, call);
+    assert.ok(node.running.size <= node.capacity(ms), `overload at ${ms}`);
+    const out = this.changes
+      .filter(c => c.kind === 'out' && c.atMs <= ms)
+      .at(-1);
+    const isLate =
+      out?.kind === 'out' && out.isOut && ms - out.atMs > REMOVAL_BOUND_MS;
+    const isBound = node.nodeId === 'gate-1' && !node.view.isCut;
+    const isConfirmed = ms - node.view.confirmedMs <= CONFIRM_INTERVAL_MS;
+    assert.ok(
+      !(isLate && isBound && isConfirmed),
+      `work for a data centre out at ${ms}`,
+    );
+    assert.ok(
+      !this.notRun.has(call.callId),
+      `${call.callId} ran after "not run"`,
+    );
+    if (call.className !== 'order') return;
+    const identity = call.idempotencyKey || call.callId;
+    const count = (this.executions.get(identity) ?? 0) + 1;
+    this.executions.set(identity, count);
+    assert.equal(count, 1, `${identity} ran twice, at ${ms}`);
+  }
+
+  private finishLater(
+    node: worldNode.Node,
+    call: peer.CallRequest,
+    run: number,
+  ): void {
+    const isSlow = this.chance(0.03);
+    const isSilent = this.chance(0.02);
+    const serviceMs = isSlow ? this.between(100, 1_200) : this.between(3, 25);
+    const {life} = node;
+    this.after(serviceMs, () => {
+      const name = `${call.callId}/${run}`;
+      if (node.life !== life || !node.running.delete(name) || isSilent) return;
+      const body = Buffer.from(call.fingerprint);
+      const answer = {...fixtures.answered(call.callId, run), body};
+      this.send(node, answer as contract.GateEvent);
+    });
+  }
+
+  private kill(node: worldNode.Node, requestId: string): void {
+    if (!node.isUp) return;
+    node.isUp = false;
+    node.life++;
+    this.deaths.add(requestId, this.nowMs);
+    for (const call of node.running.values()) {
+      if (!this.chance(0.5)) continue;
+      this.send(node, fixtures.failed(call.callId, {kind: 'broken'}));
+    }
+    node.running.clear();
+    this.after(5, () => this.send(node, {kind: 'server-lost'}));
+    this.after(300, () => {
+      node.isUp = true;
+      node.upSinceMs = this.nowMs;
+      this.send(node, {
+        kind: 'server-state',
+        state: 'ready',
+        slots: worldNode.SLOTS,
+      });
+    });
+  }
+
+  private onAnswer(answer: peer.CallAnswer): void {
+    const requestId = answer.callId.split('/')[0];
+    assert.equal(
+      answer.body.toString(),
+      requestId,
+      'answer of another request',
+    );
+    this.replied.add(answer.callId);
+    this.report.answered++;
+    if (answer.replayed) this.report.replayed++;
+    for (const node of this.nodes.values()) {
+      this.send(node, {kind: 'delegate-answered', answer});
+    }
+  }
+
+  private onRefusal(refusal: peer.CallRefusal): void {
+    this.replied.add(refusal.callId);
+    this.report.refused++;
+    if (refusal.outcome !== peer.Outcome.NOT_RUN) return;
+    this.notRun.add(refusal.callId);
+    assert.ok(
+      !this.executions.has(refusal.callId),
+      `${refusal.callId} had run`,
+    );
+  }
+
+  private checkEnd(): void {
+    for (const node of this.nodes.values()) {
+      assert.equal(node.counters.get('invariant.breached'), 0);
+      assert.ok(node.drained, `${node.nodeId} not drained`);
+    }
+    const silent = [...this.delivered].filter(id => !this.replied.has(id));
+    assert.deepEqual(silent, [], 'calls without a reply');
+  }
+}
--- a/src/common/gate/quarantine.test.ts
+++ b/src/common/gate/quarantine.test.ts
@@ -110,6 +110,19 @@
   );
 });
 
+nodeTest.test('a call cancelled just before the death is suspect too', () => {
+  const gate = fixtures.gateFixture();
+  gate.send(fixtures.call('a', CRASHER), 0);
+  gate.send({kind: 'cancel', callId: 'a'}, 5);
+  assert.deepEqual(
+    crash(gate, 10).map(r => r.fingerprint),
+    ['crasher'],
+  );
+  gate.send(fixtures.call('b'), 100);
+  gate.send({kind: 'cancel', callId: 'b'}, 101);
+  assert.deepEqual(crash(gate, 160), []);
+});
+
 nodeTest.test('the table of suspects is bounded, and suspicion ends', () => {
   const suspects = new suspectRequests.SuspectRequests();
   for (let i = 0; i < 5_000; i++) suspects.onDeath(`fp-${i}`, i);
--- a/src/common/gate/quarantine.ts
+++ b/src/common/gate/quarantine.ts
@@ -7,8 +7,13 @@
 import * as gateParts from './gate_parts.js';
 import * as responder from './responder.js';
 
+/** Time after the end of an unanswered run within which it may explain the server's death. */
+const ENDED_SUSPECT_MS = 50;
+
 /** Connects calls with the table of suspect requests. */
 export class Quarantine {
+  /** Fingerprints of calls that ended without an answer of the server, with the time. */
+  private readonly ended = new Map<string, units.MonotonicMs>();
   private readonly suspects = new suspectRequests.SuspectRequests();
 
   constructor(
@@ -48,7 +53,11 @@
 
   /** Takes note of the calls that ran when the backend server died. */
   onServerDied(fingerprints: ReadonlySet<string>, now: units.Instant): void {
-    for (const fingerprint of fingerprints) {
+    this.forgetEnded(now.monotonicMs);
+    for (const fingerprint of new Set([
+      ...fingerprints,
+      ...this.ended.keys(),
+    ])) {
       const report = this.suspects.onDeath(fingerprint, now.monotonicMs);
       this.emit({kind: 'report-suspect', report});
     }
@@ -59,6 +68,12 @@
     this.suspects.onReport(report, now.monotonicMs);
   }
 
+  private forgetEnded(now: units.MonotonicMs): void {
+    for (const [fingerprint, endedMs] of this.ended) {
+      if (now - endedMs > ENDED_SUSPECT_MS) this.ended.delete(fingerprint);
+    }
+  }
+
   private isSuspect(rec: record.CallRecord, now: units.Instant): boolean {
     return this.suspects.deathsOf(rec.call.fingerprint, now.monotonicMs) > 0;
   }
@@ -70,6 +85,10 @@
     now: units.Instant,
   ): void {
     const {fingerprint} = rec.call;
+    if (rec.runsSent > 0 && result.kind === 'refused') {
+      this.forgetEnded(now.monotonicMs);
+      this.ended.set(fingerprint, now.monotonicMs);
+    }
     if (result.kind !== 'answered' || result.answer.replayed) return;
     this.suspects.onSuccess(fingerprint, now.monotonicMs);
   }
