--- a/src/common/gate/gate_world.test.ts
+++ b/src/common/gate/gate_world.test.ts
@@ -16,13 +16,6 @@
 const SETTLE_MS = 15_000;
 const GATE_IDS = ['gate-1', 'gate-2'];
 
-interface Request {
-  readonly id: string;
-  readonly className: string;
-  readonly key: string;
-  readonly kills: boolean;
-}
-
 /** What a run of a test shows. */
 export type WorldReport = Readonly<
   Record<
@@ -45,7 +38,7 @@
   private readonly nodes: ReadonlyMap<string, worldNode.Node>;
   private readonly random: randomSource.SeededRandom;
   private readonly agenda = new worldNode.Agenda();
-  private readonly requests = new Map<string, Request>();
+  private readonly requests = new Map<string, worldNode.Request>();
   private readonly delivered = new Set<string>();
   private readonly replied = new Set<string>();
   private readonly notRun = new Set<string>();
@@ -145,21 +138,16 @@
       );
     }
     let home = 0;
-    for (
-      let ms = this.between(2_000, 5_000);
-      ms < RUN_MS;
-      ms += this.between(3_500, 9_000)
-    ) {
+    let homeMs = this.between(2_000, 5_000);
+    while (homeMs < RUN_MS) {
       home = 1 - home;
-      this.changes.push({kind: 'home', atMs: ms, nodeId: GATE_IDS[home]});
+      this.changes.push({kind: 'home', atMs: homeMs, nodeId: GATE_IDS[home]});
+      homeMs += this.between(3_500, 9_000);
     }
     const outMs = this.between(2_000, 5_000);
+    const backMs = outMs + this.between(4_000, 7_000);
     this.changes.push({kind: 'out', atMs: outMs, isOut: true});
-    this.changes.push({
-      kind: 'out',
-      atMs: outMs + this.between(4_000, 7_000),
-      isOut: false,
-    });
+    this.changes.push({kind: 'out', atMs: backMs, isOut: false});
   }
 
   private planRequests(): void {
@@ -199,7 +187,7 @@
     }
   }
 
-  private attempt(request: Request, i: number): void {
+  private attempt(request: worldNode.Request, i: number): void {
     const callId = `${request.id}/${i}`;
     const node = this.node(GATE_IDS[this.random.nextInt(2)]);
     const event = fixtures.call(callId, {
--- a/src/common/gate/gate_world_node.test.ts
+++ b/src/common/gate/gate_world_node.test.ts
@@ -20,6 +20,14 @@
   | {readonly kind: 'home'; readonly atMs: number; readonly nodeId: string}
   | {readonly kind: 'out'; readonly atMs: number; readonly isOut: boolean};
 
+/** A caller's request; `kills` makes it crash each server that runs it. */
+export interface Request {
+  readonly id: string;
+  readonly className: string;
+  readonly key: string;
+  readonly kills: boolean;
+}
+
 /** The log and the time, as a node sees them. */
 export interface LogAndTime {
   readonly nowMs: number;
--- a/src/common/gate/quarantine.ts
+++ b/src/common/gate/quarantine.ts
@@ -54,10 +54,9 @@
   /** Takes note of the calls that ran when the backend server died. */
   onServerDied(fingerprints: ReadonlySet<string>, now: units.Instant): void {
     this.forgetEnded(now.monotonicMs);
-    for (const fingerprint of new Set([
-      ...fingerprints,
-      ...this.ended.keys(),
-    ])) {
+    const suspects = new Set([...fingerprints, ...this.ended.keys()]);
+    this.ended.clear();
+    for (const fingerprint of suspects) {
       const report = this.suspects.onDeath(fingerprint, now.monotonicMs);
       this.emit({kind: 'report-suspect', report});
     }
@@ -85,7 +84,7 @@
     now: units.Instant,
   ): void {
     const {fingerprint} = rec.call;
-    if (rec.runsSent > 0 && result.kind === 'refused') {
+    if (rec.runsSent > 0 && isUnexplained(result)) {
       this.forgetEnded(now.monotonicMs);
       this.ended.set(fingerprint, now.monotonicMs);
     }
@@ -94,6 +93,11 @@
   }
 }
 
+/** Whether a call ended without an answer while no death of the server explains it yet. */
+function isUnexplained(result: record.CallResult): boolean {
+  return result.kind === 'refused' && !result.detail.serverDied;
+}
+
 /** Whether the backend server may be running the call. */
 function isExposed(rec: record.CallRecord): boolean {
   return rec.state.kind === 'running' || rec.state.kind === 'broken';
