Make the planned-stop test see a stop that does not wait

Cause: with the wait for the gate left out the test passed, as runs of 20 ms ended within the grace period anyway. Runs now take 800 ms. Tests: node build/tools/run_tests.js test/paths/planned: 3 passed; without the wait for the gate the load test fails, without the wait for callers the entry test.

--- a/test/paths/planned_stop.test.ts
+++ b/test/paths/planned_stop.test.ts
@@ -6,6 +6,9 @@
 
 const TIMEOUT_MS = 10_000;
 
+/** Longer than a stop that waits for nothing. */
+const SLOW_MS = 800;
+
 /** Calls without pause until stopped; returns the answers that were not whole. */
 class SteadyCaller {
   private stopped = false;
@@ -41,16 +44,17 @@
 }
 
 nodeTest.test('SIGTERM to a gate under load cuts off nothing', async () => {
-  await using all = await fleet.Fleet.start(fleet.testConfiguration());
+  const cfg = fleet.testConfiguration({progressTimeoutMs: 5_000});
+  await using all = await fleet.Fleet.start(cfg);
   const pairs = await Promise.all([
     all.addPair({nodeId: 'catalogue-1', service: 'catalogue'}),
-    all.addPair({nodeId: 'orders-1', mode: {serviceMs: 20}}),
-    all.addPair({nodeId: 'orders-2', mode: {serviceMs: 20}}),
+    all.addPair({nodeId: 'orders-1', mode: {serviceMs: SLOW_MS}}),
+    all.addPair({nodeId: 'orders-2', mode: {serviceMs: SLOW_MS}}),
   ]);
   await all.ready(pairs);
   const [entry, leaving, staying] = pairs;
   const callers = Array.from(
-    {length: 6},
+    {length: 10},
     () => new SteadyCaller(entry.httpPort),
   );
   const answered = () => callers.reduce((sum, c) => sum + c.answered, 0);
@@ -63,7 +67,7 @@
   assert.equal(await leaving.node.exitStatus(), 0, leaving.node.printed);
   const before = answered();
   await child.until(
-    () => answered() > before + 50,
+    () => answered() >= before + 10,
     TIMEOUT_MS,
     () => 'load',
   );
@@ -83,7 +87,10 @@
     nodeId: 'catalogue-1',
     service: 'catalogue',
   });
-  const gate = await all.addPair({nodeId: 'orders-1', mode: {serviceMs: 800}});
+  const gate = await all.addPair({
+    nodeId: 'orders-1',
+    mode: {serviceMs: SLOW_MS},
+  });
   await all.ready([entry, gate]);
   const answering = fleet.call(entry.httpPort, {path: '/orders/1'});
   await child.until(
