--- a/tools/docs_content.ts
+++ b/tools/docs_content.ts
@@ -76,10 +76,11 @@
   root: SchemaNode,
 ): readonly string[] {
   const resolved = resolve(node, root);
-  if (resolved.oneOf)
-    {return resolved.oneOf.flatMap(variant =>
+  if (resolved.oneOf) {
+    return resolved.oneOf.flatMap(variant =>
       variantRows(variant, prefix, root),
-    );}
+    );
+  }
   if (resolved.items) return rowsOf(resolved.items, `${prefix}[]`, root);
   return Object.entries(resolved.properties ?? {}).flatMap(([key, child]) => {
     const path = prefix === '' ? key : `${prefix}.${key}`;
