--- a/src/common/gate/gate_core.ts
+++ b/src/common/gate/gate_core.ts
@@ -12,10 +12,14 @@
 import * as gateOptions from './gate_options.js';
 import * as gateParts from './gate_parts.js';
 import * as keyedCalls from './keyed_calls.js';
+import * as loadNotices from './load_notices.js';
 import * as quarantine from './quarantine.js';
 import * as responder from './responder.js';
 import * as serverResults from './server_results.js';
 
+/** Least time to the next wake-up, so that rounding never makes a loop of wake-ups. */
+const WAKE_MIN_MS = 1;
+
 /** The gate in front of one backend server. */
 export class GateCore implements core.Core<
   contract.GateEvent,
@@ -31,6 +35,7 @@
   private readonly arrivals: arrivals.Arrivals;
   private readonly dispatcher: dispatcher.Dispatcher;
   private readonly results: serverResults.ServerResults;
+  private readonly notices: loadNotices.LoadNotices;
   private drainedSent = false;
 
   constructor(private readonly options: gateOptions.GateOptions) {
@@ -39,6 +44,7 @@
     this.ends = new callEnds.CallEnds(this.parts);
     this.keyed = new keyedCalls.KeyedCalls(this.parts, this.ends, emit);
     this.quarantine = new quarantine.Quarantine(this.parts, this.ends, emit);
+    this.notices = new loadNotices.LoadNotices(this.parts, emit);
     this.delegations = new delegations.Delegations(this.parts, this.ends, emit);
     this.arrivals = new arrivals.Arrivals(
       this.parts,
@@ -76,6 +82,7 @@
     let next = Math.min(
       this.parts.runs.nextSettleMs ?? Infinity,
       this.parts.entrance.nextObserveMs ?? Infinity,
+      this.drainedSent ? Infinity : (this.notices.nextWakeMs ?? Infinity),
       this.drainedSent ? Infinity : (this.keyed.nextWakeMs ?? Infinity),
     );
     for (const rec of this.parts.calls.liveRecords) {
@@ -83,7 +90,8 @@
       const silentMs = this.dispatcher.silentMs(rec);
       if (silentMs > this.lastMs) next = Math.min(next, silentMs);
     }
-    return next === Infinity ? undefined : next;
+    if (next === Infinity) return undefined;
+    return next > this.lastMs ? next : this.lastMs + WAKE_MIN_MS;
   }
 
   /** Load of this gate. */
@@ -176,6 +184,7 @@
     this.dispatcher.dispatch(now);
     this.dispatcher.replaceSilent(now);
     if (entrance.isStopping) this.finishStop(now);
+    this.notices.observe(this.loadReport(), now.monotonicMs);
   }
 
   private detectCold(now: units.Instant): void {
