--- a/bench/experiment.ts
+++ b/bench/experiment.ts
@@ -68,6 +68,7 @@
           if (this.measuring) this.executed++;
           this.audit.onRun(node, call);
         },
+        onServerDeath: (unused, cause) => this.audit.onServerDeath(cause),
         onCoreError: (node, err) => this.audit.onCoreError(node, err),
       },
     });
@@ -171,8 +172,14 @@
     onFinal: (final: nodes.Final) => void,
     operation = request.requestId,
   ): void {
-    this.audit.onSubmit(request, request.requestClass.idempotent, operation);
-    this.drawEntry().submit(request, final => {
+    const entry = this.drawEntry();
+    this.audit.onSubmit(
+      entry,
+      request,
+      request.requestClass.idempotent,
+      operation,
+    );
+    entry.submit(request, final => {
       this.audit.onFinal(request.requestId, final);
       onFinal(final);
     });
--- a/src/common/control/control_core.test.ts
+++ b/src/common/control/control_core.test.ts
@@ -3,6 +3,7 @@
 
 import * as virtualFleet from '../../../test/fakes/virtual_fleet.js';
 import * as changes from '../../../test/fakes/changes.js';
+import * as rendezvous from '../membership/rendezvous.js';
 import * as peer from '../../generated/peer.js';
 
 const SEED = Number(process.env.SEED ?? 1);
@@ -135,10 +136,75 @@
     assert.equal(node.core.stale, true);
     fleet.runFor(10_000);
     assert.equal(node.core.stale, false);
-    const others = nodesOf(fleet).map(n => n.member.nodeId);
-    const dead = others.filter(
-      id => node.core.member(id)?.liveness === peer.LivenessState.DEAD,
-    );
+    const dead = node.notices
+      .map(n => n.notice)
+      .filter(n => n.kind === 'liveness')
+      .filter(n => n.state === peer.LivenessState.DEAD);
     assert.deepEqual(dead, []);
   },
 );
+
+nodeTest.test(
+  'a new home waits until the lease of a home that was cut off has ended',
+  () => {
+    const fleet = newFleet(3);
+    fleet.runFor(10_000);
+    const ids = nodesOf(fleet).map(n => n.member.nodeId);
+    const [, a, b] = rendezvous.rank('service-0', ids);
+    const keys = Array.from({length: 200}, (unused, i) => `key-${i}`);
+    const mayRun = (n: virtualFleet.VirtualNode): readonly string[] =>
+      keys.filter(k => {
+        const home = n.core.keyHome('service-0', k);
+        return (
+          home?.nodeId === n.member.nodeId &&
+          fleet.nowMs >= home.takeoverAtMs &&
+          n.core.keyLeaseValid(fleet.nowMs)
+        );
+      });
+    const member = fleet.nodes.get(b)?.member ?? assert.fail();
+    fleet.kill(b);
+    fleet.runFor(25_000);
+    fleet.start({...member, incarnation: 2});
+    fleet.cutFromLog.add(a);
+    fleet.isCut = (from, to) => from === a || to === a;
+    let taken = 0;
+    for (let i = 0; i < 100; i++) {
+      fleet.runFor(50);
+      const running = nodesOf(fleet).flatMap(mayRun);
+      assert.equal(new Set(running).size, running.length, `${fleet.nowMs} ms`);
+      const node = fleet.nodes.get(b);
+      taken = Math.max(taken, node ? mayRun(node).length : 0);
+    }
+    assert.ok(taken > 0);
+  },
+);
+
+nodeTest.test('a suspect request is known everywhere within 3 s', () => {
+  const fleet = newFleet(24);
+  fleet.runFor(10_000);
+  const [finder] = nodesOf(fleet);
+  const report = {fingerprint: 'f', deaths: 2, expiresInMs: 60_000};
+  fleet.deliver(finder, {kind: 'suspect-found', report});
+  const knows = (n: virtualFleet.VirtualNode): boolean =>
+    n === finder || n.notices.some(t => t.notice.kind === 'suspect');
+  const tookMs = fleet.runUntil(() => nodesOf(fleet).every(knows), 3_000);
+  assert.notEqual(tookMs, undefined);
+});
+
+nodeTest.test(
+  "a node that starts behind a long log takes a peer's state",
+  () => {
+    const fleet = newFleet(8);
+    fleet.runFor(10_000);
+    const [first] = fleet.options.members;
+    const last = fleet.log.all.at(-1) ?? assert.fail();
+    const record = peer.LogRecord.decode(last.bytes);
+    for (let i = 0; i < 20_000; i++) fleet.append(record);
+    fleet.runFor(5_000);
+    const readsBefore = fleet.log.recordsRead;
+    const born = fleet.start({...first, nodeId: 'born'});
+    const tookMs = fleet.runUntil(() => born.core.rosterOffset > 20_000, 2_000);
+    assert.notEqual(tookMs, undefined);
+    assert.ok(fleet.log.recordsRead - readsBefore < 10_000);
+  },
+);
--- a/src/common/entry/entry_core.ts
+++ b/src/common/entry/entry_core.ts
@@ -8,6 +8,7 @@
 import * as randomSource from '../random_source.js';
 import * as failureKind from '../retries/failure_kind.js';
 import * as serviceBudgets from '../retries/service_budgets.js';
+import * as explanation from '../routing/explanation.js';
 import * as router from '../routing/router.js';
 import * as selector from '../routing/selector.js';
 import * as units from '../units.js';
@@ -46,6 +47,20 @@
   readonly random: randomSource.RandomSource;
 }
 
+/** Why requests of a service would go where. */
+export interface EntryExplanation extends explanation.RoutingExplanation {
+  /** Revision of the configuration in force, undefined before the first. */
+  readonly configurationRevision: number | undefined;
+  /** Calls of all services in progress at this entry. */
+  readonly callsInProgress: number;
+  /** Retries that the budget of the service holds. */
+  readonly retryTokens: number;
+  /** Redirections that the budget of the service holds. */
+  readonly redirectTokens: number;
+  /** Share of recent calls that found no room where they looked first, in [0, 1]. */
+  readonly fullShare: number;
+}
+
 type CallEvent = Exclude<contract.EntryEvent, {readonly kind: 'tick'}>;
 
 interface OpenAttempt {
@@ -73,7 +88,13 @@
       settings: options.selector,
     });
     const own = this.router.own;
-    const sender = new attemptSender.AttemptSender({...options, calls, own});
+    const sender = new attemptSender.AttemptSender({
+      ...options,
+      calls,
+      own,
+      budgets,
+      followsRedirections: options.selector.kind === 'redirect',
+    });
     this.ender = new callEnder.CallEnder({...options, calls, sender});
     const planning = {...options, budgets, router: this.router};
     this.runner = new callRunner.CallRunner({
@@ -100,6 +121,19 @@
     return this.calls.nextWakeMs();
   }
 
+  /** Returns why a request of the service would go where, and what its budget holds. */
+  explain(service: string, now: units.Instant): EntryExplanation {
+    const budget = this.budgets.peek(service);
+    return {
+      ...this.router.explain(service, now.monotonicMs),
+      configurationRevision: this.options.view.configuration?.revision,
+      callsInProgress: this.calls.size,
+      retryTokens: budget.retryTokens,
+      redirectTokens: budget.redirectTokens,
+      fullShare: budget.fullShare,
+    };
+  }
+
   private onTick(nowMs: units.MonotonicMs): void {
     for (;;) {
       const c = this.calls.takeDue(nowMs);
@@ -208,12 +242,14 @@
     answer: peer.CallAnswer,
     nowMs: units.MonotonicMs,
   ): void {
-    this.router.onReport(nodeId, answer.load, nowMs);
     const open = this.openAttempt(nodeId, answer.callId);
+    if (open !== undefined) {
+      this.runner.settle(open.call, open.attempt, peer.Outcome.RAN);
+    }
+    this.router.onReport(nodeId, answer.load, nowMs);
     if (open === undefined) return;
-    const {call: c, attempt} = open;
-    this.runner.settle(c, attempt, peer.Outcome.RAN);
-    this.noteFirstAttempt(open, false);
+    const {call: c} = open;
+    this.noteRoom(c, false);
     const failed = answer.status >= FIRST_ERROR_STATUS;
     if (failed) this.router.failures.onFailure(nodeId, nowMs);
     else this.router.failures.onSuccess(nodeId);
@@ -230,15 +266,18 @@
     refusal: peer.CallRefusal,
     nowMs: units.MonotonicMs,
   ): void {
+    const open = this.openAttempt(nodeId, refusal.callId);
+    if (open !== undefined) {
+      this.runner.settle(open.call, open.attempt, refusal.outcome);
+    }
     this.router.onReport(nodeId, refusal.load, nowMs);
     for (const a of refusal.alternatives) {
       this.router.onRelayedReport(a.nodeId, a.load, nowMs);
     }
-    const open = this.openAttempt(nodeId, refusal.callId);
     if (open === undefined) return;
-    this.runner.settle(open.call, open.attempt, refusal.outcome);
+    if (refusal.serverDied) open.call.deaths++;
     const kind = failureKind.failureKind(refusal.reason);
-    this.noteFirstAttempt(open, kind === 'full');
+    this.noteRefusal(open, kind === 'full', refusal);
     if (kind === 'failed' || kind === 'absent') {
       this.router.failures.onFailure(nodeId, nowMs);
     }
@@ -275,9 +314,21 @@
     return {call: c, attempt};
   }
 
-  private noteFirstAttempt(open: OpenAttempt, full: boolean): void {
-    if (open.attempt.number > 1) return;
-    this.budgets.of(open.call.request.service).onFirstAttempt(full);
+  /** A full gate that names siblings leaves it to the next attempt whether there is room. */
+  private noteRefusal(
+    open: OpenAttempt,
+    full: boolean,
+    refusal: peer.CallRefusal,
+  ): void {
+    const first = open.attempt.number === 1;
+    if (first && full && refusal.alternatives.length > 0) return;
+    this.noteRoom(open.call, full);
+  }
+
+  private noteRoom(c: call.Call, full: boolean): void {
+    if (c.roomSought) return;
+    c.roomSought = true;
+    this.budgets.of(c.request.service).onRoomSought(full);
   }
 
   private refuse(
--- a/test/fakes/virtual_fleet.ts
+++ b/test/fakes/virtual_fleet.ts
@@ -36,6 +36,8 @@
   pausedUntilMs = 0;
   backlog: control.ControlEvent[] = [];
   nextTickMs = 0;
+  /** Whether the node works off what arrived during a pause. */
+  wakingUp = false;
 
   constructor(
     readonly member: peer.Member,
@@ -63,8 +65,9 @@
   readonly cutFromLog = new Set<string>();
   isCut: (from: string, to: string) => boolean = () => false;
   bootstrapPeers: readonly peer.Member[] = [];
-  /** Called before a node handles events after a pause, and after each event. */
+  /** Called after each event, and when a node goes on after a pause. */
   onLook: (node: VirtualNode) => void = () => {};
+  onResume: (node: VirtualNode) => void = () => {};
   readonly random: randomSource.SeededRandom;
   private readonly queue = new Map<number, (() => void)[]>();
 
@@ -171,11 +174,13 @@
 
   private resume(node: VirtualNode): void {
     if (!node.alive) return;
-    this.onLook(node);
+    this.onResume(node);
     const backlog = node.backlog;
     node.backlog = [];
+    node.wakingUp = true;
     if (this.random.next() < 0.5) this.deliver(node, {kind: 'tick'});
     for (const event of backlog) this.deliver(node, event);
+    node.wakingUp = false;
     node.nextTickMs = 0;
     this.scheduleTick(node);
   }
@@ -274,7 +279,11 @@
     });
   }
 
-  private pullFor(node: VirtualNode, from: string, fromOffset: number): void {
+  private pullFor(
+    node: VirtualNode,
+    from: string,
+    fromOffset: number | undefined,
+  ): void {
     this.traffic.pulls++;
     const failed: control.ControlEvent = {
       kind: 'peer-state-failed',
--- a/test/stand_ins/server/server_stand_in.ts
+++ b/test/stand_ins/server/server_stand_in.ts
@@ -19,6 +19,7 @@
   readonly req: http.IncomingMessage;
   readonly res: http.ServerResponse;
   readonly body: Buffer;
+  readonly receivedMs: number;
   readonly expiresAtMs: number;
 }
 
@@ -69,6 +70,11 @@
     this.announcer?.announce();
   }
 
+  /** What has been run so far. */
+  get runs(): runRecord.RunCounts {
+    return this.record.counts();
+  }
+
   private get port(): number {
     return (this.server.address() as net.AddressInfo).port;
   }
@@ -89,8 +95,9 @@
     if (req.url === '/load') return this.reportLoad(res);
     const deadlineMs = Number(req.headers[DEADLINE_HEADER] ?? Infinity);
     this.record.lastDeadlineMs = deadlineMs;
-    const expiresAtMs = performance.now() + deadlineMs;
-    this.admit({req, res, body, expiresAtMs});
+    const receivedMs = performance.now();
+    const expiresAtMs = receivedMs + deadlineMs;
+    this.admit({req, res, body, receivedMs, expiresAtMs});
   }
 
   private control(
@@ -200,6 +207,8 @@
       this.mode.foreign ? `${requestId}-other` : requestId,
     );
     res.setHeader('X-Checksum', checksum(answer));
+    const servedUs = (performance.now() - job.receivedMs) * 1_000;
+    res.setHeader('X-Served-Us', Math.round(servedUs));
     if (!this.mode.cutShort) {
       res.end(answer);
       return;
