Entry: take no proof of not-run from the refusal of a repeated sending

Cause: a gate that is closed for new work refuses without remembering the call id. If it refuses the second sending of an attempt and opens again, the first one, delayed by a link that was silent, runs; the entry had by then sent the request elsewhere, or called it not run. Change: a refusal of an attempt that was sent again counts as unknown. Ruled out: a cancellation after the refusal, which leaves a gap until it arrives and which links do not send for an attempt that has ended. Conclusion: safe at the price of unknown outcomes on a rare path; once gates remember refusals of repeated sendings, it can be relaxed.

--- a/src/common/entry/entry_core.ts
+++ b/src/common/entry/entry_core.ts
@@ -267,8 +267,11 @@
     nowMs: units.MonotonicMs,
   ): void {
     const open = this.openAttempt(nodeId, refusal.callId);
+    const outcome = open
+      ? provenOutcome(open.attempt, refusal)
+      : refusal.outcome;
     if (open !== undefined) {
-      this.runner.settle(open.call, open.attempt, refusal.outcome);
+      this.runner.settle(open.call, open.attempt, outcome);
     }
     this.router.onReport(nodeId, refusal.load, nowMs);
     for (const a of refusal.alternatives) {
@@ -281,7 +284,7 @@
     if (kind === 'failed' || kind === 'absent') {
       this.router.failures.onFailure(nodeId, nowMs);
     }
-    this.runner.afterFailure(open.call, {...refusal, nodeId}, nowMs);
+    this.runner.afterFailure(open.call, {...refusal, outcome, nodeId}, nowMs);
   }
 
   private onLinkEvent(
@@ -344,3 +347,15 @@
 function mayReplace(c: call.Call, answer: peer.CallAnswer): boolean {
   return c.idempotent && !c.keyed && RETRYABLE_STATUSES.has(answer.status);
 }
+
+/**
+ * Returns what a refusal proves. A gate that refuses an attempt sent again speaks of that sending:
+ * an earlier one over a silent link may still reach it and run.
+ */
+function provenOutcome(
+  attempt: call.Attempt,
+  refusal: peer.CallRefusal,
+): peer.Outcome {
+  const notRun = refusal.outcome === peer.Outcome.NOT_RUN;
+  return notRun && attempt.resends > 0 ? peer.Outcome.UNKNOWN : refusal.outcome;
+}
--- a/src/common/entry/entry_world.test.ts
+++ b/src/common/entry/entry_world.test.ts
@@ -44,6 +44,12 @@
   peer.RefusalReason.QUARANTINED,
 ];
 
+/** Reasons of a gate that takes no new work for now and remembers nothing of what it refuses. */
+const CLOSED_REASONS: ReadonlySet<peer.RefusalReason> = new Set([
+  peer.RefusalReason.LEAVING,
+  peer.RefusalReason.SERVER_ABSENT,
+]);
+
 const CLASSES: readonly configuration.RequestClass[] = [
   fixtures.requestClass({name: 'price', hedgeAfterMs: 30}),
   fixtures.requestClass({name: 'lookup', kind: 'must-arrive'}),
@@ -277,7 +283,8 @@
       nodeId: gate.nodeId,
       refusal,
     };
-    gate.calls.set(call.callId, event);
+    const closed = CLOSED_REASONS.has(refusal.reason);
+    if (!closed) gate.calls.set(call.callId, event);
     this.reply(event);
   }
 
