Entry: hedge only to members with room

Change: no hedge to a member whose expected utilisation is 0.6 or more. Ruled out: a smaller budget, which would also bar the hedges that help.

--- a/src/common/entry/call_runner.ts
+++ b/src/common/entry/call_runner.ts
@@ -16,6 +16,9 @@
 
 const DEADLINE_RETRY_AFTER_MS = 100;
 
+/** Expected utilisation of a member from which it gets no hedges. */
+const HEDGE_UTILISATION_LIMIT = 0.6;
+
 /** What a runner is made with. */
 export interface RunnerOptions {
   readonly counters: counters.Counters;
@@ -156,6 +159,11 @@
     if (c.attempts >= requestClass.maxAttempts) return;
     const choice = this.options.router.choose(service, c.tried, nowMs);
     if (choice === undefined || !choice.fresh) return;
+    const {utilisation} = this.options.router.loads.estimate(
+      choice.member,
+      nowMs,
+    );
+    if (utilisation >= HEDGE_UTILISATION_LIMIT) return;
     const mustArrive = retryPolicy.mustArrive(requestClass);
     if (!budgets.of(service).takeHedge(mustArrive)) return;
     c.retries++;
--- a/src/common/entry/entry_core.test.ts
+++ b/src/common/entry/entry_core.test.ts
@@ -253,3 +253,13 @@
   const d = entry.send(fixtures.request('last'));
   assert.equal(d.call.redirectable, undefined);
 });
+
+nodeTest.test('no hedge goes to a busy member', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  for (const nodeId of ['a', 'b']) {
+    entry.handle({kind: 'load', nodeId, load: fixtures.load(8)});
+  }
+  const requestClass = fixtures.requestClass({hedgeAfterMs: 10});
+  entry.send(fixtures.request('r', {requestClass}));
+  assert.deepEqual(entry.tickAt(10), []);
+});
