proposal: set the cold ramp back only after a spell of slow answers

Cause: the ramp's reference starts at the ratio of its first answer and only falls, so after one fast answer usual ones count as slow; and three slow answers in a row, which every burst of a noisy neighbour gives, halve the cap.

Now the reference needs 10 answers, and a setback needs an excess of slow answers that lasts 100 ms. Ruled out: a streak of slow answers over 100 ms (it fails the test of lost capacity, as answers at speed are mixed in).

--- a/src/common/admission/slow_start.ts
+++ b/src/common/admission/slow_start.ts
@@ -8,8 +8,14 @@
 /** Slowness, relative to the best of this ramp, from which an answer is slow. */
 const SLOW_FACTOR = 4;
 
-/** Slow answers in a row that set the ramp back. */
-const SLOW_STREAK = 3;
+/** Slow answers, less those at speed, that set the ramp back if the excess lasts. */
+const SLOW_EXCESS = 3;
+
+/** Time for which the excess must last; bursts of a noisy neighbour end before it. */
+const SLOW_SPELL_MS = 100;
+
+/** Answers after which the smoothed service time may serve as reference. */
+const REFERENCE_ANSWERS = 10;
 
 /** Weight of a new answer in the smoothed service time. */
 const SMOOTHING_WEIGHT = 0.1;
@@ -19,7 +25,12 @@
   readonly startedMs: units.MonotonicMs;
   readonly cap: number;
   readonly answersAtSpeed: number;
-  readonly slowInARow: number;
+  /** Slow answers less answers at speed, never below 0. */
+  readonly slowExcess: number;
+  /** Time from which there is an excess. */
+  readonly slowSinceMs: units.MonotonicMs;
+  /** Answers at speed since the ramp started. */
+  readonly answers: number;
   /** Smoothed service time, in usual service times; 0 before the first answer. */
   readonly smoothed: number;
   /** Least smoothed service time on this ramp; it does not follow a server that slows down. */
@@ -71,15 +82,19 @@
   }
 
   private afterSlow(ramp: Ramp, slots: number, now: units.MonotonicMs): Ramp {
-    const slowInARow = ramp.slowInARow + 1;
-    if (slowInARow < SLOW_STREAK) return {...ramp, slowInARow};
+    const slowExcess = ramp.slowExcess + 1;
+    const slowSinceMs = ramp.slowExcess === 0 ? now : ramp.slowSinceMs;
+    const lasts = now - slowSinceMs >= SLOW_SPELL_MS;
+    if (slowExcess < SLOW_EXCESS || !lasts) {
+      return {...ramp, slowExcess, slowSinceMs};
+    }
     const {coldStartMs, coldStartSlots} = this.tuning();
     const cap = Math.max(coldStartSlots, Math.floor(ramp.cap / 2));
     const steps = Math.max(1, slots - coldStartSlots);
     const share = Math.sqrt((cap - coldStartSlots) / steps);
     const takenMs = coldStartMs * share;
-    const {smoothed, reference} = ramp;
-    return {...rampAt(now - takenMs, cap), smoothed, reference};
+    const {smoothed, reference, answers} = ramp;
+    return {...rampAt(now - takenMs, cap), smoothed, reference, answers};
   }
 
   private afterAtSpeed(
@@ -91,10 +106,11 @@
     const smoothed = smooth(ramp.smoothed, ratio);
     const next = {
       ...ramp,
-      slowInARow: 0,
+      slowExcess: Math.max(0, ramp.slowExcess - 1),
+      answers: ramp.answers + 1,
       answersAtSpeed: ramp.answersAtSpeed + 1,
       smoothed,
-      reference: ramp.reference ? Math.min(ramp.reference, smoothed) : smoothed,
+      reference: referenceAfter(ramp, smoothed),
     };
     const enough = next.answersAtSpeed >= ramp.cap * ANSWERS_PER_SLOT;
     if (!enough || ramp.cap >= this.capByTime(ramp, slots, now)) return next;
@@ -111,8 +127,13 @@
 }
 
 function rampAt(startedMs: units.MonotonicMs, cap: number): Ramp {
-  const foot = {startedMs, cap, answersAtSpeed: 0, slowInARow: 0};
-  return {...foot, smoothed: 0, reference: 0};
+  const foot = {startedMs, cap, answersAtSpeed: 0, slowExcess: 0};
+  return {...foot, slowSinceMs: 0, answers: 0, smoothed: 0, reference: 0};
+}
+
+function referenceAfter(ramp: Ramp, smoothed: number): number {
+  if (ramp.answers < REFERENCE_ANSWERS) return 0;
+  return ramp.reference ? Math.min(ramp.reference, smoothed) : smoothed;
 }
 
 function smooth(smoothed: number, ratio: number): number {
