proposal: keep the reference of a cold ramp from falling below usual times

Ruled out: a least reference of 1 (it fails the test of lost capacity).

Tests of common/admission: 15 pass.

--- a/src/common/admission/slow_start.ts
+++ b/src/common/admission/slow_start.ts
@@ -20,6 +20,9 @@
 /** Weight of a new answer in the smoothed service time. */
 const SMOOTHING_WEIGHT = 0.1;
 
+/** Least reference, in usual service times, which are still learned on a first ramp. */
+const REFERENCE_MIN = 0.75;
+
 interface Ramp {
   /** Time from which the steps are counted; later than the true start after a setback. */
   readonly startedMs: units.MonotonicMs;
@@ -133,7 +136,8 @@
 
 function referenceAfter(ramp: Ramp, smoothed: number): number {
   if (ramp.answers < REFERENCE_ANSWERS) return 0;
-  return ramp.reference ? Math.min(ramp.reference, smoothed) : smoothed;
+  const least = ramp.reference ? Math.min(ramp.reference, smoothed) : smoothed;
+  return Math.max(REFERENCE_MIN, least);
 }
 
 function smooth(smoothed: number, ratio: number): number {
