Let the command line drive the settlement core and the shared checks of a change

Cause: publication and the checks of a change stood twice, in src/cli and in src/common/configuration. Now the core decides and the command line carries out. Two expectations of the command line's tests follow the shared messages; they name the exception as well now.

--- a/src/cli/change_command.ts
+++ b/src/cli/change_command.ts
@@ -4,6 +4,7 @@
 import * as logState from '../common/control/log_state.js';
 import * as invariants from '../common/invariants.js';
 import * as operation from '../common/configuration/operation.js';
+import * as validateChange from '../common/configuration/validate_change.js';
 import * as logClient from '../node/log_client.js';
 import * as cliErrors from './cli_errors.js';
 import * as exitCodes from './exit_codes.js';
@@ -35,17 +36,16 @@
     log: logClient.LogService,
     fleet: fleetLog.FleetLog,
   ): Promise<exitCodes.ExitCode> {
-    if (this.reason.trim() === '') {
-      throw cliErrors.invalid('--reason: expected text');
-    }
     const change = {
       baseRevision: this.baseRevision(fleet.folded),
       author: this.authorName,
       reason: this.reason,
       operation: this.checkedOperation(fleet.folded),
     };
-    const publishing = new publisher.Publisher(log, fleet);
-    const result = await publishing.publish(change, this.timeoutMs);
+    const result = await new publisher.Publisher(log).publish(
+      change,
+      this.timeoutMs,
+    );
     return reportResult(result, (value, lines) => this.print(value, lines));
   }
 
@@ -56,42 +56,54 @@
     throw cliErrors.invalid('--base-revision: expected a whole number');
   }
 
-  /** Checks that the operation applies before anything is appended. */
+  /** Whether the last data centre of a service may be taken out. */
+  protected get allowsLastDataCentre(): boolean {
+    return false;
+  }
+
+  /** Checks the operation before anything is appended. */
   private checkedOperation(folded: logState.LogState): operation.Operation {
     const op = this.operation(folded);
-    const document = folded.configuration.configuration?.document;
-    const parsed = operation.parseOperation(JSON.stringify(op));
-    const applied =
-      parsed.kind === 'ok'
-        ? operation.applyOperation(document, parsed.value)
-        : parsed;
-    if (applied.kind === 'ok') return op;
-    throw cliErrors.invalid(...applied.faults);
+    const faults = validateChange.validateChange(op, this.reason, {
+      document: folded.configuration.configuration?.document,
+      members: folded.roster.all().map(entry => entry.member),
+      allowLastDataCentre: this.allowsLastDataCentre,
+    });
+    if (faults.length > 0) throw cliErrors.invalid(...faults);
+    return op;
   }
 }
 
 /** Prints the outcome of a change and returns the exit code. */
 export function reportResult(
-  result: publisher.PublishResult,
+  result: publisher.Published,
   print: (value: unknown, lines: readonly string[]) => void,
 ): exitCodes.ExitCode {
-  const {changeId} = result;
-  switch (result.kind) {
+  const {changeId, settlement, lastFailure} = result;
+  const value = {changeId, ...settlement};
+  switch (settlement.kind) {
     case 'accepted':
-      print(result, [`accepted as revision ${result.revision} (${changeId})`]);
+      print(value, [
+        `accepted as revision ${settlement.revision} (${changeId})`,
+      ]);
       return exitCodes.EXIT_CODES.done;
     case 'rejected':
-      print(result, [
-        `rejected: change ${result.rejectedBy || 'unknown'} came first (${changeId})`,
-      ]);
+      print(value, [`rejected: ${rejection(settlement.by)} (${changeId})`]);
       return exitCodes.EXIT_CODES.rejected;
+    case 'not-sent':
+      print(value, [`not accepted: ${lastFailure}`]);
+      return exitCodes.EXIT_CODES.unreachable;
     case 'unknown':
-      print(result, [
-        `outcome unknown: ${result.cause}`,
+      print(value, [
+        `outcome unknown: ${lastFailure || 'the change is not in the log'}`,
         `settle it with: geraniumloft config settle ${changeId}`,
       ]);
       return exitCodes.EXIT_CODES.unknown;
     default:
-      return invariants.assertNever(result);
+      return invariants.assertNever(settlement);
   }
 }
+
+function rejection(by: string): string {
+  return by === '' ? 'it does not apply' : `change ${by} came first`;
+}
--- a/src/cli/cli.test.ts
+++ b/src/cli/cli.test.ts
@@ -192,7 +192,7 @@
     assert.equal(last.code, exitCodes.EXIT_CODES.invalid);
     assert.match(
       last.stderr,
-      /last data centre of catalogue; give --allow-last/,
+      /service catalogue would have no data centre left/,
     );
     const returned = await fixture.run(
       'data-centre',
@@ -207,6 +207,7 @@
 
 nodeTest.test('invalid input is one clear line and exit 2', async () => {
   await using fixture = await Fixture.start();
+  await fixture.publish();
   const unknown = await fixture.run(
     'data-centre',
     'out',
@@ -215,7 +216,10 @@
     'x',
   );
   assert.equal(unknown.code, exitCodes.EXIT_CODES.invalid);
-  assert.equal(unknown.stderr, 'unknown data centre nowhere; known: none\n');
+  assert.equal(
+    unknown.stderr,
+    'exception data-centre-out.nowhere: unknown data centre nowhere; known: none\n',
+  );
   const file = fixture.file(
     configurationText().replace('"interactive"', '"fast"'),
   );
--- a/src/cli/commands/config_settle.ts
+++ b/src/cli/commands/config_settle.ts
@@ -4,7 +4,6 @@
 import * as logClient from '../../node/log_client.js';
 import * as changeCommand from '../change_command.js';
 import * as exitCodes from '../exit_codes.js';
-import * as fleetLog from '../fleet_log.js';
 import * as operatorCommand from '../operator_command.js';
 import * as publisher from '../publisher.js';
 
@@ -26,9 +25,8 @@
 
   protected override async runOn(
     log: logClient.LogService,
-    fleet: fleetLog.FleetLog,
   ): Promise<exitCodes.ExitCode> {
-    const settling = new publisher.Publisher(log, fleet);
+    const settling = new publisher.Publisher(log);
     const result = await settling.settle(this.changeId, this.timeoutMs);
     return changeCommand.reportResult(result, (value, lines) => {
       this.print(value, lines);
--- a/src/cli/commands/data_centre.ts
+++ b/src/cli/commands/data_centre.ts
@@ -28,8 +28,11 @@
     description: 'Also where a service is left without any data centre.',
   });
 
-  protected override operation(folded: logState.LogState): operation.Operation {
-    exceptions.checkDataCentreOut(folded, this.dataCentre, this.allowLast);
+  protected override get allowsLastDataCentre(): boolean {
+    return this.allowLast;
+  }
+
+  protected override operation(): operation.Operation {
     const exception = {
       id: exceptions.exceptionId('data-centre-out', this.dataCentre),
       kind: 'data-centre-out' as const,
--- a/src/cli/commands/server.ts
+++ b/src/cli/commands/server.ts
@@ -25,8 +25,7 @@
 
   readonly server = clipanion.Option.String({required: true});
 
-  protected override operation(folded: logState.LogState): operation.Operation {
-    exceptions.checkServer(folded, this.server);
+  protected override operation(): operation.Operation {
     const exception = {
       id: exceptions.exceptionId('server-out', this.server),
       kind: 'server-out' as const,
--- a/src/cli/exceptions.ts
+++ b/src/cli/exceptions.ts
@@ -63,43 +63,6 @@
     .sort((a, b) => a.server.localeCompare(b.server));
 }
 
-/**
- * Checks that a data centre may be taken out.
- *
- * @throws cliErrors.CommandError if it is unknown, or the last one of a service and not allowed.
- */
-export function checkDataCentreOut(
-  folded: logState.LogState,
-  dataCentre: string,
-  allowLast: boolean,
-): void {
-  const rows = dataCentreRows(folded);
-  if (!rows.some(row => row.dataCentre === dataCentre && row.servers > 0)) {
-    const known = rows.map(row => row.dataCentre).join(', ') || 'none';
-    throw cliErrors.invalid(
-      `unknown data centre ${dataCentre}; known: ${known}`,
-    );
-  }
-  const out = new Set(rows.flatMap(row => (row.out ? [row.dataCentre] : [])));
-  out.add(dataCentre);
-  const stranded = servicesWithout(folded, out);
-  if (stranded.length === 0 || allowLast) return;
-  throw cliErrors.invalid(
-    `${dataCentre} is the last data centre of ${stranded.join(', ')}; ` +
-      'give --allow-last to take it out all the same',
-  );
-}
-
-/**
- * Checks that a backend server is known.
- *
- * @throws cliErrors.CommandError if it is not.
- */
-export function checkServer(folded: logState.LogState, server: string): void {
-  if (serverRows(folded).some(row => row.server === server)) return;
-  throw cliErrors.invalid(`unknown server ${server}`);
-}
-
 /**
  * Returns the operation that ends the exception chosen by `matches`.
  *
@@ -120,16 +83,3 @@
 ): readonly generated.Exception[] {
   return folded.configuration.configuration?.document.exceptions ?? [];
 }
-
-/** Services all of whose joined servers are in the data centres `out`. */
-function servicesWithout(
-  folded: logState.LogState,
-  out: ReadonlySet<string>,
-): readonly string[] {
-  const joined = folded.roster.all().filter(m => m.roster === 'joined');
-  const services = new Set(joined.map(m => m.member.service));
-  return [...services].sort().filter(service => {
-    const own = joined.filter(m => m.member.service === service);
-    return own.every(m => out.has(m.member.dataCentre));
-  });
-}
--- a/src/cli/publisher.ts
+++ b/src/cli/publisher.ts
@@ -1,29 +1,13 @@
-/** Publishes changes of configuration and settles their outcome by reading the log. */
+/** Publishes a change of configuration, or settles one, over the log service. */
 import * as uuid from 'uuid';
 
+import * as settlement from '../common/configuration/change_settlement.js';
 import * as operation from '../common/configuration/operation.js';
+import * as counters from '../common/counters.js';
+import * as invariants from '../common/invariants.js';
 import * as units from '../common/units.js';
 import * as peer from '../generated/peer.js';
 import * as logClient from '../node/log_client.js';
-import * as fleetLog from './fleet_log.js';
-
-/** What became of a change. */
-export type PublishResult =
-  | {
-      readonly kind: 'accepted';
-      readonly changeId: string;
-      readonly revision: number;
-    }
-  | {
-      readonly kind: 'rejected';
-      readonly changeId: string;
-      readonly rejectedBy: string;
-    }
-  | {
-      readonly kind: 'unknown';
-      readonly changeId: string;
-      readonly cause: string;
-    };
 
 /** A change to be published. */
 export interface Change {
@@ -33,78 +17,130 @@
   readonly operation: operation.Operation;
 }
 
-const READ_WAIT_MS = 1_000;
-const RETRY_PAUSE_MS = 200;
+/** What became of a change. */
+export interface Published {
+  readonly changeId: string;
+  readonly settlement: settlement.Settlement;
+  /** The last failure of the log, empty without one. */
+  readonly lastFailure: string;
+}
 
 /** Publishes over one log. */
 export class Publisher {
-  constructor(
-    private readonly log: logClient.LogService,
-    private readonly fleet: fleetLog.FleetLog,
-  ) {}
+  private readonly events: settlement.SettlementEvent[] = [];
+  private lastFailure = '';
+  private onEvent = (): void => {};
 
-  /** Appends a change once and waits until the log shows its outcome or `timeoutMs` passes. */
-  async publish(
-    change: Change,
-    timeoutMs: units.Millis,
-  ): Promise<PublishResult> {
-    const changeId = uuid.v7();
-    const deadlineMs = performance.now() + timeoutMs;
-    const bytes = peer.LogRecord.encode(toRecord(change, changeId)).finish();
-    const failure = await failureOf(this.log.append(bytes));
-    return this.settle(changeId, deadlineMs - performance.now(), failure);
+  constructor(private readonly log: logClient.LogService) {}
+
+  /** Appends a change once and reads until the log shows its outcome or `timeoutMs` passes. */
+  publish(change: Change, timeoutMs: units.Millis): Promise<Published> {
+    return this.run(toChange(change, uuid.v7()), timeoutMs, true);
   }
 
   /** Reads until the outcome of a change is known or `timeoutMs` passes. */
-  async settle(
-    changeId: string,
+  settle(changeId: string, timeoutMs: units.Millis): Promise<Published> {
+    const change = peer.ConfigurationChange.fromPartial({changeId});
+    return this.run(change, timeoutMs, false);
+  }
+
+  private async run(
+    change: peer.ConfigurationChange,
     timeoutMs: units.Millis,
-    appendFailure?: string,
-  ): Promise<PublishResult> {
-    const deadlineMs = performance.now() + timeoutMs;
-    let cause = appendFailure ?? 'the change is not in the log';
-    do {
-      const waitMs = Math.min(READ_WAIT_MS, deadlineMs - performance.now());
-      const failure = await failureOf(this.fleet.read(Math.max(0, waitMs)));
-      const outcome = this.fleet.folded.configuration.outcomeOf(changeId);
-      if (outcome) return toResult(outcome);
-      if (failure !== undefined) {
-        cause = failure;
-        await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
+    append: boolean,
+  ): Promise<Published> {
+    const counted = new counters.MemoryCounters();
+    const options = {
+      change,
+      record: toRecord(change),
+      deadlineMs: performance.now() + timeoutMs,
+      counters: counted,
+      invariants: new invariants.Invariants(counted),
+    };
+    const core = new settlement.ChangeSettlement(options, append);
+    const {changeId} = change;
+    for (let event: settlement.SettlementEvent = {kind: 'tick'}; ;) {
+      const now = {monotonicMs: performance.now(), epochMs: Date.now()};
+      for (const action of core.handle(event, now)) {
+        if (action.kind === 'settled') {
+          const {lastFailure} = this;
+          return {changeId, settlement: action.settlement, lastFailure};
+        }
+        this.start(action);
       }
-    } while (performance.now() < deadlineMs);
-    return {kind: 'unknown', changeId, cause};
+      event = await this.nextEvent(core.nextWakeMs());
+    }
   }
-}
 
-function toRecord(change: Change, changeId: string): peer.LogRecord {
-  const value = {
-    changeId,
-    baseRevision: change.baseRevision,
-    author: change.author,
-    reason: change.reason,
-    operationJson: JSON.stringify(change.operation),
-  };
-  return {
-    recordId: changeId,
-    timeMs: Date.now(),
-    body: {$case: 'change', value},
-  };
+  private start(
+    action: Exclude<settlement.SettlementAction, {readonly kind: 'settled'}>,
+  ): void {
+    switch (action.kind) {
+      case 'append': {
+        const bytes = peer.LogRecord.encode(action.record).finish();
+        return this.follow(this.log.append(bytes), 'append-failed', () => ({
+          kind: 'appended',
+        }));
+      }
+      case 'read-log': {
+        const reading = this.log.read(action.from, action.limit, action.waitMs);
+        return this.follow(reading, 'log-read-failed', page => ({
+          kind: 'log-read',
+          page,
+        }));
+      }
+      default:
+        return invariants.assertNever(action);
+    }
+  }
+
+  private follow<T>(
+    work: Promise<T>,
+    failureKind: 'append-failed' | 'log-read-failed',
+    toEvent: (value: T) => settlement.SettlementEvent,
+  ): void {
+    work.then(
+      value => this.put(toEvent(value)),
+      err => {
+        this.lastFailure = err instanceof Error ? err.message : String(err);
+        this.put({kind: failureKind});
+      },
+    );
+  }
+
+  private put(event: settlement.SettlementEvent): void {
+    this.events.push(event);
+    this.onEvent();
+  }
+
+  /** Returns the next event, a tick at `wakeMs` at the latest. */
+  private async nextEvent(
+    wakeMs: units.MonotonicMs | undefined,
+  ): Promise<settlement.SettlementEvent> {
+    if (this.events.length === 0) {
+      const waitMs = Math.max(0, (wakeMs ?? Infinity) - performance.now());
+      await new Promise<void>(resolve => {
+        const timer = setTimeout(resolve, waitMs);
+        this.onEvent = () => {
+          clearTimeout(timer);
+          resolve();
+        };
+      });
+    }
+    return this.events.shift() ?? {kind: 'tick'};
+  }
 }
 
-function toResult(outcome: peer.ChangeOutcome): PublishResult {
-  const {changeId, revision, rejectedBy} = outcome;
-  return outcome.accepted
-    ? {kind: 'accepted', changeId, revision}
-    : {kind: 'rejected', changeId, rejectedBy};
+function toChange(change: Change, changeId: string): peer.ConfigurationChange {
+  const {baseRevision, author, reason} = change;
+  const operationJson = JSON.stringify(change.operation);
+  return {changeId, baseRevision, author, reason, operationJson};
 }
 
-/** Returns the message of a rejected promise, undefined if it is fulfilled. */
-async function failureOf(work: Promise<unknown>): Promise<string | undefined> {
-  try {
-    await work;
-    return undefined;
-  } catch (err) {
-    return err instanceof Error ? err.message : String(err);
-  }
+function toRecord(change: peer.ConfigurationChange): peer.LogRecord {
+  return {
+    recordId: change.changeId,
+    timeMs: Date.now(),
+    body: {$case: 'change', value: change},
+  };
 }
--- a/src/common/configuration/validate_change.ts
+++ b/src/common/configuration/validate_change.ts
@@ -100,7 +100,7 @@
     .filter(service => !left.has(service))
     .map(
       service =>
-        `service ${service} would have no data centre left; allow this explicitly if it is meant`,
+        `service ${service} would have no data centre left; give --allow-last if that is meant`,
     );
 }
 
