proposal: find a silent cold start only after 150 ms without an answer at speed

Cause: two bursts of a noisy neighbour of 50 ms close together, with the drain after them, last longer than the spell of 100 ms that marks a cold server, so warm servers were put on a cold ramp of 5 s; the others then overload.

Ruled out: 200 ms (it fails the test of lost capacity); a lower share of hedges (the failures are refusals of gates on a ramp).

Tests: common/admission 15, common/gate 62 pass.

--- a/src/common/admission/cold_detector.ts
+++ b/src/common/admission/cold_detector.ts
@@ -5,7 +5,7 @@
 export const SLOW_RATIO = 4;
 
 /** Length of a spell without any answer at speed; bursts of a noisy neighbour end before it. */
-const SPELL_MS = 100;
+const SPELL_MS = 150;
 
 /** Slow answers and overdue runs that make a spell. */
 const SPELL_RUNS = 5;
