--- a/src/common/control/control_core.ts
+++ b/src/common/control/control_core.ts
@@ -251,7 +251,7 @@
   }
 
   private takeLogRead(page: control.LogPage, now: units.Instant): void {
-    const confirmedMs = this.follower.noteRead(page);
+    const confirmedMs = this.follower.noteRead(page, this.log.nextOffset);
     this.noteFolded(this.log.foldPage(page), now);
     if (confirmedMs !== undefined) this.confirm(confirmedMs);
     this.tellLogReachable(true);
@@ -295,6 +295,7 @@
   }
 
   private noteAdopted(now: units.Instant): void {
+    this.follower.noteAdopted();
     this.homes.noteAdopted(now);
     const own = this.log.roster.entry(this.self.nodeId);
     if (own?.member.incarnation !== this.self.incarnation) return;
@@ -339,7 +340,14 @@
     const ageMs = this.upkeep.lease.ageMs(nowMs);
     const waitMs = this.readers.readWaitMs(ageMs, nowMs);
     if (waitMs !== undefined) {
-      this.outbox.add(this.follower.step(this.log.nextOffset, waitMs, nowMs));
+      this.outbox.add(
+        this.follower.step(
+          this.log.nextOffset,
+          waitMs,
+          this.gossip.memberCount,
+          nowMs,
+        ),
+      );
     }
     for (const record of this.records.step(this.needs.current(now), now)) {
       this.outbox.add({kind: 'append', record});
