Let the home of a key delegate while its data centre or server is out

Only the run is barred, the memory is not: the home now lets a sibling run the call and keeps the result. A stopping gate still refuses, since its keys are being handed over. Ruled out: moving homes away from what is out, since every move fences keys minted before it. The random histories of the gate now know two gates only, as their world has no third; its list named one that does not exist.

--- a/src/common/gate/arrivals.ts
+++ b/src/common/gate/arrivals.ts
@@ -114,7 +114,10 @@
       };
     }
     const closed = entrance.refusalReason();
-    if (closed) return record.notRun(closed);
+    const isKeyed = call.idempotencyKey !== '' && !call.delegated;
+    if (closed && !(isKeyed && entrance.mayDelegate(closed))) {
+      return record.notRun(closed);
+    }
     return this.quarantine.refusalOf(call, now);
   }
 
@@ -128,6 +131,8 @@
 
   /** Queues a call, or refuses it or a less entitled one. */
   private admit(rec: record.CallRecord, now: units.Instant): void {
+    const closed = this.parts.entrance.refusalReason();
+    if (closed) return this.refuseFromClosed(rec, closed, now);
     const offer = this.parts.admission.offer(rec, now.monotonicMs);
     switch (offer.kind) {
       case 'queued':
@@ -143,6 +148,15 @@
     }
   }
 
+  private refuseFromClosed(
+    rec: record.CallRecord,
+    reason: peer.RefusalReason,
+    now: units.Instant,
+  ): void {
+    if (rec.key !== '' && this.delegations.delegateFromClosed(rec, now)) return;
+    this.ends.refuse(rec, reason, now);
+  }
+
   private refuseForRoom(rec: record.CallRecord, now: units.Instant): void {
     if (rec.key !== '' && this.delegations.delegate(rec, now)) return;
     this.ends.refuse(rec, this.fullReason, now);
--- a/src/common/gate/delegations.ts
+++ b/src/common/gate/delegations.ts
@@ -1,4 +1,4 @@
-/** Keyed calls that a full home lets a sibling run; the memory of the key stays with the home. */
+/** Keyed calls that a home lets a sibling run; the memory of the key stays with the home. */
 import * as peer from '../../generated/peer.js';
 import * as units from '../units.js';
 import * as callEnds from './call_ends.js';
@@ -16,17 +16,33 @@
 
   /** Hands a call to a sibling believed to have room; returns whether there is one. */
   delegate(rec: record.CallRecord, now: units.Instant): boolean {
+    const [sibling] = this.parts.siblings.withRoom(now.monotonicMs);
+    if (sibling) this.handTo(sibling.nodeId, rec, now);
+    return sibling !== undefined;
+  }
+
+  /** Hands a call to a sibling, also to one of unknown load; returns whether there is one. */
+  delegateFromClosed(rec: record.CallRecord, now: units.Instant): boolean {
+    if (this.delegate(rec, now)) return true;
+    const {options, siblings} = this.parts;
+    const ids = siblings.siblingIds();
+    if (ids.length === 0) return false;
+    this.handTo(ids[options.random.nextInt(ids.length)], rec, now);
+    return true;
+  }
+
+  private handTo(
+    nodeId: string,
+    rec: record.CallRecord,
+    now: units.Instant,
+  ): void {
     const {options, siblings} = this.parts;
-    const [sibling] = siblings.withRoom(now.monotonicMs);
-    if (!sibling) return false;
-    const {nodeId} = sibling;
     siblings.onSent(nodeId);
     options.counters.increment('gate.delegated');
     rec.state = {kind: 'delegated', nodeId};
     const deadlineMs = Math.max(1, Math.ceil(rec.deadlineMs - now.monotonicMs));
     const call = {...rec.call, delegated: true, resend: false, deadlineMs};
     this.emit({kind: 'delegate', nodeId, call});
-    return true;
   }
 
   /** Takes the answer of a sibling. */
--- a/src/common/gate/dispatcher.ts
+++ b/src/common/gate/dispatcher.ts
@@ -4,6 +4,7 @@
 import * as units from '../units.js';
 import * as callEnds from './call_ends.js';
 import * as record from './call_record.js';
+import * as delegations from './delegations.js';
 import * as gateOptions from './gate_options.js';
 import * as gateParts from './gate_parts.js';
 import * as keyedCalls from './keyed_calls.js';
@@ -15,6 +16,7 @@
     private readonly parts: gateParts.GateParts,
     private readonly ends: callEnds.CallEnds,
     private readonly keyed: keyedCalls.KeyedCalls,
+    private readonly delegations: delegations.Delegations,
     private readonly quarantine: quarantine.Quarantine,
   ) {}
 
@@ -63,8 +65,14 @@
   }
 
   private refuseWaiting(reason: peer.RefusalReason, now: units.Instant): void {
-    for (const rec of this.parts.admission.queue.items()) {
-      this.ends.refuse(rec, reason, now);
+    const {admission, entrance} = this.parts;
+    for (const rec of admission.queue.items()) {
+      const mayDelegate = rec.key !== '' && entrance.mayDelegate(reason);
+      if (mayDelegate && this.delegations.delegateFromClosed(rec, now)) {
+        admission.queue.remove(rec);
+      } else {
+        this.ends.refuse(rec, reason, now);
+      }
     }
   }
 
--- a/src/common/gate/gate_core.ts
+++ b/src/common/gate/gate_core.ts
@@ -57,6 +57,7 @@
       this.parts,
       this.ends,
       this.keyed,
+      this.delegations,
       this.quarantine,
     );
     this.results = new serverResults.ServerResults(
--- a/src/common/gate/gate_fixtures.test.ts
+++ b/src/common/gate/gate_fixtures.test.ts
@@ -64,6 +64,18 @@
   };
 }
 
+/** Builds an exception that takes a backend server out. */
+export function serverOut(server: string): generated.ServerOut {
+  return {
+    id: `out-${server}`,
+    kind: 'server-out',
+    server,
+    reason: 'disk noise',
+    author: 'ana',
+    timeMs: 1,
+  };
+}
+
 /** Builds a member of the test's service. */
 export function memberView(nodeId: string): fleet.MemberView {
   return {
--- a/src/common/gate/gate_world_node.test.ts
+++ b/src/common/gate/gate_world_node.test.ts
@@ -37,6 +37,7 @@
 /** A node's lagging view of the log. */
 class LogView extends fixtures.FakeView {
   confirmedMs = 0;
+  override nodeIds = ['gate-1', 'gate-2'];
   isCut = false;
   /** Last time at which the log was found out of reach. */
   cutMs = -Infinity;
--- a/src/common/gate/keyed_calls.test.ts
+++ b/src/common/gate/keyed_calls.test.ts
@@ -214,6 +214,32 @@
   },
 );
 
+nodeTest.test(
+  'a home whose server is out delegates and keeps the memory',
+  () => {
+    const {send, view} = fixtures.gateFixture();
+    view.configuration = fixtures.configuration({
+      exceptions: [fixtures.serverOut('gate-1')],
+    });
+    const key = keyAt(0);
+    const [given] = fixtures.only(send(keyed('a', key), 1), 'delegate');
+    assert.equal(given.call.delegated, true);
+    assert.notEqual(given.nodeId, 'gate-1');
+    const answer = peer.CallAnswer.create({
+      callId: 'a',
+      status: 200,
+      body: Buffer.from('done'),
+    });
+    const ended = send({kind: 'delegate-answered', answer}, 2);
+    assert.equal(fixtures.only(ended, 'answer').length, 1);
+    const [replay] = fixtures.only(send(keyed('b', key), 3), 'answer');
+    assert.equal(replay.answer.replayed, true);
+    assert.deepEqual(fixtures.refusals(send(fixtures.call('c'), 4)), [
+      'c SERVER_OUT NOT_RUN',
+    ]);
+  },
+);
+
 nodeTest.test(
   'a stop hands keys to their next home before it is drained',
   () => {
