Set slow start back after a spell of slow answers, not after three

Ruled out: the gradient as the cause (off: same figures); a longer spell of cold detection (250 ms: same figures); a bound on the smoothed slowness of a step (no test and no figure changed with it). Disabled once each, one test failed: spell, use of the present step.

--- a/src/common/admission/admission.test.ts
+++ b/src/common/admission/admission.test.ts
@@ -112,6 +112,16 @@
   assert.equal(gate.isCold, true);
 });
 
+nodeTest.test('bursts of a noisy neighbour do not set slow start back', () => {
+  const gate = createAdmission();
+  gate.restart(0);
+  const noisy: Load = {...HEALTHY, slowness: ms => (ms % 250 < 50 ? 8 : 1)};
+  const {limits} = drive(gate, noisy, 0, 8_000);
+  const setBack = limits.filter((limit, i) => limit < (limits[i - 1] ?? 0));
+  assert.deepEqual(setBack, []);
+  assert.equal(gate.limit, SLOTS);
+});
+
 nodeTest.test('slow answers set slow start back', () => {
   const gate = createAdmission();
   gate.restart(0);
--- a/src/common/admission/admission.ts
+++ b/src/common/admission/admission.ts
@@ -117,10 +117,12 @@
     const serviceMs = now - startedMs;
     const ratio = this.times.ratioOf(item.className, serviceMs);
     this.limiter.onAnswer(ratio, slots);
-    const isSlow = this.limiter.isSlow || this.isCold;
-    this.times.add(item.className, serviceMs, isSlow);
+    this.times.add(item.className, serviceMs, this.learning);
     if (!this.isCold) return this.detector.onAnswer(ratio, startedMs);
-    if (this.ramp.onAnswer(ratio, slots, now)) this.times.relearn();
+    const limit = this.limiter.limitFor(slots);
+    if (this.ramp.onAnswer(ratio, slots, limit, startedMs, now)) {
+      this.times.relearn();
+    }
   }
 
   /** Takes note of a run that failed, or was answered with an error. */
@@ -168,6 +170,11 @@
     return Math.min(RETRY_AFTER_MAX_MS, wanted);
   }
 
+  private get learning(): serviceTimes.Learning {
+    if (this.isCold) return 'none';
+    return this.limiter.isSlow ? 'slow' : 'full';
+  }
+
   /** Whether a new request would run without waiting. */
   private get mayRunAtOnce(): boolean {
     return this.hasRoom && this.queue.size === 0;
--- a/src/common/admission/service_times.ts
+++ b/src/common/admission/service_times.ts
@@ -1,4 +1,5 @@
 /** Service times of a backend server by request class, learned from its answers. */
+import * as invariants from '../invariants.js';
 import * as units from '../units.js';
 
 /** Weight of a new sample in the recent service time. */
@@ -17,6 +18,9 @@
 /** Most classes learned; requests of further ones share the mean of all. */
 const CLASSES_BOUND = 64;
 
+/** How the usual service time follows a sample: `none` in cold start, `slow` while it is slow. */
+export type Learning = 'full' | 'slow' | 'none';
+
 interface Learned {
   readonly samples: number;
   readonly recentMs: units.Millis;
@@ -58,27 +62,26 @@
     }
   }
 
-  /** Takes a sample; `isSlow` tells that the server is slow or cold at present. */
-  add(className: string, serviceMs: units.Millis, isSlow: boolean): void {
-    this.all = learn(this.all, serviceMs, isSlow);
+  /** Takes a sample; `learning` says how the usual time follows it. */
+  add(className: string, serviceMs: units.Millis, learning: Learning): void {
+    this.all = learn(this.all, serviceMs, learning);
     const learned = this.byClass.get(className);
     if (!learned && this.byClass.size >= CLASSES_BOUND) return;
     const before = learned ?? {samples: 0, recentMs: 0, usualMs: 0};
-    this.byClass.set(className, learn(before, serviceMs, isSlow));
+    this.byClass.set(className, learn(before, serviceMs, learning));
   }
 }
 
 function learn(
   before: Learned,
   serviceMs: units.Millis,
-  isSlow: boolean,
+  learning: Learning,
 ): Learned {
   if (before.samples === 0) {
     return {samples: 1, recentMs: serviceMs, usualMs: serviceMs};
   }
   const above = serviceMs > before.usualMs;
-  const weightAbove = isSlow ? USUAL_WEIGHT_WHILE_SLOW : USUAL_WEIGHT_ABOVE;
-  const usualWeight = above ? weightAbove : USUAL_WEIGHT_BELOW;
+  const usualWeight = usualWeightOf(learning, above);
   return {
     samples: before.samples + 1,
     recentMs: mix(before.recentMs, serviceMs, RECENT_WEIGHT),
@@ -86,6 +89,19 @@
   };
 }
 
+function usualWeightOf(learning: Learning, above: boolean): number {
+  switch (learning) {
+    case 'full':
+      return above ? USUAL_WEIGHT_ABOVE : USUAL_WEIGHT_BELOW;
+    case 'slow':
+      return above ? USUAL_WEIGHT_WHILE_SLOW : USUAL_WEIGHT_BELOW;
+    case 'none':
+      return 0;
+    default:
+      return invariants.assertNever(learning);
+  }
+}
+
 function mix(old: number, sample: number, weight: number): number {
   return old + (sample - old) * weight;
 }
--- a/src/common/admission/slow_start.ts
+++ b/src/common/admission/slow_start.ts
@@ -11,6 +11,9 @@
 /** Slow answers in a row that set the ramp back. */
 const SLOW_STREAK = 3;
 
+/** Length of the spell of slow answers; bursts of a noisy neighbour end before it. */
+const SLOW_SPELL_MS = 100;
+
 /** Weight of a new answer in the smoothed service time. */
 const SMOOTHING_WEIGHT = 0.1;
 
@@ -20,6 +23,8 @@
   readonly cap: number;
   readonly answersAtSpeed: number;
   readonly slowInARow: number;
+  /** Start of the first run of the slow answers in a row. */
+  readonly slowSinceMs: units.MonotonicMs;
   /** Smoothed service time, in usual service times; 0 before the first answer. */
   readonly smoothed: number;
   /** Least smoothed service time on this ramp; it does not follow a server that slows down. */
@@ -49,17 +54,24 @@
   }
 
   /**
-   * Takes an answer that took `ratio` usual service times.
+   * Takes an answer that took `ratio` usual service times; a step above `limit` is not taken,
+   * since the present one is not used.
    *
    * @returns whether the answer completed the ramp.
    */
-  onAnswer(ratio: number, slots: number, now: units.MonotonicMs): boolean {
+  onAnswer(
+    ratio: number,
+    slots: number,
+    limit: number,
+    startedMs: units.MonotonicMs,
+    now: units.MonotonicMs,
+  ): boolean {
     if (!this.ramp) return false;
     const {reference} = this.ramp;
     const isSlow = reference > 0 && ratio > reference * SLOW_FACTOR;
     this.ramp = isSlow
-      ? this.afterSlow(this.ramp, slots, now)
-      : this.afterAtSpeed(this.ramp, ratio, slots, now);
+      ? this.afterSlow(this.ramp, slots, startedMs, now)
+      : this.afterAtSpeed(this.ramp, ratio, slots, limit, now);
     if (this.ramp.cap < slots) return false;
     this.ramp = undefined;
     return true;
@@ -67,12 +79,21 @@
 
   /** Sets the ramp back: the server failed or shed under the present step. */
   onFailure(slots: number, now: units.MonotonicMs): void {
-    if (this.ramp) this.ramp = this.afterSlow(this.ramp, slots, now);
+    if (this.ramp) this.ramp = this.afterSlow(this.ramp, slots, now, now);
   }
 
-  private afterSlow(ramp: Ramp, slots: number, now: units.MonotonicMs): Ramp {
+  private afterSlow(
+    ramp: Ramp,
+    slots: number,
+    startedMs: units.MonotonicMs,
+    now: units.MonotonicMs,
+  ): Ramp {
     const slowInARow = ramp.slowInARow + 1;
-    if (slowInARow < SLOW_STREAK) return {...ramp, slowInARow};
+    const slowSinceMs = Math.min(ramp.slowSinceMs, startedMs);
+    const isSpell = now - slowSinceMs >= SLOW_SPELL_MS;
+    if (slowInARow < SLOW_STREAK || !isSpell) {
+      return {...ramp, slowInARow, slowSinceMs};
+    }
     const {coldStartMs, coldStartSlots} = this.tuning();
     const cap = Math.max(coldStartSlots, Math.floor(ramp.cap / 2));
     const steps = Math.max(1, slots - coldStartSlots);
@@ -86,18 +107,22 @@
     ramp: Ramp,
     ratio: number,
     slots: number,
+    limit: number,
     now: units.MonotonicMs,
   ): Ramp {
     const smoothed = smooth(ramp.smoothed, ratio);
     const next = {
       ...ramp,
       slowInARow: 0,
+      slowSinceMs: Infinity,
       answersAtSpeed: ramp.answersAtSpeed + 1,
       smoothed,
       reference: ramp.reference ? Math.min(ramp.reference, smoothed) : smoothed,
     };
     const enough = next.answersAtSpeed >= ramp.cap * ANSWERS_PER_SLOT;
-    if (!enough || ramp.cap >= this.capByTime(ramp, slots, now)) return next;
+    const isInTime = ramp.cap < this.capByTime(ramp, slots, now);
+    const isUsed = ramp.cap <= limit;
+    if (!enough || !isInTime || !isUsed) return next;
     return {...next, cap: ramp.cap + 1, answersAtSpeed: 0};
   }
 
@@ -111,8 +136,9 @@
 }
 
 function rampAt(startedMs: units.MonotonicMs, cap: number): Ramp {
-  const foot = {startedMs, cap, answersAtSpeed: 0, slowInARow: 0};
-  return {...foot, smoothed: 0, reference: 0};
+  const foot = {startedMs, cap, answersAtSpeed: 0};
+  const streak = {slowInARow: 0, slowSinceMs: Infinity};
+  return {...foot, ...streak, smoothed: 0, reference: 0};
 }
 
 function smooth(smoothed: number, ratio: number): number {
