--- a/test/fakes/virtual_service.ts
+++ b/test/fakes/virtual_service.ts
@@ -113,6 +113,7 @@
       member: this.memberOf(n),
     }));
     this.state = new views.ViewState(
+      1,
       1,
       new inForce.ConfigurationInForce(1, shape.configuration),
       members
@@ -338,6 +339,7 @@
   ): void {
     const state = new views.ViewState(
       this.state.version + 1,
+      this.state.rosterOffset + (members === this.state.members ? 0 : 1),
       cfg,
       members,
       this.departures,
--- a/test/fakes/virtual_service_view.ts
+++ b/test/fakes/virtual_service_view.ts
@@ -16,8 +16,10 @@
   private readonly byId: ReadonlyMap<string, fleetView.MemberView>;
 
   constructor(
-    /** Grows with each change; stands for the log's offset. */
+    /** Grows with each change. */
     readonly version: number,
+    /** Grows with each change of the members. */
+    readonly rosterOffset: number,
     readonly configuration: inForce.ConfigurationInForce,
     readonly members: readonly fleetView.MemberView[],
     readonly departures: readonly Departure[],
@@ -77,7 +79,7 @@
   }
 
   get rosterOffset(): number {
-    return this.state.version;
+    return this.state.rosterOffset;
   }
 
   /** Takes over `state` unless the node already knows a newer one. */
