--- a/src/common/gate/delegations.ts
+++ b/src/common/gate/delegations.ts
@@ -1,4 +1,4 @@
-/** Keyed calls that a full home lets a sibling run; the memory of the key stays with the home. */
+/** Keyed calls that a home lets a sibling run; the memory of the key stays with the home. */
 import * as peer from '../../generated/peer.js';
 import * as units from '../units.js';
 import * as callEnds from './call_ends.js';
@@ -16,28 +16,24 @@
 
   /** Hands a call to a sibling believed to have room; returns whether there is one. */
   delegate(rec: record.CallRecord, now: units.Instant): boolean {
-    const {siblings} = this.parts;
-    const [sibling] = siblings.withRoom(now.monotonicMs);
-    if (sibling) this.send(rec, sibling.nodeId, now);
+    const [sibling] = this.parts.siblings.withRoom(now.monotonicMs);
+    if (sibling) this.handTo(sibling.nodeId, rec, now);
     return sibling !== undefined;
   }
 
-  /**
-   * Hands a call of a gate that runs nothing itself to a sibling with room, or else to any that
-   * has reported: a gate that is out hears no load notices. Returns whether there is one.
-   */
-  delegateAnyway(rec: record.CallRecord, now: units.Instant): boolean {
+  /** Hands a call to a sibling, also to one of unknown load; returns whether there is one. */
+  delegateFromClosed(rec: record.CallRecord, now: units.Instant): boolean {
     if (this.delegate(rec, now)) return true;
     const {options, siblings} = this.parts;
-    const nodeIds = siblings.heardIds();
-    if (nodeIds.length === 0) return false;
-    this.send(rec, nodeIds[options.random.nextInt(nodeIds.length)], now);
+    const ids = siblings.siblingIds();
+    if (ids.length === 0) return false;
+    this.handTo(ids[options.random.nextInt(ids.length)], rec, now);
     return true;
   }
 
-  private send(
-    rec: record.CallRecord,
+  private handTo(
     nodeId: string,
+    rec: record.CallRecord,
     now: units.Instant,
   ): void {
     const {options, siblings} = this.parts;
@@ -53,7 +49,6 @@
   onAnswered(answer: peer.CallAnswer, now: units.Instant): void {
     const rec = this.delegated(answer.callId);
     if (!rec) return;
-    this.noteLoad(rec, answer.load, now);
     const {status, headers, body} = answer;
     const given = {status, headers, body, replayed: false};
     this.ends.finish(rec, {kind: 'answered', answer: given}, now);
@@ -63,7 +58,6 @@
   onRefused(refusal: peer.CallRefusal, now: units.Instant): void {
     const rec = this.delegated(refusal.callId);
     if (!rec) return;
-    this.noteLoad(rec, refusal.load, now);
     const {reason, outcome, retryAfterMs, serverDied} = refusal;
     const detail = {reason, outcome, retryAfterMs, serverDied};
     this.ends.refuseWith(rec, detail, now);
@@ -75,15 +69,6 @@
     if (rec) this.ends.refuse(rec, peer.RefusalReason.LINK_FAILED, now);
   }
 
-  private noteLoad(
-    rec: record.CallRecord,
-    load: peer.LoadReport | undefined,
-    now: units.Instant,
-  ): void {
-    if (rec.state.kind !== 'delegated' || !load) return;
-    this.parts.siblings.onReport(rec.state.nodeId, load, now.monotonicMs);
-  }
-
   private delegated(callId: string): record.CallRecord | undefined {
     const rec = this.parts.calls.liveCall(callId);
     return rec?.state.kind === 'delegated' ? rec : undefined;
