--- a/test/runs/decision_runs.test.ts
+++ b/test/runs/decision_runs.test.ts
@@ -2,6 +2,7 @@
 import * as nodeTest from 'node:test';
 import * as fc from 'fast-check';
 
+import * as randomSource from '../../src/common/random_source.js';
 import * as decisionRun from './decision_run.js';
 import * as faults from './decision_faults.js';
 
@@ -10,6 +11,8 @@
 const MOST_FAULTS = 6;
 const SHRINK_LIMIT_MS = 150_000;
 const SHOWN_BREACHES = 5;
+/** A node is down while the second death that a request causes is reported. */
+const RESTART_SEED = 1_150;
 
 const seed = Number(process.env.SEED ?? DEFAULT_SEED);
 
@@ -42,3 +45,9 @@
   });
   assert.ok(answered > 0, 'some requests were answered');
 });
+
+nodeTest.test('a node that restarts knows the quarantines of the fleet', () => {
+  const mix = faults.draw(new randomSource.SeededRandom(RESTART_SEED));
+  const outcome = decisionRun.run({seed: RESTART_SEED, faults: mix});
+  assert.deepEqual(outcome.breaches, []);
+});
