Forget links that have ended

Cause: a link that broke was kept among the silent ones for ever, so memory grew with each broken link. Found by reading.

--- a/src/node/outgoing_link.ts
+++ b/src/node/outgoing_link.ts
@@ -76,6 +76,11 @@
     return this.state === 'connecting' || this.state === 'open';
   }
 
+  /** Whether the connection has ended. */
+  get ended(): boolean {
+    return this.state === 'closed';
+  }
+
   /** Whether attempts wait for their answers. */
   get busy(): boolean {
     return this.outstanding.size > 0;
--- a/src/node/peer_links.test.ts
+++ b/src/node/peer_links.test.ts
@@ -117,6 +117,7 @@
     const [event] = await reported(entry, 'link-failed');
     assert.ok(event.kind === 'link-failed');
     assert.equal(event.sent, false);
+    assert.equal(entry.links.outgoingCount, 0);
   },
 );
 
@@ -149,6 +150,11 @@
     sendCall(entry, between.port, 'b');
     await reported(entry, 'link-answer', 2);
     assert.equal(entry.count.get('link.opened'), 2);
+    await child.until(
+      () => entry.links.outgoingCount === 1,
+      TIMEOUT_MS,
+      () => 'the silent link to be closed',
+    );
   },
 );
 
--- a/src/node/peer_links.ts
+++ b/src/node/peer_links.ts
@@ -71,6 +71,11 @@
     this.server.maxConnections = options.maxLinks;
   }
 
+  /** Number of links to other nodes that have not ended. */
+  get outgoingCount(): number {
+    return this.outgoing.size + this.lingering.size;
+  }
+
   /** Starts to accept links. */
   async listen(): Promise<void> {
     await tcpListener.listen(this.server, this.options);
@@ -145,10 +150,12 @@
     if (this.outgoing.get(link.target.nodeId) === link) {
       this.outgoing.delete(link.target.nodeId);
     }
-    if (this.lingering.delete(link)) return;
+    if (link.ended) {
+      this.lingering.delete(link);
+      return;
+    }
     this.lingering.add(link);
-    const timer = setTimeout(() => link[Symbol.dispose](), SILENT_LINGER_MS);
-    timer.unref();
+    setTimeout(() => link[Symbol.dispose](), SILENT_LINGER_MS).unref();
   }
 
   private accept(socket: net.Socket): void {
