Let nodes settle on the service time before the measurement

Cause: the service time changes from 0 to 30 ms after the warm-up, which a gate may take for a server turned cold.

--- a/bench/latency.ts
+++ b/bench/latency.ts
@@ -197,8 +197,9 @@
     new Path('two bare proxies', farProxy.port),
   ];
   await load(paths, WARM_UP_RATE, options.warmUpSeconds);
-  for (const path of paths) path.reset();
   await fleet.setMode(gate, {serviceMs: options.serviceMs});
+  await load(paths, options.rate, options.warmUpSeconds);
+  for (const path of paths) path.reset();
   const idle = await processorUs([gate, entry]);
   await new Promise(resolve => setTimeout(resolve, IDLE_MS));
   const before = await processorUs([gate, entry]);
