--- a/src/common/routing/selector.ts
+++ b/src/common/routing/selector.ts
@@ -69,7 +69,6 @@
       case 'least-in-flight':
         return this.leastOutstanding(members);
       case 'in-band':
-      case 'probe-pool':
       case 'redirect':
         return this.bestOfSample(members, nowMs);
       default:
--- a/src/node/node_cores.ts
+++ b/src/node/node_cores.ts
@@ -51,7 +51,8 @@
   count: counters.Counters,
   checks: invariants.Invariants,
 ): Cores {
-  const {nodeId, service, dataCentre, region, slots, bounds} = settings;
+  const {nodeId, service, dataCentre, region, slots} = settings;
+  const {bounds, selector} = settings;
   const {incarnation} = self;
   const random = new randomSource.SeededRandom(seedOf(nodeId, incarnation));
   const shared = {counters: count, invariants: checks, random};
@@ -69,8 +70,9 @@
     slots,
     bounds,
     view,
+    noticesPerSecond:
+      selector.kind === 'redirect' ? selector.noticesPerSecond : undefined,
   });
-  const {selector} = settings;
   const entry = new entryCore.EntryCore({
     ...shared,
     ...own,
