--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -162,6 +162,7 @@
       server,
       load: () => cores.gate.loadReport(),
       counters: () => count.snapshot(),
+      explain: service => cores.entry.explain(service, clock.now()),
       peerState: fromOffset => cores.control.peerState(fromOffset, clock.now()),
       receiveKeys: handover => commands.emit({kind: 'keys-received', handover}),
     };
--- a/src/node/node_status.ts
+++ b/src/node/node_status.ts
@@ -1,6 +1,7 @@
 /** What a node tells operators and peers about itself. */
 import * as control from '../common/control/control_contract.js';
 import * as fleetView from '../common/control/fleet_view.js';
+import * as entryCore from '../common/entry/entry_core.js';
 import * as peer from '../generated/peer.js';
 import * as settings from '../generated/settings.js';
 import * as operatorContract from './operator_contract.js';
@@ -13,6 +14,7 @@
   readonly server: serverState.ServerState;
   load(): peer.LoadReport;
   counters(): Readonly<Record<string, number>>;
+  explain(service: string): entryCore.EntryExplanation;
   peerState(fromOffset: number | undefined): control.PeerState;
   receiveKeys(handover: peer.KeyHandover): void;
 }
@@ -46,12 +48,8 @@
     return cfg && {revision: cfg.revision, configuration: cfg.document};
   }
 
-  explain(service: string): unknown {
-    const {view} = this.sources;
-    return view.membersOf(service).map(m => ({
-      ...this.memberStatus(m),
-      mayTakeWork: fleetView.mayTakeWork(view, m),
-    }));
+  explain(service: string): entryCore.EntryExplanation {
+    return this.sources.explain(service);
   }
 
   peerState(fromOffset: number | undefined): control.PeerState {
--- a/src/node/operator_server.ts
+++ b/src/node/operator_server.ts
@@ -8,6 +8,7 @@
 import * as contract from './operator_contract.js';
 import * as operatorRouter from './operator_router.js';
 import * as sources from './sources.js';
+import * as tcpListener from './tcp_listener.js';
 
 const MAX_HEADER_BYTES = 16 * 1024;
 const REQUEST_TIMEOUT_MS = 5_000;
@@ -51,7 +52,13 @@
       options.counters.increment('malformed.http');
       socket.destroy();
     });
-    await bind(server, options);
+    try {
+      await tcpListener.listen(server, options);
+    } catch (err) {
+      const message = err instanceof Error ? err.message : String(err);
+      const site = {step: 'listen', peer: `${options.ip}:${options.port}`};
+      throw new errors.GeraniumloftError(message, site, {cause: err});
+    }
     return new OperatorServer(server);
   }
 
@@ -60,16 +67,3 @@
     await new Promise(resolve => this.server.close(resolve));
   }
 }
-
-function bind(
-  server: http.Server,
-  options: OperatorServerOptions,
-): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', err => {
-      const site = {step: 'listen', peer: `${options.ip}:${options.port}`};
-      reject(new errors.GeraniumloftError(err.message, site, {cause: err}));
-    });
-    server.listen(options.port, options.ip, resolve);
-  });
-}
