Serve each check by one piece: sources, origins, spells of slow answers

Cause: a read of the whole change. Three sockets compared peer addresses with sets of their own beside sourceFilter; two clients wrote IPv6 origins each; the gate listed all runs on every event although the cold detector looks at them only in a spell of slow answers; a field of the virtual fleet had no reader left. Behaviour is as before; mapped IPv4 addresses now match at every port, as they did at the operator port.

--- a/src/common/admission/admission.test.ts
+++ b/src/common/admission/admission.test.ts
@@ -49,7 +49,7 @@
     }
     running = running.filter(r => r.leftMs > 0);
     gate.detectCold(
-      running.map(r => ({item: ITEM, startedMs: r.startedMs})),
+      () => running.map(r => ({item: ITEM, startedMs: r.startedMs})),
       ms,
     );
     limits.push(gate.limit);
--- a/src/common/admission/admission.ts
+++ b/src/common/admission/admission.ts
@@ -144,19 +144,19 @@
    * @returns whether it has.
    */
   detectCold(
-    runs: ReadonlyArray<{
+    runs: () => ReadonlyArray<{
       readonly item: T;
       readonly startedMs: units.MonotonicMs;
     }>,
     now: units.MonotonicMs,
   ): boolean {
-    if (this.isCold) return false;
-    const overdue = runs.filter(
+    if (this.isCold || !this.detector.isSpell(now)) return false;
+    const overdue = runs().filter(
       run =>
         this.times.ratioOf(run.item.className, now - run.startedMs) >
         coldDetector.SLOW_RATIO,
     );
-    if (!this.detector.isCold(overdue.length, now)) return false;
+    if (!this.detector.isCold(overdue.length)) return false;
     this.restart(now);
     return true;
   }
--- a/src/common/admission/cold_detector.ts
+++ b/src/common/admission/cold_detector.ts
@@ -25,13 +25,14 @@
     this.sinceMs = Math.min(this.sinceMs, startedMs);
   }
 
-  /** Whether the backend server has turned cold, with so many runs overdue. */
-  isCold(overdueRuns: number, now: units.MonotonicMs): boolean {
-    return (
-      this.slowAnswers >= SPELL_ANSWERS &&
-      this.slowAnswers + overdueRuns >= SPELL_RUNS &&
-      now - this.sinceMs >= SPELL_MS
-    );
+  /** Whether a spell of slow answers has lasted, so that overdue runs are worth counting. */
+  isSpell(now: units.MonotonicMs): boolean {
+    return this.slowAnswers >= SPELL_ANSWERS && now - this.sinceMs >= SPELL_MS;
+  }
+
+  /** Whether a spell, with so many runs overdue, shows that the backend server is cold. */
+  isCold(overdueRuns: number): boolean {
+    return this.slowAnswers + overdueRuns >= SPELL_RUNS;
   }
 
   /** Ends the spell. */
--- a/src/common/gate/gate_core.ts
+++ b/src/common/gate/gate_core.ts
@@ -190,9 +190,10 @@
 
   private detectCold(now: units.Instant): void {
     const {admission, calls} = this.parts;
-    const runs = [...calls.liveRecords].flatMap(item =>
-      item.runs.map(({startedMs}) => ({item, startedMs})),
-    );
+    const runs = () =>
+      [...calls.liveRecords].flatMap(item =>
+        item.runs.map(({startedMs}) => ({item, startedMs})),
+      );
     if (!admission.detectCold(runs, now.monotonicMs)) return;
     this.options.counters.increment('gate.cold-detected');
   }
--- a/src/node/datagram_socket.ts
+++ b/src/node/datagram_socket.ts
@@ -5,6 +5,7 @@
 import * as counters from '../common/counters.js';
 import * as peer from '../generated/peer.js';
 import * as eventSource from './event_source.js';
+import * as sources from './sources.js';
 
 /** Where to listen and what to accept. */
 export interface DatagramOptions {
@@ -25,7 +26,7 @@
 /** The UDP socket of a node. */
 export class DatagramSocket implements AsyncDisposable {
   private readonly socket: dgram.Socket;
-  private readonly sources: ReadonlySet<string>;
+  private readonly accepts: sources.SourceFilter;
   private readonly source = new eventSource.EventSource<DatagramEvent>();
   private closed = false;
 
@@ -36,7 +37,7 @@
     private readonly options: DatagramOptions,
     private readonly count: counters.Counters,
   ) {
-    this.sources = new Set(options.sources);
+    this.accepts = sources.sourceFilter(options.sources);
     this.socket = dgram.createSocket(
       net.isIPv6(options.ip) ? 'udp6' : 'udp4',
       (bytes, from) => this.receive(bytes, from.address),
@@ -70,7 +71,7 @@
   }
 
   private receive(bytes: Buffer, address: string): void {
-    if (!this.sources.has(address)) {
+    if (!this.accepts(address)) {
       this.count.increment('source.rejected');
       return;
     }
--- a/src/node/http_entry.ts
+++ b/src/node/http_entry.ts
@@ -19,6 +19,7 @@
 import * as requestFingerprint from './request_fingerprint.js';
 import * as serverAnnouncement from './server_announcement.js';
 import * as tcpListener from './tcp_listener.js';
+import * as sources from './sources.js';
 
 /** Time allowed for a caller to send the headers of a request. */
 const HEADERS_TIMEOUT_MS: units.Millis = 10_000;
@@ -71,7 +72,7 @@
 /** The HTTP server of a node. */
 export class HttpEntry implements AsyncDisposable {
   private readonly server: http.Server;
-  private readonly serverSources: ReadonlySet<string>;
+  private readonly acceptsServer: sources.SourceFilter;
   private readonly exchanges = new Map<string, Exchange>();
   private readonly source = new eventSource.EventSource<HttpEntryEvent>();
   private idleWaiters: ReadonlyArray<() => void> = [];
@@ -87,7 +88,7 @@
     private readonly fingerprint: requestFingerprint.RequestFingerprint,
     private readonly count: counters.Counters,
   ) {
-    this.serverSources = new Set(options.serverSources);
+    this.acceptsServer = sources.sourceFilter(options.serverSources);
     this.server = http.createServer(
       {
         maxHeaderSize: options.maxHeaderBytes,
@@ -181,7 +182,7 @@
     req: http.IncomingMessage,
     res: http.ServerResponse,
   ): void {
-    if (!this.serverSources.has(req.socket.remoteAddress ?? '')) {
+    if (!this.acceptsServer(req.socket.remoteAddress)) {
       this.count.increment('source.rejected');
       this.write(res, 403, [], EMPTY);
       return;
--- a/src/node/log_client.ts
+++ b/src/node/log_client.ts
@@ -4,6 +4,7 @@
 import * as control from '../common/control/control_contract.js';
 import * as errors from '../common/errors.js';
 import * as units from '../common/units.js';
+import * as httpOrigin from './http_origin.js';
 
 /** Address of the log service and time allowed for one request. */
 export interface LogAddress {
@@ -52,7 +53,7 @@
   private readonly dispatcher: undici.Agent;
 
   constructor(private readonly address: LogAddress) {
-    this.origin = `http://${bracketed(address.ip)}:${address.port}`;
+    this.origin = httpOrigin.httpOrigin(address.ip, address.port);
     this.dispatcher = new undici.Agent({
       connections: 2,
       pipelining: 1,
@@ -147,8 +148,3 @@
   }
   return Buffer.concat(chunks).toString('utf8');
 }
-
-/** Writes an IPv6 address as URLs need it. */
-function bracketed(ip: string): string {
-  return ip.includes(':') ? `[${ip}]` : ip;
-}
--- a/src/node/operator_client.ts
+++ b/src/node/operator_client.ts
@@ -6,6 +6,7 @@
 import * as errors from '../common/errors.js';
 import * as units from '../common/units.js';
 import * as peer from '../generated/peer.js';
+import * as httpOrigin from './http_origin.js';
 import * as contract from './operator_contract.js';
 import * as operatorRouter from './operator_router.js';
 
@@ -33,8 +34,7 @@
   private readonly client;
 
   constructor(private readonly address: OperatorAddress) {
-    const host = address.ip.includes(':') ? `[${address.ip}]` : address.ip;
-    this.url = `http://${host}:${address.port}`;
+    this.url = httpOrigin.httpOrigin(address.ip, address.port);
     this.client = trpc.createTRPCClient<operatorRouter.OperatorRouter>({
       links: [trpc.httpLink({url: this.url, fetch: fetchWithUndici})],
     });
--- a/src/node/peer_links.ts
+++ b/src/node/peer_links.ts
@@ -9,6 +9,7 @@
 import * as linkEvent from './link_event.js';
 import * as outgoingLink from './outgoing_link.js';
 import * as tcpListener from './tcp_listener.js';
+import * as sources from './sources.js';
 
 /** Idle time after which a link is closed. */
 const IDLE_CLOSE_MS: units.Millis = 300_000;
@@ -47,7 +48,7 @@
   private readonly outgoing = new Map<string, outgoingLink.OutgoingLink>();
   private readonly lingering = new Set<outgoingLink.OutgoingLink>();
   private readonly incoming = new Map<number, incomingLink.IncomingLink>();
-  private readonly sources: ReadonlySet<string>;
+  private readonly accepts: sources.SourceFilter;
   private readonly source = new eventSource.EventSource<linkEvent.LinkEvent>();
   private readonly maxFrameBytes: number;
   private nextLinkId = 1;
@@ -61,7 +62,7 @@
     private readonly count: counters.Counters,
     private readonly nowMs: () => units.MonotonicMs,
   ) {
-    this.sources = new Set(options.sources);
+    this.accepts = sources.sourceFilter(options.sources);
     this.maxFrameBytes =
       options.maxBodyBytes + 2 * options.maxHeaderBytes + FRAME_OVERHEAD_BYTES;
     this.sweepDueMs = nowMs() + IDLE_SWEEP_MS;
@@ -159,7 +160,7 @@
   }
 
   private accept(socket: net.Socket): void {
-    if (!this.sources.has(socket.remoteAddress ?? '')) {
+    if (!this.accepts(socket.remoteAddress)) {
       this.count.increment('source.rejected');
       socket.destroy();
       return;
--- a/src/node/sources.ts
+++ b/src/node/sources.ts
@@ -2,10 +2,11 @@
 
 const IPV4_MAPPED_PREFIX = '::ffff:';
 
+/** Tells whether traffic from an address is accepted. */
+export type SourceFilter = (address: string | undefined) => boolean;
+
 /** Returns a predicate that tells whether an address is one of `addresses`. */
-export function sourceFilter(
-  addresses: readonly string[],
-): (address: string | undefined) => boolean {
+export function sourceFilter(addresses: readonly string[]): SourceFilter {
   const accepted = new Set(addresses);
   return address =>
     address !== undefined && accepted.has(withoutMapping(address));
--- a/test/fakes/virtual_service.ts
+++ b/test/fakes/virtual_service.ts
@@ -39,8 +39,6 @@
 export interface CoreContext {
   readonly member: peer.Member;
   readonly hasServer: boolean;
-  /** Time at which the node became a holder of idempotency keys. */
-  readonly holderSinceMs: units.EpochMs;
   readonly selector: settings.Settings['selector'];
   readonly view: views.VirtualView;
   readonly counters: counters.Counters;
@@ -305,7 +303,6 @@
     return {
       member,
       hasServer: n.server !== undefined,
-      holderSinceMs: this.clock.instant.epochMs,
       selector: this.options.selector,
       view: n.view,
       counters: this.counters,
