--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -42,7 +42,7 @@
 ];
 
 export default tseslint.config(
-  {ignores: ['build/', 'node_modules/', 'src/generated/']},
+  {ignores: ['build/', 'target/', 'journal/', 'node_modules/', 'src/generated/']},
   js.configs.recommended,
   {
     files: ['**/*.mjs'],
@@ -136,6 +136,7 @@
                 '@trpc/*',
                 '**/node/**',
                 '**/cli/**',
+                '**/platform/**',
               ],
               message: 'src/common is free of I/O and imports no higher layer.',
             },
@@ -157,7 +158,7 @@
         {
           patterns: [
             {
-              group: ['**/cli/**'],
+              group: ['**/cli/**', '**/daemon/**', '**/platform/**'],
               message: 'src/node imports no higher layer.',
             },
           ],
--- a/src/common/documents/validation.ts
+++ b/src/common/documents/validation.ts
@@ -2,6 +2,7 @@
 import type * as ajv from 'ajv';
 
 import * as configuration from '../../generated/configuration.js';
+import * as nodeSettings from '../../generated/node_settings.js';
 import * as settings from '../../generated/settings.js';
 import * as validators from '../../generated/validators.js';
 
@@ -43,3 +44,8 @@
 export const OPERATION = new Schema<unknown>(
   validators.validateOperation as Validator,
 );
+
+/** Schema of the settings of a node on the users' platform. */
+export const NODE_SETTINGS = new Schema<nodeSettings.NodeSettings>(
+  validators.validateNodeSettings as Validator,
+);
--- /dev/null
+++ b/src/common/serving/configuration.ts
@@ -0,0 +1,115 @@
+/** The configuration that operators publish for the whole fleet. */
+import * as units from '../units.js';
+
+/** A service that takes a share of a route's requests. */
+export interface RoutePart {
+  readonly service: string;
+  /** Share of the requests, relative to the other parts. */
+  readonly weight: number;
+}
+
+/** Where the requests of one host and path go, and what is promised to their callers. */
+export interface Route {
+  readonly name: string;
+  readonly host: string;
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string;
+  /** Whether a request may run more than once. */
+  readonly repeatable: boolean;
+  /** Longest time that a request is kept waiting. */
+  readonly timeoutMs: units.Millis;
+  /** Time within which an answer is of full use to the caller. */
+  readonly objectiveMs: units.Millis;
+  /** Importance; 0 is the highest. */
+  readonly rank: number;
+  /** Most backend servers that may be sent one request. */
+  readonly attempts: number;
+  readonly parts: readonly RoutePart[];
+}
+
+/** What holds for all backend servers of a service. */
+export interface ServiceRules {
+  readonly name: string;
+  /** Path of the health check. */
+  readonly healthPath: string;
+  /** Most connections that a backend server accepts. */
+  readonly maxConnections: number;
+  /** Length of a cold start. */
+  readonly coldStartMs: units.Millis;
+  /** Requests a second that a backend server tolerates in cold start. */
+  readonly coldPerSecond: number;
+}
+
+/** Bounds on what callers may send. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  /** Longest time to send the headers of a request. */
+  readonly headerTimeoutMs: units.Millis;
+  /** Longest time that a connection stays idle. */
+  readonly idleTimeoutMs: units.Millis;
+}
+
+/** A whole configuration. */
+export interface FleetConfiguration {
+  /** Grows with each change. */
+  readonly version: number;
+  readonly routes: readonly Route[];
+  readonly services: readonly ServiceRules[];
+  readonly limits: CallerLimits;
+}
+
+/** A configuration with the questions that entry and gate ask of it. */
+export class ConfigurationInForce {
+  private readonly routesByHost: ReadonlyMap<string, readonly Route[]>;
+  private readonly servicesByName: ReadonlyMap<string, ServiceRules>;
+
+  constructor(readonly document: FleetConfiguration) {
+    this.routesByHost = groupByHost(document.routes);
+    this.servicesByName = new Map(document.services.map(s => [s.name, s]));
+  }
+
+  /** Version of the configuration. */
+  get version(): number {
+    return this.document.version;
+  }
+
+  /**
+   * Finds the route of a request: among those of the host, the longest prefix of the path wins.
+   *
+   * @param host value of the `Host` header.
+   * @param target path and query.
+   */
+  matchRoute(host: string, target: string): Route | undefined {
+    const path = target.split('?', 1)[0];
+    const routes = this.routesByHost.get(hostName(host)) ?? [];
+    return routes.find(route => path.startsWith(route.pathPrefix));
+  }
+
+  /** Returns the rules of a service, if it is known. */
+  serviceRules(name: string): ServiceRules | undefined {
+    return this.servicesByName.get(name);
+  }
+}
+
+/** Groups routes by host, the longest prefix first. */
+function groupByHost(
+  routes: readonly Route[],
+): ReadonlyMap<string, readonly Route[]> {
+  const groups = new Map<string, Route[]>();
+  for (const route of routes) {
+    const host = hostName(route.host);
+    const group = groups.get(host);
+    if (group) group.push(route);
+    else groups.set(host, [route]);
+  }
+  for (const group of groups.values()) {
+    group.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+  }
+  return groups;
+}
+
+/** Host names compare without case and port. */
+function hostName(host: string): string {
+  return host.replace(/:\d+$/, '').toLowerCase();
+}
--- /dev/null
+++ b/src/common/serving/entry_call.ts
@@ -0,0 +1,83 @@
+/** Callers' requests at an entry. */
+import * as serving from '../../generated/serving.js';
+import * as units from '../units.js';
+import * as configuration from './configuration.js';
+
+/** A caller's request, read whole. */
+export interface CallerRequest {
+  /** Unique within the process. */
+  readonly id: number;
+  /** Name that the caller gave the request. */
+  readonly requestId: string;
+  readonly method: string;
+  /** Path and query as received. */
+  readonly target: string;
+  /** Headers that travel to the backend server, names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  readonly timeLeftMs: units.Millis;
+  /** Names the request across repetitions by callers. */
+  readonly fingerprint: string;
+}
+
+/** A request sent to a gate. */
+export interface Attempt {
+  /** Unique within the process. */
+  readonly number: number;
+  readonly nodeId: string;
+  readonly sentMs: units.MonotonicMs;
+}
+
+/** A request in progress at an entry. */
+export interface EntryCall {
+  readonly request: CallerRequest;
+  readonly route: configuration.Route;
+  readonly service: string;
+  readonly arrivedMs: units.MonotonicMs;
+  /** Time by which the caller has its final answer. */
+  readonly endMs: units.MonotonicMs;
+  readonly attempts: Map<number, Attempt>;
+  /** Gates that refused for lack of room; they are asked again last. */
+  readonly full: Set<string>;
+  /** Gates that cannot take the request at all. */
+  readonly closed: Set<string>;
+  /** Gates that were sent the request, some of them in vain. */
+  hops: number;
+  /** Backend servers that may have been sent the request. */
+  servers: number;
+  mayHaveRun: boolean;
+  secondRunAtMs: units.MonotonicMs;
+  /** Server's failure, passed on if no other server answers better. */
+  failure: serving.Answer | undefined;
+  /** Refusal to tell the caller if nothing better comes. */
+  refusal: serving.Refusal | undefined;
+}
+
+/** Why an entry gives up on a request. */
+export type GiveUpReason =
+  | 'unconfigured'
+  | 'no-server'
+  | 'no-room'
+  | 'no-time'
+  | 'quarantined'
+  | 'shed'
+  | 'server-failed'
+  | 'timeout'
+  | 'internal';
+
+/** The final word of an entry on a request that got no answer. */
+export interface GiveUp {
+  readonly reason: GiveUpReason;
+  /** Whether a backend server may have run the request. */
+  readonly mayHaveRun: boolean;
+  /** When to come back, if the request did not run. */
+  readonly retryAfterMs: units.Millis;
+}
+
+/** What an entry asks of its surroundings. */
+export interface EntryOutput {
+  dispatch(nodeId: string, dispatch: serving.Dispatch): void;
+  withdraw(nodeId: string, attempt: number): void;
+  respond(requestId: number, answer: serving.Answer): void;
+  giveUp(requestId: number, giveUp: GiveUp): void;
+}
--- a/src/common/units.ts
+++ b/src/common/units.ts
@@ -17,3 +17,6 @@
 
 /** Microseconds in a millisecond. */
 export const MICROS_PER_MS = 1_000;
+
+/** Milliseconds in a second. */
+export const MS_PER_SECOND = 1_000;
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,132 @@
+#!/usr/bin/env node
+/** The daemon for the users' platform: `geraniumloft-node [--settings FILE] [--check]`. */
+import * as util from 'node:util';
+
+import * as adapter from '../../platform/adapter.js';
+import * as generated from '../generated/node_settings.js';
+import * as eventLog from '../node/serving/event_log.js';
+import * as nodeSettings from '../node/serving/node_settings.js';
+import * as servingNode from '../node/serving/serving_node.js';
+import * as telemetry from '../node/serving/telemetry.js';
+import * as settings from '../node/settings.js';
+
+/** Names the settings file where the command line does not. */
+const SETTINGS_VARIABLE = 'GERANIUMLOFT_BOOT';
+
+/** Interval at which the settings file is looked at; it may change without a signal. */
+const SETTINGS_CHECK_MS = 1_000;
+
+/** Exit status for wrong arguments or settings. */
+const USAGE_STATUS = 2;
+
+/** Exit status after a failure to start. */
+const FAILED_STATUS = 1;
+
+const USAGE = 'usage: geraniumloft-node [--settings FILE] [--check]';
+
+interface Arguments {
+  readonly path: string;
+  readonly check: boolean;
+}
+
+function parseArguments(args: readonly string[]): Arguments | undefined {
+  try {
+    const {values} = util.parseArgs({
+      args: [...args],
+      options: {
+        settings: {type: 'string'},
+        check: {type: 'boolean', default: false},
+      },
+    });
+    const path = values.settings ?? process.env[SETTINGS_VARIABLE];
+    return path === undefined ? undefined : {path, check: values.check};
+  } catch {
+    return undefined;
+  }
+}
+
+async function run(
+  path: string,
+  initial: generated.NodeSettings,
+): Promise<void> {
+  const processStartedMs = Date.now();
+  const log = new telemetry.Telemetry(
+    new eventLog.EventLog({
+      nodeId: initial.nodeId,
+      processStartedMs,
+      bytesPerSecond: initial.logBytesPerSecond,
+      routineShare: initial.routineLogShare,
+      output: process.stdout,
+      nowMs: () => performance.now(),
+    }),
+  );
+  const platform = adapter.createPlatform(initial.store, initial.bounds);
+  await using unusedStore = platform.store;
+  const node = await servingNode.ServingNode.start({
+    settings: initial,
+    platform,
+    telemetry: log,
+    processStartedMs,
+  });
+  const note = (event: string, facts: Readonly<Record<string, string>>): void =>
+    log.write({component: 'node', event, importance: 'belief', facts});
+  note('start', {service: initial.service, dataCentre: initial.dataCentre});
+  const reloads = followSettings(path, reloaded => node.reload(reloaded), note);
+  const signal = await stopSignal();
+  clearInterval(reloads);
+  note('stop', {signal});
+  await node.stop();
+  note('stopped', {});
+}
+
+/** Reads the settings again when they change or a signal asks for it. */
+function followSettings(
+  path: string,
+  onChanged: (changed: generated.NodeSettings) => void,
+  note: (event: string, facts: Readonly<Record<string, string>>) => void,
+): NodeJS.Timeout {
+  let seenMs = nodeSettings.changedMs(path);
+  const reload = (): void => {
+    seenMs = nodeSettings.changedMs(path);
+    try {
+      onChanged(nodeSettings.readNodeSettings(path));
+    } catch (err) {
+      if (!(err instanceof settings.SettingsError)) throw err;
+      note('reload-refused', {faults: err.lines.join('; ')});
+    }
+  };
+  process.on('SIGHUP', reload);
+  return setInterval(() => {
+    if (nodeSettings.changedMs(path) !== seenMs) reload();
+  }, SETTINGS_CHECK_MS);
+}
+
+function stopSignal(): Promise<string> {
+  return new Promise(resolve => {
+    process.on('SIGTERM', () => resolve('SIGTERM'));
+    process.on('SIGINT', () => resolve('SIGINT'));
+  });
+}
+
+async function main(): Promise<number> {
+  const args = parseArguments(process.argv.slice(2));
+  if (args === undefined) {
+    console.error(USAGE);
+    return USAGE_STATUS;
+  }
+  try {
+    const initial = nodeSettings.readNodeSettings(args.path);
+    if (!args.check) await run(args.path, initial);
+    return 0;
+  } catch (err) {
+    if (err instanceof settings.SettingsError) {
+      for (const line of err.lines) console.error(line);
+      return USAGE_STATUS;
+    }
+    console.error(err instanceof Error ? (err.stack ?? err.message) : err);
+    return FAILED_STATUS;
+  }
+}
+
+// Sockets of callers may stay open past the stop; what was read has been answered.
+process.exit(await main());
--- a/src/node/frame_codec.test.ts
+++ b/src/node/frame_codec.test.ts
@@ -10,8 +10,8 @@
 const SEED = Number(process.env['SEED'] ?? 7);
 const MAX_FRAME_BYTES = 4_096;
 
-function reader(): frameCodec.FrameReader {
-  return new frameCodec.FrameReader(MAX_FRAME_BYTES, 'other');
+function reader(): frameCodec.FrameReader<peer.Frame> {
+  return new frameCodec.FrameReader(peer.Frame, MAX_FRAME_BYTES, 'other');
 }
 
 function requestFrame(callId: string, body: Uint8Array): peer.Frame {
@@ -31,7 +31,9 @@
   fc.assert(
     fc.property(frames, cuts, (contents, sizes) => {
       const sent = contents.map(([id, body]) => requestFrame(id, body));
-      const bytes = Buffer.concat(sent.map(f => frameCodec.encodeFrame(f)));
+      const bytes = Buffer.concat(
+        sent.map(f => frameCodec.encodeFrame(peer.Frame, f)),
+      );
       const read = reader();
       const received: peer.Frame[] = [];
       for (let start = 0, i = 0; start < bytes.length; i++) {
@@ -64,7 +66,10 @@
 });
 
 nodeTest.test(`a changed frame is read or malformed, seed ${SEED}`, () => {
-  const bytes = frameCodec.encodeFrame(requestFrame('c1', Buffer.alloc(64, 7)));
+  const bytes = frameCodec.encodeFrame(
+    peer.Frame,
+    requestFrame('c1', Buffer.alloc(64, 7)),
+  );
   let malformed = 0;
   fc.assert(
     fc.property(
--- a/src/node/frame_codec.ts
+++ b/src/node/frame_codec.ts
@@ -1,28 +1,34 @@
-/** Frames on links between nodes: a length prefix, then an encoded `peer.Frame`. */
+/** Frames on links between nodes: a length prefix, then the encoded frame. */
 import * as wire from '@bufbuild/protobuf/wire';
 
 import * as errors from '../common/errors.js';
-import * as peer from '../generated/peer.js';
 
 /** Length of the prefix, in bytes. */
 const PREFIX_BYTES = 4;
 
 const EMPTY = Buffer.alloc(0);
 
+/** Encodes and decodes frames of one protocol. */
+export interface FrameCodec<T> {
+  encode(frame: T, writer: wire.BinaryWriter): wire.BinaryWriter;
+  decode(bytes: Uint8Array): T;
+}
+
 /** Returns the frame with its length prefix. */
-export function encodeFrame(frame: peer.Frame): Buffer {
+export function encodeFrame<T>(codec: FrameCodec<T>, frame: T): Buffer {
   const writer = new wire.BinaryWriter().fixed32(0);
-  const bytes = peer.Frame.encode(frame, writer).finish();
+  const bytes = codec.encode(frame, writer).finish();
   const buffer = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
   buffer.writeUInt32BE(bytes.byteLength - PREFIX_BYTES, 0);
   return buffer;
 }
 
 /** Cuts a byte stream into frames; memory is bounded by the largest frame and one chunk. */
-export class FrameReader {
+export class FrameReader<T> {
   private pending: Buffer = EMPTY;
 
   constructor(
+    private readonly codec: FrameCodec<T>,
     private readonly maxFrameBytes: number,
     /** Names the other end in errors. */
     private readonly peerName: string,
@@ -33,10 +39,10 @@
    *
    * @throws errors.MalformedInputError on a frame that is too long or cannot be decoded.
    */
-  push(chunk: Buffer): readonly peer.Frame[] {
+  push(chunk: Buffer): readonly T[] {
     const bytes =
       this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
-    const frames: peer.Frame[] = [];
+    const frames: T[] = [];
     let start = 0;
     while (bytes.length - start >= PREFIX_BYTES) {
       const length = this.checkedLength(bytes.readUInt32BE(start));
@@ -54,9 +60,9 @@
     throw this.malformed(`frame of ${length} bytes`);
   }
 
-  private decode(bytes: Uint8Array): peer.Frame {
+  private decode(bytes: Uint8Array): T {
     try {
-      return peer.Frame.decode(bytes);
+      return this.codec.decode(bytes);
     } catch (err) {
       throw this.malformed('frame cannot be decoded', err);
     }
--- a/src/node/framed_socket.ts
+++ b/src/node/framed_socket.ts
@@ -2,13 +2,12 @@
 import * as net from 'node:net';
 
 import * as errors from '../common/errors.js';
-import * as peer from '../generated/peer.js';
 import * as frameCodec from './frame_codec.js';
 
 /** What the owner of a framed socket is told. */
-export interface FramedSocketListener {
+export interface FramedSocketListener<T> {
   onConnect(): void;
-  onFrame(frame: peer.Frame): void;
+  onFrame(frame: T): void;
   /** A frame could not be read; the socket closes next. */
   onMalformed(): void;
   /** Called once, when the connection has ended for whatever cause. */
@@ -19,17 +18,18 @@
 const KEEP_ALIVE_MS = 30_000;
 
 /** Sends and receives frames on one connection. */
-export class FramedSocket implements Disposable {
-  private readonly reader: frameCodec.FrameReader;
+export class FramedSocket<T> implements Disposable {
+  private readonly reader: frameCodec.FrameReader<T>;
   private corked = false;
 
   constructor(
     private readonly socket: net.Socket,
+    private readonly codec: frameCodec.FrameCodec<T>,
     maxFrameBytes: number,
     peerName: string,
-    private readonly listener: FramedSocketListener,
+    private readonly listener: FramedSocketListener<T>,
   ) {
-    this.reader = new frameCodec.FrameReader(maxFrameBytes, peerName);
+    this.reader = new frameCodec.FrameReader(codec, maxFrameBytes, peerName);
     socket.setNoDelay(true);
     socket.setKeepAlive(true, KEEP_ALIVE_MS);
     socket.on('connect', () => listener.onConnect());
@@ -44,14 +44,14 @@
   }
 
   /** Sends a frame; without effect once the connection has ended. */
-  send(frame: peer.Frame): void {
+  send(frame: T): void {
     if (!this.socket.writable) return;
     if (!this.corked) {
       this.corked = true;
       this.socket.cork();
       process.nextTick(() => this.uncork());
     }
-    this.socket.write(frameCodec.encodeFrame(frame));
+    this.socket.write(frameCodec.encodeFrame(this.codec, frame));
   }
 
   /** Ends the connection after what was sent has left. */
--- a/src/node/http_headers.ts
+++ b/src/node/http_headers.ts
@@ -80,6 +80,40 @@
   return forwarded(rawHeaders, connection, OWN_ANSWER_HEADERS);
 }
 
+/**
+ * Returns the headers that are not bound to one connection, names and values in turn.
+ *
+ * @param rawHeaders names and values in turn.
+ * @param connection value of the `Connection` header.
+ * @param isDropped further headers to leave out, by their name in lower case.
+ */
+export function endToEndHeaders(
+  rawHeaders: readonly string[],
+  connection: string | undefined,
+  isDropped: (name: string) => boolean = () => false,
+): readonly string[] {
+  const named = connectionOptions(connection);
+  const kept: string[] = [];
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    const lower = rawHeaders[i].toLowerCase();
+    if (HOP_BY_HOP_HEADERS.has(lower) || named.has(lower)) continue;
+    if (!isDropped(lower)) kept.push(rawHeaders[i], rawHeaders[i + 1]);
+  }
+  return kept;
+}
+
+/** Returns parsed headers as names and values in turn. */
+export function flattened(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): readonly string[] {
+  const flat: string[] = [];
+  for (const [name, value] of Object.entries(headers)) {
+    const values = Array.isArray(value) ? value : [value ?? ''];
+    for (const one of values) flat.push(name, one);
+  }
+  return flat;
+}
+
 /** Returns the value of the header `name`, undefined if absent. */
 export function findHeader(
   headers: readonly peer.Header[],
--- a/src/node/incoming_link.ts
+++ b/src/node/incoming_link.ts
@@ -26,7 +26,7 @@
 
 /** Reads calls and writes their answers. */
 export class IncomingLink implements Disposable {
-  private readonly socket: framedSocket.FramedSocket;
+  private readonly socket: framedSocket.FramedSocket<peer.Frame>;
   private nodeId: string | undefined;
 
   constructor(
@@ -36,6 +36,7 @@
   ) {
     this.socket = new framedSocket.FramedSocket(
       connection,
+      peer.Frame,
       context.maxFrameBytes,
       connection.remoteAddress ?? '',
       {
--- a/src/node/outgoing_link.ts
+++ b/src/node/outgoing_link.ts
@@ -37,7 +37,7 @@
 
 /** A kept connection that carries many attempts at once. */
 export class OutgoingLink implements Disposable {
-  private readonly socket: framedSocket.FramedSocket;
+  private readonly socket: framedSocket.FramedSocket<peer.Frame>;
   private readonly outstanding = new Map<string, linkEvent.AttemptOwner>();
   private state: State = 'connecting';
   private progressTimeoutMs: units.Millis;
@@ -54,6 +54,7 @@
     this.quietSinceMs = context.nowMs();
     this.socket = new framedSocket.FramedSocket(
       net.connect({host: target.ip, port: target.port}),
+      peer.Frame,
       context.maxFrameBytes,
       target.nodeId,
       {
--- a/src/node/peer_links.test.ts
+++ b/src/node/peer_links.test.ts
@@ -195,11 +195,15 @@
   socket.on('error', () => undefined);
   const closed = new Promise(resolve => socket.once('close', resolve));
   const hello = {nodeId: 'entry', incarnation: 1, toNodeId: 'gate'};
-  socket.write(frameCodec.encodeFrame({body: {$case: 'hello', value: hello}}));
+  socket.write(
+    frameCodec.encodeFrame(peer.Frame, {body: {$case: 'hello', value: hello}}),
+  );
   const value = {
     ...peer.CallRequest.fromPartial({callId: 'x', body: Buffer.alloc(4_000)}),
   };
-  const frame = frameCodec.encodeFrame({body: {$case: 'request', value}});
+  const frame = frameCodec.encodeFrame(peer.Frame, {
+    body: {$case: 'request', value},
+  });
   const timer = setInterval(() => {
     for (let i = 0; i < 1_000; i++) socket.write(frame);
   }, 1);
@@ -217,7 +221,7 @@
   await using gate = await gateLinks();
   await using entry = await entryLinks();
   const request = peer.CallRequest.fromPartial({callId: 'x'});
-  const first = frameCodec.encodeFrame({
+  const first = frameCodec.encodeFrame(peer.Frame, {
     body: {$case: 'request', value: request},
   });
   for (const bytes of [Buffer.from('GET / HTTP/1.1\r\n\r\n'), first]) {
--- a/src/node/server_connection.ts
+++ b/src/node/server_connection.ts
@@ -154,7 +154,7 @@
       kind: 'answered',
       status: this.status,
       headers: httpHeaders.forwardedAnswerHeaders(
-        flattened(this.headers),
+        httpHeaders.flattened(this.headers),
         this.headers.connection,
       ),
       body,
@@ -214,12 +214,3 @@
     };
   }
 }
-
-function flattened(headers: http.IncomingHttpHeaders): readonly string[] {
-  const flat: string[] = [];
-  for (const [name, value] of Object.entries(headers)) {
-    const values = Array.isArray(value) ? value : [value ?? ''];
-    for (const one of values) flat.push(name, one);
-  }
-  return flat;
-}
--- /dev/null
+++ b/src/node/serving/entry_sessions.ts
@@ -0,0 +1,184 @@
+/** Connections that other nodes' entries have opened to this node's gate. */
+import * as net from 'node:net';
+
+import * as units from '../../common/units.js';
+import * as serving from '../../generated/serving.js';
+import * as framedSocket from '../framed_socket.js';
+import * as tcpListener from '../tcp_listener.js';
+import * as linkFrame from './link_frame.js';
+
+/** Time allowed for the greeting. */
+const GREETING_TIMEOUT_MS: units.Millis = 2_000;
+
+/** Time without a frame after which a session is ended; entries ask for a sign of life earlier. */
+const IDLE_TIMEOUT_MS: units.Millis = 60_000;
+
+/** Interval at which the load is told even if it has not changed. */
+const PULSE_INTERVAL_MS: units.Millis = 1_000;
+
+/** What happens on sessions. */
+export interface EntrySessionsListener {
+  /** A node has greeted. */
+  onGreeting(sender: serving.NodeRecord): void;
+  onDispatch(key: string, source: number, dispatch: serving.Dispatch): void;
+  onWithdraw(key: string): void;
+  onSourceLost(source: number): void;
+}
+
+/** What sessions need of their owner. */
+export interface EntrySessionsOptions {
+  readonly listener: EntrySessionsListener;
+  greeting(toNodeId: string): serving.Greeting;
+  pulse(): serving.Pulse;
+  state(): serving.FleetState;
+  nowMs(): units.MonotonicMs;
+}
+
+interface Session {
+  readonly id: number;
+  readonly socket: framedSocket.FramedSocket<serving.NodeFrame>;
+  /** Names the entry's process, undefined before its greeting. */
+  entry: string | undefined;
+  pulsedMs: units.MonotonicMs;
+}
+
+/** Listens for other nodes and speaks for the gate. */
+export class EntrySessions implements AsyncDisposable {
+  private readonly server: net.Server;
+  private readonly sessions = new Map<number, Session>();
+  private lastId = 0;
+
+  constructor(private readonly options: EntrySessionsOptions) {
+    this.server = net.createServer({noDelay: true}, s => this.accept(s));
+  }
+
+  /** Starts to accept connections. */
+  listen(address: tcpListener.ListenAddress): Promise<void> {
+    return tcpListener.listen(this.server, address);
+  }
+
+  /** Sends a frame to the entry behind a session, if it is still there. */
+  send(source: number, body: serving.NodeFrame['body']): void {
+    this.sessions.get(source)?.socket.send({body});
+  }
+
+  /** Sends a frame to all entries. */
+  broadcast(body: serving.NodeFrame['body']): void {
+    for (const {entry, socket} of this.sessions.values()) {
+      if (entry !== undefined) socket.send({body});
+    }
+  }
+
+  /** Tells all entries the gate's load and versions now. */
+  pulseNow(): void {
+    const value = this.options.pulse();
+    const now = this.options.nowMs();
+    for (const session of this.sessions.values()) {
+      this.pulse(session, value, now);
+    }
+  }
+
+  /** Tells the load where it is due. */
+  tick(now: units.MonotonicMs): void {
+    const value = this.options.pulse();
+    for (const session of this.sessions.values()) {
+      if (now - session.pulsedMs < PULSE_INTERVAL_MS) continue;
+      this.pulse(session, value, now);
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const closed = new Promise<void>(resolve =>
+      this.server.close(() => resolve()),
+    );
+    for (const {socket} of this.sessions.values()) socket[Symbol.dispose]();
+    await closed;
+  }
+
+  private pulse(
+    session: Session,
+    value: serving.Pulse,
+    now: units.MonotonicMs,
+  ): void {
+    if (session.entry === undefined) return;
+    session.pulsedMs = now;
+    session.socket.send({body: {$case: 'pulse', value}});
+  }
+
+  private accept(connection: net.Socket): void {
+    const id = ++this.lastId;
+    const socket = linkFrame.wrap(connection, connection.remoteAddress ?? '', {
+      onConnect: () => undefined,
+      onFrame: frame => this.receive(session, connection, frame),
+      onMalformed: () => undefined,
+      onClose: () => this.closed(session),
+    });
+    const session: Session = {id, socket, entry: undefined, pulsedMs: 0};
+    this.sessions.set(id, session);
+    connection.setTimeout(GREETING_TIMEOUT_MS, () => connection.destroy());
+  }
+
+  private closed(session: Session): void {
+    this.sessions.delete(session.id);
+    this.options.listener.onSourceLost(session.id);
+  }
+
+  private receive(
+    session: Session,
+    connection: net.Socket,
+    {body}: serving.NodeFrame,
+  ): void {
+    if (body?.$case === 'greeting') {
+      return this.greeted(session, connection, body.value);
+    }
+    if (session.entry === undefined) {
+      connection.destroy();
+      return;
+    }
+    const {listener} = this.options;
+    switch (body?.$case) {
+      case 'dispatch': {
+        const key = `${session.entry}/${body.value.call}`;
+        return listener.onDispatch(key, session.id, body.value);
+      }
+      case 'withdraw':
+        return listener.onWithdraw(`${session.entry}/${body.value.call}`);
+      case 'ping':
+        return this.pulse(session, this.options.pulse(), this.options.nowMs());
+      case 'stateWanted':
+        session.socket.send({
+          body: {$case: 'state', value: this.options.state()},
+        });
+        return;
+      case 'answer':
+      case 'refusal':
+      case 'pulse':
+      case 'state':
+      case 'suspect':
+      case undefined:
+        return;
+    }
+  }
+
+  private greeted(
+    session: Session,
+    connection: net.Socket,
+    greeting: serving.Greeting,
+  ): void {
+    const {sender, processStartedMs} = greeting;
+    if (sender === undefined) {
+      connection.destroy();
+      return;
+    }
+    const value = this.options.greeting(sender.nodeId);
+    session.socket.send({body: {$case: 'greeting', value}});
+    if (greeting.toNodeId !== value.sender?.nodeId) {
+      session.socket.end();
+      return;
+    }
+    connection.setTimeout(IDLE_TIMEOUT_MS, () => connection.destroy());
+    session.entry = `${sender.nodeId}@${processStartedMs}`;
+    this.pulse(session, this.options.pulse(), this.options.nowMs());
+    this.options.listener.onGreeting(sender);
+  }
+}
--- /dev/null
+++ b/src/node/serving/fleet_knowledge.ts
@@ -0,0 +1,179 @@
+/** What this node learns of operators' intent and of the fleet, from the store and from peers. */
+import * as crashSuspects from '../../common/serving/crash_suspects.js';
+import * as decision from '../../common/serving/decision.js';
+import * as configuration from '../../common/serving/configuration.js';
+import * as operatorIntent from '../../common/serving/operator_intent.js';
+import * as units from '../../common/units.js';
+import * as serving from '../../generated/serving.js';
+import * as dialect from './dialect.js';
+import * as fleetDirectory from './fleet_directory.js';
+import * as ownRecord from './own_record.js';
+
+/** Time that the store has to tell what a peer knows already. */
+const PEER_LEAD_MS: units.Millis = 150;
+
+/** Least time between two requests for a peer's state. */
+const STATE_INTERVAL_MS: units.Millis = 400;
+
+/** What knowledge is made with. */
+export interface FleetKnowledgeOptions {
+  readonly intent: operatorIntent.OperatorIntent;
+  readonly suspects: crashSuspects.CrashSuspects;
+  readonly directory: fleetDirectory.FleetDirectory;
+  readonly decoder: dialect.IntentDecoder;
+  readonly log: decision.DecisionLog;
+  readonly onIntentChanged: () => void;
+  readonly onOwnRecord: (record: serving.NodeRecord | undefined) => void;
+  readonly requestState: (nodeId: string) => void;
+  nowMs(): units.MonotonicMs;
+}
+
+/** Takes records of the store and states of peers into one view. */
+export class FleetKnowledge {
+  private behindSinceMs: units.MonotonicMs | undefined;
+  private requestedMs = -Infinity;
+
+  constructor(private readonly options: FleetKnowledgeOptions) {}
+
+  /** Takes the newest records of the operators' topic. */
+  onOperatorsNewest({records, endOffset}: dialect.NewestRecords): void {
+    const {intent} = this.options;
+    const changes = records.flatMap(record => this.decode(record));
+    const outs = changes.flatMap(change =>
+      change.kind === 'data-centre' && change.out ? [change.dataCentre] : [],
+    );
+    const documents = changes.flatMap(change =>
+      change.kind === 'configuration' ? [change.document] : [],
+    );
+    const offset = endOffset - 1;
+    const whole = {document: documents.at(0), dataCentresOut: outs, offset};
+    this.noteIntent(intent.applyWhole(whole), 'store');
+  }
+
+  /** Takes a record of the operators' topic. */
+  onOperatorsRecord(record: dialect.StoreRecord): void {
+    const [change] = this.decode(record);
+    if (change === undefined) return;
+    this.noteIntent(this.options.intent.applyChange(change), 'store');
+  }
+
+  /** Takes the newest records of the fleet's topic. */
+  onFleetNewest({records}: dialect.NewestRecords): void {
+    const {directory, onOwnRecord} = this.options;
+    const ownKey = ownRecord.keyOf(directory.self.nodeId);
+    for (const record of records) this.onFleetRecord(record);
+    if (!records.some(record => record.key === ownKey)) onOwnRecord(undefined);
+  }
+
+  /** Takes a record of the fleet's topic. */
+  onFleetRecord({key, value}: dialect.StoreRecord): void {
+    const {directory, onOwnRecord} = this.options;
+    const nodeId = ownRecord.nodeIdOf(key);
+    if (nodeId === undefined) return;
+    const record = value && ownRecord.decode(value);
+    if (nodeId === directory.self.nodeId) return onOwnRecord(record);
+    if (record?.nodeId === nodeId) directory.put(record);
+    else if (record === undefined) directory.remove(nodeId);
+  }
+
+  /** Takes a peer's version; asks for its state if the store does not bring what it knows. */
+  onPeerOffset(nodeId: string, offset: number): void {
+    const now = this.options.nowMs();
+    if (offset <= this.options.intent.offset && this.options.intent.isKnown) {
+      this.behindSinceMs = undefined;
+      return;
+    }
+    if (offset < 0) return;
+    this.behindSinceMs ??= now;
+    if (now - this.behindSinceMs < PEER_LEAD_MS) return;
+    if (now - this.requestedMs < STATE_INTERVAL_MS) return;
+    this.requestedMs = now;
+    this.options.requestState(nodeId);
+  }
+
+  /** Takes a peer's state. */
+  onState(nodeId: string, state: serving.FleetState): void {
+    const {intent, directory, suspects} = this.options;
+    const now = this.options.nowMs();
+    for (const record of state.nodes) directory.put(record);
+    for (const suspect of state.suspects) suspects.onReport(suspect, now);
+    const whole = wholeIntentOf(state);
+    if (whole === undefined) {
+      this.note('peer-state-unreadable', {nodeId});
+      return;
+    }
+    this.noteIntent(intent.applyWhole(whole), nodeId);
+  }
+
+  /** Returns the state for a peer that is behind. */
+  state(): serving.FleetState {
+    const {intent, directory, suspects} = this.options;
+    const {document, dataCentresOut, offset} = intent.toWhole();
+    return {
+      configurationJson: document === undefined ? '' : JSON.stringify(document),
+      dataCentresOut,
+      // Offsets travel shifted by one, so that none is negative.
+      intentOffset: intent.isKnown ? offset + 1 : 0,
+      nodes: [directory.self, ...directory.others],
+      suspects: suspects.list(this.options.nowMs()),
+    };
+  }
+
+  /** Offset to tell peers, shifted by one so that it is never negative. */
+  get shiftedOffset(): number {
+    const {intent} = this.options;
+    return intent.isKnown ? intent.offset + 1 : 0;
+  }
+
+  private decode(
+    record: dialect.StoreRecord,
+  ): readonly operatorIntent.IntentChange[] {
+    try {
+      return [this.options.decoder.decode(record)];
+    } catch (err) {
+      const detail = err instanceof Error ? err.message : String(err);
+      const {key, offset} = record;
+      this.note('operators-record-unreadable', {key, offset, detail});
+      return [];
+    }
+  }
+
+  private noteIntent(changed: boolean, source: string): void {
+    if (!changed) return;
+    const {intent} = this.options;
+    this.note('intent-in-force', {
+      source,
+      configuration: intent.configuration?.version,
+      dataCentresOut: [...intent.dataCentresOut].join(','),
+      offset: intent.offset,
+    });
+    this.options.onIntentChanged();
+  }
+
+  private note(event: string, facts: decision.Facts): void {
+    this.options.log.write({
+      component: 'fleet',
+      event,
+      importance: 'belief',
+      facts,
+    });
+  }
+}
+
+function wholeIntentOf(
+  state: serving.FleetState,
+): operatorIntent.WholeIntent | undefined {
+  const {configurationJson, dataCentresOut, intentOffset} = state;
+  if (intentOffset === 0) {
+    return {document: undefined, dataCentresOut: [], offset: -1};
+  }
+  try {
+    const document =
+      configurationJson === ''
+        ? undefined
+        : (JSON.parse(configurationJson) as configuration.FleetConfiguration);
+    return {document, dataCentresOut, offset: intentOffset - 1};
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/node/serving/gate_links.ts
@@ -0,0 +1,112 @@
+/** Links to the gates of all other nodes. */
+import * as decision from '../../common/serving/decision.js';
+import * as units from '../../common/units.js';
+import * as serving from '../../generated/serving.js';
+import * as fleetDirectory from './fleet_directory.js';
+import * as gateLink from './gate_link.js';
+
+/** What links need of their owner. */
+export interface GateLinksOptions {
+  readonly directory: fleetDirectory.FleetDirectory;
+  readonly listener: Pick<
+    gateLink.GateLinkListener,
+    | 'onDown'
+    | 'onAnswer'
+    | 'onRefusal'
+    | 'onPulse'
+    | 'onState'
+    | 'onSuspect'
+    | 'onRequestLost'
+  >;
+  readonly log: decision.DecisionLog;
+  greeting(toNodeId: string): serving.Greeting;
+  nowMs(): units.MonotonicMs;
+}
+
+/** Opens a link to each node of the directory and keeps it open. */
+export class GateLinks implements Disposable {
+  private readonly links = new Map<string, gateLink.GateLink>();
+  private readonly subscriptions: readonly Disposable[];
+
+  constructor(private readonly options: GateLinksOptions) {
+    const {directory} = options;
+    this.subscriptions = [
+      directory.onChanged(record => this.connect(record)),
+      directory.onRemoved(nodeId => this.disconnect(nodeId)),
+    ];
+  }
+
+  /** Whether requests can be sent to a node. */
+  isUp(nodeId: string): boolean {
+    return this.links.get(nodeId)?.isUp ?? false;
+  }
+
+  /** Sends a request to a node's gate. */
+  dispatch(nodeId: string, dispatch: serving.Dispatch): void {
+    const link = this.links.get(nodeId);
+    if (link) link.dispatch(dispatch);
+    else this.options.listener.onRequestLost(nodeId, dispatch.call);
+  }
+
+  /** Tells a gate that nobody wants a request any more. */
+  withdraw(nodeId: string, call: number): void {
+    this.links.get(nodeId)?.withdraw(call);
+  }
+
+  /** Asks a node for the state of the fleet. */
+  requestState(nodeId: string): void {
+    this.links.get(nodeId)?.requestState();
+  }
+
+  /** Does what time has made due. */
+  tick(now: units.MonotonicMs): void {
+    for (const link of [...this.links.values()]) link.tick(now);
+  }
+
+  [Symbol.dispose](): void {
+    for (const subscription of this.subscriptions) {
+      subscription[Symbol.dispose]();
+    }
+    for (const nodeId of [...this.links.keys()]) this.disconnect(nodeId);
+  }
+
+  private connect(record: serving.NodeRecord): void {
+    this.disconnect(record.nodeId);
+    const {listener, greeting, nowMs} = this.options;
+    const link = new gateLink.GateLink(record, {
+      greeting,
+      nowMs,
+      listener: {
+        ...listener,
+        onUp: nodeId => this.note('peer-regained', {nodeId}),
+        onDown: (nodeId, detail) => {
+          this.note('peer-lost', {nodeId, detail});
+          listener.onDown(nodeId, detail);
+        },
+        onMismatch: (nodeId, found) => this.replace(nodeId, found),
+      },
+    });
+    this.links.set(record.nodeId, link);
+  }
+
+  private disconnect(nodeId: string): void {
+    const link = this.links.get(nodeId);
+    this.links.delete(nodeId);
+    link?.[Symbol.dispose]();
+  }
+
+  private replace(nodeId: string, found: serving.NodeRecord | undefined): void {
+    this.note('peer-replaced', {nodeId, by: found?.nodeId});
+    this.options.directory.remove(nodeId);
+    if (found) this.options.directory.put(found);
+  }
+
+  private note(event: string, facts: decision.Facts): void {
+    this.options.log.write({
+      component: 'fleet',
+      event,
+      importance: 'belief',
+      facts,
+    });
+  }
+}
--- /dev/null
+++ b/src/node/serving/node_settings.ts
@@ -0,0 +1,43 @@
+/** Reads and checks the settings file of a node on the users' platform. */
+import * as fs from 'node:fs';
+
+import * as checker from '../../common/documents/document_checker.js';
+import * as documentFault from '../../common/documents/document_fault.js';
+import * as validation from '../../common/documents/validation.js';
+import * as generated from '../../generated/node_settings.js';
+import * as settings from '../settings.js';
+
+/**
+ * Reads the settings file.
+ *
+ * @throws settings.SettingsError with one line for each fault.
+ */
+export function readNodeSettings(path: string): generated.NodeSettings {
+  const check = new checker.DocumentChecker<generated.NodeSettings>(
+    validation.NODE_SETTINGS,
+  );
+  const checked = check.checkText(readText(path));
+  switch (checked.kind) {
+    case 'invalid':
+      throw new settings.SettingsError(
+        path,
+        checked.faults.map(fault => documentFault.formatFault(path, fault)),
+      );
+    case 'valid':
+      return checked.value;
+  }
+}
+
+/** Time of the newest change of the file, undefined if it cannot be told. */
+export function changedMs(path: string): number | undefined {
+  return fs.statSync(path, {throwIfNoEntry: false})?.mtimeMs;
+}
+
+function readText(path: string): string {
+  try {
+    return fs.readFileSync(path, 'utf8');
+  } catch (err) {
+    const detail = err instanceof Error ? err.message : String(err);
+    throw new settings.SettingsError(path, [`${path}: ${detail}`]);
+  }
+}
--- /dev/null
+++ b/src/node/serving/server_run.ts
@@ -0,0 +1,215 @@
+/** One connection to the backend server, and the run that it carries. */
+import type * as http from 'node:http';
+
+import * as undici from 'undici';
+
+import * as gateCall from '../../common/serving/gate_call.js';
+import * as units from '../../common/units.js';
+import * as httpHeaders from '../http_headers.js';
+import * as dialect from './dialect.js';
+
+/** Time allowed to open a connection; the backend server is on the same instance. */
+const CONNECT_TIMEOUT_MS: units.Millis = 1_000;
+
+/** Idle time after which a connection is closed, unless the backend server tells less. */
+const KEEP_ALIVE_MS: units.Millis = 8_000;
+
+/** Longest headers accepted from the backend server. */
+const MAX_HEADER_BYTES = 64 * 1024;
+
+const FIRST_FINAL_STATUS = 200;
+const FIRST_REDIRECT_STATUS = 300;
+
+/** A request for the backend server. */
+export interface ServerRequest {
+  readonly requestId: string;
+  readonly method: string;
+  readonly target: string;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+}
+
+/** How a run ended, with what the headers told. */
+export interface RunOutcome {
+  readonly end: gateCall.RunEnd;
+  readonly facts: dialect.AnswerFacts | undefined;
+}
+
+/** A connection to the backend server; it carries one request at a time. */
+export class ServerRun implements Disposable {
+  private readonly client: undici.Client;
+  private readonly connect = undici.buildConnector({
+    timeout: CONNECT_TIMEOUT_MS,
+  });
+  private disposed = false;
+  private socketError: Error | undefined;
+
+  /** Time of the end of the last request. */
+  lastUsedMs: units.MonotonicMs = 0;
+
+  constructor(
+    origin: string,
+    private readonly http: dialect.HttpDialect,
+    /** The connection has ended while it was idle. */
+    onIdleEnd: (run: ServerRun, err: Error) => void,
+  ) {
+    this.client = new undici.Client(origin, {
+      pipelining: 1,
+      connect: (options, callback) => this.open(options, callback),
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveMaxTimeout: KEEP_ALIVE_MS,
+      maxHeaderSize: MAX_HEADER_BYTES,
+    });
+    this.client.on('disconnect', (unusedOrigin, unusedTargets, err) =>
+      onIdleEnd(this, err),
+    );
+  }
+
+  /** Whether the connection must not be used again. */
+  get isEnded(): boolean {
+    return this.disposed;
+  }
+
+  /** Sends a request and reports its end once. */
+  send(req: ServerRequest, onEnd: (outcome: RunOutcome) => void): void {
+    this.client.dispatch(
+      {
+        method: req.method as undici.Dispatcher.HttpMethod,
+        path: req.target,
+        headers: [...req.headers],
+        body: req.body.length === 0 ? null : req.body,
+      },
+      new AnswerReader(req.requestId, this.http, () => this.socketError, onEnd),
+    );
+  }
+
+  /** The client takes an answer without a length as whole also when its connection was reset. */
+  private open(
+    options: undici.buildConnector.Options,
+    callback: undici.buildConnector.Callback,
+  ): void {
+    this.connect(options, (err, socket) => {
+      if (socket === null) return callback(err, null);
+      socket.prependListener('error', cause => {
+        this.socketError = cause;
+      });
+      callback(null, socket);
+    });
+  }
+
+  [Symbol.dispose](): void {
+    if (this.disposed) return;
+    this.disposed = true;
+    void this.client.destroy();
+  }
+}
+
+/** Collects one answer and checks that it belongs to its request. */
+class AnswerReader implements undici.Dispatcher.DispatchHandler {
+  private readonly chunks: Buffer[] = [];
+  private sent = false;
+  private status = 0;
+  private headers: http.IncomingHttpHeaders = {};
+  private facts: dialect.AnswerFacts | undefined;
+  private fault: string | undefined;
+  private done = false;
+
+  constructor(
+    private readonly requestId: string,
+    private readonly http: dialect.HttpDialect,
+    private readonly socketError: () => Error | undefined,
+    private readonly onEnd: (outcome: RunOutcome) => void,
+  ) {}
+
+  onRequestStart(): void {
+    this.sent = true;
+  }
+
+  onResponseStart(
+    controller: undici.Dispatcher.DispatchController,
+    status: number,
+    headers: http.IncomingHttpHeaders,
+  ): void {
+    if (status < FIRST_FINAL_STATUS) return;
+    this.status = status;
+    this.headers = headers;
+    this.facts = this.http.readAnswer(status, headers);
+    this.fault = this.faultOf(this.facts);
+    if (this.fault !== undefined) controller.abort(new Error(this.fault));
+  }
+
+  onResponseData(
+    unusedController: undici.Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    const err = this.socketError();
+    this.finish(
+      err === undefined
+        ? this.endOf()
+        : {kind: 'bad-answer', detail: err.message},
+    );
+  }
+
+  onResponseError(
+    unusedController: undici.Dispatcher.DispatchController,
+    err: Error,
+  ): void {
+    if (this.fault !== undefined) {
+      return this.finish({kind: 'bad-answer', detail: this.fault});
+    }
+    if (!this.sent) return this.finish({kind: 'not-sent'});
+    const cutShort = this.facts !== undefined;
+    const malformed = err instanceof undici.errors.HTTPParserError;
+    this.finish(
+      cutShort || malformed
+        ? {kind: 'bad-answer', detail: err.message}
+        : {kind: 'broken'},
+    );
+  }
+
+  private endOf(): gateCall.RunEnd {
+    const {facts, status} = this;
+    if (facts?.misdirected) {
+      return {kind: 'misdirected', instanceId: facts.instanceId};
+    }
+    if (facts?.notRun) return {kind: 'shed', status};
+    const body =
+      this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks);
+    const headers = httpHeaders.endToEndHeaders(
+      httpHeaders.flattened(this.headers),
+      headerText(this.headers.connection),
+    );
+    return {kind: 'answered', answer: {status, headers, body}};
+  }
+
+  /** Returns why an answer cannot be this request's whole answer. */
+  private faultOf(facts: dialect.AnswerFacts): string | undefined {
+    if (facts.misdirected || facts.notRun) {
+      const foreign =
+        facts.requestId !== undefined && facts.requestId !== this.requestId;
+      return foreign ? 'refusal of another request' : undefined;
+    }
+    if (facts.requestId !== this.requestId) return 'answer to another request';
+    if (this.headers['content-encoding'] !== undefined) return 'encoded body';
+    const isSuccess = this.status < FIRST_REDIRECT_STATUS;
+    return isSuccess && !facts.sealed ? 'success without seal' : undefined;
+  }
+
+  private finish(end: gateCall.RunEnd): void {
+    if (this.done) return;
+    this.done = true;
+    // The client must not be used or closed from inside its own callbacks.
+    queueMicrotask(() => this.onEnd({end, facts: this.facts}));
+  }
+}
+
+function headerText(value: string | string[] | undefined): string | undefined {
+  return Array.isArray(value) ? value.join(',') : value;
+}
--- /dev/null
+++ b/src/node/serving/telemetry.ts
@@ -0,0 +1,76 @@
+/** Counts decisions and measures times, besides logging them. */
+import * as promClient from 'prom-client';
+
+import * as decision from '../../common/serving/decision.js';
+import * as units from '../../common/units.js';
+
+/** Bounds of the latency histograms, in seconds. */
+const LATENCY_BUCKETS_S = [
+  0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 0.8, 1, 1.5, 2.5, 4, 8,
+];
+
+/** Values of labels that a series keeps apart; more are counted as `other`. */
+const MAX_LABEL_VALUES = 64;
+
+/** Facts of decisions that hold a duration, with the part of the way that it measures. */
+const DURATIONS: ReadonlyArray<readonly [string, string, string]> = [
+  ['entry/answered', 'ageMs', 'whole'],
+  ['gate/run', 'waitedMs', 'waiting at the gate'],
+  ['gate/answered', 'durationMs', 'at the backend server'],
+];
+
+/** Counters and histograms, served as text. */
+export class Telemetry implements decision.DecisionLog {
+  private readonly registry = new promClient.Registry();
+  private readonly labels = new Set<string>();
+  private readonly decisions = new promClient.Counter({
+    name: 'geraniumloft_decisions_total',
+    help: 'Decisions by component, event and reason.',
+    labelNames: ['component', 'event', 'reason'],
+    registers: [this.registry],
+  });
+  private readonly latencies = new promClient.Histogram({
+    name: 'geraniumloft_latency_seconds',
+    help: 'Time of requests by route and part of the way.',
+    labelNames: ['part', 'route'],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+
+  constructor(private readonly log: decision.DecisionLog) {}
+
+  write(d: decision.Decision): void {
+    const reason = this.bounded(String(d.facts['reason'] ?? ''));
+    const {component, event} = d;
+    this.decisions.inc({component, event, reason});
+    this.observe(d);
+    this.log.write(d);
+  }
+
+  /** Returns all series in the text format of Prometheus. */
+  text(): Promise<string> {
+    return this.registry.metrics();
+  }
+
+  /** Type of the text. */
+  get contentType(): string {
+    return this.registry.contentType;
+  }
+
+  private observe(d: decision.Decision): void {
+    const name = `${d.component}/${d.event}`;
+    for (const [event, fact, part] of DURATIONS) {
+      const ms = d.facts[fact];
+      if (event !== name || typeof ms !== 'number') continue;
+      const route = this.bounded(String(d.facts['route'] ?? ''));
+      this.latencies.observe({part, route}, ms / units.MS_PER_SECOND);
+    }
+  }
+
+  private bounded(value: string): string {
+    if (this.labels.has(value)) return value;
+    if (this.labels.size >= MAX_LABEL_VALUES) return 'other';
+    this.labels.add(value);
+    return value;
+  }
+}
--- /dev/null
+++ b/src/node/serving/topic_follower.ts
@@ -0,0 +1,128 @@
+/** Follows a topic of the store: first the newest record of each key, then records as they come. */
+import * as timers from 'node:timers/promises';
+
+import * as decision from '../../common/serving/decision.js';
+import * as units from '../../common/units.js';
+import * as dialect from './dialect.js';
+
+/** Waits after a failed read; doubled after each failure. */
+const FIRST_BACKOFF_MS: units.Millis = 100;
+const MAX_BACKOFF_MS: units.Millis = 1_000;
+
+/** Part of a wait that is random, so that nodes do not come back at once. */
+const BACKOFF_JITTER = 0.5;
+
+/** Wait after a read that ended before what is known: the store shows an older state. */
+const STALE_WAIT_MS: units.Millis = 300;
+
+/** What a follower reports to. */
+export interface TopicListener {
+  /** The newest record of each key, as of `endOffset`. */
+  onNewest(newest: dialect.NewestRecords): void;
+  onRecord(record: dialect.StoreRecord): void;
+}
+
+/** What a follower is made with. */
+export interface TopicFollowerOptions {
+  readonly topic: dialect.Topic;
+  readonly store: dialect.SharedStore;
+  readonly listener: TopicListener;
+  readonly log: decision.DecisionLog;
+  /** Longest wait of a read for the next record. */
+  waitMs(): units.Millis;
+  random(): number;
+}
+
+/** Follows one topic until it is disposed. */
+export class TopicFollower implements AsyncDisposable {
+  private readonly stop = new AbortController();
+  private nextOffset: number | undefined;
+  private failures = 0;
+  private done: Promise<void> | undefined;
+
+  constructor(private readonly options: TopicFollowerOptions) {}
+
+  /** Starts to follow. */
+  start(): void {
+    this.done = this.run();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stop.abort();
+    await this.done;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.stop.signal.aborted) {
+      try {
+        await this.step();
+        this.noteRegained();
+      } catch (err) {
+        if (this.stop.signal.aborted) return;
+        this.noteFailure(err);
+        await this.pause(this.backoffMs());
+      }
+    }
+  }
+
+  private async step(): Promise<void> {
+    const {store, topic, listener, waitMs} = this.options;
+    if (this.nextOffset === undefined) {
+      const newest = await store.newest(topic);
+      if (this.stop.signal.aborted) return;
+      listener.onNewest(newest);
+      this.nextOffset = newest.endOffset;
+      return;
+    }
+    const result = await store.follow(topic, this.nextOffset, waitMs());
+    if (this.stop.signal.aborted) return;
+    if (result.kind === 'expired') {
+      this.nextOffset = undefined;
+      return;
+    }
+    if (result.endOffset < this.nextOffset) return this.pause(STALE_WAIT_MS);
+    for (const record of result.records) listener.onRecord(record);
+    this.nextOffset = result.nextOffset;
+  }
+
+  private backoffMs(): units.Millis {
+    const doubled = FIRST_BACKOFF_MS * 2 ** (this.failures - 1);
+    const jitter = 1 + BACKOFF_JITTER * this.options.random();
+    return Math.min(MAX_BACKOFF_MS, doubled) * jitter;
+  }
+
+  private async pause(ms: units.Millis): Promise<void> {
+    try {
+      await timers.setTimeout(ms, undefined, {signal: this.stop.signal});
+    } catch {
+      // Disposed while waiting.
+    }
+  }
+
+  private noteFailure(err: unknown): void {
+    this.failures++;
+    if (this.failures > 1) return;
+    const detail = err instanceof Error ? err.message : String(err);
+    this.note('store-lost', {detail});
+  }
+
+  private noteRegained(): void {
+    if (this.failures > 0) this.note('store-regained', {});
+    this.failures = 0;
+  }
+
+  private note(event: string, facts: decision.Facts): void {
+    const {topic, log} = this.options;
+    log.write({
+      component: 'store',
+      event,
+      importance: 'belief',
+      facts: {
+        topic,
+        offset: this.nextOffset,
+        failures: this.failures,
+        ...facts,
+      },
+    });
+  }
+}
--- a/tools/generate.mjs
+++ b/tools/generate.mjs
@@ -5,7 +5,7 @@
 import * as standalone from 'ajv/dist/standalone/index.js';
 import * as json2ts from 'json-schema-to-typescript';
 
-const JSON_SCHEMAS = ['settings', 'configuration'];
+const JSON_SCHEMAS = ['settings', 'configuration', 'node_settings'];
 const BANNER =
   '// Generated from schema/ by npm run generate. Do not edit.\n/* eslint-disable */\n';
 
@@ -53,12 +53,16 @@
   validateSettings: 'settings',
   validateConfiguration: 'configuration',
   validateOperation: 'operation',
+  validateNodeSettings: 'node_settings',
 };
 
 /** IPv4 dotted quad or IPv6 text. */
 const IP_FORMAT =
   /^(?:(?:(?:25[0-5]|2[0-4]\d|1?\d?\d)\.){3}(?:25[0-5]|2[0-4]\d|1?\d?\d)|[0-9a-fA-F]*:[0-9a-fA-F:.]*)$/;
 
+/** IPv4 dotted quad and port. */
+const ADDRESS_FORMAT = /^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/;
+
 /** Replaces the calls of require() in the validators by imports. */
 function toImports(code) {
   const imports = [];
@@ -82,6 +86,7 @@
     code: {source: true, esm: true, lines: true},
   });
   compiler.addFormat('ip', IP_FORMAT);
+  compiler.addFormat('address', ADDRESS_FORMAT);
   for (const id of Object.values(VALIDATORS)) {
     const text = fs.readFileSync(`schema/${id}.schema.json`, 'utf8');
     compiler.addSchema(JSON.parse(text));
