--- a/src/common/serving/cold_rate.ts
+++ b/src/common/serving/cold_rate.ts
@@ -4,10 +4,10 @@
 /** Span over which requests are counted. */
 const WINDOW_MS: units.Millis = 1_000;
 
-/** Counts starts in the last second, also while warm, so that a cold start begins with the truth. */
+/** Counts starts in the last second, also while warm, as a cold start may begin unannounced. */
 export class ColdRate {
   private readonly startedMs: units.MonotonicMs[] = [];
-  private unknownUntilMs: units.MonotonicMs;
+  private readonly unknownUntilMs: units.MonotonicMs;
 
   /**
    * @param nowMs start of the process: what was sent in the second before is not known, so that
--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -81,7 +81,7 @@
       this.options.output.giveUp(request.id, {...giveUp, retryAfterMs});
       return;
     }
-    const call = newCall(request, route, part.service, now);
+    const call = new entryCall.EntryCall(request, route, part.service, now);
     this.calls.set(request.id, call);
     this.budgetOf(part.service).onRequest();
     this.advance(call, now);
@@ -110,8 +110,9 @@
     call.servers++;
     call.mayHaveRun = true;
     const failed = answer.status >= FIRST_ERROR_STATUS;
-    if (!failed || !call.route.repeatable)
+    if (!failed || !call.route.repeatable) {
       return this.respond(call, answer, now);
+    }
     call.failure = answer;
     this.repeat(call, {reason: 'server-error', status: answer.status}, now);
   }
@@ -412,31 +413,6 @@
   }
 }
 
-function newCall(
-  request: entryCall.CallerRequest,
-  route: configuration.Route,
-  service: string,
-  now: units.MonotonicMs,
-): entryCall.EntryCall {
-  const timeLeftMs = Math.min(request.timeLeftMs, route.timeoutMs);
-  return {
-    request,
-    route,
-    service,
-    arrivedMs: now,
-    endMs: now + timeLeftMs,
-    attempts: new Map(),
-    full: new Set(),
-    closed: new Set(),
-    hops: 0,
-    servers: 0,
-    mayHaveRun: false,
-    secondRunAtMs: Infinity,
-    failure: undefined,
-    refusal: undefined,
-  };
-}
-
 function dispatchOf(
   call: entryCall.EntryCall,
   number: number,
--- a/src/common/serving/entry_call.ts
+++ b/src/common/serving/entry_call.ts
@@ -29,28 +29,45 @@
 }
 
 /** A request in progress at an entry. */
-export interface EntryCall {
-  readonly request: CallerRequest;
-  readonly route: configuration.Route;
-  readonly service: string;
-  readonly arrivedMs: units.MonotonicMs;
+export class EntryCall {
   /** Time by which the caller has its final answer. */
   readonly endMs: units.MonotonicMs;
-  readonly attempts: Map<number, Attempt>;
-  /** Gates that refused for lack of room; they are asked again last. */
-  readonly full: Set<string>;
+
+  /** Attempts that have not ended. */
+  readonly attempts = new Map<number, Attempt>();
+
+  /** Gates that refused in favour of others; they are asked again last. */
+  readonly full = new Set<string>();
+
   /** Gates that cannot take the request at all. */
-  readonly closed: Set<string>;
-  /** Gates that were sent the request, some of them in vain. */
-  hops: number;
+  readonly closed = new Set<string>();
+
+  /** Gates that were sent the request. */
+  hops = 0;
+
   /** Backend servers that may have been sent the request. */
-  servers: number;
-  mayHaveRun: boolean;
-  secondRunAtMs: units.MonotonicMs;
-  /** Server's failure, passed on if no other server answers better. */
+  servers = 0;
+
+  mayHaveRun = false;
+
+  /** Time at which a second run is considered. */
+  secondRunAtMs: units.MonotonicMs = Infinity;
+
+  /** A server's failure, passed on if no other server answers better. */
   failure: serving.Answer | undefined;
-  /** Refusal to tell the caller if nothing better comes. */
+
+  /** The newest refusal of a gate. */
   refusal: serving.Refusal | undefined;
+
+  constructor(
+    readonly request: CallerRequest,
+    readonly route: configuration.Route,
+    readonly service: string,
+    readonly arrivedMs: units.MonotonicMs,
+  ) {
+    const timeLeftMs = Math.min(request.timeLeftMs, route.timeoutMs);
+    this.endMs = arrivedMs + timeLeftMs;
+  }
 }
 
 /** Why an entry gives up on a request. */
--- a/src/common/serving/gate_call.ts
+++ b/src/common/serving/gate_call.ts
@@ -11,30 +11,41 @@
   readonly dispatch: serving.Dispatch;
 }
 
+/** Where a request stands at a gate. */
+export type Stage =
+  | {readonly kind: 'waiting'}
+  | {readonly kind: 'running'; readonly startedMs: units.MonotonicMs}
+  /** The connection broke; a health check tells whether the backend server died. */
+  | {readonly kind: 'broken'; readonly untilMs: units.MonotonicMs};
+
 /** A request that a gate works on. */
-export interface GateCall {
+export class GateCall {
   readonly key: string;
-  /** Undefined once nobody waits for the answer. */
-  source: number | undefined;
-  sourceLostMs: units.MonotonicMs | undefined;
   readonly dispatch: serving.Dispatch;
-  readonly arrivedMs: units.MonotonicMs;
   readonly rank: number;
   readonly deadlineMs: units.MonotonicMs;
   readonly objectiveAtMs: units.MonotonicMs;
-  stage: Stage;
-}
+  stage: Stage = {kind: 'waiting'};
 
-/** Where a request stands at a gate. */
-export type Stage =
-  | {readonly kind: 'waiting'}
-  | {readonly kind: 'running'; readonly startedMs: units.MonotonicMs}
-  /** The connection broke; a health check tells whether the backend server died. */
-  | {
-      readonly kind: 'broken';
-      readonly untilMs: units.MonotonicMs;
-      readonly instanceId: string | undefined;
-    };
+  /** Undefined once nobody waits for the answer. */
+  source: number | undefined;
+
+  /** Since when the link to the entry is lost. */
+  sourceLostMs: units.MonotonicMs | undefined;
+
+  constructor(
+    arriving: ArrivingCall,
+    readonly arrivedMs: units.MonotonicMs,
+  ) {
+    const {key, source, dispatch} = arriving;
+    this.key = key;
+    this.source = source;
+    this.dispatch = dispatch;
+    this.rank = dispatch.rank;
+    this.deadlineMs = arrivedMs + dispatch.timeLeftMs;
+    this.objectiveAtMs = arrivedMs + dispatch.objectiveLeftMs;
+  }
+}
 
 /** An answer of the backend server. */
 export interface ServerAnswer {
@@ -58,6 +69,13 @@
   /** The answer was cut short, malformed or another request's. */
   | {readonly kind: 'bad-answer'; readonly detail: string};
 
+/** Why a request is refused, and what is known of its run. */
+export interface RefusalDetail {
+  readonly reason: serving.Reason;
+  readonly mayHaveRun: boolean;
+  readonly serverDied?: boolean;
+}
+
 /** What a gate asks of its surroundings. */
 export interface GateOutput {
   /** Sends the request to the instance; the end comes back as `onRunEnded`. */
--- a/src/common/serving/run_queue.ts
+++ b/src/common/serving/run_queue.ts
@@ -9,7 +9,7 @@
   readonly objectiveAtMs: units.MonotonicMs;
 }
 
-/** Head start of a rank over the next lower one; older requests of lower rank still get their turn. */
+/** Head start of a rank over the next lower one; an older request of lower rank gets its turn. */
 const RANK_HEAD_START_MS: units.Millis = 300;
 
 /**
@@ -17,7 +17,7 @@
  * age. Late ones run when nothing else waits, so that they cost no other request its objective.
  */
 export class RunQueue<T extends WaitingRequest> {
-  private items: T[] = [];
+  private readonly items: T[] = [];
 
   /** Number of waiting requests. */
   get size(): number {
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -34,12 +34,26 @@
   nowMs(): units.MonotonicMs;
 }
 
-interface Session {
-  readonly id: number;
+class Session {
   readonly socket: framedSocket.FramedSocket<serving.NodeFrame>;
   /** Names the entry's process, undefined before its greeting. */
   entry: string | undefined;
-  pulsedMs: units.MonotonicMs;
+  pulsedMs: units.MonotonicMs = 0;
+
+  constructor(
+    readonly id: number,
+    connection: net.Socket,
+    listener: Pick<
+      framedSocket.FramedSocketListener<serving.NodeFrame>,
+      'onClose' | 'onFrame'
+    >,
+  ) {
+    this.socket = linkFrame.wrap(connection, connection.remoteAddress ?? '', {
+      ...listener,
+      onConnect: () => undefined,
+      onMalformed: () => undefined,
+    });
+  }
 }
 
 /** Listens for other nodes and speaks for the gate. */
@@ -106,15 +120,11 @@
   }
 
   private accept(connection: net.Socket): void {
-    const id = ++this.lastId;
-    const socket = linkFrame.wrap(connection, connection.remoteAddress ?? '', {
-      onConnect: () => undefined,
+    const session = new Session(++this.lastId, connection, {
       onFrame: frame => this.receive(session, connection, frame),
-      onMalformed: () => undefined,
       onClose: () => this.closed(session),
     });
-    const session: Session = {id, socket, entry: undefined, pulsedMs: 0};
-    this.sessions.set(id, session);
+    this.sessions.set(session.id, session);
     connection.setTimeout(GREETING_TIMEOUT_MS, () => connection.destroy());
   }
 
--- a/src/node/serving/fleet_knowledge.ts
+++ b/src/node/serving/fleet_knowledge.ts
@@ -76,14 +76,17 @@
     else if (record === undefined) directory.remove(nodeId);
   }
 
-  /** Takes a peer's version; asks for its state if the store does not bring what it knows. */
-  onPeerOffset(nodeId: string, offset: number): void {
+  /**
+   * Takes a peer's version; asks for its state if the store does not bring what it knows.
+   *
+   * @param shiftedOffset as told by `shiftedOffset` there.
+   */
+  onPeerOffset(nodeId: string, shiftedOffset: number): void {
     const now = this.options.nowMs();
-    if (offset <= this.options.intent.offset && this.options.intent.isKnown) {
+    if (shiftedOffset <= this.shiftedOffset) {
       this.behindSinceMs = undefined;
       return;
     }
-    if (offset < 0) return;
     this.behindSinceMs ??= now;
     if (now - this.behindSinceMs < PEER_LEAD_MS) return;
     if (now - this.requestedMs < STATE_INTERVAL_MS) return;
@@ -108,12 +111,11 @@
   /** Returns the state for a peer that is behind. */
   state(): serving.FleetState {
     const {intent, directory, suspects} = this.options;
-    const {document, dataCentresOut, offset} = intent.toWhole();
+    const {document, dataCentresOut} = intent.toWhole();
     return {
       configurationJson: document === undefined ? '' : JSON.stringify(document),
       dataCentresOut,
-      // Offsets travel shifted by one, so that none is negative.
-      intentOffset: intent.isKnown ? offset + 1 : 0,
+      intentOffset: this.shiftedOffset,
       nodes: [directory.self, ...directory.others],
       suspects: suspects.list(this.options.nowMs()),
     };
--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -48,11 +48,14 @@
   nowMs(): units.MonotonicMs;
 }
 
-interface Outstanding {
-  readonly dispatch: serving.Dispatch;
-  readonly sentMs: units.MonotonicMs;
+class Outstanding {
   /** Since when the request waits for a fresh link. */
   lostMs: units.MonotonicMs | undefined;
+
+  constructor(
+    readonly dispatch: serving.Dispatch,
+    readonly sentMs: units.MonotonicMs,
+  ) {}
 }
 
 type State =
@@ -86,7 +89,7 @@
   /** Sends a request. */
   dispatch(dispatch: serving.Dispatch): void {
     const sentMs = this.context.nowMs();
-    this.outstanding.set(dispatch.call, {dispatch, sentMs, lostMs: undefined});
+    this.outstanding.set(dispatch.call, new Outstanding(dispatch, sentMs));
     this.send({$case: 'dispatch', value: dispatch});
   }
 
