Serve short urgent requests first when a service is overloaded

Change: order by the end of the objective and rank; long requests leave slots free for routes whose whole objective is shorter than they take; a gate refuses in favour of others only if one is believed to have room; a failed run is repeated only if the time left is worth a run; the time to come back grows with the share that is refused, with jitter. Stalls: pass on what has under 400 ms to spare.

--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -9,6 +9,8 @@
 import * as operatorIntent from './operator_intent.js';
 import * as placement from './placement.js';
 import * as repeatBudget from './repeat_budget.js';
+import * as retryAfter from './retry_after.js';
+import * as runTimes from './run_times.js';
 import * as trafficSplit from './traffic_split.js';
 
 /** Refusals in favour of other gates after which the best gate must take the request. */
@@ -29,18 +31,14 @@
 /** Repetitions kept for requests that failed, when a second run is made beside a silent one. */
 const SECOND_RUN_RESERVE = 1;
 
-/** Least time left for which a repetition is worth its cost. */
-const MIN_REPEAT_MS: units.Millis = 30;
-
-/** When to come back if no gate is open; a server's return is announced within seconds. */
-const NO_SERVER_RETRY_MS: units.Millis = 250;
-
-/** When to come back if no configuration is known yet. */
-const UNCONFIGURED_RETRY_MS: units.Millis = 500;
-
 /** First status that says that the server failed. */
 const FIRST_ERROR_STATUS = 500;
 
+/** Where a request can go if the gate that it is sent to refuses. */
+type Elsewhere = Pick<serving.Dispatch, 'redirectable' | 'siblingNear'>;
+
+const NOWHERE_ELSE: Elsewhere = {redirectable: false, siblingNear: false};
+
 /** What an entry is made with. */
 export interface EntryOptions {
   readonly intent: operatorIntent.OperatorIntent;
@@ -58,6 +56,7 @@
   private readonly calls = new Map<number, entryCall.EntryCall>();
   private readonly callOfAttempt = new Map<number, entryCall.EntryCall>();
   private readonly budgets = new Map<string, repeatBudget.RepeatBudget>();
+  private readonly times = new runTimes.RunTimes();
   private readonly split = new trafficSplit.TrafficSplit();
   private lastAttempt = 0;
 
@@ -77,7 +76,7 @@
     const part = this.split.next(route);
     if (part === undefined) {
       const giveUp = {reason: 'no-server', mayHaveRun: false} as const;
-      const retryAfterMs = NO_SERVER_RETRY_MS;
+      const retryAfterMs = retryAfter.NO_SERVER_MS;
       this.options.output.giveUp(request.id, {...giveUp, retryAfterMs});
       return;
     }
@@ -142,6 +141,8 @@
         call.closed.add(nodeId);
         call.servers++;
         return this.repeat(call, {reason: refusal.reason}, now);
+      case serving.Reason.OVERLOADED:
+        return this.giveUp(call, 'no-room', now);
       case serving.Reason.NO_TIME:
         return this.giveUp(call, 'no-time', now);
       case serving.Reason.QUARANTINED:
@@ -201,22 +202,32 @@
     if (call.attempts.size > 0) return;
     if (call.hops >= MAX_HOPS) return this.giveUp(call, 'no-room', now);
     const passedOver = new Set([...call.full, ...call.closed]);
-    const fresh = this.options.placement.rank(call.service, passedOver, now);
+    const fresh = this.rank(call, passedOver, now);
     const redirects = call.full.size;
     if (fresh.length > 0 && redirects < MAX_REDIRECTIONS) {
-      const isLast = fresh.length === 1 && redirects === 0;
-      return this.send(call, fresh[0], !isLast, now);
+      return this.send(call, fresh[0], elsewhereOf(fresh, redirects), now);
     }
-    const {closed} = call;
-    const open = this.options.placement.rank(call.service, closed, now);
-    if (open.length > 0) return this.send(call, open[0], false, now);
+    const open = this.rank(call, call.closed, now);
+    if (open.length > 0) return this.send(call, open[0], NOWHERE_ELSE, now);
     this.giveUp(call, call.hops === 0 ? 'no-server' : 'no-room', now);
   }
 
+  private rank(
+    call: entryCall.EntryCall,
+    passedOver: ReadonlySet<string>,
+    now: units.MonotonicMs,
+  ): readonly placement.RankedGate[] {
+    const {objectiveMs, name} = call.route;
+    const leftMs = call.arrivedMs + objectiveMs - now;
+    const slackMs = leftMs - this.times.meanOfMs(name);
+    const {placement: gates} = this.options;
+    return gates.rank(call.service, passedOver, slackMs, now);
+  }
+
   private send(
     call: entryCall.EntryCall,
     ranked: placement.RankedGate,
-    redirectable: boolean,
+    elsewhere: Elsewhere,
     now: units.MonotonicMs,
   ): void {
     const {nodeId} = ranked.gate;
@@ -236,7 +247,7 @@
       nodeId,
       attempt: number,
       hop: call.hops,
-      redirectable,
+      ...elsewhere,
       costMs: Math.round(ranked.costMs),
       outstanding,
       limit: load.limit,
@@ -245,8 +256,8 @@
       configuration: this.options.intent.configuration?.version,
       timeLeftMs: Math.round(call.endMs - now),
     });
-    const dispatch = dispatchOf(call, number, redirectable, now);
-    this.options.output.dispatch(nodeId, dispatch);
+    const dispatch = dispatchOf(call, number, now);
+    this.options.output.dispatch(nodeId, {...dispatch, ...elsewhere});
   }
 
   /** The run of an attempt failed, or may have. */
@@ -270,7 +281,7 @@
     const allowed =
       (call.route.repeatable || !call.mayHaveRun) &&
       call.servers < call.route.attempts &&
-      call.endMs - now >= MIN_REPEAT_MS;
+      call.endMs - now >= this.times.meanOfMs(call.route.name);
     const budget = this.budgetOf(call.service);
     const paid = allowed && budget.take();
     this.note(call, 'notable', paid ? 'repeat' : 'no-repeat', {
@@ -292,7 +303,8 @@
     if (attempts.size !== 1 || call.servers + 1 >= route.attempts) return;
     const tried = new Set([...call.full, ...call.closed]);
     for (const attempt of attempts.values()) tried.add(attempt.nodeId);
-    const [best] = this.options.placement.rank(service, tried, now);
+    const ranked = this.rank(call, tried, now);
+    const best = ranked.at(0);
     if (best === undefined) return;
     const {load, outstanding} = best.estimate;
     if (outstanding + 1 > SECOND_RUN_USE * load.limit) return;
@@ -300,7 +312,7 @@
     this.note(call, 'notable', 'second-run', {
       ageMs: Math.round(now - call.arrivedMs),
     });
-    this.send(call, best, true, now);
+    this.send(call, best, elsewhereOf(ranked, 1), now);
     call.secondRunAtMs = Infinity;
   }
 
@@ -320,6 +332,7 @@
     now: units.MonotonicMs,
   ): void {
     const ageMs = now - call.arrivedMs;
+    this.times.onAnswered(call.route.name, ageMs, now);
     this.note(call, 'routine', 'answered', {
       status: answer.status,
       ageMs: Math.round(ageMs),
@@ -337,7 +350,7 @@
     now: units.MonotonicMs,
   ): void {
     const {mayHaveRun} = call;
-    const retryAfterMs = retryAfterOf(reason, call.refusal);
+    const retryAfterMs = retryAfter.retryAfterOf(reason, call.refusal);
     this.note(call, 'notable', 'gave-up', {
       reason,
       mayHaveRun,
@@ -390,33 +403,22 @@
   }
 }
 
-/** Returns when the caller should come back. */
-function retryAfterOf(
-  reason: entryCall.GiveUpReason,
-  refusal: serving.Refusal | undefined,
-): units.Millis {
-  switch (reason) {
-    case 'unconfigured':
-      return UNCONFIGURED_RETRY_MS;
-    case 'no-room':
-    case 'no-time':
-    case 'shed':
-      return refusal?.retryAfterMs ?? NO_SERVER_RETRY_MS;
-    case 'no-server':
-    case 'quarantined':
-    case 'server-failed':
-    case 'timeout':
-    case 'internal':
-      return NO_SERVER_RETRY_MS;
-    default:
-      return invariants.assertNever(reason);
-  }
+/** A gate may refuse in favour of gates that are believed to have room, or to be tried again. */
+function elsewhereOf(
+  ranked: readonly placement.RankedGate[],
+  redirects: number,
+): Elsewhere {
+  const [first, ...others] = ranked;
+  const better = others.filter(placement.hasRoom);
+  return {
+    redirectable: better.length + redirects > 0,
+    siblingNear: better.some(o => o.gate.dataCentre === first.gate.dataCentre),
+  };
 }
 
 function dispatchOf(
   call: entryCall.EntryCall,
   number: number,
-  redirectable: boolean,
   now: units.MonotonicMs,
 ): serving.Dispatch {
   const {request, route, service} = call;
@@ -434,7 +436,8 @@
     objectiveLeftMs: Math.max(0, Math.floor(objectiveAtMs - now)),
     rank: route.rank,
     repeatable: route.repeatable,
-    redirectable,
+    redirectable: false,
+    siblingNear: false,
     fingerprint: request.fingerprint,
   };
 }
--- a/src/common/serving/gate_room.ts
+++ b/src/common/serving/gate_room.ts
@@ -1,4 +1,6 @@
 /** How much the backend server may be sent now, and how long one more request would wait. */
+import * as serving from '../../generated/serving.js';
+import * as randomSource from '../random_source.js';
 import * as units from '../units.js';
 import * as coldRate from './cold_rate.js';
 import * as gateCall from './gate_call.js';
@@ -7,6 +9,7 @@
 import * as runTimes from './run_times.js';
 import * as serverLife from './server_life.js';
 import * as serverPace from './server_pace.js';
+import * as slotReserve from './slot_reserve.js';
 
 /** Share of the slots that is used; many servers slow down when nearly full. */
 const SLOT_SHARE = 0.8;
@@ -20,6 +23,24 @@
 /** Part of the mean run time below which the time left is not worth a run. */
 const WORTHWHILE_SHARE = 0.5;
 
+/** Time to spare below which no run starts on a stalled server; neighbours' spells last 300 ms. */
+const STALL_SLACK_MS: units.Millis = 400;
+
+/** Part of the objective's slack that a request may wait while another data centre has room. */
+const WAIT_SLACK_SHARE = 0.3;
+
+/** Waiting requests, as a part of the limit, from which the gate counts as overloaded. */
+const OVERLOAD_SHARE = 0.5;
+
+/** Weight of the newest request in the share that is refused. */
+const REFUSAL_WEIGHT = 0.05;
+
+/** Added to the time to come back when all requests are refused; bursts last seconds. */
+const OVERLOAD_RETRY_MS: units.Millis = 1_000;
+
+/** Part of the time to come back that is random, so that returns do not come in one wave. */
+const RETRY_JITTER = 0.6;
+
 /** Least and most time after which a refused request is told to come back. */
 const RETRY_AFTER_MIN_MS: units.Millis = 20;
 const RETRY_AFTER_MAX_MS: units.Millis = 3_000;
@@ -29,6 +50,7 @@
   readonly service: () => string;
   readonly intent: operatorIntent.OperatorIntent;
   readonly life: serverLife.ServerLife;
+  readonly random: randomSource.RandomSource;
   readonly startedMs: units.MonotonicMs;
 }
 
@@ -41,6 +63,8 @@
   private runningCount = 0;
   private shedCap = Infinity;
   private shedUntilMs: units.MonotonicMs = 0;
+  private refusedShare = 0;
+  private readonly reserve = new slotReserve.SlotReserve();
 
   constructor(private readonly options: GateRoomOptions) {
     this.cold = new coldRate.ColdRate(options.startedMs);
@@ -75,50 +99,113 @@
     return Math.max(1, Math.min(limit, this.shedCap));
   }
 
-  /** Whether one more request may run. */
-  hasSlot(now: units.MonotonicMs): boolean {
-    if (this.runningCount >= this.limit(now)) return false;
-    if (!this.options.life.isCold(now)) return true;
-    return this.cold.hasRoom(this.coldPerSecond, now);
+  /**
+   * Returns why a request is refused at once, undefined if it is taken.
+   *
+   * Load patterns: spells in which neighbours stall the server (pass on what has no time to spare);
+   * bursts (pass on to gates with room); more work than the service carries (refuse what would be
+   * late, so that the slots serve what is in time).
+   */
+  refusalOf(
+    call: gateCall.GateCall,
+    now: units.MonotonicMs,
+  ): serving.Reason | undefined {
+    const {redirectable, siblingNear} = call.dispatch;
+    const serviceMs = this.serviceMs(call);
+    const slackMs = call.objectiveAtMs - now - serviceMs;
+    const waitMs = this.expectedWaitMs(call, now);
+    if (redirectable) {
+      const isTight = siblingNear || slackMs < STALL_SLACK_MS;
+      if (isTight && this.pace.isStalled(now)) return serving.Reason.STALLED;
+      const bearableMs = siblingNear ? 0 : WAIT_SLACK_SHARE * slackMs;
+      if (waitMs > Math.max(0, bearableMs)) return serving.Reason.FULL;
+    }
+    const neededMs = waitMs + this.worthwhileMs(call);
+    if (now + neededMs > call.deadlineMs) return serving.Reason.NO_TIME;
+    if (waitMs > slackMs && this.isOverloaded(now)) {
+      return serving.Reason.OVERLOADED;
+    }
+    return undefined;
+  }
+
+  /** Returns the time by which a waiting request must start. */
+  lastStartMs(call: gateCall.GateCall): units.MonotonicMs {
+    const lastMs = call.deadlineMs - this.worthwhileMs(call);
+    const inTimeMs = call.objectiveAtMs - this.serviceMs(call);
+    const keepsWaiting = inTimeMs < call.arrivedMs || this.queue.size <= 1;
+    return keepsWaiting ? lastMs : Math.min(lastMs, inTimeMs);
   }
 
-  /** Whether a new request would run without waiting. */
-  hasRoomAtOnce(now: units.MonotonicMs): boolean {
-    return this.queue.size === 0 && this.hasSlot(now);
+  /** Returns why a request is refused that has not started in time. */
+  expiryOf(call: gateCall.GateCall, now: units.MonotonicMs): serving.Reason {
+    const lastMs = call.deadlineMs - this.worthwhileMs(call);
+    return lastMs <= now ? serving.Reason.NO_TIME : serving.Reason.OVERLOADED;
   }
 
   /** Removes and returns the waiting request whose turn it is. */
   takeNext(now: units.MonotonicMs): gateCall.GateCall | undefined {
-    return this.queue.take(call => this.serviceMs(call), now);
+    if (this.queue.size === 0 || !this.hasColdRoom(now)) return undefined;
+    return this.queue.take(
+      call => this.runningCount < this.limitFor(call, now),
+      call => this.serviceMs(call),
+      now,
+    );
+  }
+
+  /** Notes a request that arrives. */
+  onArrival(call: gateCall.GateCall, now: units.MonotonicMs): void {
+    const {route, rank, objectiveLeftMs} = call.dispatch;
+    this.reserve.onRequest(route, rank, objectiveLeftMs, now);
+  }
+
+  /** Notes whether a request was taken or refused for good. */
+  onAdmission(refused: boolean): void {
+    const sample = refused ? 1 : 0;
+    this.refusedShare += REFUSAL_WEIGHT * (sample - this.refusedShare);
   }
 
   /** Time that a request is expected to wait. */
-  expectedWaitMs(
+  private expectedWaitMs(
     call: gateCall.GateCall,
     now: units.MonotonicMs,
   ): units.Millis {
-    if (this.hasRoomAtOnce(now)) return 0;
     const ahead =
       this.queue.countAhead(call, other => this.serviceMs(other), now) + 1;
-    const coldWaitMs = this.options.life.isCold(now)
-      ? (ahead * units.MS_PER_SECOND) / this.coldPerSecond
-      : 0;
-    const limit = this.limit(now);
-    const freeSlots = Math.max(0, limit - this.runningCount);
-    const queued = Math.max(0, ahead - freeSlots);
+    const waitsForCold = !this.hasColdRoom(now) || this.queue.size > 0;
+    const coldWaitMs =
+      this.options.life.isCold(now) && waitsForCold
+        ? (ahead * units.MS_PER_SECOND) / this.coldPerSecond
+        : 0;
+    const limit = this.limitFor(call, now);
+    const queued = Math.max(0, ahead - Math.max(0, limit - this.runningCount));
     return Math.max(coldWaitMs, (queued * this.times.meanMs) / limit);
   }
 
+  /** Requests that may run when one more of this kind starts. */
+  private limitFor(call: gateCall.GateCall, now: units.MonotonicMs): number {
+    const limit = this.limit(now);
+    const serviceMs = this.serviceMs(call);
+    return limit - this.reserve.reserved(call.rank, serviceMs, limit, now);
+  }
+
+  private hasColdRoom(now: units.MonotonicMs): boolean {
+    if (!this.options.life.isCold(now)) return true;
+    return this.cold.hasRoom(this.coldPerSecond, now);
+  }
+
   /** Least time left for which a run is worth its cost. */
-  worthwhileMs(call: gateCall.GateCall): units.Millis {
+  private worthwhileMs(call: gateCall.GateCall): units.Millis {
     return this.serviceMs(call) * WORTHWHILE_SHARE;
   }
 
   /** Time after which a refused request is told to come back. */
   retryAfterMs(now: units.MonotonicMs): units.Millis {
     const drainMs = (this.queue.size + 1) * this.times.meanMs;
-    const waitMs = Math.max(RETRY_AFTER_MIN_MS, drainMs / this.limit(now));
-    return Math.round(Math.min(RETRY_AFTER_MAX_MS, waitMs));
+    const waitMs =
+      drainMs / this.limit(now) + OVERLOAD_RETRY_MS * this.refusedShare;
+    const spread = 1 + RETRY_JITTER * (this.options.random.next() - 0.5);
+    const boundedMs = Math.max(RETRY_AFTER_MIN_MS, waitMs * spread);
+    return Math.round(Math.min(RETRY_AFTER_MAX_MS, boundedMs));
   }
 
   /** Time at which a waiting request may be sent to a cold server. */
@@ -129,6 +216,10 @@
     return this.cold.nextRoomMs(this.coldPerSecond, now);
   }
 
+  private isOverloaded(now: units.MonotonicMs): boolean {
+    return this.queue.size >= OVERLOAD_SHARE * this.limit(now);
+  }
+
   private get coldPerSecond(): number {
     const {intent, service} = this.options;
     const rules = intent.configuration?.serviceRules(service());
--- a/src/common/serving/placement.ts
+++ b/src/common/serving/placement.ts
@@ -30,14 +30,17 @@
 /** Part of the mean run time that a fully used gate adds, so that work spreads before it queues. */
 const CROWDING_SHARE = 0.5;
 
-/** Part of the mean run time for which another data centre must be faster to be chosen. */
-const DATA_CENTRE_SHARE = 0.3;
+/**
+ * Part of the slack of a request's objective by which another data centre must be faster to be
+ * chosen: bytes between data centres are dear, and a request with time to spare can wait.
+ */
+const DATA_CENTRE_SLACK_SHARE = 0.5;
 
-/** Part of the mean run time that neighbours of a stalled server cost. */
-const STALLED_SHARE = 1;
+/** Time that a request is expected to lose at a stalled server; spells last 300 ms. */
+const STALLED_MS: units.Millis = 150;
 
-/** Age up to which a report of a stall counts; spells last a fraction of 300 ms. */
-const STALL_LIFE_MS: units.Millis = 100;
+/** Age up to which a report of a stall counts; on average half a spell is over when it is told. */
+const STALL_LIFE_MS: units.Millis = 150;
 
 /** Multiple of the mean run time that a gate at which all runs fail adds. */
 const FAILING_SHARE = 4;
@@ -58,6 +61,11 @@
   readonly random: randomSource.RandomSource;
 }
 
+/** Whether a gate is believed to have a slot free. */
+export function hasRoom({estimate}: RankedGate): boolean {
+  return estimate.outstanding < estimate.load.limit;
+}
+
 /** Ranks gates by the time that a request is expected to take there. */
 export class Placement {
   constructor(private readonly options: PlacementOptions) {}
@@ -66,10 +74,12 @@
    * Returns the open gates of a service that are not passed over, the best first.
    *
    * @param passedOver gates that have refused the request.
+   * @param slackMs time to spare of the request's objective.
    */
   rank(
     service: string,
     passedOver: ReadonlySet<string>,
+    slackMs: units.Millis,
     now: units.MonotonicMs,
   ): readonly RankedGate[] {
     const {directory, reports} = this.options;
@@ -79,13 +89,20 @@
       .map(gate => ({gate, estimate: reports.estimate(gate.nodeId, now)}))
       .filter(({estimate}) => estimate.load.closure === serving.Closure.OPEN);
     const typicalMs = typicalOf(usable.map(u => u.estimate.load.meanMs));
+    const awayMs = DATA_CENTRE_SLACK_SHARE * Math.max(0, slackMs);
+    const costOf = (u: (typeof usable)[number]): units.Millis =>
+      this.costMs(u.estimate, typicalMs) + (this.isNear(u.gate) ? 0 : awayMs);
     return usable
-      .map(u => ({...u, costMs: this.costMs(u.gate, u.estimate, typicalMs)}))
+      .map(u => ({...u, costMs: costOf(u)}))
       .sort((a, b) => a.costMs - b.costMs);
   }
 
+  /** Whether a gate is in this node's data centre. */
+  isNear(gate: KnownGate): boolean {
+    return gate.dataCentre === this.options.dataCentre;
+  }
+
   private costMs(
-    gate: KnownGate,
     {load, ageMs, outstanding}: gateReports.GateEstimate,
     typicalMs: units.Millis,
   ): units.Millis {
@@ -95,14 +112,12 @@
     const runMs = load.meanMs * (1 + CROWDING_SHARE * use + queueing);
     const isStalled =
       load.pacePercent > serverPace.STALLED_PERCENT && ageMs <= STALL_LIFE_MS;
-    const isAway = gate.dataCentre !== this.options.dataCentre;
     const penalty =
-      (isAway ? DATA_CENTRE_SHARE : 0) +
-      (isStalled ? STALLED_SHARE : 0) +
       (load.cold ? COLD_SHARE : 0) +
       (FAILING_SHARE * load.failingPercent) / PERCENT;
     const jitter = 1 + JITTER_SHARE * this.options.random.next();
-    return (runMs + penalty * typicalMs) * jitter;
+    const stalledMs = isStalled ? STALLED_MS : 0;
+    return (runMs + penalty * typicalMs + stalledMs) * jitter;
   }
 }
 
--- a/src/common/serving/run_queue.ts
+++ b/src/common/serving/run_queue.ts
@@ -4,7 +4,6 @@
 /** What the order of waiting requests depends on. */
 export interface WaitingRequest {
   readonly rank: number;
-  readonly arrivedMs: units.MonotonicMs;
   /** Until then an answer is of full use. */
   readonly objectiveAtMs: units.MonotonicMs;
 }
@@ -13,8 +12,11 @@
 const RANK_HEAD_START_MS: units.Millis = 300;
 
 /**
- * Orders requests so that those go first whose answer can still be in time, among them by rank and
- * age. Late ones run when nothing else waits, so that they cost no other request its objective.
+ * Orders requests so that those go first whose answer can still be in time, among them by the end
+ * of their objective and by rank. Late ones run when nothing else waits, so that they cost no other
+ * request its objective.
+ *
+ * Load pattern: short urgent requests beside long patient ones on a service that is overloaded.
  */
 export class RunQueue<T extends WaitingRequest> {
   private readonly items: T[] = [];
@@ -41,14 +43,16 @@
     return i >= 0;
   }
 
-  /** Removes and returns the request whose turn it is. */
+  /** Removes and returns the request whose turn it is among those that may start. */
   take(
+    mayStart: (item: T) => boolean,
     serviceMs: (item: T) => units.Millis,
     now: units.MonotonicMs,
   ): T | undefined {
     let best: T | undefined;
     let bestKey = Infinity;
     for (const item of this.items) {
+      if (!mayStart(item)) continue;
       const key = turnKey(item, serviceMs(item), now);
       if (best === undefined || key < bestKey) [best, bestKey] = [item, key];
     }
@@ -80,6 +84,6 @@
   now: units.MonotonicMs,
 ): number {
   const late = now + serviceMs > item.objectiveAtMs;
-  const key = item.arrivedMs + item.rank * RANK_HEAD_START_MS;
+  const key = item.objectiveAtMs + item.rank * RANK_HEAD_START_MS;
   return late ? key + LATE_KEY : key;
 }
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -1,6 +1,7 @@
 /** Decides which requests run on the backend server beside this node, and when. */
 import * as serving from '../../generated/serving.js';
 import * as invariants from '../invariants.js';
+import * as randomSource from '../random_source.js';
 import * as units from '../units.js';
 import * as crashSuspects from './crash_suspects.js';
 import * as decision from './decision.js';
@@ -38,6 +39,7 @@
   readonly suspects: crashSuspects.CrashSuspects;
   readonly output: gateCall.GateOutput;
   readonly log: decision.DecisionLog;
+  readonly random: randomSource.RandomSource;
   readonly startedMs: units.MonotonicMs;
 }
 
@@ -113,6 +115,7 @@
     }
     if (this.replies.repeat(arriving)) return;
     const call = new gateCall.GateCall(arriving, now);
+    this.room.onArrival(call, now);
     const reason = this.refusalOf(call, now);
     if (reason !== undefined) {
       return this.refuse(call, {reason, mayHaveRun: false}, now);
@@ -239,14 +242,9 @@
     if (suspects.isQuarantined(dispatch.fingerprint, now)) {
       return serving.Reason.QUARANTINED;
     }
-    if (dispatch.redirectable) {
-      if (this.room.pace.isStalled(now)) return serving.Reason.STALLED;
-      if (!this.room.hasRoomAtOnce(now)) return serving.Reason.FULL;
-    }
-    const neededMs =
-      this.room.expectedWaitMs(call, now) + this.room.worthwhileMs(call);
-    if (now + neededMs > call.deadlineMs) return serving.Reason.NO_TIME;
-    return undefined;
+    const reason = this.room.refusalOf(call, now);
+    if (!dispatch.redirectable) this.room.onAdmission(reason !== undefined);
+    return reason;
   }
 
   /** Starts the requests for which there is room; refuses all if the gate is closed. */
@@ -259,7 +257,7 @@
     }
     if (closure !== serving.Closure.OPEN) return this.refuseWaiting(now);
     if (!this.trust.isConfirmed) return;
-    while (this.room.queue.size > 0 && this.room.hasSlot(now)) {
+    for (;;) {
       const call = this.room.takeNext(now);
       if (call === undefined) return;
       this.start(call, now);
@@ -435,8 +433,8 @@
     const broken = {reason: serving.Reason.BROKEN, mayHaveRun: true};
     switch (call.stage.kind) {
       case 'waiting': {
-        const detail = {reason: serving.Reason.NO_TIME, mayHaveRun: false};
-        return this.refuse(call, detail, now);
+        const reason = this.room.expiryOf(call, now);
+        return this.refuse(call, {reason, mayHaveRun: false}, now);
       }
       case 'running':
         this.room.times.onFailed(now);
@@ -451,10 +449,8 @@
 
   private dueMs(call: gateCall.GateCall): units.MonotonicMs {
     switch (call.stage.kind) {
-      case 'waiting': {
-        const lastStartMs = call.deadlineMs - this.room.worthwhileMs(call);
-        return Math.min(orphanMsOf(call), lastStartMs);
-      }
+      case 'waiting':
+        return Math.min(orphanMsOf(call), this.room.lastStartMs(call));
       case 'running':
         return Math.min(orphanMsOf(call), call.deadlineMs + OVERDUE_MS);
       case 'broken':
--- a/src/node/serving/gate_side.ts
+++ b/src/node/serving/gate_side.ts
@@ -3,6 +3,7 @@
 import * as gateCall from '../../common/serving/gate_call.js';
 import * as operatorIntent from '../../common/serving/operator_intent.js';
 import * as serverGate from '../../common/serving/server_gate.js';
+import * as randomSource from '../../common/random_source.js';
 import * as units from '../../common/units.js';
 import * as serving from '../../generated/serving.js';
 import * as resourceStack from '../resource_stack.js';
@@ -34,6 +35,7 @@
   readonly suspects: crashSuspects.CrashSuspects;
   readonly directory: fleetDirectory.FleetDirectory;
   readonly knowledge: () => fleetKnowledge.FleetKnowledge;
+  readonly random: randomSource.RandomSource;
   readonly log: telemetry.Telemetry;
   readonly ownEntry: OwnEntry;
   greeting(toNodeId: string): serving.Greeting;
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -203,7 +203,6 @@
     return new entrySide.EntrySide({
       ...this.shared(),
       bounds: this.options.platform.bounds,
-      random: this.random,
       fingerprint,
       onSuspect: suspect => this.onSuspect(suspect),
       ownGate: {
@@ -224,6 +223,7 @@
       intent: this.intent,
       directory: this.directory,
       knowledge: () => this.knowledge,
+      random: this.random,
       log,
       greeting: (toNodeId: string): serving.Greeting => ({
         sender: this.directory.self,
