Repeat a failed request at another server; test the node with real processes

Cause: a test with real daemons and stand-ins of the platform found that a repetition went back to the server that had just failed the request, as it was the cheapest. It goes elsewhere now, and back only if nothing else is open. Adds the stand-ins of the platform's store and servers, unit tests of the decisions and whole-path tests.

--- /dev/null
+++ b/src/common/serving/cold_rate.test.ts
@@ -0,0 +1,42 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+
+import * as fc from 'fast-check';
+
+import * as coldRate from './cold_rate.js';
+
+const SEED = Number(process.env['SEED'] ?? 11);
+
+nodeTest.test(`no second sees more starts than the rate, seed ${SEED}`, () => {
+  const steps = fc.array(fc.integer({min: 0, max: 300}), {maxLength: 200});
+  fc.assert(
+    fc.property(steps, fc.integer({min: 1, max: 20}), (waits, rate) => {
+      const limit = new coldRate.ColdRate(0);
+      const starts: number[] = [];
+      let now = 0;
+      for (const wait of waits) {
+        now += wait;
+        if (!limit.hasRoom(rate, now)) continue;
+        limit.onStart(now);
+        starts.push(now);
+      }
+      for (const from of starts) {
+        const within = starts.filter(t => t >= from && t < from + 1_000);
+        assert.ok(within.length <= rate);
+      }
+      assert.ok(starts.every(t => t >= 1_000));
+    }),
+    {seed: SEED},
+  );
+});
+
+nodeTest.test(
+  'the next room is when the oldest start leaves the window',
+  () => {
+    const limit = new coldRate.ColdRate(-1_000);
+    limit.onStart(100);
+    limit.onStart(300);
+    assert.equal(limit.nextRoomMs(2, 400), 1_100);
+    assert.ok(limit.hasRoom(2, 1_100));
+  },
+);
--- /dev/null
+++ b/src/common/serving/entry.test.ts
@@ -0,0 +1,178 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+
+import * as serving from '../../generated/serving.js';
+import * as fixtures from './serving_fixtures.test.js';
+
+const {test} = nodeTest;
+const {Reason, Closure} = serving;
+
+const NEAR = fixtures.gate('near');
+const FAR = fixtures.gate('far', {dataCentre: 'south'});
+
+test('a request goes to the gate in its own data centre', () => {
+  const world = new fixtures.EntryWorld([FAR, NEAR]);
+  world.request();
+  assert.equal(world.last.nodeId, 'near');
+});
+
+test('a gate far away takes over when waiting nearby would cost the objective', () => {
+  const world = new fixtures.EntryWorld([FAR, NEAR]);
+  const full = fixtures.load({running: 8, waiting: 20});
+  world.reports.onLoad('near', full, 0);
+  world.request();
+  assert.equal(world.last.nodeId, 'far');
+});
+
+test('closed and unreachable gates get nothing', () => {
+  const gone = fixtures.gate('gone', {reachable: false});
+  const world = new fixtures.EntryWorld([gone, NEAR, FAR]);
+  const closure = Closure.SERVER_LEAVING;
+  world.reports.onLoad('near', fixtures.load({closure}), 0);
+  world.request();
+  assert.equal(world.last.nodeId, 'far');
+});
+
+test('a stalled gate passes the request on at once; the last one has to take it', () => {
+  const world = new fixtures.EntryWorld([NEAR, FAR, fixtures.gate('other')]);
+  world.request();
+  world.refuseLast(Reason.STALLED);
+  world.refuseLast(Reason.STALLED);
+  assert.equal(new Set(world.sent.map(s => s.nodeId)).size >= 2, true);
+  assert.deepEqual(
+    world.sent.map(s => s.dispatch.redirectable),
+    [true, true, false],
+  );
+});
+
+test('no gate is asked to pass on when none is believed to have room', () => {
+  const world = new fixtures.EntryWorld([NEAR, FAR]);
+  for (const {nodeId} of [NEAR, FAR]) {
+    world.reports.onLoad(nodeId, fixtures.load({running: 8, waiting: 9}), 0);
+  }
+  world.request();
+  assert.equal(world.last.dispatch.redirectable, false);
+});
+
+test('an overloaded gate ends the request at once as not run, with a time to come back', () => {
+  const world = new fixtures.EntryWorld([NEAR, FAR]);
+  world.request();
+  world.refuseLast(Reason.OVERLOADED);
+  assert.deepEqual(world.givenUp, [
+    {reason: 'no-room', mayHaveRun: false, retryAfterMs: 40},
+  ]);
+});
+
+test('a repeatable request is sent to a second server after a failure, not to a third', () => {
+  const world = new fixtures.EntryWorld([NEAR, FAR, fixtures.gate('other')]);
+  world.request({attempts: 2});
+  world.refuseLast(Reason.BROKEN, {mayHaveRun: true});
+  assert.equal(world.sent.length, 2);
+  assert.notEqual(world.sent[0].nodeId, world.sent[1].nodeId);
+  world.refuseLast(Reason.BROKEN, {mayHaveRun: true});
+  assert.equal(world.sent.length, 2);
+  assert.equal(world.givenUp[0].mayHaveRun, true);
+});
+
+test('an unsafe request that may have run is never sent again nor said not to have run', () => {
+  const world = new fixtures.EntryWorld([NEAR, FAR]);
+  world.request({repeatable: false});
+  world.refuseLast(Reason.BROKEN, {mayHaveRun: true});
+  assert.equal(world.sent.length, 1);
+  assert.equal(world.givenUp[0].mayHaveRun, true);
+});
+
+test('an unsafe request that surely did not run goes to another gate', () => {
+  const world = new fixtures.EntryWorld([NEAR, FAR]);
+  world.request({repeatable: false});
+  world.refuseLast(Reason.CLOSED);
+  assert.equal(world.sent.length, 2);
+  world.answerLast(200, 10);
+  assert.equal(world.responses.length, 1);
+});
+
+test('an unsafe request on a lost link ends as one that may have run', () => {
+  const world = new fixtures.EntryWorld([NEAR, FAR]);
+  world.request({repeatable: false});
+  const {nodeId, dispatch} = world.last;
+  world.entry.onLinkFailed(nodeId, dispatch.call, true, 10);
+  assert.equal(world.sent.length, 1);
+  assert.equal(world.givenUp[0].mayHaveRun, true);
+});
+
+test("a server's failure is passed on when nothing better comes", () => {
+  const world = new fixtures.EntryWorld([NEAR, FAR]);
+  world.request({attempts: 2});
+  world.answerLast(500, 10);
+  world.refuseLast(Reason.OVERLOADED, {}, 20);
+  assert.deepEqual(
+    world.responses.map(answer => answer.status),
+    [500],
+  );
+  assert.equal(world.givenUp.length, 0);
+});
+
+test('a failed run is not repeated when the time left is not worth a run', () => {
+  const world = new fixtures.EntryWorld([NEAR, FAR]);
+  world.request();
+  world.answerLast(200, 400);
+  world.request({timeoutMs: 500}, 1_000);
+  world.answerLast(500, 1_300);
+  assert.equal(world.sent.length, 2);
+  assert.equal(world.responses.at(-1)?.status, 500);
+});
+
+test('repetitions stay within the budget of the fleet', () => {
+  const gates = Array.from({length: 10}, (unused, i) => fixtures.gate(`g${i}`));
+  const world = new fixtures.EntryWorld(gates, {ratio: 0.2, slack: 50});
+  const requests = 200;
+  for (let i = 0; i < requests; i++) {
+    world.request();
+    world.refuseLast(Reason.BROKEN, {mayHaveRun: true});
+    if (world.givenUp.length < i + 1) {
+      world.refuseLast(Reason.BROKEN, {mayHaveRun: true});
+    }
+  }
+  const repeats = world.sent.length - requests;
+  assert.ok(repeats <= 0.2 * requests + 50 / gates.length);
+  assert.ok(repeats > 0);
+});
+
+test("a caller's departure withdraws its attempt", () => {
+  const world = new fixtures.EntryWorld([NEAR]);
+  const id = world.request();
+  world.entry.onCallerGone(id, 10);
+  assert.deepEqual(world.withdrawn, [world.last.dispatch.call]);
+  assert.equal(world.entry.inProgress, 0);
+});
+
+test("the route's time-out ends a request whose run is under way", () => {
+  const world = new fixtures.EntryWorld([NEAR]);
+  world.request({timeoutMs: 800});
+  assert.equal(world.entry.nextWakeMs() <= 800, true);
+  world.entry.tick(800);
+  assert.equal(world.givenUp.length, 1);
+  assert.deepEqual(
+    [world.givenUp[0].reason, world.givenUp[0].mayHaveRun],
+    ['timeout', true],
+  );
+  assert.equal(world.withdrawn.length, 1);
+});
+
+test('a silent run gets a second one beside it, and the first answer counts', () => {
+  const world = new fixtures.EntryWorld([NEAR, FAR, fixtures.gate('other')]);
+  world.request({attempts: 3});
+  world.entry.tick(590);
+  assert.equal(world.sent.length, 2);
+  world.answerLast(200, 700);
+  assert.equal(world.responses.length, 1);
+  assert.equal(world.withdrawn.length, 1);
+});
+
+test('an answer to an attempt that has ended changes nothing', () => {
+  const world = new fixtures.EntryWorld([NEAR]);
+  world.request();
+  world.answerLast(200, 10);
+  world.answerLast(200, 20);
+  assert.equal(world.responses.length, 1);
+});
--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -112,6 +112,7 @@
       return this.respond(call, answer, now);
     }
     call.failure = answer;
+    call.failed.add(nodeId);
     this.repeat(call, {reason: 'server-error', status: answer.status}, now);
   }
 
@@ -130,7 +131,10 @@
       reason: refusal.reason,
       mayHaveRun: refusal.mayHaveRun,
     });
-    if (refusal.mayHaveRun) return this.onFailedRun(call, refusal, now);
+    if (refusal.mayHaveRun) {
+      call.failed.add(nodeId);
+      return this.onFailedRun(call, refusal, now);
+    }
     switch (refusal.reason) {
       case serving.Reason.STALLED:
       case serving.Reason.FULL:
@@ -200,7 +204,11 @@
   private advance(call: entryCall.EntryCall, now: units.MonotonicMs): void {
     if (call.attempts.size > 0) return;
     if (call.hops >= MAX_HOPS) return this.giveUp(call, 'no-room', now);
-    const passedOver = new Set([...call.full, ...call.closed]);
+    const passedOver = new Set([
+      ...call.full,
+      ...call.failed,
+      ...call.closed,
+    ]);
     const fresh = this.rank(call, passedOver, now);
     const redirects = call.full.size;
     if (fresh.length > 0 && redirects < MAX_REDIRECTIONS) {
@@ -291,7 +299,6 @@
       timeLeftMs: Math.round(call.endMs - now),
     });
     if (paid) return this.advance(call, now);
-    if (call.failure) return this.respond(call, call.failure, now);
     this.giveUp(call, call.mayHaveRun ? 'server-failed' : 'shed', now);
   }
 
@@ -316,13 +323,8 @@
   }
 
   private onTimeout(call: entryCall.EntryCall, now: units.MonotonicMs): void {
-    if (call.failure) return this.respond(call, call.failure, now);
-    const {reason, mayHaveRun} = {
-      reason: 'timeout' as const,
-      mayHaveRun: call.mayHaveRun || call.attempts.size > 0,
-    };
-    call.mayHaveRun = mayHaveRun;
-    this.giveUp(call, reason, now);
+    call.mayHaveRun ||= call.attempts.size > 0;
+    this.giveUp(call, 'timeout', now);
   }
 
   private respond(
@@ -348,6 +350,7 @@
     reason: entryCall.GiveUpReason,
     now: units.MonotonicMs,
   ): void {
+    if (call.failure) return this.respond(call, call.failure, now);
     const {mayHaveRun} = call;
     const retryAfterMs = retryAfter.retryAfterOf(reason, call.refusal);
     this.note(call, 'notable', 'gave-up', {
--- a/src/common/serving/entry_call.ts
+++ b/src/common/serving/entry_call.ts
@@ -39,6 +39,9 @@
   /** Gates that refused in favour of others; they are asked again last. */
   readonly full = new Set<string>();
 
+  /** Gates whose server failed the request; they are asked again last. */
+  readonly failed = new Set<string>();
+
   /** Gates that cannot take the request at all. */
   readonly closed = new Set<string>();
 
--- /dev/null
+++ b/src/common/serving/server_life.test.ts
@@ -0,0 +1,80 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+
+import * as serverLife from './server_life.js';
+import * as fixtures from './serving_fixtures.test.js';
+
+const {test} = nodeTest;
+const {announcement} = fixtures;
+
+function health(
+  instanceId: string,
+  coldLeftMs?: number,
+): serverLife.HealthSample {
+  return {healthy: true, instanceId, coldLeftMs, slots: 6};
+}
+
+test('a former incarnation is not believed after a new one', () => {
+  const life = new serverLife.ServerLife();
+  life.onAnnouncement(announcement({instanceId: 'b', bornMs: 2_000}), 0);
+  const old = announcement({instanceId: 'a', bornMs: 1_000, sequence: 99});
+  assert.equal(life.onAnnouncement(old, 10), 'outdated');
+  assert.equal(life.instanceId, 'b');
+});
+
+test('a restart under the same id is a new incarnation whose sequence starts anew', () => {
+  const life = new serverLife.ServerLife();
+  life.onAnnouncement(announcement({sequence: 50}), 0);
+  life.onDeregistration('i-1', undefined);
+  assert.equal(life.state, 'leaving');
+  const again = announcement({bornMs: 5_000, sequence: 1, coldLeftMs: 900});
+  assert.equal(life.onAnnouncement(again, 100), 'new-incarnation');
+  assert.equal(life.state, 'ready');
+  assert.ok(life.isCold(500));
+});
+
+test('a late word of leaving counts, a late word of readiness does not', () => {
+  const life = new serverLife.ServerLife();
+  life.onAnnouncement(announcement({sequence: 5}), 0);
+  const late = announcement({sequence: 3, state: 'leaving'});
+  assert.equal(life.onAnnouncement(late, 10), 'leaving');
+  life.onAnnouncement(announcement({sequence: 6}), 20);
+  assert.equal(life.state, 'leaving');
+});
+
+test("a former incarnation's departure does not end the present one", () => {
+  const life = new serverLife.ServerLife();
+  life.onAnnouncement(announcement({bornMs: 5_000}), 0);
+  assert.equal(life.onDeregistration('i-1', 1_000), 'outdated');
+  assert.equal(life.onDeregistration('other', undefined), 'outdated');
+  assert.equal(life.state, 'ready');
+});
+
+test('health names an incarnation only before anything has been announced', () => {
+  const fresh = new serverLife.ServerLife();
+  assert.equal(fresh.onHealth(health('i-9', 800), 0), 'new-incarnation');
+  assert.deepEqual([fresh.instanceId, fresh.slots], ['i-9', 6]);
+  assert.ok(fresh.isCold(100));
+
+  const life = new serverLife.ServerLife();
+  life.onAnnouncement(announcement(), 0);
+  assert.equal(life.onHealth(health('i-9'), 10), 'gone');
+  assert.equal(life.state, 'absent');
+  assert.equal(life.instanceId, 'i-1');
+});
+
+test('an announcement completes what health told', () => {
+  const life = new serverLife.ServerLife();
+  life.onHealth(health('i-1'), 0);
+  life.onAnnouncement(announcement({slots: 12}), 10);
+  assert.deepEqual([life.instanceId, life.slots], ['i-1', 12]);
+});
+
+test('a server that turns cold without a sign is found by its health', () => {
+  const life = new serverLife.ServerLife();
+  life.onAnnouncement(announcement(), 0);
+  assert.equal(life.onHealth(health('i-1', 0), 1_000), 'unchanged');
+  assert.equal(life.onHealth(health('i-1', 3_000), 2_000), 'cold');
+  assert.ok(life.isCold(4_900));
+  assert.ok(!life.isCold(5_001));
+});
--- /dev/null
+++ b/src/common/serving/serving_fixtures.test.ts
@@ -0,0 +1,336 @@
+/** Fixtures for the tests of the decisions that serve requests. */
+import * as serving from '../../generated/serving.js';
+import * as randomSource from '../random_source.js';
+import * as configuration from './configuration.js';
+import * as crashSuspects from './crash_suspects.js';
+import * as decision from './decision.js';
+import * as entryCall from './entry_call.js';
+import * as entryModule from './entry.js';
+import * as gateCall from './gate_call.js';
+import * as gateReports from './gate_reports.js';
+import * as operatorIntent from './operator_intent.js';
+import * as placement from './placement.js';
+import * as serverGate from './server_gate.js';
+import * as serverLife from './server_life.js';
+
+export const SERVICE = 'orders';
+
+export const DATA_CENTRE = 'north';
+
+export function route(
+  over: Partial<configuration.Route> = {},
+): configuration.Route {
+  return {
+    name: 'history',
+    host: 'shop.example',
+    pathPrefix: '/history/',
+    repeatable: true,
+    timeoutMs: 1_500,
+    objectiveMs: 600,
+    rank: 2,
+    attempts: 2,
+    parts: [{service: SERVICE, weight: 1}],
+    ...over,
+  };
+}
+
+export function document(
+  over: Partial<configuration.FleetConfiguration> = {},
+): configuration.FleetConfiguration {
+  return {
+    version: 1,
+    routes: [route()],
+    services: [
+      {
+        name: SERVICE,
+        healthPath: '/healthz',
+        maxConnections: 200,
+        coldStartMs: 3_000,
+        coldPerSecond: 10,
+      },
+    ],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+    ...over,
+  };
+}
+
+export function intent(): operatorIntent.OperatorIntent {
+  const made = new operatorIntent.OperatorIntent();
+  made.applyWhole({document: document(), dataCentresOut: [], offset: 0});
+  return made;
+}
+
+export function announcement(
+  over: Partial<serverLife.Announcement> = {},
+): serverLife.Announcement {
+  return {
+    instanceId: 'i-1',
+    bornMs: 1_000,
+    sequence: 1,
+    service: SERVICE,
+    ip: '10.0.0.1',
+    port: 80,
+    slots: 10,
+    state: 'ready',
+    coldLeftMs: 0,
+    ...over,
+  };
+}
+
+export function dispatch(
+  over: Partial<serving.Dispatch> = {},
+): serving.Dispatch {
+  return {
+    call: 1,
+    service: SERVICE,
+    route: 'history',
+    requestId: 'r1',
+    method: 'GET',
+    target: '/history/1',
+    headers: [],
+    body: Buffer.alloc(0),
+    timeLeftMs: 1_500,
+    objectiveLeftMs: 600,
+    rank: 2,
+    repeatable: true,
+    redirectable: false,
+    siblingNear: false,
+    fingerprint: 'f1',
+    ...over,
+  };
+}
+
+export class RecordedLog implements decision.DecisionLog {
+  readonly decisions: decision.Decision[] = [];
+
+  write(d: decision.Decision): void {
+    this.decisions.push(d);
+  }
+}
+
+export interface Run {
+  readonly key: string;
+  readonly instanceId: string;
+  readonly timeLeftMs: number;
+}
+
+/** What a gate asked of its surroundings. */
+export class RecordedGateOutput implements gateCall.GateOutput {
+  readonly runs: Run[] = [];
+  readonly aborted: string[] = [];
+  readonly answers: serving.Answer[] = [];
+  readonly refusals: serving.Refusal[] = [];
+  readonly suspects: string[] = [];
+  readonly closures: serving.Closure[] = [];
+  healthChecks = 0;
+
+  run(call: gateCall.GateCall, instanceId: string, timeLeftMs: number): void {
+    this.runs.push({key: call.key, instanceId, timeLeftMs});
+  }
+
+  abort(key: string): void {
+    this.aborted.push(key);
+  }
+
+  answer(unusedSource: number, answer: serving.Answer): void {
+    this.answers.push(answer);
+  }
+
+  refuse(unusedSource: number, refusal: serving.Refusal): void {
+    this.refusals.push(refusal);
+  }
+
+  checkHealth(): void {
+    this.healthChecks++;
+  }
+
+  reportSuspect(fingerprint: string): void {
+    this.suspects.push(fingerprint);
+  }
+
+  closureChanged(closure: serving.Closure): void {
+    this.closures.push(closure);
+  }
+
+  get reasons(): readonly serving.Reason[] {
+    return this.refusals.map(refusal => refusal.reason);
+  }
+}
+
+/** A gate with its surroundings. */
+export class GateWorld {
+  readonly intent = intent();
+  readonly output = new RecordedGateOutput();
+  readonly log = new RecordedLog();
+  readonly suspects = new crashSuspects.CrashSuspects();
+  readonly gate: serverGate.ServerGate;
+  private lastCall = 0;
+
+  constructor(startedMs = -10_000) {
+    this.gate = new serverGate.ServerGate({
+      service: () => SERVICE,
+      dataCentre: DATA_CENTRE,
+      intent: this.intent,
+      suspects: this.suspects,
+      output: this.output,
+      log: this.log,
+      random: new randomSource.SeededRandom(7),
+      startedMs,
+    });
+  }
+
+  /** Announces the backend server and confirms it by a health check. */
+  open(over: Partial<serverLife.Announcement> = {}, now = 0): this {
+    const a = announcement(over);
+    this.gate.onAnnouncement(a, now);
+    this.healthy(a.instanceId, now);
+    return this;
+  }
+
+  healthy(instanceId = 'i-1', now = 0, coldLeftMs?: number): void {
+    const sample = {healthy: true, instanceId, coldLeftMs, slots: undefined};
+    this.gate.onHealth(sample, now);
+  }
+
+  /** Sends a call and returns its key. */
+  call(over: Partial<serving.Dispatch> = {}, now = 0): string {
+    const call = ++this.lastCall;
+    const key = `e/${call}`;
+    const made = dispatch({
+      call,
+      requestId: `r${call}`,
+      fingerprint: `f${call}`,
+      ...over,
+    });
+    this.gate.onCall({key, source: 1, dispatch: made}, now);
+    return key;
+  }
+
+  answered(key: string, now: number, status = 200): void {
+    const answer = {status, headers: [], body: Buffer.alloc(0)};
+    this.gate.onRunEnded(key, {kind: 'answered', answer}, now);
+  }
+
+  isRunning(key: string): boolean {
+    return this.output.runs.some(run => run.key === key);
+  }
+}
+
+export function load(over: Partial<serving.Load> = {}): serving.Load {
+  return {
+    running: 0,
+    waiting: 0,
+    limit: 8,
+    pacePercent: 100,
+    meanMs: 200,
+    failingPercent: 0,
+    cold: false,
+    closure: serving.Closure.OPEN,
+    ...over,
+  };
+}
+
+export function gate(
+  nodeId: string,
+  over: Partial<placement.KnownGate> = {},
+): placement.KnownGate {
+  return {
+    nodeId,
+    dataCentre: DATA_CENTRE,
+    service: SERVICE,
+    reachable: true,
+    ...over,
+  };
+}
+
+export interface Sent {
+  readonly nodeId: string;
+  readonly dispatch: serving.Dispatch;
+}
+
+/** An entry that knows some gates. */
+export class EntryWorld {
+  readonly log = new RecordedLog();
+  readonly sent: Sent[] = [];
+  readonly withdrawn: number[] = [];
+  readonly responses: serving.Answer[] = [];
+  readonly givenUp: entryCall.GiveUp[] = [];
+  readonly reports = new gateReports.GateReports();
+  readonly entry: entryModule.Entry;
+  private lastId = 0;
+
+  constructor(
+    readonly gates: readonly placement.KnownGate[],
+    budget = {ratio: 0.2, slack: 50},
+  ) {
+    for (const {nodeId} of gates) this.reports.onLoad(nodeId, load(), 0);
+    this.entry = new entryModule.Entry({
+      intent: intent(),
+      reports: this.reports,
+      placement: new placement.Placement({
+        dataCentre: DATA_CENTRE,
+        directory: {
+          gatesOf: service => gates.filter(g => g.service === service),
+        },
+        reports: this.reports,
+        random: new randomSource.SeededRandom(7),
+      }),
+      budget,
+      nodeCount: () => gates.length,
+      log: this.log,
+      output: {
+        dispatch: (nodeId, d) => void this.sent.push({nodeId, dispatch: d}),
+        withdraw: (unusedNodeId, call) => void this.withdrawn.push(call),
+        respond: (unusedId, answer) => void this.responses.push(answer),
+        giveUp: (unusedId, giveUp) => void this.givenUp.push(giveUp),
+      },
+    });
+  }
+
+  request(over: Partial<configuration.Route> = {}, now = 0): number {
+    const id = ++this.lastId;
+    const request: entryCall.CallerRequest = {
+      id,
+      requestId: `r${id}`,
+      method: 'GET',
+      target: '/history/1',
+      headers: [],
+      body: Buffer.alloc(0),
+      timeLeftMs: 1_500,
+      fingerprint: `f${id}`,
+    };
+    this.entry.onRequest(request, route(over), now);
+    return id;
+  }
+
+  get last(): Sent {
+    return this.sent[this.sent.length - 1];
+  }
+
+  refuseLast(
+    reason: serving.Reason,
+    over: Partial<serving.Refusal> = {},
+    now = 1,
+  ): void {
+    const {nodeId, dispatch: d} = this.last;
+    const refusal = serving.Refusal.fromPartial({
+      call: d.call,
+      reason,
+      retryAfterMs: 40,
+      ...over,
+    });
+    this.entry.onRefusal(nodeId, {...refusal, load: undefined}, now);
+  }
+
+  answerLast(status: number, now: number): void {
+    const {nodeId, dispatch: d} = this.last;
+    const body = Buffer.alloc(0);
+    const answer = {call: d.call, status, headers: [], body, load: undefined};
+    this.entry.onAnswer(nodeId, answer, now);
+  }
+}
--- /dev/null
+++ b/test/paths/platform_fleet.ts
@@ -0,0 +1,206 @@
+/** A fleet of real daemons on loopback, with stand-ins of the platform around it. */
+import * as http from 'node:http';
+
+import * as documents from '../stand_ins/platform/documents.js';
+import * as serverStandIn from '../stand_ins/platform/server_stand_in.js';
+import * as storeStandIn from '../stand_ins/platform/store_stand_in.js';
+import * as child from './child.js';
+
+const READY_TIMEOUT_MS = 15_000;
+
+/** Data centres of the nodes, in turn. */
+const DATA_CENTRES = ['north', 'south', 'east'];
+
+/** A daemon with its backend server. */
+export interface FleetNode {
+  readonly name: string;
+  readonly process: child.Child;
+  readonly server: serverStandIn.ServerStandIn;
+  readonly callers: string;
+  readonly control: string;
+  readonly readiness: string;
+  readonly settings: string;
+}
+
+/** An answer to a caller. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+}
+
+/** A request of a caller. */
+export interface CallerRequest {
+  readonly id: string;
+  readonly path?: string;
+  readonly method?: string;
+  readonly body?: string;
+  readonly deadlineMs?: number;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly agent?: http.Agent;
+}
+
+/** Daemons, servers and the store; disposing it ends them. */
+export class PlatformFleet implements AsyncDisposable {
+  readonly nodes: FleetNode[] = [];
+  private beats: NodeJS.Timeout | undefined;
+
+  private constructor(
+    readonly store: storeStandIn.StoreStandIn,
+    readonly storeAddress: string,
+  ) {}
+
+  /** Starts a fleet and waits until each node knows all servers. */
+  static async start(size: number): Promise<PlatformFleet> {
+    const store = new storeStandIn.StoreStandIn();
+    const fleet = new PlatformFleet(store, await store.listen());
+    store.put('keyed.op', 'config', documents.configuration(1));
+    for (let i = 0; i < size; i++) await fleet.addNode();
+    fleet.beats = setInterval(() => void fleet.announceAll(), 500);
+    await fleet.announceAll();
+    await Promise.all(fleet.nodes.map(node => fleet.isReady(node)));
+    await fleet.knowsAllServers();
+    return fleet;
+  }
+
+  /** Starts one more node with its server. */
+  async addNode(): Promise<FleetNode> {
+    const i = this.nodes.length;
+    const dataCentre = DATA_CENTRES[i % DATA_CENTRES.length];
+    const server = new serverStandIn.ServerStandIn(
+      'orders',
+      dataCentre,
+      `i${i}`,
+    );
+    const address = await server.listen();
+    const ports = await child.freePorts(4);
+    const [callers, peers, control, readiness] = ports.map(
+      port => `127.0.0.1:${port}`,
+    );
+    const settings = child.temporaryFile(
+      `node${i}.jsonc`,
+      JSON.stringify({
+        nodeId: `node-${i}`,
+        dataCentre,
+        service: 'orders',
+        server: address,
+        listen: {callers, peers, announcements: control, readiness},
+        store: this.storeAddress,
+        bounds: {grace_s: 4},
+        routineLogShare: 1,
+      }),
+    );
+    const name = `node-${i}`;
+    const process = startDaemon(name, settings);
+    const node = {name, process, server, callers, control, readiness, settings};
+    this.nodes.push(node);
+    return node;
+  }
+
+  /** Starts the daemon of a node again after its end. */
+  async restart(node: FleetNode): Promise<FleetNode> {
+    const started = {...node, process: startDaemon(node.name, node.settings)};
+    this.nodes[this.nodes.indexOf(node)] = started;
+    await this.isReady(started);
+    return started;
+  }
+
+  /** Sends a request to a node. */
+  send(node: FleetNode, req: CallerRequest): Promise<CallerAnswer> {
+    const {id, path = '/history/1', method = 'GET', body = ''} = req;
+    const [host, port] = node.callers.split(':');
+    return new Promise((resolve, reject) => {
+      const sent = http.request(
+        {
+          host,
+          port,
+          path,
+          method,
+          agent: req.agent ?? false,
+          headers: {
+            Host: documents.HOST,
+            'Request-Id': id,
+            'Deadline-Ms': String(req.deadlineMs ?? 1_500),
+            ...(body === '' ? {} : {'Content-Length': body.length}),
+            ...req.headers,
+          },
+        },
+        res => {
+          const chunks: Buffer[] = [];
+          res.on('data', (chunk: Buffer) => chunks.push(chunk));
+          res.on('error', reject);
+          res.on('end', () =>
+            resolve({
+              status: res.statusCode ?? 0,
+              headers: res.headers,
+              body: Buffer.concat(chunks).toString(),
+            }),
+          );
+        },
+      );
+      sent.on('error', reject);
+      sent.end(body);
+    });
+  }
+
+  /** Runs of a request on all servers. */
+  runsOf(id: string): number {
+    return this.nodes
+      .flatMap(node => node.server.ran)
+      .filter(seen => seen.requestId === id).length;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    clearInterval(this.beats);
+    for (const node of this.nodes) {
+      await node.process[Symbol.asyncDispose]();
+      await node.server[Symbol.asyncDispose]();
+    }
+    await this.store[Symbol.asyncDispose]();
+  }
+
+  async isReady(node: FleetNode): Promise<void> {
+    await child.until(
+      async () => (await statusOf(node.readiness)) === 200,
+      READY_TIMEOUT_MS,
+      () => `${node.name} to be ready; it printed ${node.process.printed}`,
+    );
+  }
+
+  private async announceAll(): Promise<void> {
+    await Promise.all(
+      this.nodes.map(({server, control}) =>
+        server.announce(control).catch(() => undefined),
+      ),
+    );
+  }
+
+  /** Waits until every node's entry reaches every server. */
+  private async knowsAllServers(): Promise<void> {
+    const count = this.nodes.length - 1;
+    for (const node of this.nodes) {
+      await child.until(
+        () =>
+          node.process.printed.split('peer-regained').length > count &&
+          node.process.printed.includes('"closure":"CLOSURE_OPEN"'),
+        READY_TIMEOUT_MS,
+        () => `${node.name} to reach all; it printed ${node.process.printed}`,
+      );
+    }
+  }
+}
+
+function startDaemon(name: string, settings: string): child.Child {
+  const program = 'src/daemon/main.js';
+  return child.startProgram(name, program, ['--settings', settings]);
+}
+
+async function statusOf(address: string): Promise<number> {
+  try {
+    const res = await fetch(`http://${address}/ready`);
+    await res.arrayBuffer();
+    return res.status;
+  } catch {
+    return 0;
+  }
+}
--- /dev/null
+++ b/test/stand_ins/platform/documents.ts
@@ -0,0 +1,53 @@
+/** Documents as the platform's operators write them. */
+
+/** Host of all routes. */
+export const HOST = 'shop.example';
+
+function route(name: string, over: object): object {
+  return {
+    name,
+    host: HOST,
+    path_prefix: `/${name}/`,
+    route_kind: 'safe',
+    timeout_s: 1.5,
+    target_latency_s: 0.6,
+    priority: 2,
+    service: 'orders',
+    attempts: 2,
+    ...over,
+  };
+}
+
+/** A configuration with a safe and an unsafe route. */
+export function configuration(version: number, over: object = {}): object {
+  return {
+    version,
+    routes: [
+      route('history', {}),
+      route('place', {route_kind: 'unsafe', priority: 1, timeout_s: 1.2}),
+    ],
+    services: [
+      {
+        name: 'orders',
+        health_path: '/healthz',
+        max_conns: 200,
+        protocol: 'h1',
+        tls_mode: false,
+        cold_start_s: 3,
+        cold_per_s: 10,
+      },
+    ],
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 100_000,
+      header_timeout_s: 3,
+      idle_timeout_s: 15,
+    },
+    ...over,
+  };
+}
+
+/** Another route for a configuration. */
+export function addedRoute(name: string): object {
+  return route(name, {});
+}
--- /dev/null
+++ b/test/stand_ins/platform/server_stand_in.ts
@@ -0,0 +1,187 @@
+/** Stand-in of a backend server of the platform: counts runs, and misbehaves on demand. */
+import * as http from 'node:http';
+import type * as net from 'node:net';
+
+/** How the stand-in answers requests; health checks are always answered. */
+export type ServerMode =
+  | {readonly kind: 'well'; readonly workMs: number}
+  | {readonly kind: 'shed'}
+  /** Runs the request and resets the connection. */
+  | {readonly kind: 'answer-lost'}
+  /** Breaks off in the middle of the body. */
+  | {readonly kind: 'cut'}
+  /** Answers without a length and ends the connection. */
+  | {readonly kind: 'unframed'}
+  /** Answers with the id of another request. */
+  | {readonly kind: 'foreign'}
+  /** Answers without its seal. */
+  | {readonly kind: 'unsealed'}
+  /** Never answers. */
+  | {readonly kind: 'hang'}
+  | {readonly kind: 'error'};
+
+/** What a server saw of a request that it ran. */
+export interface SeenRequest {
+  readonly requestId: string;
+  readonly method: string;
+  readonly target: string;
+  readonly body: string;
+  readonly headers: http.IncomingHttpHeaders;
+}
+
+/** A backend server on HTTP. */
+export class ServerStandIn implements AsyncDisposable {
+  mode: ServerMode = {kind: 'well', workMs: 0};
+  pacePercent = 100;
+  coldLeftMs = 0;
+  readonly ran: SeenRequest[] = [];
+  /** Requests whose connection closed while they ran. */
+  readonly abandoned: string[] = [];
+  running = 0;
+  private sequence = 0;
+  private address = '';
+  private readonly server = http.createServer((req, res) =>
+    this.accept(req, res),
+  );
+
+  constructor(
+    readonly service: string,
+    readonly dataCentre: string,
+    public instanceId: string,
+    public bornMs = Date.now(),
+  ) {}
+
+  /** Listens on a free port, or on that of an earlier incarnation; returns the address. */
+  async listen(port = 0): Promise<string> {
+    await new Promise<void>(resolve =>
+      this.server.listen(port, '127.0.0.1', resolve),
+    );
+    const bound = this.server.address() as net.AddressInfo;
+    this.address = `127.0.0.1:${bound.port}`;
+    return this.address;
+  }
+
+  /** Announces itself to its node; returns the status of the answer. */
+  async announce(
+    control: string,
+    state: 'ready' | 'draining' = 'ready',
+  ): Promise<number> {
+    const {service, dataCentre: zone} = this;
+    const body = {
+      address: this.address,
+      born: this.bornMs,
+      node_info: {service, version: 'v1', zone, slot_count: 10},
+      status: {
+        state,
+        sequence: ++this.sequence,
+        cold_left_s: this.coldLeftMs / 1_000,
+      },
+    };
+    const url = `http://${control}/Instances.Heartbeat/${this.instanceId}`;
+    const res = await fetch(url, {method: 'POST', body: JSON.stringify(body)});
+    await res.arrayBuffer();
+    return res.status;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const closed = new Promise<void>(resolve =>
+      this.server.close(() => resolve()),
+    );
+    this.server.closeAllConnections();
+    await closed;
+  }
+
+  private accept(req: http.IncomingMessage, res: http.ServerResponse): void {
+    const chunks: Buffer[] = [];
+    req.on('data', (chunk: Buffer) => chunks.push(chunk));
+    req.on('end', () => this.answer(req, res, Buffer.concat(chunks)));
+  }
+
+  private answer(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    body: Buffer,
+  ): void {
+    res.setHeader('Server-Load', `${this.running},0,10,${this.pacePercent}`);
+    if (req.url === '/healthz') {
+      res.setHeader('Instance-Id', this.instanceId);
+      res.setHeader('Cold-Ms', String(this.coldLeftMs));
+      res.end();
+      return;
+    }
+    if (req.headers['expect-instance'] !== this.instanceId) {
+      res.writeHead(421, {'Instance-Id': this.instanceId});
+      res.end();
+      return;
+    }
+    if (this.mode.kind === 'shed') {
+      res.writeHead(503, {'Not-Executed': '1'});
+      res.end();
+      return;
+    }
+    this.run(req, res, body);
+  }
+
+  private run(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    body: Buffer,
+  ): void {
+    const requestId = String(req.headers['request-id']);
+    const {method = '', url: target = '', headers} = req;
+    const seen = {requestId, method, target, body: body.toString(), headers};
+    this.ran.push(seen);
+    this.running++;
+    res.on('close', () => {
+      this.running--;
+      if (!res.writableEnded) this.abandoned.push(requestId);
+    });
+    res.setHeader('Request-Id', requestId);
+    res.setHeader('Server-Seal', `seal-${this.instanceId}`);
+    this.reply(req, res, `${this.instanceId}:${requestId}`);
+  }
+
+  private reply(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    text: string,
+  ): void {
+    const {mode} = this;
+    switch (mode.kind) {
+      case 'well':
+        setTimeout(() => res.end(text), mode.workMs);
+        return;
+      case 'shed':
+      case 'hang':
+        return;
+      case 'answer-lost':
+        req.socket.resetAndDestroy();
+        return;
+      case 'cut':
+        res.setHeader('Content-Length', String(text.length + 50));
+        res.write(text);
+        setTimeout(() => req.socket.destroy(), 5);
+        return;
+      case 'unframed':
+        res.removeHeader('Server-Load');
+        req.socket.end(
+          'HTTP/1.1 200 OK\r\nConnection: close\r\n' +
+            `Request-Id: ${String(req.headers['request-id'])}\r\n` +
+            `Server-Seal: s\r\n\r\n${text}`,
+        );
+        return;
+      case 'foreign':
+        res.setHeader('Request-Id', 'another');
+        res.end(text);
+        return;
+      case 'unsealed':
+        res.removeHeader('Server-Seal');
+        res.end(text);
+        return;
+      case 'error':
+        res.writeHead(500);
+        res.end(text);
+        return;
+    }
+  }
+}
--- /dev/null
+++ b/test/stand_ins/platform/store_stand_in.ts
@@ -0,0 +1,187 @@
+/** Stand-in of the platform's store: keyed topics, waiting reads, and trouble on demand. */
+import * as http from 'node:http';
+import type * as net from 'node:net';
+
+/** How the stand-in behaves. */
+export type StoreMode =
+  | {readonly kind: 'up'}
+  /** Every call fails with 503. */
+  | {readonly kind: 'busy'}
+  /** Calls are never answered. */
+  | {readonly kind: 'silent'}
+  /** Appends take effect and their answers are lost. */
+  | {readonly kind: 'answers-lost'};
+
+interface StoredRecord {
+  readonly key: string;
+  readonly value: Buffer;
+  readonly content: Buffer;
+}
+
+class Topic {
+  readonly records: StoredRecord[] = [];
+  firstOffset = 0;
+  private waiters: Array<() => void> = [];
+
+  append(content: Buffer): void {
+    const keyLength = content[0];
+    const key = content.subarray(1, 1 + keyLength).toString('utf8');
+    const value = content.subarray(1 + keyLength);
+    this.records.push({key, value, content});
+    for (const wake of this.waiters.splice(0)) wake();
+  }
+
+  /** Resolves when a record is there, or after the wait. */
+  async recordAt(offset: number, waitMs: number): Promise<void> {
+    if (this.records.length > offset || waitMs === 0) return;
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, waitMs);
+      this.waiters.push(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+
+  newest(): readonly object[] {
+    const items = new Map<string, object>();
+    this.records.forEach(({key, value}, offset) => {
+      items.delete(key);
+      if (value.length === 0) return;
+      items.set(key, {key, value: value.toString('base64'), offset});
+    });
+    return [...items.values()];
+  }
+}
+
+/** The store on HTTP. */
+export class StoreStandIn implements AsyncDisposable {
+  mode: StoreMode = {kind: 'up'};
+  calls = 0;
+  private readonly topics = new Map<string, Topic>();
+  private readonly server = http.createServer(
+    (req, res) => void this.handle(req, res),
+  );
+
+  /** Listens on a free port and returns its address. */
+  async listen(): Promise<string> {
+    await new Promise<void>(resolve =>
+      this.server.listen(0, '127.0.0.1', resolve),
+    );
+    const {port} = this.server.address() as net.AddressInfo;
+    return `127.0.0.1:${port}`;
+  }
+
+  /** Writes as operators do. */
+  put(topic: string, key: string, value: object | undefined): void {
+    const text = value === undefined ? '' : JSON.stringify(value);
+    const name = Buffer.from(key);
+    const content = [Buffer.from([name.length]), name, Buffer.from(text)];
+    this.topic(topic).append(Buffer.concat(content));
+  }
+
+  /** Drops the history; the newest record of each key stays known. */
+  forgetHistory(topic: string): void {
+    const dropped = this.topic(topic);
+    dropped.firstOffset = dropped.records.length;
+  }
+
+  keysOf(topic: string): readonly string[] {
+    return this.topic(topic).records.map(record => record.key);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const closed = new Promise<void>(resolve =>
+      this.server.close(() => resolve()),
+    );
+    this.server.closeAllConnections();
+    await closed;
+  }
+
+  private topic(name: string): Topic {
+    let found = this.topics.get(name);
+    if (found === undefined) {
+      found = new Topic();
+      this.topics.set(name, found);
+    }
+    return found;
+  }
+
+  private async handle(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    this.calls++;
+    if (this.mode.kind === 'silent') return;
+    if (this.mode.kind === 'busy') return end(res, 503, '{}');
+    const url = new URL(req.url ?? '', 'http://store');
+    const topic = this.topic(url.searchParams.get('topic') ?? '');
+    switch (url.pathname) {
+      case '/log-newest': {
+        const items = topic.newest();
+        const end_offset = topic.records.length;
+        return end(
+          res,
+          200,
+          JSON.stringify({items, has_more: false, end_offset}),
+        );
+      }
+      case '/log-read':
+        return this.read(url, topic, res);
+      case '/log-append':
+        return this.append(req, topic, res);
+      default:
+        return end(res, 404, '{}');
+    }
+  }
+
+  private async read(
+    url: URL,
+    topic: Topic,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    const from = Number(url.searchParams.get('from'));
+    await topic.recordAt(from, Number(url.searchParams.get('wait_ms') ?? 0));
+    if (from < topic.firstOffset) return end(res, 410, '{}');
+    const head = Buffer.alloc(16);
+    head.writeBigUInt64BE(BigInt(topic.records.length), 0);
+    head.writeBigUInt64BE(BigInt(topic.firstOffset), 8);
+    const parts: Buffer[] = [head];
+    for (const {content} of topic.records.slice(from)) {
+      const length = Buffer.alloc(4);
+      length.writeUInt32BE(content.length);
+      parts.push(length, content);
+    }
+    end(res, 200, Buffer.concat(parts));
+  }
+
+  private async append(
+    req: http.IncomingMessage,
+    topic: Topic,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of req) chunks.push(chunk as Buffer);
+    const body = Buffer.concat(chunks);
+    const offset = topic.records.length;
+    for (let at = 0; at < body.length;) {
+      const end = at + 4 + body.readUInt32BE(at);
+      topic.append(body.subarray(at + 4, end));
+      at = end;
+    }
+    if (this.mode.kind === 'answers-lost') {
+      res.destroy();
+      return;
+    }
+    end(res, 200, JSON.stringify({offset, end_offset: topic.records.length}));
+  }
+}
+
+function end(
+  res: http.ServerResponse,
+  status: number,
+  body: string | Buffer,
+): void {
+  res.writeHead(status);
+  res.end(body);
+}
