--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -42,7 +42,15 @@
 ];
 
 export default tseslint.config(
-  {ignores: ['build/', 'target/', 'journal/', 'node_modules/', 'src/generated/']},
+  {
+    ignores: [
+      'build/',
+      'target/',
+      'journal/',
+      'node_modules/',
+      'src/generated/',
+    ],
+  },
   js.configs.recommended,
   {
     files: ['**/*.mjs'],
--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -204,11 +204,7 @@
   private advance(call: entryCall.EntryCall, now: units.MonotonicMs): void {
     if (call.attempts.size > 0) return;
     if (call.hops >= MAX_HOPS) return this.giveUp(call, 'no-room', now);
-    const passedOver = new Set([
-      ...call.full,
-      ...call.failed,
-      ...call.closed,
-    ]);
+    const passedOver = new Set([...call.full, ...call.failed, ...call.closed]);
     const fresh = this.rank(call, passedOver, now);
     const redirects = call.full.size;
     if (fresh.length > 0 && redirects < MAX_REDIRECTIONS) {
--- a/test/stand_ins/platform/store_stand_in.ts
+++ b/test/stand_ins/platform/store_stand_in.ts
@@ -21,7 +21,7 @@
 class Topic {
   readonly records: StoredRecord[] = [];
   firstOffset = 0;
-  private waiters: Array<() => void> = [];
+  private readonly waiters: Array<() => void> = [];
 
   append(content: Buffer): void {
     const keyLength = content[0];
