--- /dev/null
+++ b/src/node/serving/event_log.test.ts
@@ -0,0 +1,115 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as stream from 'node:stream';
+
+import * as decision from '../../common/serving/decision.js';
+import * as eventLog from './event_log.js';
+import * as requestSample from './request_sample.js';
+import * as telemetry from './telemetry.js';
+
+const {test} = nodeTest;
+
+class Sink extends stream.Writable {
+  readonly lines: string[] = [];
+  stuck = false;
+
+  constructor() {
+    super({
+      write: (chunk, unusedEncoding, done) => {
+        this.lines.push(String(chunk));
+        if (!this.stuck) done();
+      },
+    });
+  }
+
+  get refusals(): number {
+    return this.lines.filter(line => line.includes('"refused"')).length;
+  }
+}
+
+function makeLog(over: Partial<eventLog.EventLogOptions> = {}) {
+  const sink = new Sink();
+  let now = 0;
+  const log = new eventLog.EventLog({
+    nodeId: `n${Math.random()}`,
+    processStartedMs: 1,
+    bytesPerSecond: 10_000,
+    routineShare: 1,
+    output: sink,
+    nowMs: () => now,
+    ...over,
+  });
+  return {log, sink, at: (ms: number) => void (now = ms)};
+}
+
+function made(importance: decision.Importance, i = 0): decision.Decision {
+  const facts = {reason: 'no-room', i};
+  const requestId = `r${i}`;
+  return {component: 'gate', event: 'refused', importance, requestId, facts};
+}
+
+test('each line is one JSON object with node, process, event and request', () => {
+  const {log, sink} = makeLog();
+  log.write(made('notable', 3));
+  const line = JSON.parse(sink.lines[0]) as Record<string, unknown>;
+  assert.equal(line['event'], 'refused');
+  assert.equal(line['request'], 'r3');
+  assert.equal(line['reason'], 'no-room');
+  assert.equal(line['process'], 1);
+});
+
+test('bytes a second are bounded, and what is dropped is told', () => {
+  const {log, sink, at} = makeLog();
+  for (let i = 0; i < 1_000; i++) log.write(made('notable', i));
+  const bytes = sink.lines.join('').length;
+  assert.ok(bytes <= 10_500, `${bytes} bytes`);
+  at(2_000);
+  log.write(made('notable'));
+  assert.ok(sink.lines.some(line => line.includes('"log-dropped"')));
+});
+
+test('the usual course leaves room for failures', () => {
+  const {log, sink} = makeLog();
+  for (let i = 0; i < 1_000; i++) log.write(made('routine', i));
+  const routine = sink.refusals;
+  for (let i = 0; i < 10; i++) log.write(made('notable', i));
+  assert.equal(sink.refusals, routine + 10);
+});
+
+test('a reader that does not read holds nothing up and costs bounded memory', () => {
+  const {log, sink, at} = makeLog({bytesPerSecond: 10_000_000});
+  sink.stuck = true;
+  for (let i = 0; i < 20_000; i++) {
+    at(i);
+    log.write(made('notable', i));
+  }
+  assert.ok(sink.writableLength < 300 * 1024);
+});
+
+test('all nodes sample the same requests', () => {
+  const ids = Array.from({length: 2_000}, (unused, i) => `id-${i * 7_919}`);
+  const sampled = ids.filter(id => requestSample.isSampled(id, 0.05));
+  assert.ok(sampled.length > 50 && sampled.length < 170);
+  assert.deepEqual(
+    sampled,
+    ids.filter(id => requestSample.isSampled(id, 0.05)),
+  );
+});
+
+test('reasons are counted and times measured, with bounded labels', async () => {
+  const {log} = makeLog();
+  const series = new telemetry.Telemetry(log);
+  series.write(made('notable'));
+  for (let i = 0; i < 500; i++) {
+    const facts = {durationMs: 20, route: `route-${i}`};
+    const event = 'answered';
+    series.write({component: 'gate', event, importance: 'routine', facts});
+  }
+  const text = await series.text();
+  assert.match(
+    text,
+    /decisions_total\{component="gate",event="refused",reason="no-room"\} 1/,
+  );
+  assert.match(text, /latency_seconds_bucket/);
+  assert.ok(text.split('\n').length < 3_000);
+});
--- /dev/null
+++ b/src/node/serving/gate_link.test.ts
@@ -0,0 +1,208 @@
+import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
+import * as nodeTest from 'node:test';
+
+import * as fixtures from '../../common/serving/serving_fixtures.test.js';
+import * as serving from '../../generated/serving.js';
+import * as child from '../../../test/paths/child.js';
+import * as clock from '../clock.js';
+import * as entrySessions from './entry_sessions.js';
+import * as gateLink from './gate_link.js';
+
+const {test} = nodeTest;
+
+const GATE_PROCESS_MS = 77;
+
+function record(nodeId: string, port: number): serving.NodeRecord {
+  const ip = '127.0.0.1';
+  return {nodeId, dataCentre: 'north', service: 'orders', ip, port};
+}
+
+/** The gate's side of links, which counts what arrives. */
+class GateEnd implements AsyncDisposable {
+  readonly dispatched: string[] = [];
+  readonly withdrawn: string[] = [];
+  processStartedMs = GATE_PROCESS_MS;
+  sources: number[] = [];
+  readonly sessions = new entrySessions.EntrySessions({
+    nowMs: clock.monotonicMs,
+    greeting: toNodeId => ({
+      sender: record('gate', 1),
+      processStartedMs: this.processStartedMs,
+      toNodeId,
+    }),
+    pulse: () => ({load: fixtures.load(), intentOffset: 1}),
+    state: () => serving.FleetState.fromPartial({intentOffset: 1}),
+    listener: {
+      onGreeting: () => undefined,
+      onDispatch: (key, source) => {
+        this.dispatched.push(key);
+        this.sources.push(source);
+      },
+      onWithdraw: key => void this.withdrawn.push(key),
+      onSourceLost: () => undefined,
+    },
+  });
+
+  answer(call: number): void {
+    const value = serving.Answer.fromPartial({call, status: 200});
+    const source = this.sources[this.sources.length - 1];
+    this.sessions.send(source, {$case: 'answer', value});
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.sessions[Symbol.asyncDispose]();
+  }
+}
+
+/** A relay that can reset or silence what passes. */
+class Relay implements AsyncDisposable {
+  silent = false;
+  private readonly pairs: Array<readonly [net.Socket, net.Socket]> = [];
+  private readonly server = net.createServer(near => this.join(near));
+
+  constructor(private readonly toPort: number) {}
+
+  async listen(): Promise<number> {
+    await new Promise<void>(resolve =>
+      this.server.listen(0, '127.0.0.1', resolve),
+    );
+    return (this.server.address() as net.AddressInfo).port;
+  }
+
+  reset(): void {
+    for (const [near] of this.pairs.splice(0)) near.resetAndDestroy();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.reset();
+    await new Promise<void>(resolve => this.server.close(() => resolve()));
+  }
+
+  private join(near: net.Socket): void {
+    const far = net.connect(this.toPort, '127.0.0.1');
+    this.pairs.push([near, far]);
+    const muted = this.silent;
+    let mute = muted;
+    near.on('data', chunk => void (mute || far.write(chunk)));
+    far.on('data', chunk => void (mute || near.write(chunk)));
+    for (const [a, b] of [
+      [near, far],
+      [far, near],
+    ]) {
+      a.on('error', () => undefined);
+      a.on('close', () => b.destroy());
+    }
+    this.mutes.push(() => void (mute = true));
+  }
+
+  readonly mutes: Array<() => void> = [];
+}
+
+interface World extends AsyncDisposable {
+  readonly gate: GateEnd;
+  readonly relay: Relay;
+  readonly link: gateLink.GateLink;
+  readonly answers: readonly number[];
+  readonly lost: readonly number[];
+  readonly mismatches: readonly string[];
+}
+
+async function connect(expected = 'gate'): Promise<World> {
+  const gate = new GateEnd();
+  const [port] = await child.freePorts(1);
+  await gate.sessions.listen({ip: '127.0.0.1', port});
+  const relay = new Relay(port);
+  const answers: number[] = [];
+  const lost: number[] = [];
+  const mismatches: string[] = [];
+  const link = new gateLink.GateLink(record(expected, await relay.listen()), {
+    nowMs: clock.monotonicMs,
+    greeting: toNodeId => ({
+      sender: record('entry', 2),
+      processStartedMs: 5,
+      toNodeId,
+    }),
+    listener: {
+      onUp: () => undefined,
+      onDown: () => undefined,
+      onAnswer: (unusedId, answer) => void answers.push(answer.call),
+      onRefusal: () => undefined,
+      onPulse: () => undefined,
+      onState: () => undefined,
+      onSuspect: () => undefined,
+      onRequestLost: (unusedId, call) => void lost.push(call),
+      onMismatch: nodeId => void mismatches.push(nodeId),
+    },
+  });
+  const ticks = setInterval(() => link.tick(clock.monotonicMs()), 20);
+  return {
+    gate,
+    relay,
+    link,
+    answers,
+    lost,
+    mismatches,
+    async [Symbol.asyncDispose]() {
+      clearInterval(ticks);
+      link[Symbol.dispose]();
+      await relay[Symbol.asyncDispose]();
+      await gate[Symbol.asyncDispose]();
+    },
+  };
+}
+
+function happens(condition: () => boolean, what: string): Promise<void> {
+  return child.until(condition, 4_000, () => what);
+}
+
+test('a request is answered over the link', async () => {
+  await using world = await connect();
+  await happens(() => world.link.isUp, 'the link');
+  world.link.dispatch(fixtures.dispatch({call: 1}));
+  await happens(() => world.gate.dispatched.length === 1, 'the request');
+  assert.deepEqual(world.gate.dispatched, ['entry@5/1']);
+  world.gate.answer(1);
+  await happens(() => world.answers.length === 1, 'the answer');
+});
+
+test('a request on a reset link is sent again under the same key', async () => {
+  await using world = await connect();
+  await happens(() => world.link.isUp, 'the link');
+  world.link.dispatch(fixtures.dispatch({call: 1, repeatable: false}));
+  await happens(() => world.gate.dispatched.length === 1, 'the request');
+  world.relay.reset();
+  await happens(() => world.gate.dispatched.length === 2, 'the repetition');
+  assert.equal(world.gate.dispatched[0], world.gate.dispatched[1]);
+  world.gate.answer(1);
+  await happens(() => world.answers.length === 1, 'the answer');
+  assert.deepEqual(world.lost, []);
+});
+
+test('a link that goes silent is replaced, with its requests', async () => {
+  await using world = await connect();
+  await happens(() => world.link.isUp, 'the link');
+  world.link.dispatch(fixtures.dispatch({call: 1, repeatable: false}));
+  await happens(() => world.gate.dispatched.length === 1, 'the request');
+  for (const mute of world.relay.mutes) mute();
+  await happens(() => world.gate.dispatched.length === 2, 'the repetition');
+  world.gate.answer(1);
+  await happens(() => world.answers.length === 1, 'the answer');
+});
+
+test('requests are lost, not sent again, when the gate is another process', async () => {
+  await using world = await connect();
+  await happens(() => world.link.isUp, 'the link');
+  world.link.dispatch(fixtures.dispatch({call: 1, repeatable: false}));
+  await happens(() => world.gate.dispatched.length === 1, 'the request');
+  world.gate.processStartedMs++;
+  world.relay.reset();
+  await happens(() => world.lost.length === 1, 'the loss');
+  assert.equal(world.gate.dispatched.length, 1);
+});
+
+test('another node at the address gets no request', async () => {
+  await using world = await connect('someone-else');
+  await happens(() => world.mismatches.length > 0, 'the mismatch');
+  assert.equal(world.link.isUp, false);
+});
