Trace a request through the logs; log what led to a failure

The usual decisions on a request are held and written only if it fails, so that a failure has its whole course at little volume. A confirmed server is logged only if it was down (the incident's logs were full of it). A cold server tells the limit that its rate allows. Followers end their reads at a stop, so that no lost store is logged then.

--- a/src/common/serving/decision.ts
+++ b/src/common/serving/decision.ts
@@ -9,8 +9,10 @@
 export type Importance =
   /** The usual course of a request; sampled. */
   | 'routine'
-  /** A refusal, a repetition, a failure. */
+  /** A refusal in favour of others, a repetition, a departure. */
   | 'notable'
+  /** The request fails, or a run of it may have; what led there is logged with it. */
+  | 'failure'
   /** A change of what the process believes. */
   | 'belief';
 
--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -166,7 +166,7 @@
     const call = this.settle(nodeId, attempt);
     if (call === undefined) return;
     call.closed.add(nodeId);
-    this.note(call, 'notable', 'link-failed', {nodeId, sent});
+    this.note(call, 'failure', 'link-failed', {nodeId, sent});
     if (!sent) return this.advance(call, now);
     call.mayHaveRun = true;
     call.servers++;
@@ -287,7 +287,7 @@
       call.endMs - now >= this.times.meanOfMs(call.route.name);
     const budget = this.budgetOf(call.service);
     const paid = allowed && budget.take();
-    this.note(call, 'notable', paid ? 'repeat' : 'no-repeat', {
+    this.note(call, 'failure', paid ? 'repeat' : 'no-repeat', {
       ...cause,
       servers: call.servers,
       attempts: call.route.attempts,
@@ -349,7 +349,7 @@
     if (call.failure) return this.respond(call, call.failure, now);
     const {mayHaveRun} = call;
     const retryAfterMs = retryAfter.retryAfterOf(reason, call.refusal);
-    this.note(call, 'notable', 'gave-up', {
+    this.note(call, 'failure', 'gave-up', {
       reason,
       mayHaveRun,
       retryAfterMs,
--- a/src/common/serving/gate_room.ts
+++ b/src/common/serving/gate_room.ts
@@ -138,6 +138,17 @@
     return lastMs <= now ? serving.Reason.NO_TIME : serving.Reason.OVERLOADED;
   }
 
+  /** Requests that can run at the same time for long: a cold server's rate allows fewer. */
+  sustainedLimit(now: units.MonotonicMs): number {
+    const limit = this.limit(now);
+    if (!this.options.life.isCold(now)) return limit;
+    const meanSeconds = this.times.meanMs / units.MS_PER_SECOND;
+    return Math.max(
+      1,
+      Math.min(limit, Math.floor(this.coldPerSecond * meanSeconds)),
+    );
+  }
+
   /** Removes and returns the waiting request whose turn it is. */
   takeNext(now: units.MonotonicMs): gateCall.GateCall | undefined {
     if (this.queue.size === 0 || !this.hasColdRoom(now)) return undefined;
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -26,6 +26,14 @@
 /** First status that says that the server failed. */
 const FIRST_ERROR_STATUS = 500;
 
+/** Refusals after which the request goes elsewhere, or is wanted no more. */
+const PASSED_ON: ReadonlySet<serving.Reason> = new Set([
+  serving.Reason.STALLED,
+  serving.Reason.FULL,
+  serving.Reason.CLOSED,
+  serving.Reason.WITHDRAWN,
+]);
+
 const PERCENT = 100;
 
 /** Longest age that is logged; older values are as good as unknown. */
@@ -95,7 +103,7 @@
     return {
       running,
       waiting: queue.size,
-      limit: this.room.limit(now),
+      limit: this.room.sustainedLimit(now),
       pacePercent: Math.round(pace.percentAt(now)),
       meanMs: Math.round(times.meanMs),
       failingPercent: Math.round(PERCENT * times.failureShare(now)),
@@ -324,7 +332,7 @@
         return this.trust.doubt();
       case 'bad-answer':
         this.room.times.onFailed(now);
-        this.replies.note(call, 'notable', 'bad-answer', {detail: end.detail});
+        this.replies.note(call, 'failure', 'bad-answer', {detail: end.detail});
         return refuse(serving.Reason.BAD_ANSWER, true);
       default:
         return invariants.assertNever(end);
@@ -344,7 +352,7 @@
   private noteDeath(call: gateCall.GateCall, now: units.MonotonicMs): void {
     const {suspects, output} = this.options;
     const suspicion = suspects.onDeath(call.dispatch.fingerprint, now);
-    this.replies.note(call, 'notable', 'server-died', {
+    this.replies.note(call, 'failure', 'server-died', {
       deaths: suspicion.deaths,
     });
     output.reportSuspect(suspicion.fingerprint, suspicion.deaths);
@@ -379,7 +387,8 @@
     now: units.MonotonicMs,
   ): void {
     const load = this.load(now);
-    this.replies.note(call, 'notable', 'refused', {
+    const importance = PASSED_ON.has(reason) ? 'notable' : 'failure';
+    this.replies.note(call, importance, 'refused', {
       reason,
       mayHaveRun,
       serverDied,
--- a/src/common/serving/server_trust.ts
+++ b/src/common/serving/server_trust.ts
@@ -71,8 +71,8 @@
     const change = this.life.onHealth(sample, now);
     this.noteLife(change, 'health check', now);
     const isKnown = sample.instanceId === this.life.instanceId;
-    if (isKnown && this.trust !== 'confirmed') {
-      this.note('server-confirmed', {was: this.trust});
+    if (isKnown) {
+      if (this.trust === 'down') this.note('server-up', {});
       this.trust = 'confirmed';
     }
     return before !== this.life.instanceId || change === 'gone';
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -62,7 +62,7 @@
   );
   const platform = adapter.createPlatform(initial.store, initial.bounds);
   await using unusedStore = platform.store;
-  const node = await servingNode.ServingNode.start({
+  await using node = await servingNode.ServingNode.start({
     settings: initial,
     platform,
     telemetry: log,
--- a/src/node/serving/dialect.ts
+++ b/src/node/serving/dialect.ts
@@ -109,7 +109,7 @@
   newest(topic: Topic): Promise<NewestRecords>;
 
   /**
-   * Reads records from an offset on; waits up to `waitMs` for the first.
+   * Reads records from an offset on; waits up to `waitMs` for the first, or until `stop`.
    *
    * @throws errors.GeraniumloftError if the store does not answer.
    */
@@ -117,6 +117,7 @@
     topic: Topic,
     fromOffset: number,
     waitMs: units.Millis,
+    stop: AbortSignal,
   ): Promise<FollowResult>;
 
   /**
--- a/src/node/serving/event_log.test.ts
+++ b/src/node/serving/event_log.test.ts
@@ -113,3 +113,18 @@
   assert.match(text, /latency_seconds_bucket/);
   assert.ok(text.split('\n').length < 3_000);
 });
+
+test('a failure brings the usual decisions that led to it', () => {
+  const {log, sink} = makeLog({routineShare: 0});
+  for (const event of ['sent', 'run']) {
+    log.write({...made('routine', 1), event});
+    log.write({...made('routine', 2), event});
+  }
+  assert.equal(sink.lines.length, 0);
+  log.write({...made('failure', 2), event: 'gave-up'});
+  const events = sink.lines.map(
+    line => (JSON.parse(line) as Record<string, unknown>)['event'],
+  );
+  assert.deepEqual(events, ['sent', 'run', 'gave-up']);
+  assert.ok(sink.lines.every(line => line.includes('"r2"')));
+});
--- a/src/node/serving/event_log.ts
+++ b/src/node/serving/event_log.ts
@@ -5,6 +5,7 @@
 
 import * as decision from '../../common/serving/decision.js';
 import * as units from '../../common/units.js';
+import * as heldLines from './held_lines.js';
 import * as requestSample from './request_sample.js';
 
 /** Bytes that may wait for the reader; lines beyond are dropped. */
@@ -31,6 +32,7 @@
 /** Writes decisions as JSON, one a line. */
 export class EventLog implements decision.DecisionLog {
   private readonly logger: loglevel.Logger;
+  private readonly held = new heldLines.HeldLines();
   private tokens: number;
   private refilledMs: units.MonotonicMs;
   private dropped = 0;
@@ -50,8 +52,23 @@
   }
 
   write(d: decision.Decision): void {
-    if (d.importance === 'routine' && !this.isSampled(d.requestId)) return;
-    const line = this.format(d);
+    const at = new Date();
+    const {importance, requestId} = d;
+    if (requestId !== undefined) {
+      if (importance === 'routine' && !this.isSampled(requestId)) {
+        return this.held.hold(requestId, {at, decision: d});
+      }
+      if (importance === 'failure') {
+        for (const led of this.held.take(requestId)) {
+          this.print(led.decision, led.at);
+        }
+      }
+    }
+    this.print(d, at);
+  }
+
+  private print(d: decision.Decision, at: Date): void {
+    const line = this.format(d, at);
     if (!this.take(line.length, d.importance)) {
       this.dropped++;
       return;
@@ -60,20 +77,15 @@
     this.logger.info(line);
   }
 
-  private isSampled(requestId: string | undefined): boolean {
-    const {routineShare} = this.options;
-    return (
-      requestId === undefined ||
-      requestSample.isSampled(requestId, routineShare)
-    );
+  private isSampled(requestId: string): boolean {
+    return requestSample.isSampled(requestId, this.options.routineShare);
   }
 
-  private format(d: decision.Decision): string {
+  private format(d: decision.Decision, at: Date): string {
     const {nodeId, processStartedMs} = this.options;
     const {component, event, requestId, facts} = d;
-    const at = new Date().toISOString();
     const line = {
-      at,
+      at: at.toISOString(),
       node: nodeId,
       process: processStartedMs,
       component,
@@ -106,12 +118,10 @@
     this.dropped = 0;
     this.noticedMs = now;
     this.logger.info(
-      this.format({
-        component: 'node',
-        event: 'log-dropped',
-        importance: 'belief',
-        facts,
-      }),
+      this.format(
+        {component: 'node', event: 'log-dropped', importance: 'belief', facts},
+        new Date(),
+      ),
     );
   }
 }
--- a/src/node/serving/node_stop.ts
+++ b/src/node/serving/node_stop.ts
@@ -10,7 +10,7 @@
 const REFUSE_SHARE = 0.48;
 
 /** Part of the allowed time after which the process ends whatever is unfinished. */
-const END_SHARE = 0.93;
+const END_SHARE = 0.88;
 
 /** Interval at which the end of the work is looked for. */
 const POLL_MS: units.Millis = 50;
--- a/src/node/serving/topic_follower.ts
+++ b/src/node/serving/topic_follower.ts
@@ -74,7 +74,8 @@
       this.nextOffset = newest.endOffset;
       return;
     }
-    const result = await store.follow(topic, this.nextOffset, waitMs());
+    const {signal} = this.stop;
+    const result = await store.follow(topic, this.nextOffset, waitMs(), signal);
     if (this.stop.signal.aborted) return;
     if (result.kind === 'expired') {
       this.nextOffset = undefined;
