--- a/src/common/serving/entry_call.ts
+++ b/src/common/serving/entry_call.ts
@@ -74,16 +74,20 @@
 }
 
 /** Why an entry gives up on a request. */
-export type GiveUpReason =
-  | 'unconfigured'
-  | 'no-server'
-  | 'no-room'
-  | 'no-time'
-  | 'quarantined'
-  | 'shed'
-  | 'server-failed'
-  | 'timeout'
-  | 'internal';
+export const GIVE_UP_REASONS = [
+  'unconfigured',
+  'no-server',
+  'no-room',
+  'no-time',
+  'quarantined',
+  'shed',
+  'server-failed',
+  'timeout',
+  'internal',
+] as const;
+
+/** One of the reasons. */
+export type GiveUpReason = (typeof GIVE_UP_REASONS)[number];
 
 /** The final word of an entry on a request that got no answer. */
 export interface GiveUp {
--- a/src/node/serving/server_run.ts
+++ b/src/node/serving/server_run.ts
@@ -94,7 +94,8 @@
     callback: undici.buildConnector.Callback,
   ): void {
     this.connect(options, (err, socket) => {
-      if (socket === null) return callback(err, null);
+      // The type says null; after a failure the connector passes undefined.
+      if (socket == null) return callback(err, null);
       socket.prependListener('error', cause => {
         this.socketError = cause;
       });
--- a/tools/docs_content.ts
+++ b/tools/docs_content.ts
@@ -1,6 +1,8 @@
 /** Text of the pages that are generated from the schemas and tables. */
 import * as fs from 'node:fs';
 
+import * as entryCall from '../src/common/serving/entry_call.js';
+import * as serving from '../src/generated/serving.js';
 import * as counterNames from '../src/common/counter_names.js';
 import * as peer from '../src/generated/peer.js';
 
@@ -53,6 +55,13 @@
     '',
     ...table(readSchema('settings')),
     '',
+    "## Settings of a node on the users' platform",
+    '',
+    'Read by `geraniumloft-node` at start, at SIGHUP and when the file changes; filled in from',
+    '`deploy/settings.jsonc.tmpl` by the platform. Faults and exit code as above.',
+    '',
+    ...table(readSchema('node_settings')),
+    '',
     '## Configuration of the fleet',
     '',
     'Published with `geraniumloft config publish`; in force on every node within seconds.',
@@ -162,10 +171,37 @@
       ([name, description]) => `| \`${name}\` | ${description} |`,
     ),
     '',
+    ...platformMetrics(),
   ].join('\n');
   return {path: 'docs/METRICS.md', text};
 }
 
+/** Series and reasons of the daemon for the users' platform. */
+function platformMetrics(): readonly string[] {
+  const names = (values: readonly string[], prefix: string): string =>
+    values
+      .filter(value => !/UNSPECIFIED|UNRECOGNIZED/.test(value))
+      .map(value => `\`${value.slice(prefix.length)}\``)
+      .join(', ');
+  return [
+    "## On the users' platform",
+    '',
+    '`geraniumloft-node` serves the text format of Prometheus on the metrics address of its settings.',
+    '',
+    '| series | labels | meaning |',
+    '|---|---|---|',
+    '| `geraniumloft_decisions_total` | component, event, reason | one for each line that the log can hold, logged or not |',
+    '| `geraniumloft_latency_seconds` | part, route | histogram: whole, waiting at the gate, at the backend server |',
+    '',
+    `Reasons of gates (\`REASON_\`): ${names(Object.values(serving.Reason), 'REASON_')}.`,
+    '',
+    `Closures of gates (\`CLOSURE_\`): ${names(Object.values(serving.Closure), 'CLOSURE_')}.`,
+    '',
+    `Reasons of entries: ${entryCall.GIVE_UP_REASONS.map(r => `\`${r}\``).join(', ')}.`,
+    '',
+  ];
+}
+
 function isReason(reason: peer.RefusalReason): boolean {
   return (
     reason !== peer.RefusalReason.UNSPECIFIED &&
