--- a/src/common/control/control_contract.ts
+++ b/src/common/control/control_contract.ts
@@ -66,6 +66,8 @@
   readonly records?: readonly EncodedRecord[];
   /** Members known by gossip only. */
   readonly provisional: readonly peer.ProvisionalMember[];
+  /** Requests that crash backend servers, for a node that was away when they were reported. */
+  readonly suspects: readonly peer.SuspectReport[];
   /** Age of the newest confirmed read of the log's tail, in milliseconds. */
   readonly logAgeMs: units.Millis;
 }
--- a/src/common/control/control_core.test.ts
+++ b/src/common/control/control_core.test.ts
@@ -191,6 +191,28 @@
   assert.notEqual(tookMs, undefined);
 });
 
+nodeTest.test(
+  'a node that was away learns of suspect requests with the state it pulls',
+  () => {
+    const fleet = newFleet(8);
+    fleet.runFor(10_000);
+    const [finder, away] = nodesOf(fleet);
+    const {nodeId} = away.member;
+    const report = {fingerprint: 'f', deaths: 2, expiresInMs: 600_000};
+    fleet.deliver(finder, {kind: 'suspect-found', report});
+    // Rumours are passed on a bounded number of times; by then they have died down.
+    fleet.runFor(60_000);
+    fleet.restart(nodeId);
+    const knows = (): boolean =>
+      fleet.nodes.get(nodeId)?.notices.some(t => t.notice.kind === 'suspect') ??
+      false;
+    assert.notEqual(
+      fleet.runUntil(() => knows(), 5_000),
+      undefined,
+    );
+  },
+);
+
 nodeTest.test(
   "a node that starts behind a long log takes a peer's state",
   () => {
--- a/src/common/control/control_core.ts
+++ b/src/common/control/control_core.ts
@@ -155,7 +155,14 @@
   ): control.PeerState {
     const ageMs = this.upkeep.lease.wireAgeMs(now.monotonicMs);
     const provisional = this.gossip.provisional.all(now.monotonicMs);
-    return this.log.peerState(this.self.nodeId, fromOffset, ageMs, provisional);
+    const suspects = this.gossip.suspectReports(now.monotonicMs);
+    const state = this.log.peerState(
+      this.self.nodeId,
+      fromOffset,
+      ageMs,
+      provisional,
+    );
+    return {...state, suspects};
   }
 
   nextWakeMs(): units.MonotonicMs | undefined {
@@ -268,6 +275,10 @@
     for (const told of state.provisional) {
       this.gossip.provisional.take(told, now.monotonicMs);
     }
+    for (const report of state.suspects) {
+      if (!this.gossip.spreadSuspect(report, now.monotonicMs)) continue;
+      this.outbox.tell({kind: 'suspect', report});
+    }
     if (sentMs === undefined || state.rosterOffset > this.log.nextOffset) {
       return;
     }
--- a/src/common/control/gossip.ts
+++ b/src/common/control/gossip.ts
@@ -115,6 +115,14 @@
     return true;
   }
 
+  /** Requests under suspicion, with the time that each report has left. */
+  suspectReports(nowMs: units.MonotonicMs): readonly peer.SuspectReport[] {
+    return this.suspects.live(nowMs).map(({item, leftMs}) => ({
+      ...item,
+      expiresInMs: Math.ceil(leftMs),
+    }));
+  }
+
   /** Notes that this node was paused. */
   noteWoke(nowMs: units.MonotonicMs): void {
     this.detector.forgetOutstanding();
--- a/src/common/control/log_state.ts
+++ b/src/common/control/log_state.ts
@@ -78,7 +78,7 @@
     fromOffset: number | undefined,
     logAgeMs: units.Millis,
     provisional: readonly peer.ProvisionalMember[],
-  ): control.PeerState {
+  ): Omit<control.PeerState, 'suspects'> {
     const common = {nodeId, rosterOffset: this.next, logAgeMs, provisional};
     const records =
       fromOffset === undefined ? undefined : this.recordsFrom(fromOffset);
--- a/src/node/operator_server.test.ts
+++ b/src/node/operator_server.test.ts
@@ -30,6 +30,7 @@
       departures: [],
       complete: true,
       provisional: [],
+      suspects: [],
       logAgeMs: 1,
     }),
     receiveKeys: handover => void received.push(handover),
--- a/test/fakes/virtual_service.ts
+++ b/test/fakes/virtual_service.ts
@@ -227,7 +227,11 @@
   /** Time over which backend servers warm up. */
   warmUpMs = 4_000;
 
+  /** Reports of suspect requests, as the state that a starting node pulls holds them. */
+  private readonly suspects: peer.SuspectReport[] = [];
+
   onSuspect(from: nodes.VirtualNode, report: peer.SuspectReport): void {
+    this.suspects.push(report);
     for (const n of this.nodes) {
       if (n === from) continue;
       const delayMs = SUSPECT_SPREAD_MS * this.random.next();
@@ -281,6 +285,7 @@
     );
     this.setLiveness(n, peer.LivenessState.ALIVE);
     this.startNode(n, incarnation);
+    for (const report of this.suspects) n.tellGate({kind: 'suspect', report});
   }
 
   private addDeparture(n: nodes.VirtualNode): void {
