--- /dev/null
+++ b/test/paths/failed_requests.test.ts
@@ -0,0 +1,100 @@
+import * as assert from 'node:assert/strict';
+import * as fs from 'node:fs';
+import * as nodeTest from 'node:test';
+
+import * as child from './child.js';
+import * as platformFleet from './platform_fleet.js';
+
+const {test} = nodeTest;
+
+const PAGE = 'docs/OPERATIONS.md';
+
+const TRACE_TIMEOUT_MS = 5_000;
+
+/** Writes the logs of all nodes to files and asks the command line about a request. */
+async function trace(
+  fleet: platformFleet.PlatformFleet,
+  requestId: string,
+): Promise<string> {
+  const files = fleet.nodes.map(node =>
+    child.temporaryFile(`${node.name}.log`, node.process.printed),
+  );
+  const args = ['trace', requestId, '--logs', ...files];
+  const program = 'src/cli/main.js';
+  await using started = child.startProgram('trace', program, args);
+  assert.equal(await started.exitStatus(), 0, started.printed);
+  await child.until(
+    () => started.printed.includes('decided by:'),
+    TRACE_TIMEOUT_MS,
+    () => `a verdict in ${started.printed}`,
+  );
+  return started.printed.split('decided by: ')[1].trim();
+}
+
+/** The page must show the line by its words that do not change from run to run. */
+function assertOnPage(decided: string): void {
+  const words = decided
+    .split(' ')
+    .filter(word =>
+      /^(entry|gate|refused|gave-up|reason=|mayHaveRun=|serverDied=|closure=)/.test(
+        word,
+      ),
+    )
+    .join(' ');
+  const page = fs.readFileSync(PAGE, 'utf8');
+  assert.ok(page.includes(words), `${PAGE} does not show: ${words}`);
+}
+
+test('a request that found no room is traced to the gate that refused it', async () => {
+  await using fleet = await platformFleet.PlatformFleet.start(1);
+  const [node] = fleet.nodes;
+  node.server.mode = {kind: 'well', workMs: 500};
+  const answers = await Promise.all(
+    Array.from({length: 60}, (unused, i) =>
+      fleet.send(node, {id: `full${i}`, deadlineMs: 1_500}),
+    ),
+  );
+  const refused = answers.findIndex(({status}) => status === 503);
+  assert.ok(refused >= 0);
+  assert.ok(Number(answers[refused].headers['retry-after']) > 0);
+  const decided = await trace(fleet, `full${refused}`);
+  assert.match(decided, / gate refused .*reason=REASON_(OVERLOADED|NO_TIME) /);
+  assert.match(decided, /waiting=\d+ limit=8/);
+  assertOnPage(decided);
+});
+
+test('a request whose answer was lost is traced to its server, which lives', async () => {
+  await using fleet = await platformFleet.PlatformFleet.start(1);
+  const [node] = fleet.nodes;
+  node.server.mode = {kind: 'answer-lost'};
+  const order = {id: 'lost', path: '/place/1', method: 'POST', body: 'order'};
+  const {status} = await fleet.send(node, order);
+  assert.equal(status, 502);
+  const decided = await trace(fleet, 'lost');
+  assert.match(
+    decided,
+    /reason=REASON_BROKEN mayHaveRun=true serverDied=false/,
+  );
+  assertOnPage(decided);
+});
+
+test('a request that met a leaving server is traced to the closed gate', async () => {
+  await using fleet = await platformFleet.PlatformFleet.start(1);
+  const [node] = fleet.nodes;
+  node.server.mode = {kind: 'well', workMs: 400};
+  const sent = Array.from({length: 10}, (unused, i) =>
+    fleet.send(node, {id: `leave${i}`}),
+  );
+  await child.until(
+    () => node.server.running === 8,
+    TRACE_TIMEOUT_MS,
+    () => 'the slots to fill',
+  );
+  await node.server.announce(node.control, 'draining');
+  const answers = await Promise.all(sent);
+  const refused = answers.findIndex(({status}) => status === 503);
+  const decided = await trace(fleet, `leave${refused}`);
+  assert.match(decided, /reason=REASON_CLOSED/);
+  assert.match(decided, /closure=CLOSURE_SERVER_LEAVING/);
+  assertOnPage(decided);
+});
