Soak the node as real processes under faults from outside

Kills, stops, pauses, links that are delayed, reset, cut one way, refused or silenced by a relay on loopback, a store that is busy or silent, servers that lose, cut, hang or fail, leave and are replaced, evacuations; overlapping, drawn by seed. Judged by what callers and servers saw.

--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -299,6 +299,7 @@
 
 function recordOf(settings: generated.NodeSettings): serving.NodeRecord {
   const {nodeId, dataCentre, service, listen} = settings;
-  const {ip, port} = address.parseAddress(listen.peers);
+  const at = listen.advertised ?? listen.peers;
+  const {ip, port} = address.parseAddress(at);
   return {nodeId, dataCentre, service, ip, port};
 }
--- a/test/paths/platform_fleet.ts
+++ b/test/paths/platform_fleet.ts
@@ -5,6 +5,7 @@
 import * as serverStandIn from '../stand_ins/platform/server_stand_in.js';
 import * as storeStandIn from '../stand_ins/platform/store_stand_in.js';
 import * as child from './child.js';
+import * as faultRelay from './fault_relay.js';
 
 const READY_TIMEOUT_MS = 15_000;
 
@@ -20,6 +21,8 @@
   readonly control: string;
   readonly readiness: string;
   readonly settings: string;
+  /** Carries the links of other nodes to this one. */
+  readonly relay: faultRelay.FaultRelay;
 }
 
 /** An answer to a caller. */
@@ -77,6 +80,8 @@
     const [callers, peers, control, readiness] = ports.map(
       port => `127.0.0.1:${port}`,
     );
+    const relay = new faultRelay.FaultRelay(ports[1]);
+    const advertised = await relay.listen();
     const settings = child.temporaryFile(
       `node${i}.jsonc`,
       JSON.stringify({
@@ -84,7 +89,13 @@
         dataCentre,
         service: 'orders',
         server: address,
-        listen: {callers, peers, announcements: control, readiness},
+        listen: {
+          callers,
+          peers,
+          advertised,
+          announcements: control,
+          readiness,
+        },
         store: this.storeAddress,
         bounds: {grace_s: 4},
         routineLogShare: 1,
@@ -92,7 +103,16 @@
     );
     const name = `node-${i}`;
     const process = startDaemon(name, settings);
-    const node = {name, process, server, callers, control, readiness, settings};
+    const node = {
+      name,
+      process,
+      server,
+      callers,
+      control,
+      readiness,
+      settings,
+      relay,
+    };
     this.nodes.push(node);
     return node;
   }
@@ -155,6 +175,7 @@
     for (const node of this.nodes) {
       await node.process[Symbol.asyncDispose]();
       await node.server[Symbol.asyncDispose]();
+      await node.relay[Symbol.asyncDispose]();
     }
     await this.store[Symbol.asyncDispose]();
   }
--- /dev/null
+++ b/test/soak/soak.test.ts
@@ -0,0 +1,21 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+
+import * as soakRun from './soak_run.js';
+
+/** Seeds that every CI run plays. */
+const CI_SEEDS = [1, 2];
+
+/** Seeds that failed once, with the cause. */
+const REGRESSION_SEEDS: readonly number[] = [];
+
+for (const seed of [...CI_SEEDS, ...REGRESSION_SEEDS]) {
+  nodeTest.test(
+    `promises hold under faults from outside, seed ${seed}`,
+    async () => {
+      const outcome = await soakRun.run(seed);
+      assert.deepEqual(outcome.breaches, [], outcome.faults.join('\n'));
+      assert.ok(outcome.served > 0);
+    },
+  );
+}
--- a/tools/run_tests.ts
+++ b/tools/run_tests.ts
@@ -11,7 +11,7 @@
 const KNOWN_RED_FILE = 'KNOWN-RED.txt';
 const TEST_TIMEOUT_MS = 300_000;
 const PARALLEL_FILES = 4;
-const PROCESS_TESTS = ['test/paths/', 'src/cli/'];
+const PROCESS_TESTS = ['test/paths/', 'test/soak/', 'src/cli/'];
 
 function testFiles(filter: string | undefined): readonly string[] {
   return fs
