Let few nodes read the store; find nodes by write and read at start

Change: of each data centre the first two nodes that the store answers read the operators' records and tell the others; pulses say who reads with success, so that others take over within seconds. Nobody follows the fleet's topic: a node writes its record, then reads all, and dials; greetings tell the rest. Links without requests tell their load every 4 s.

--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -13,9 +13,15 @@
 /** Time without a frame after which a session is ended; entries ask for a sign of life earlier. */
 const IDLE_TIMEOUT_MS: units.Millis = 60_000;
 
-/** Interval at which the load is told even if it has not changed. */
+/** Interval at which an entry that sends requests is told the load. */
 const PULSE_INTERVAL_MS: units.Millis = 1_000;
 
+/** Interval for an entry that sends none; most pairs of a large fleet are idle. */
+const IDLE_PULSE_INTERVAL_MS: units.Millis = 4_000;
+
+/** Time after a request for which an entry counts as sending. */
+const SENDING_MS: units.Millis = 3_000;
+
 /** What happens on sessions. */
 export interface EntrySessionsListener {
   /** A node has greeted. */
@@ -39,6 +45,7 @@
   /** Names the entry's process, undefined before its greeting. */
   entry: string | undefined;
   pulsedMs: units.MonotonicMs = 0;
+  dispatchedMs: units.MonotonicMs = -Infinity;
 
   constructor(
     readonly id: number,
@@ -96,7 +103,9 @@
   tick(now: units.MonotonicMs): void {
     const value = this.options.pulse();
     for (const session of this.sessions.values()) {
-      if (now - session.pulsedMs < PULSE_INTERVAL_MS) continue;
+      const sending = now - session.dispatchedMs < SENDING_MS;
+      const interval = sending ? PULSE_INTERVAL_MS : IDLE_PULSE_INTERVAL_MS;
+      if (now - session.pulsedMs < interval) continue;
       this.pulse(session, value, now);
     }
   }
@@ -149,6 +158,7 @@
     switch (body?.$case) {
       case 'dispatch': {
         const key = `${session.entry}/${body.value.call}`;
+        session.dispatchedMs = this.options.nowMs();
         return listener.onDispatch(key, session.id, body.value);
       }
       case 'withdraw':
--- a/src/node/serving/entry_side.ts
+++ b/src/node/serving/entry_side.ts
@@ -47,6 +47,8 @@
   readonly callers: callerPort.CallerPort;
   readonly links: gateLinks.GateLinks;
   private readonly entry: entryModule.Entry;
+  /** Nodes that read the operators' records with success. */
+  private readonly readers = new Set<string>();
   private readonly reports = new gateReports.GateReports();
   private readonly resources = new resourceStack.ResourceStack();
 
@@ -56,6 +58,11 @@
     this.callers = this.resources.use(this.makeCallerPort());
   }
 
+  /** Whether a node is known to read the operators' records with success. */
+  readsStore(nodeId: string): boolean {
+    return this.readers.has(nodeId);
+  }
+
   /** Next time at which `tick` has something to do. */
   nextWakeMs(): units.MonotonicMs {
     return this.entry.nextWakeMs();
@@ -94,7 +101,10 @@
       greeting,
       nowMs: clock.monotonicMs,
       listener: {
-        onDown: nodeId => this.reports.forget(nodeId),
+        onDown: nodeId => {
+          this.reports.forget(nodeId);
+          this.readers.delete(nodeId);
+        },
         onAnswer: (nodeId, answer) => {
           this.entry.onAnswer(nodeId, answer, clock.monotonicMs());
           afterEvent();
@@ -105,6 +115,8 @@
         },
         onPulse: (nodeId, pulse) => {
           this.reports.onLoad(nodeId, pulse.load, clock.monotonicMs());
+          if (pulse.readsStore) this.readers.add(nodeId);
+          else this.readers.delete(nodeId);
           knowledge().onPeerOffset(nodeId, pulse.intentOffset);
         },
         onState: (nodeId, state) => knowledge().onState(nodeId, state),
--- a/src/node/serving/fleet_knowledge.ts
+++ b/src/node/serving/fleet_knowledge.ts
@@ -7,10 +7,12 @@
 import * as serving from '../../generated/serving.js';
 import * as dialect from './dialect.js';
 import * as fleetDirectory from './fleet_directory.js';
-import * as ownRecord from './own_record.js';
 
-/** Time that the store has to tell what a peer knows already. */
-const PEER_LEAD_MS: units.Millis = 150;
+/** Time that the store has to tell a reader what a peer knows already. */
+const READER_LEAD_MS: units.Millis = 150;
+
+/** Time that nodes of the same data centre have to tell it, as bytes between them are dear. */
+const NEAR_LEAD_MS: units.Millis = 250;
 
 /** Least time between two requests for a peer's state. */
 const STATE_INTERVAL_MS: units.Millis = 400;
@@ -23,7 +25,8 @@
   readonly decoder: dialect.IntentDecoder;
   readonly log: decision.DecisionLog;
   readonly onIntentChanged: () => void;
-  readonly onOwnRecord: (record: serving.NodeRecord | undefined) => void;
+  /** Whether this node reads the operators' records itself. */
+  readonly isReader: () => boolean;
   readonly requestState: (nodeId: string) => void;
   nowMs(): units.MonotonicMs;
 }
@@ -57,25 +60,6 @@
     this.noteIntent(this.options.intent.applyChange(change), 'store');
   }
 
-  /** Takes the newest records of the fleet's topic. */
-  onFleetNewest({records}: dialect.NewestRecords): void {
-    const {directory, onOwnRecord} = this.options;
-    const ownKey = ownRecord.keyOf(directory.self.nodeId);
-    for (const record of records) this.onFleetRecord(record);
-    if (!records.some(record => record.key === ownKey)) onOwnRecord(undefined);
-  }
-
-  /** Takes a record of the fleet's topic. */
-  onFleetRecord({key, value}: dialect.StoreRecord): void {
-    const {directory, onOwnRecord} = this.options;
-    const nodeId = ownRecord.nodeIdOf(key);
-    if (nodeId === undefined) return;
-    const record = value && ownRecord.decode(value);
-    if (nodeId === directory.self.nodeId) return onOwnRecord(record);
-    if (record?.nodeId === nodeId) directory.put(record);
-    else if (record === undefined) directory.remove(nodeId);
-  }
-
   /**
    * Takes a peer's version; asks for its state if the store does not bring what it knows.
    *
@@ -88,7 +72,7 @@
       return;
     }
     this.behindSinceMs ??= now;
-    if (now - this.behindSinceMs < PEER_LEAD_MS) return;
+    if (now - this.behindSinceMs < this.leadMs(nodeId)) return;
     if (now - this.requestedMs < STATE_INTERVAL_MS) return;
     this.requestedMs = now;
     this.options.requestState(nodeId);
@@ -127,6 +111,14 @@
     return intent.isKnown ? intent.offset + 1 : 0;
   }
 
+  /** Time to wait for a cheaper source than the peer. */
+  private leadMs(nodeId: string): units.Millis {
+    const {directory, isReader} = this.options;
+    if (isReader()) return READER_LEAD_MS;
+    const {dataCentre} = directory.self;
+    return directory.get(nodeId)?.dataCentre === dataCentre ? 0 : NEAR_LEAD_MS;
+  }
+
   private decode(
     record: dialect.StoreRecord,
   ): readonly operatorIntent.IntentChange[] {
--- a/src/node/serving/gate_link.test.ts
+++ b/src/node/serving/gate_link.test.ts
@@ -31,7 +31,11 @@
       processStartedMs: this.processStartedMs,
       toNodeId,
     }),
-    pulse: () => ({load: fixtures.load(), intentOffset: 1}),
+    pulse: () => ({
+      load: fixtures.load(),
+      intentOffset: 1,
+      readsStore: true,
+    }),
     state: () => serving.FleetState.fromPartial({intentOffset: 1}),
     listener: {
       onGreeting: () => undefined,
--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -9,8 +9,8 @@
 /** Silence with requests outstanding after which the gate is asked for a sign of life. */
 const SILENCE_MS: units.Millis = 250;
 
-/** Silence without requests after which it is asked; gates send their load every second. */
-const IDLE_SILENCE_MS: units.Millis = 2_500;
+/** Silence without requests after which it is asked; gates send their load every 4 s at least. */
+const IDLE_SILENCE_MS: units.Millis = 6_000;
 
 /** Time allowed for the sign of life. */
 const PING_TIMEOUT_MS: units.Millis = 300;
@@ -24,7 +24,7 @@
 
 /** Waits between attempts to open the link; doubled after each failure. */
 const FIRST_BACKOFF_MS: units.Millis = 100;
-const MAX_BACKOFF_MS: units.Millis = 2_000;
+const MAX_BACKOFF_MS: units.Millis = 4_000;
 
 /** What happens on a link. */
 export interface GateLinkListener {
@@ -105,6 +105,12 @@
     this.send({$case: 'stateWanted', value: {}});
   }
 
+  /** Opens the link at once if it waits: the node has given a sign of life. */
+  wake(): void {
+    this.backoffMs = FIRST_BACKOFF_MS;
+    if (this.state.kind === 'waiting') this.open();
+  }
+
   /** Does what time has made due. */
   tick(now: units.MonotonicMs): void {
     switch (this.state.kind) {
--- a/src/node/serving/gate_links.ts
+++ b/src/node/serving/gate_links.ts
@@ -53,6 +53,11 @@
     this.links.get(nodeId)?.withdraw(call);
   }
 
+  /** A node has given a sign of life. */
+  wake(nodeId: string): void {
+    this.links.get(nodeId)?.wake();
+  }
+
   /** Asks a node for the state of the fleet. */
   requestState(nodeId: string): void {
     this.links.get(nodeId)?.requestState();
--- a/src/node/serving/gate_side.ts
+++ b/src/node/serving/gate_side.ts
@@ -39,6 +39,10 @@
   readonly log: telemetry.Telemetry;
   readonly ownEntry: OwnEntry;
   greeting(toNodeId: string): serving.Greeting;
+  /** Whether this node reads the operators' records with success. */
+  readsStore(): boolean;
+  /** Another node has opened a link. */
+  onSignOfLife(nodeId: string): void;
   /** Called after each event of the gate. */
   afterEvent(): void;
 }
@@ -86,6 +90,11 @@
     this.gate.onWithdraw(ownKey(call), clock.monotonicMs());
   }
 
+  /** Tells all entries at once what pulses hold. */
+  pulseNow(): void {
+    this.sessions.pulseNow();
+  }
+
   /** The operators' intent has changed. */
   onIntentChanged(now: units.MonotonicMs): void {
     this.gate.onIntent(now);
@@ -176,10 +185,14 @@
       pulse: () => ({
         load: this.gate.load(clock.monotonicMs()),
         intentOffset: knowledge().shiftedOffset,
+        readsStore: this.options.readsStore(),
       }),
       state: () => knowledge().state(),
       listener: {
-        onGreeting: sender => directory.put(sender),
+        onGreeting: sender => {
+          directory.put(sender);
+          this.options.onSignOfLife(sender.nodeId);
+        },
         onDispatch: (key, source, dispatch) => {
           this.health.onRequest();
           const now = clock.monotonicMs();
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -13,10 +13,10 @@
 import * as dialect from './dialect.js';
 import * as entrySide from './entry_side.js';
 import * as fleetDirectory from './fleet_directory.js';
+import * as fleetRegistry from './fleet_registry.js';
 import * as fleetKnowledge from './fleet_knowledge.js';
 import * as gateSide from './gate_side.js';
 import * as nodeStop from './node_stop.js';
-import * as ownRecord from './own_record.js';
 import * as serverMessages from './server_messages.js';
 import * as smallServer from './small_server.js';
 import * as storeReaders from './store_readers.js';
@@ -25,9 +25,6 @@
 /** Interval of the work that no event triggers. */
 const TICK_MS: units.Millis = 50;
 
-/** Nodes, first by name, that look for a lost connection to the store early. */
-const READERS = 2;
-
 const OK = 200;
 const UNAVAILABLE = 503;
 
@@ -46,7 +43,7 @@
   private readonly random: randomSource.SeededRandom;
   private readonly directory: fleetDirectory.FleetDirectory;
   private readonly knowledge: fleetKnowledge.FleetKnowledge;
-  private readonly record: ownRecord.OwnRecord;
+  private readonly readers: storeReaders.StoreReaders;
   private readonly gates: gateSide.GateSide;
   private readonly entries: entrySide.EntrySide;
   private readonly resources = new resourceStack.ResourceStack();
@@ -59,14 +56,13 @@
     private readonly options: ServingNodeOptions,
     fingerprint: requestFingerprint.RequestFingerprint,
   ) {
-    const {settings, platform, telemetry: log} = options;
+    const {settings} = options;
     const use = this.resources.use.bind(this.resources);
     this.settings = settings;
     this.random = new randomSource.SeededRandom(options.processStartedMs | 0);
     this.directory = use(new fleetDirectory.FleetDirectory(recordOf(settings)));
-    const {store} = platform;
-    this.record = use(new ownRecord.OwnRecord(store, this.directory, log));
     this.knowledge = this.makeKnowledge();
+    this.readers = use(this.makeStoreReaders());
     this.gates = use(this.makeGateSide());
     this.entries = use(this.makeEntrySide(fingerprint));
     this.gates.setServer(address.parseAddress(settings.server));
@@ -136,7 +132,8 @@
       this.gates.listen(address.parseAddress(listen.peers)),
       this.entries.callers.listen(address.parseAddress(listen.callers)),
     ]);
-    this.makeStoreReaders().start();
+    this.readers.start();
+    this.resources.use(this.makeRegistry()).start();
     this.arm(clock.monotonicMs() + TICK_MS);
   }
 
@@ -151,24 +148,27 @@
 
   private makeStoreReaders(): storeReaders.StoreReaders {
     const {platform, telemetry: log} = this.options;
-    const {knowledge, random} = this;
-    return this.resources.use(
-      new storeReaders.StoreReaders({
-        store: platform.store,
-        knowledge,
-        random,
-        log,
-        isReader: () => this.isReader(),
-      }),
-    );
+    const {knowledge, directory, random} = this;
+    return new storeReaders.StoreReaders({
+      store: platform.store,
+      knowledge,
+      directory,
+      random,
+      log,
+      readsStore: nodeId => this.entries.readsStore(nodeId),
+      knownOffset: () => this.intent.offset,
+      onReadsStore: () => this.gates.pulseNow(),
+    });
   }
 
-  private isReader(): boolean {
-    const {self, others} = this.directory;
-    const earlier = others.filter(
-      ({nodeId}) => nodeId < self.nodeId && this.entries.links.isUp(nodeId),
-    );
-    return earlier.length < READERS;
+  private makeRegistry(): fleetRegistry.FleetRegistry {
+    const {platform, telemetry: log} = this.options;
+    return new fleetRegistry.FleetRegistry({
+      store: platform.store,
+      directory: this.directory,
+      log,
+      random: () => this.random.next(),
+    });
   }
 
   private makeKnowledge(): fleetKnowledge.FleetKnowledge {
@@ -181,7 +181,7 @@
       log,
       nowMs: clock.monotonicMs,
       onIntentChanged: () => this.onIntentChanged(),
-      onOwnRecord: record => this.record.onStored(record),
+      isReader: () => this.readers.isReader,
       requestState: nodeId => this.entries.links.requestState(nodeId),
     });
   }
@@ -190,6 +190,8 @@
     return new gateSide.GateSide({
       ...this.shared(),
       suspects: this.suspects,
+      readsStore: () => this.readers.readsStore,
+      onSignOfLife: nodeId => this.entries.links.wake(nodeId),
       ownEntry: {
         onAnswer: answer => this.entries.onOwnAnswer(answer),
         onRefusal: refusal => this.entries.onOwnRefusal(refusal),
--- a/src/node/serving/topic_follower.ts
+++ b/src/node/serving/topic_follower.ts
@@ -12,6 +12,9 @@
 /** Part of a wait that is random, so that nodes do not come back at once. */
 const BACKOFF_JITTER = 0.5;
 
+/** Interval at which it is looked whether records have to be read again. */
+const UNNEEDED_WAIT_MS: units.Millis = 500;
+
 /** Wait after a read that ended before what is known: the store shows an older state. */
 const STALE_WAIT_MS: units.Millis = 300;
 
@@ -30,6 +33,12 @@
   readonly log: decision.DecisionLog;
   /** Longest wait of a read for the next record. */
   waitMs(): units.Millis;
+  /** Whether records have to be read now; the first state is always read. */
+  isNeeded(): boolean;
+  /** Offset of the newest record known from elsewhere. */
+  knownOffset(): number;
+  /** The store answers again, or no longer. */
+  onReachable(): void;
   random(): number;
 }
 
@@ -38,10 +47,16 @@
   private readonly stop = new AbortController();
   private nextOffset: number | undefined;
   private failures = 0;
+  private reachable = false;
   private done: Promise<void> | undefined;
 
   constructor(private readonly options: TopicFollowerOptions) {}
 
+  /** Whether the newest read was answered. */
+  get isReachable(): boolean {
+    return this.reachable;
+  }
+
   /** Starts to follow. */
   start(): void {
     this.done = this.run();
@@ -74,7 +89,10 @@
       this.nextOffset = newest.endOffset;
       return;
     }
+    if (!this.options.isNeeded()) return this.pause(UNNEEDED_WAIT_MS);
     const {signal} = this.stop;
+    const known = this.options.knownOffset();
+    this.nextOffset = Math.max(this.nextOffset, known + 1);
     const result = await store.follow(topic, this.nextOffset, waitMs(), signal);
     if (this.stop.signal.aborted) return;
     if (result.kind === 'expired') {
@@ -102,6 +120,7 @@
 
   private noteFailure(err: unknown): void {
     this.failures++;
+    this.setReachable(false);
     if (this.failures > 1) return;
     const detail = err instanceof Error ? err.message : String(err);
     this.note('store-lost', {detail});
@@ -110,6 +129,13 @@
   private noteRegained(): void {
     if (this.failures > 0) this.note('store-regained', {});
     this.failures = 0;
+    this.setReachable(true);
+  }
+
+  private setReachable(reachable: boolean): void {
+    if (this.reachable === reachable) return;
+    this.reachable = reachable;
+    this.options.onReachable();
   }
 
   private note(event: string, facts: decision.Facts): void {
