Keep a request whose second run is refused

Only repeatable requests have second runs, so no unsafe request was hit. A refusal now ends a request only if no other attempt is open.

--- a/src/common/serving/entry.test.ts
+++ b/src/common/serving/entry.test.ts
@@ -176,3 +176,17 @@
   world.answerLast(200, 20);
   assert.equal(world.responses.length, 1);
 });
+
+test('a refused second run leaves the first one to bring the answer', () => {
+  const world = new fixtures.EntryWorld([NEAR, FAR, fixtures.gate('other')]);
+  world.request({attempts: 3});
+  const [first] = world.sent;
+  world.entry.tick(590);
+  assert.equal(world.sent.length, 2);
+  world.refuseLast(Reason.OVERLOADED, {}, 600);
+  assert.deepEqual([world.givenUp, world.withdrawn], [[], []]);
+  const {call} = first.dispatch;
+  const answer = serving.Answer.fromPartial({call, status: 200});
+  world.entry.onAnswer(first.nodeId, answer, 700);
+  assert.equal(world.responses.length, 1);
+});
--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -145,11 +145,11 @@
         call.servers++;
         return this.repeat(call, {reason: refusal.reason}, now);
       case serving.Reason.OVERLOADED:
-        return this.giveUp(call, 'no-room', now);
+        return this.endUnlessOpen(call, 'no-room', now);
       case serving.Reason.NO_TIME:
-        return this.giveUp(call, 'no-time', now);
+        return this.endUnlessOpen(call, 'no-time', now);
       case serving.Reason.QUARANTINED:
-        return this.giveUp(call, 'quarantined', now);
+        return this.endUnlessOpen(call, 'quarantined', now);
       default:
         call.closed.add(nodeId);
         return this.advance(call, now);
@@ -341,6 +341,15 @@
     this.options.output.respond(call.request.id, answer);
   }
 
+  /** Gives a call up, but not while another attempt may still bring its answer. */
+  private endUnlessOpen(
+    call: entryCall.EntryCall,
+    reason: entryCall.GiveUpReason,
+    now: units.MonotonicMs,
+  ): void {
+    if (call.attempts.size === 0) this.giveUp(call, reason, now);
+  }
+
   private giveUp(
     call: entryCall.EntryCall,
     reason: entryCall.GiveUpReason,
