--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,13 +1,12 @@
 #!/usr/bin/env node
 /** The daemon for the users' platform: `geraniumloft-node [--settings FILE] [--check]`. */
-import * as util from 'node:util';
-
 import * as adapter from '../../platform/adapter.js';
 import * as generated from '../generated/node_settings.js';
 import * as eventLog from '../node/serving/event_log.js';
 import * as nodeSettings from '../node/serving/node_settings.js';
 import * as servingNode from '../node/serving/serving_node.js';
 import * as telemetry from '../node/serving/telemetry.js';
+import * as program from '../node/program.js';
 import * as settings from '../node/settings.js';
 
 /** Names the settings file where the command line does not. */
@@ -16,35 +15,8 @@
 /** Interval at which the settings file is looked at; it may change without a signal. */
 const SETTINGS_CHECK_MS = 1_000;
 
-/** Exit status for wrong arguments or settings. */
-const USAGE_STATUS = 2;
-
-/** Exit status after a failure to start. */
-const FAILED_STATUS = 1;
-
 const USAGE = 'usage: geraniumloft-node [--settings FILE] [--check]';
 
-interface Arguments {
-  readonly path: string;
-  readonly check: boolean;
-}
-
-function parseArguments(args: readonly string[]): Arguments | undefined {
-  try {
-    const {values} = util.parseArgs({
-      args: [...args],
-      options: {
-        settings: {type: 'string'},
-        check: {type: 'boolean', default: false},
-      },
-    });
-    const path = values.settings ?? process.env[SETTINGS_VARIABLE];
-    return path === undefined ? undefined : {path, check: values.check};
-  } catch {
-    return undefined;
-  }
-}
-
 async function run(
   path: string,
   initial: generated.NodeSettings,
@@ -109,22 +81,20 @@
 }
 
 async function main(): Promise<number> {
-  const args = parseArguments(process.argv.slice(2));
+  const args = program.parseArguments(
+    process.argv.slice(2),
+    process.env[SETTINGS_VARIABLE],
+  );
   if (args === undefined) {
     console.error(USAGE);
-    return USAGE_STATUS;
+    return program.USAGE_STATUS;
   }
   try {
-    const initial = nodeSettings.readNodeSettings(args.path);
-    if (!args.check) await run(args.path, initial);
+    const initial = nodeSettings.readNodeSettings(args.settings);
+    if (!args.check) await run(args.settings, initial);
     return 0;
   } catch (err) {
-    if (err instanceof settings.SettingsError) {
-      for (const line of err.lines) console.error(line);
-      return USAGE_STATUS;
-    }
-    console.error(err instanceof Error ? (err.stack ?? err.message) : err);
-    return FAILED_STATUS;
+    return program.reportFailure(err);
   }
 }
 
--- a/src/node/serving/fleet_registry.ts
+++ b/src/node/serving/fleet_registry.ts
@@ -1,9 +1,8 @@
 /** Keeps this node's record in the store, and learns those of other nodes there. */
-import * as timers from 'node:timers/promises';
-
 import * as decision from '../../common/serving/decision.js';
 import * as units from '../../common/units.js';
 import * as serving from '../../generated/serving.js';
+import * as abortablePause from './abortable_pause.js';
 import * as dialect from './dialect.js';
 import * as fleetDirectory from './fleet_directory.js';
 
@@ -86,13 +85,9 @@
     }
   }
 
-  private async pause(ms: units.Millis): Promise<void> {
+  private pause(ms: units.Millis): Promise<void> {
     const waitMs = ms * (1 + JITTER * this.options.random());
-    try {
-      await timers.setTimeout(waitMs, undefined, {signal: this.stop.signal});
-    } catch {
-      // Disposed while waiting.
-    }
+    return abortablePause.pause(waitMs, this.stop.signal);
   }
 
   private noteFailure(err: unknown): void {
--- a/src/node/serving/topic_follower.ts
+++ b/src/node/serving/topic_follower.ts
@@ -1,8 +1,7 @@
 /** Follows a topic of the store: first the newest record of each key, then records as they come. */
-import * as timers from 'node:timers/promises';
-
 import * as decision from '../../common/serving/decision.js';
 import * as units from '../../common/units.js';
+import * as abortablePause from './abortable_pause.js';
 import * as dialect from './dialect.js';
 
 /** Waits after a failed read; doubled after each failure. */
@@ -110,12 +109,8 @@
     return Math.min(MAX_BACKOFF_MS, doubled) * jitter;
   }
 
-  private async pause(ms: units.Millis): Promise<void> {
-    try {
-      await timers.setTimeout(ms, undefined, {signal: this.stop.signal});
-    } catch {
-      // Disposed while waiting.
-    }
+  private pause(ms: units.Millis): Promise<void> {
+    return abortablePause.pause(ms, this.stop.signal);
   }
 
   private noteFailure(err: unknown): void {
