Use the users' bound for cold servers; do not wait for what a fresh server cannot have got

(1) A quarter above the declared rate was used where the users' bound (cold_over) allows half; its slack stays unused. (2) A new process sent nothing to a cold server for a second after its gate was made, since what its predecessor sent is not known; it counts from the start of the process now, and not at all for a server that began after it (test). Also: labels of reasons and routes are bounded apart, so that many routes do not hide reasons.

--- a/src/common/serving/cold_rate.ts
+++ b/src/common/serving/cold_rate.ts
@@ -7,7 +7,7 @@
 /** Counts starts in the last second, also while warm, as a cold start may begin unannounced. */
 export class ColdRate {
   private readonly startedMs: units.MonotonicMs[] = [];
-  private readonly unknownUntilMs: units.MonotonicMs;
+  private unknownUntilMs: units.MonotonicMs;
 
   /**
    * @param nowMs start of the process: what was sent in the second before is not known, so that
@@ -17,6 +17,11 @@
     this.unknownUntilMs = nowMs + WINDOW_MS;
   }
 
+  /** The server began after this process: nothing unknown was sent to it. */
+  onFreshServer(): void {
+    this.unknownUntilMs = -Infinity;
+  }
+
   /** Notes a request sent. */
   onStart(now: units.MonotonicMs): void {
     this.startedMs.push(now);
--- a/src/common/serving/gate_replies.ts
+++ b/src/common/serving/gate_replies.ts
@@ -5,6 +5,14 @@
 import * as finishedCalls from './finished_calls.js';
 import * as gateCall from './gate_call.js';
 
+/** Refusals after which the request goes elsewhere, or is wanted no more. */
+const PASSED_ON: ReadonlySet<serving.Reason> = new Set([
+  serving.Reason.STALLED,
+  serving.Reason.FULL,
+  serving.Reason.CLOSED,
+  serving.Reason.WITHDRAWN,
+]);
+
 /** Sends replies and keeps them for entries that ask again. */
 export class GateReplies {
   private readonly finished = new finishedCalls.FinishedCalls();
@@ -58,6 +66,16 @@
     });
   }
 
+  /** Logs a refusal. */
+  noteRefusal(
+    call: gateCall.GateCall,
+    reason: serving.Reason,
+    facts: decision.Facts,
+  ): void {
+    const importance = PASSED_ON.has(reason) ? 'notable' : 'failure';
+    this.note(call, importance, 'refused', {reason, ...facts});
+  }
+
   /** Logs that the gate has opened or closed. */
   noteClosure(was: serving.Closure, closure: serving.Closure): void {
     this.log.write({
--- a/src/common/serving/gate_room.ts
+++ b/src/common/serving/gate_room.ts
@@ -17,9 +17,6 @@
 /** Time for which a server that shed a request is sent no more than it had then. */
 const SHED_PAUSE_MS: units.Millis = 300;
 
-/** Share used of the rate declared for cold servers; the users' bound lies at half more. */
-const COLD_RATE_SHARE = 1.25;
-
 /** Part of the mean run time below which the time left is not worth a run. */
 const WORTHWHILE_SHARE = 0.5;
 
@@ -48,6 +45,9 @@
   readonly intent: operatorIntent.OperatorIntent;
   readonly life: serverLife.ServerLife;
   readonly random: randomSource.RandomSource;
+  /** Multiple of its declared rate up to which a cold server is sent requests. */
+  readonly coldRateFactor: number;
+  /** Start of the process. */
   readonly startedMs: units.MonotonicMs;
 }
 
@@ -72,6 +72,11 @@
     return this.runningCount;
   }
 
+  /** An incarnation has begun that no earlier process can have sent anything. */
+  onFreshServer(): void {
+    this.cold.onFreshServer();
+  }
+
   /** Notes a request sent to the backend server. */
   onStarted(now: units.MonotonicMs): void {
     this.runningCount++;
@@ -230,7 +235,7 @@
   private get coldPerSecond(): number {
     const {intent, service} = this.options;
     const rules = intent.configuration?.serviceRules(service());
-    return (rules?.coldPerSecond ?? 1) * COLD_RATE_SHARE;
+    return (rules?.coldPerSecond ?? 1) * this.options.coldRateFactor;
   }
 
   private serviceMs(call: gateCall.GateCall): units.Millis {
--- a/src/common/serving/server_gate.test.ts
+++ b/src/common/serving/server_gate.test.ts
@@ -99,6 +99,15 @@
   assert.equal(world.output.runs.length, 1);
 });
 
+test('a cold server that began after the process is sent requests at once', () => {
+  const world = new fixtures.GateWorld(0).open({
+    coldLeftMs: 5_000,
+    bornMs: 2_000,
+  });
+  world.call({}, 10);
+  assert.equal(world.output.runs.length, 1);
+});
+
 test('a stalled server passes a request on, unless the request has nowhere else to go', () => {
   const world = new fixtures.GateWorld().open();
   const stalled = {running: 0, waiting: 0, slots: 10, pacePercent: 400};
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -26,14 +26,6 @@
 /** First status that says that the server failed. */
 const FIRST_ERROR_STATUS = 500;
 
-/** Refusals after which the request goes elsewhere, or is wanted no more. */
-const PASSED_ON: ReadonlySet<serving.Reason> = new Set([
-  serving.Reason.STALLED,
-  serving.Reason.FULL,
-  serving.Reason.CLOSED,
-  serving.Reason.WITHDRAWN,
-]);
-
 const PERCENT = 100;
 
 /** Longest age that is logged; older values are as good as unknown. */
@@ -48,7 +40,11 @@
   readonly output: gateCall.GateOutput;
   readonly log: decision.DecisionLog;
   readonly random: randomSource.RandomSource;
+  /** Multiple of its declared rate up to which a cold server is sent requests. */
+  readonly coldRateFactor: number;
+  /** Start of the process, on both clocks. */
   readonly startedMs: units.MonotonicMs;
+  readonly startedEpochMs: units.EpochMs;
 }
 
 /** The gate in front of one backend server; it alone sends requests there. */
@@ -168,6 +164,8 @@
     now: units.MonotonicMs,
   ): serverLife.LifeChange {
     const change = this.trust.onAnnouncement(a, now);
+    const isFresh = a.bornMs >= this.options.startedEpochMs;
+    if (isFresh && change !== 'outdated') this.room.onFreshServer();
     this.pump(now);
     return change;
   }
@@ -387,9 +385,7 @@
     now: units.MonotonicMs,
   ): void {
     const load = this.load(now);
-    const importance = PASSED_ON.has(reason) ? 'notable' : 'failure';
-    this.replies.note(call, importance, 'refused', {
-      reason,
+    this.replies.noteRefusal(call, reason, {
       mayHaveRun,
       serverDied,
       closure: load.closure,
--- a/src/common/serving/serving_fixtures.test.ts
+++ b/src/common/serving/serving_fixtures.test.ts
@@ -171,7 +171,7 @@
   readonly gate: serverGate.ServerGate;
   private lastCall = 0;
 
-  constructor(startedMs = -10_000) {
+  constructor(startedMs = -10_000, startedEpochMs = 1_500) {
     this.gate = new serverGate.ServerGate({
       service: () => SERVICE,
       dataCentre: DATA_CENTRE,
@@ -180,7 +180,9 @@
       output: this.output,
       log: this.log,
       random: new randomSource.SeededRandom(7),
+      coldRateFactor: 1.25,
       startedMs,
+      startedEpochMs,
     });
   }
 
--- a/src/node/serving/dialect.ts
+++ b/src/node/serving/dialect.ts
@@ -142,6 +142,8 @@
   readonly repeatRatio: number;
   /** Repetitions beyond the ratio in any window. */
   readonly repeatSlack: number;
+  /** Multiple of its declared rate up to which a cold server may be sent requests. */
+  readonly coldRateFactor: number;
 }
 
 /** All that an adapter provides. */
--- a/src/node/serving/event_log.test.ts
+++ b/src/node/serving/event_log.test.ts
@@ -99,12 +99,12 @@
 test('reasons are counted and times measured, with bounded labels', async () => {
   const {log} = makeLog();
   const series = new telemetry.Telemetry(log);
-  series.write(made('notable'));
   for (let i = 0; i < 500; i++) {
     const facts = {durationMs: 20, route: `route-${i}`};
     const event = 'answered';
     series.write({component: 'gate', event, importance: 'routine', facts});
   }
+  series.write(made('notable'));
   const text = await series.text();
   assert.match(
     text,
--- a/src/node/serving/gate_side.ts
+++ b/src/node/serving/gate_side.ts
@@ -36,6 +36,9 @@
   readonly directory: fleetDirectory.FleetDirectory;
   readonly knowledge: () => fleetKnowledge.FleetKnowledge;
   readonly random: randomSource.RandomSource;
+  readonly coldRateFactor: number;
+  /** Start of the process. */
+  readonly startedEpochMs: units.EpochMs;
   readonly log: telemetry.Telemetry;
   readonly ownEntry: OwnEntry;
   greeting(toNodeId: string): serving.Greeting;
@@ -58,7 +61,8 @@
   constructor(private readonly options: GateSideOptions) {
     this.gate = new serverGate.ServerGate({
       ...options,
-      startedMs: clock.monotonicMs(),
+      // The monotonic clock counts from the start of the process.
+      startedMs: 0,
       output: this.gateOutput(),
     });
     this.pool = this.resources.use(this.makePool());
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -190,6 +190,8 @@
     return new gateSide.GateSide({
       ...this.shared(),
       suspects: this.suspects,
+      coldRateFactor: this.options.platform.bounds.coldRateFactor,
+      startedEpochMs: this.options.processStartedMs,
       readsStore: () => this.readers.readsStore,
       onSignOfLife: nodeId => this.entries.links.wake(nodeId),
       ownEntry: {
--- a/src/node/serving/telemetry.ts
+++ b/src/node/serving/telemetry.ts
@@ -22,7 +22,8 @@
 /** Counters and histograms, served as text. */
 export class Telemetry implements decision.DecisionLog {
   private readonly registry = new promClient.Registry();
-  private readonly labels = new Set<string>();
+  private readonly reasons = new BoundedValues();
+  private readonly routes = new BoundedValues();
   private readonly decisions = new promClient.Counter({
     name: 'geraniumloft_decisions_total',
     help: 'Decisions by component, event and reason.',
@@ -40,7 +41,7 @@
   constructor(private readonly log: decision.DecisionLog) {}
 
   write(d: decision.Decision): void {
-    const reason = this.bounded(String(d.facts['reason'] ?? ''));
+    const reason = this.reasons.of(String(d.facts['reason'] ?? ''));
     const {component, event} = d;
     this.decisions.inc({component, event, reason});
     this.observe(d);
@@ -62,15 +63,20 @@
     for (const [event, fact, part] of DURATIONS) {
       const ms = d.facts[fact];
       if (event !== name || typeof ms !== 'number') continue;
-      const route = this.bounded(String(d.facts['route'] ?? ''));
+      const route = this.routes.of(String(d.facts['route'] ?? ''));
       this.latencies.observe({part, route}, ms / units.MS_PER_SECOND);
     }
   }
+}
+
+/** Values of one label; the first ones keep their names. */
+class BoundedValues {
+  private readonly seen = new Set<string>();
 
-  private bounded(value: string): string {
-    if (this.labels.has(value)) return value;
-    if (this.labels.size >= MAX_LABEL_VALUES) return 'other';
-    this.labels.add(value);
+  of(value: string): string {
+    if (this.seen.has(value)) return value;
+    if (this.seen.size >= MAX_LABEL_VALUES) return 'other';
+    this.seen.add(value);
     return value;
   }
 }
