--- /dev/null
+++ b/src/node/serving/fleet_knowledge.test.ts
@@ -0,0 +1,78 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+
+import * as crashSuspects from '../../common/serving/crash_suspects.js';
+import * as operatorIntent from '../../common/serving/operator_intent.js';
+import * as fixtures from '../../common/serving/serving_fixtures.test.js';
+import * as serving from '../../generated/serving.js';
+import * as fleetDirectory from './fleet_directory.js';
+import * as fleetKnowledge from './fleet_knowledge.js';
+
+const {test} = nodeTest;
+
+function record(nodeId: string, dataCentre: string): serving.NodeRecord {
+  const port = 1 + nodeId.charCodeAt(0);
+  return {nodeId, dataCentre, service: 's', ip: '10.0.0.1', port};
+}
+
+function makeWorld(isReader: boolean) {
+  const directory = new fleetDirectory.FleetDirectory(record('own', 'north'));
+  directory.put(record('near', 'north'));
+  directory.put(record('far', 'south'));
+  const asked: string[] = [];
+  let now = 10_000;
+  const intent = new operatorIntent.OperatorIntent();
+  intent.applyWhole({
+    document: fixtures.document(),
+    dataCentresOut: [],
+    offset: 3,
+  });
+  const knowledge = new fleetKnowledge.FleetKnowledge({
+    intent,
+    suspects: new crashSuspects.CrashSuspects(),
+    directory,
+    decoder: {decode: ({offset}) => ({kind: 'other', offset})},
+    log: new fixtures.RecordedLog(),
+    onIntentChanged: () => undefined,
+    isReader: () => isReader,
+    requestState: nodeId => void asked.push(nodeId),
+    nowMs: () => now,
+  });
+  const at = (ms: number): void => {
+    now = 10_000 + ms;
+    knowledge.tick();
+  };
+  return {knowledge, intent, asked, at};
+}
+
+const NEWER = 5;
+
+test('a reader whose store is silent asks a peer soon after one word of it', () => {
+  const {knowledge, asked, at} = makeWorld(true);
+  knowledge.onPeerOffset('far', NEWER);
+  assert.deepEqual(asked, []);
+  at(200);
+  assert.deepEqual(asked, ['far']);
+});
+
+test('a node that does not read asks a near peer at once', () => {
+  const {knowledge, asked} = makeWorld(false);
+  knowledge.onPeerOffset('near', NEWER);
+  assert.deepEqual(asked, ['near']);
+});
+
+test('a node that has caught up meanwhile asks nobody', () => {
+  const {knowledge, asked, at} = makeWorld(true);
+  knowledge.onPeerOffset('far', NEWER);
+  knowledge.onOperatorsRecord({offset: 4, key: 'x', value: undefined});
+  at(1_000);
+  assert.deepEqual(asked, []);
+});
+
+test('another peer is asked when the first does not answer', () => {
+  const {knowledge, asked, at} = makeWorld(false);
+  knowledge.onPeerOffset('near', NEWER);
+  knowledge.onPeerOffset('far', NEWER);
+  at(1_000);
+  assert.deepEqual(asked, ['near', 'far']);
+});
--- a/src/node/serving/fleet_knowledge.ts
+++ b/src/node/serving/fleet_knowledge.ts
@@ -33,7 +33,8 @@
 
 /** Takes records of the store and states of peers into one view. */
 export class FleetKnowledge {
-  private behindSinceMs: units.MonotonicMs | undefined;
+  /** Peers that know more, and since when they are known to. */
+  private readonly aheadSinceMs = new Map<string, units.MonotonicMs>();
   private requestedMs = -Infinity;
 
   constructor(private readonly options: FleetKnowledgeOptions) {}
@@ -66,16 +67,27 @@
    * @param shiftedOffset as told by `shiftedOffset` there.
    */
   onPeerOffset(nodeId: string, shiftedOffset: number): void {
+    if (shiftedOffset <= this.shiftedOffset) return;
+    this.aheadSinceMs.set(
+      nodeId,
+      this.aheadSinceMs.get(nodeId) ?? this.options.nowMs(),
+    );
+    this.tick();
+  }
+
+  /** Asks a peer that knows more for its state, once cheaper sources have had their time. */
+  tick(): void {
+    if (this.aheadSinceMs.size === 0) return;
     const now = this.options.nowMs();
-    if (shiftedOffset <= this.shiftedOffset) {
-      this.behindSinceMs = undefined;
+    if (now - this.requestedMs < STATE_INTERVAL_MS) return;
+    for (const [nodeId, sinceMs] of this.aheadSinceMs) {
+      if (now - sinceMs < this.leadMs(nodeId)) continue;
+      this.requestedMs = now;
+      // A peer that does not answer is asked again when it tells its offset again.
+      this.aheadSinceMs.delete(nodeId);
+      this.options.requestState(nodeId);
       return;
     }
-    this.behindSinceMs ??= now;
-    if (now - this.behindSinceMs < this.leadMs(nodeId)) return;
-    if (now - this.requestedMs < STATE_INTERVAL_MS) return;
-    this.requestedMs = now;
-    this.options.requestState(nodeId);
   }
 
   /** Takes a peer's state. */
@@ -133,6 +145,7 @@
   }
 
   private noteIntent(changed: boolean, source: string): void {
+    this.aheadSinceMs.clear();
     if (!changed) return;
     const {intent} = this.options;
     this.note('intent-in-force', {
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -270,6 +270,7 @@
     const now = clock.monotonicMs();
     this.entries.tick(now);
     this.gates.tick(now);
+    this.knowledge.tick();
     this.arm(now + TICK_MS);
     this.afterEvent();
   }
