Do not let the soak take back an evacuation that it still checks

Traced by the faults it printed: evacuations at node-4 and node-1 overlap, both of the data centre south, and the end of the first takes the second back, whose check goes on. The check stays as it is; a data centre is evacuated once at a time.

--- a/test/soak/soak_faults.ts
+++ b/test/soak/soak_faults.ts
@@ -25,6 +25,8 @@
   readonly breaches: string[] = [];
   readonly played: string[] = [];
   private readonly busy = new Set<string>();
+  /** Data centres that are out. */
+  private readonly out = new Set<string>();
   private down = 0;
 
   private readonly kinds: ReadonlyArray<readonly [string, Fault]> = [
@@ -131,6 +133,9 @@
     forMs: number,
   ): Promise<void> {
     const {dataCentre} = node.server;
+    // The end of one evacuation would take another one of the data centre back.
+    if (this.out.has(dataCentre)) return;
+    this.out.add(dataCentre);
     const key = `evacuate/${dataCentre}`;
     this.fleet.store.put('keyed.op', key, {});
     await wait(EVACUATE_MS);
@@ -143,6 +148,7 @@
     const late = ran() - before;
     if (late > 0) this.breaches.push(`${dataCentre}: ${late} runs while out`);
     this.fleet.store.put('keyed.op', key, undefined);
+    this.out.delete(dataCentre);
   }
 
   private async harm(
