Remember at the entry which requests servers died of

Change: the core keeps the bounded table of suspects that gates keep too; a new call starts with its deaths, an answer clears it. Ruled out: a faster spread of reports, which only narrows the window. Also: one MS_PER_SECOND, one piece for a run that may have happened and one for the last worthwhile start; an unused time of attempts is gone.

--- a/src/common/entry/entry_core.test.ts
+++ b/src/common/entry/entry_core.test.ts
@@ -74,6 +74,11 @@
   assert.equal(end.reason, NO_ROOM);
 });
 
+const SERVER_DIED = {
+  reason: peer.RefusalReason.SERVER_FAILED,
+  outcome: UNKNOWN,
+  serverDied: true,
+};
 const ONCE = fixtures.requestClass({name: 'order', idempotent: false});
 const MUST_ARRIVE = fixtures.requestClass({kind: 'must-arrive'});
 
@@ -218,15 +223,30 @@
   const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
   const first = entry.send(fixtures.request('r'));
   assert.equal(first.call.deaths, undefined);
-  const failure = {
-    reason: peer.RefusalReason.SERVER_FAILED,
-    outcome: UNKNOWN,
-    serverDied: true,
-  };
-  const second = fixtures.dispatched(entry.refuse(first, failure));
+  const second = fixtures.dispatched(entry.refuse(first, SERVER_DIED));
   assert.equal(second.call.deaths, 1);
 });
 
+nodeTest.test('a later request tells its gate of the servers that died', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const first = entry.send(fixtures.request('r'));
+  const second = fixtures.dispatched(entry.refuse(first, SERVER_DIED));
+  fixtures.refused(entry.refuse(second, SERVER_DIED));
+  const next = entry.send(fixtures.request('s'));
+  assert.equal(next.call.deaths, 2);
+  entry.answer(next);
+  entry.tickAt(60_000);
+  const later = entry.send(fixtures.request('t'));
+  assert.equal(later.call.deaths, undefined);
+});
+
+nodeTest.test('an answer clears a request that one server died of', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const first = entry.send(fixtures.request('r'));
+  entry.answer(fixtures.dispatched(entry.refuse(first, SERVER_DIED)));
+  assert.equal(entry.send(fixtures.request('s')).call.deaths, undefined);
+});
+
 nodeTest.test('redirections are offered while they find room', () => {
   const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
   const other = (d: {readonly nodeId: string}) => ({
--- a/src/common/entry/entry_core.ts
+++ b/src/common/entry/entry_core.ts
@@ -5,6 +5,7 @@
 import * as counters from '../counters.js';
 import * as errors from '../errors.js';
 import * as invariants from '../invariants.js';
+import * as suspectRequests from '../quarantine/suspect_requests.js';
 import * as randomSource from '../random_source.js';
 import * as failureKind from '../retries/failure_kind.js';
 import * as serviceBudgets from '../retries/service_budgets.js';
@@ -75,6 +76,7 @@
 > {
   private readonly calls = new callTable.CallTable();
   private readonly budgets = new serviceBudgets.ServiceBudgets();
+  private readonly suspects = new suspectRequests.SuspectRequests();
   private readonly router: router.Router;
   private readonly ender: callEnder.CallEnder;
   private readonly runner: callRunner.CallRunner;
@@ -210,6 +212,7 @@
       'a request id is used once',
     );
     const c = new call.Call(request, nowMs);
+    c.deaths = this.suspects.deathsOf(request.fingerprint, nowMs);
     const refusal = this.refusalAtOnce(c);
     if (refusal !== undefined) {
       return this.refuse(c, refusal, FULL_RETRY_AFTER_MS);
@@ -251,8 +254,12 @@
     const {call: c} = open;
     this.noteRoom(c, false);
     const failed = answer.status >= FIRST_ERROR_STATUS;
-    if (failed) this.router.failures.onFailure(nodeId, nowMs);
-    else this.router.failures.onSuccess(nodeId);
+    if (failed) {
+      this.router.failures.onFailure(nodeId, nowMs);
+    } else {
+      this.router.failures.onSuccess(nodeId);
+      this.suspects.onSuccess(c.request.fingerprint, nowMs);
+    }
     if (mayReplace(c, answer)) {
       c.errorAnswer = {nodeId, answer};
       const failure = attemptFailures.serverFailure(nodeId);
@@ -278,7 +285,7 @@
       this.router.onRelayedReport(a.nodeId, a.load, nowMs);
     }
     if (open === undefined) return;
-    if (refusal.serverDied) open.call.deaths++;
+    if (refusal.serverDied) this.onServerDied(open.call, nowMs);
     const kind = failureKind.failureKind(refusal.reason);
     this.noteRefusal(open, kind === 'full', refusal);
     if (kind === 'failed' || kind === 'absent') {
@@ -287,6 +294,11 @@
     this.runner.afterFailure(open.call, {...refusal, outcome, nodeId}, nowMs);
   }
 
+  /** Remembers the death beyond the call: the next one may reach a gate that has no report yet. */
+  private onServerDied(c: call.Call, nowMs: units.MonotonicMs): void {
+    c.deaths = this.suspects.onDeath(c.request.fingerprint, nowMs).deaths;
+  }
+
   private onLinkEvent(
     event: Extract<CallEvent, {readonly kind: 'link-failed' | 'link-silent'}>,
     nowMs: units.MonotonicMs,
--- a/src/common/gate/load_notices.ts
+++ b/src/common/gate/load_notices.ts
@@ -19,8 +19,6 @@
 /** Time after which the load is told again though it has not changed. */
 const REFRESH_MS = 2_000;
 
-const MS_PER_SECOND = 1_000;
-
 /** Sends load notices. */
 export class LoadNotices {
   private readonly datagramsPerMs: number;
@@ -36,7 +34,7 @@
     private readonly emit: responder.Emit,
   ) {
     const {noticesPerSecond = DATAGRAMS_PER_SECOND} = parts.options;
-    this.datagramsPerMs = noticesPerSecond / MS_PER_SECOND;
+    this.datagramsPerMs = noticesPerSecond / units.MS_PER_SECOND;
   }
 
   /** Time at which a notice is due, undefined while there is nobody to tell. */
--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -133,7 +133,7 @@
     });
     if (refusal.mayHaveRun) {
       call.failed.add(nodeId);
-      return this.onFailedRun(call, refusal, now);
+      return this.onFailedRun(call, {reason: refusal.reason}, now);
     }
     switch (refusal.reason) {
       case serving.Reason.STALLED:
@@ -168,9 +168,7 @@
     call.closed.add(nodeId);
     this.note(call, 'failure', 'link-failed', {nodeId, sent});
     if (!sent) return this.advance(call, now);
-    call.mayHaveRun = true;
-    call.servers++;
-    this.repeat(call, {reason: 'link-failed'}, now);
+    this.onFailedRun(call, {reason: 'link-failed'}, now);
   }
 
   /** Does what time has made due. */
@@ -237,7 +235,7 @@
     const {load, ageMs, outstanding} = ranked.estimate;
     const number = ++this.lastAttempt;
     call.hops++;
-    call.attempts.set(number, {number, nodeId, sentMs: now});
+    call.attempts.set(number, {number, nodeId});
     this.callOfAttempt.set(number, call);
     this.options.reports.onSent(nodeId);
     if (call.route.repeatable && call.secondRunAtMs === Infinity) {
@@ -266,12 +264,12 @@
   /** The run of an attempt failed, or may have. */
   private onFailedRun(
     call: entryCall.EntryCall,
-    refusal: serving.Refusal,
+    cause: decision.Facts,
     now: units.MonotonicMs,
   ): void {
     call.mayHaveRun = true;
     call.servers++;
-    this.repeat(call, {reason: refusal.reason}, now);
+    this.repeat(call, cause, now);
   }
 
   /** Sends a call to a further backend server if route, budget and time allow it. */
--- a/src/common/serving/entry_call.ts
+++ b/src/common/serving/entry_call.ts
@@ -25,7 +25,6 @@
   /** Unique within the process. */
   readonly number: number;
   readonly nodeId: string;
-  readonly sentMs: units.MonotonicMs;
 }
 
 /** A request in progress at an entry. */
--- a/src/common/serving/gate_room.ts
+++ b/src/common/serving/gate_room.ts
@@ -131,7 +131,7 @@
 
   /** Returns the time by which a waiting request must start. */
   lastStartMs(call: gateCall.GateCall): units.MonotonicMs {
-    const lastMs = call.deadlineMs - this.worthwhileMs(call);
+    const lastMs = this.lastWorthwhileMs(call);
     const inTimeMs = call.objectiveAtMs - this.serviceMs(call);
     const keepsWaiting = inTimeMs < call.arrivedMs || this.queue.size <= 1;
     return keepsWaiting ? lastMs : Math.min(lastMs, inTimeMs);
@@ -139,7 +139,7 @@
 
   /** Returns why a request is refused that has not started in time. */
   expiryOf(call: gateCall.GateCall, now: units.MonotonicMs): serving.Reason {
-    const lastMs = call.deadlineMs - this.worthwhileMs(call);
+    const lastMs = this.lastWorthwhileMs(call);
     return lastMs <= now ? serving.Reason.NO_TIME : serving.Reason.OVERLOADED;
   }
 
@@ -205,6 +205,11 @@
     return this.cold.hasRoom(this.coldPerSecond, now);
   }
 
+  /** Latest start of a run that is worth its cost. */
+  private lastWorthwhileMs(call: gateCall.GateCall): units.MonotonicMs {
+    return call.deadlineMs - this.worthwhileMs(call);
+  }
+
   /** Least time left for which a run is worth its cost. */
   private worthwhileMs(call: gateCall.GateCall): units.Millis {
     return this.serviceMs(call) * WORTHWHILE_SHARE;
--- a/src/node/refusal_response.ts
+++ b/src/node/refusal_response.ts
@@ -1,6 +1,7 @@
 /** The HTTP form of a refusal: status, headers and a problem document. */
 import * as counterNames from '../common/counter_names.js';
 import * as invariants from '../common/invariants.js';
+import * as units from '../common/units.js';
 import * as peer from '../generated/peer.js';
 import * as httpHeaders from './http_headers.js';
 
@@ -13,8 +14,6 @@
 
 const PROBLEM_TYPE_PREFIX = 'urn:geraniumloft:refusal:';
 
-const MS_PER_SECOND = 1_000;
-
 /** Returns the HTTP status of a refusal. */
 export function refusalStatus(reason: peer.RefusalReason): number {
   switch (reason) {
@@ -92,7 +91,7 @@
     httpHeaders.REASON_HEADER,
     reason,
     'Retry-After',
-    String(Math.ceil(retryAfterMs / MS_PER_SECOND)),
+    String(Math.ceil(retryAfterMs / units.MS_PER_SECOND)),
     httpHeaders.RETRY_AFTER_MS_HEADER,
     String(retryAfterMs),
   ];
--- a/src/node/server_connection.ts
+++ b/src/node/server_connection.ts
@@ -18,8 +18,6 @@
 const NOT_MODIFIED = 304;
 const UNAVAILABLE = 503;
 const NOT_RUN = 'not-run';
-const MS_PER_SECOND = 1_000;
-
 /** A request on its way to the backend server. */
 export interface ServerRequest {
   readonly method: string;
@@ -206,7 +204,7 @@
     if (find(httpHeaders.OUTCOME_HEADER) !== NOT_RUN) return undefined;
     const retryAfterMs = Number(
       find(httpHeaders.RETRY_AFTER_MS_HEADER) ??
-        Number(find('Retry-After') ?? 0) * MS_PER_SECOND,
+        Number(find('Retry-After') ?? 0) * units.MS_PER_SECOND,
     );
     return {
       kind: 'shed',
