--- a/src/common/control/control_contract.ts
+++ b/src/common/control/control_contract.ts
@@ -26,21 +26,10 @@
   readonly offset: number;
   /** Time of the newest record about the member. */
   readonly timeMs: units.EpochMs;
-  /** Whether the member may be the home of keys, and the offset from which. */
-  readonly holderSinceOffset?: number;
-  readonly holderSinceMs?: units.EpochMs;
   /** Time of the newest record that the member wrote about itself. */
   readonly selfTimeMs: units.EpochMs;
 }
 
-/** The end of a member's time as key holder. */
-export interface HolderDeparture {
-  readonly service: string;
-  readonly nodeId: string;
-  readonly offset: number;
-  readonly timeMs: units.EpochMs;
-}
-
 /** A record of the log as one node gives it to another. */
 export interface EncodedRecord {
   readonly offset: number;
@@ -56,7 +45,6 @@
   /** Offset up to which the sender has folded the log, exclusive. */
   readonly rosterOffset: number;
   readonly roster: readonly RosterEntryState[];
-  readonly departures: readonly HolderDeparture[];
   /** Whether the state accounts for every record of the log below `rosterOffset`. */
   readonly complete: boolean;
   /**
--- a/src/common/control/control_core.ts
+++ b/src/common/control/control_core.ts
@@ -5,13 +5,12 @@
 import * as counters from '../counters.js';
 import * as invariants from '../invariants.js';
 import * as failureDetector from '../membership/failure_detector.js';
-import * as keyHomes from '../membership/key_homes.js';
 import * as randomSource from '../random_source.js';
 import * as units from '../units.js';
 import * as control from './control_contract.js';
+import * as confirmationUpkeep from './confirmation_upkeep.js';
 import * as fleetView from './fleet_view.js';
 import * as gossip from './gossip.js';
-import * as leaseUpkeep from './lease_upkeep.js';
 import * as logFollower from './log_follower.js';
 import * as logState from './log_state.js';
 import * as memberViews from './member_views.js';
@@ -53,8 +52,7 @@
 {
   private readonly self: peer.Member;
   private readonly log: logState.LogState;
-  private readonly upkeep: leaseUpkeep.LeaseUpkeep;
-  private readonly homes: keyHomes.KeyHomes;
+  private readonly upkeep: confirmationUpkeep.ConfirmationUpkeep;
   private readonly follower: logFollower.LogFollower;
   private readonly readers: readerChoice.ReaderChoice;
   private readonly records: ownRecords.OwnRecords;
@@ -75,8 +73,7 @@
     const {self, random} = options;
     this.self = self;
     this.log = new logState.LogState(options.invariants, options.counters);
-    this.upkeep = new leaseUpkeep.LeaseUpkeep(self, this.log);
-    this.homes = new keyHomes.KeyHomes(this.log.roster);
+    this.upkeep = new confirmationUpkeep.ConfirmationUpkeep(self, this.log);
     this.follower = new logFollower.LogFollower(random);
     this.records = new ownRecords.OwnRecords(self, random, options.counters);
     this.gossip = new gossip.Gossip(
@@ -127,20 +124,8 @@
     return this.views.member(nodeId);
   }
 
-  homeOf(service: string, key: string): string | undefined {
-    return this.homes.homeOf(service, key);
-  }
-
-  keyHome(service: string, key: string): fleetView.KeyHome | undefined {
-    return this.homes.keyHome(service, key);
-  }
-
   rosterConfirmedAgeMs(nowMs: units.MonotonicMs): units.Millis {
-    return this.upkeep.lease.ageMs(nowMs);
-  }
-
-  keyLeaseValid(nowMs: units.MonotonicMs): boolean {
-    return this.upkeep.isValid(nowMs);
+    return this.upkeep.newest.ageMs(nowMs);
   }
 
   /** Returns the outcome of a configuration change, if it is recent. */
@@ -153,7 +138,7 @@
     fromOffset: number | undefined,
     now: units.Instant,
   ): control.PeerState {
-    const ageMs = this.upkeep.lease.wireAgeMs(now.monotonicMs);
+    const ageMs = this.upkeep.newest.wireAgeMs(now.monotonicMs);
     const provisional = this.gossip.provisional.all(now.monotonicMs);
     const suspects = this.gossip.suspectReports(now.monotonicMs);
     const state = this.log.peerState(
@@ -249,8 +234,7 @@
     answered: failureDetector.AnsweredProbe,
     datagram: peer.Datagram,
   ): void {
-    const {nodeId, sentMs} = answered;
-    this.upkeep.lease.noteStatement(nodeId, sentMs, datagram.rosterOffset);
+    const {sentMs} = answered;
     if (datagram.rosterOffset > this.log.nextOffset) return;
     this.confirm(sentMs - datagram.logAgeMs);
     if (datagram.configurationRevision > this.revision) return;
@@ -270,7 +254,7 @@
     const folded = this.log.adopt(state);
     this.noteFolded(folded, now);
     if (folded.length === 0 && this.log.nextOffset > before) {
-      this.noteAdopted(now);
+      this.follower.noteAdopted();
     }
     for (const told of state.provisional) {
       this.gossip.provisional.take(told, now.monotonicMs);
@@ -298,29 +282,16 @@
     folded: readonly logState.FoldedRecord[],
     now: units.Instant,
   ): void {
-    for (const {offset, record} of folded) {
-      this.homes.noteFolded(offset, now);
+    for (const {record} of folded) {
       this.needs.noteFolded(record, now.monotonicMs);
-      this.noteRosterRecord(record, now);
+      this.noteRosterRecord(record);
     }
   }
 
-  private noteAdopted(now: units.Instant): void {
-    this.follower.noteAdopted();
-    this.homes.noteAdopted(now);
-    const own = this.log.roster.entry(this.self.nodeId);
-    if (own?.member.incarnation !== this.self.incarnation) return;
-    this.upkeep.noteOwnRecord(own.selfTimeMs, now);
-  }
-
-  private noteRosterRecord(record: peer.LogRecord, now: units.Instant): void {
+  private noteRosterRecord(record: peer.LogRecord): void {
     if (record.body?.$case !== 'roster') return;
-    const {event, member, authorNodeId} = record.body.value;
+    const {event, member} = record.body.value;
     if (member === undefined) return;
-    const {nodeId, incarnation} = this.self;
-    if (authorNodeId === nodeId && member.incarnation === incarnation) {
-      this.upkeep.noteOwnRecord(record.timeMs, now);
-    }
     if (event === peer.RosterEvent.REFRESH) return;
     this.outbox.tell({kind: 'roster', nodeId: member.nodeId, event});
   }
@@ -333,7 +304,7 @@
   }
 
   private confirm(atMs: units.MonotonicMs): void {
-    this.upkeep.lease.confirm(atMs);
+    this.upkeep.newest.confirm(atMs);
     this.wake.noteConfirmed(atMs);
   }
 
@@ -348,7 +319,7 @@
 
   private actOnTime(now: units.Instant): void {
     const nowMs = now.monotonicMs;
-    const ageMs = this.upkeep.lease.ageMs(nowMs);
+    const ageMs = this.upkeep.newest.ageMs(nowMs);
     const waitMs = this.readers.readWaitMs(ageMs, nowMs);
     if (waitMs !== undefined) {
       this.outbox.add(
@@ -365,21 +336,16 @@
     }
     this.announce(nowMs);
     this.outbox.send(this.gossip.step(nowMs, this.stale), nowMs);
-    this.askForLease(nowMs);
+    this.askForConfirmation(nowMs);
     if (this.needs.takeLeft(nowMs)) this.outbox.tell({kind: 'left'});
   }
 
-  private askForLease(nowMs: units.MonotonicMs): void {
-    const members = this.upkeep.membersToAsk(
-      this.readers.readersOfService(nowMs),
-      this.follower.failing,
-      nowMs,
-    );
-    const {detector} = this.gossip;
-    this.outbox.send(
-      members.map(m => detector.probe(m, nowMs)),
-      nowMs,
-    );
+  private askForConfirmation(nowMs: units.MonotonicMs): void {
+    if (this.follower.failing) return;
+    const readers = this.readers.readersOfService(nowMs);
+    const reader = this.upkeep.readerToAsk(readers, nowMs);
+    if (reader === undefined) return;
+    this.outbox.send([this.gossip.detector.probe(reader, nowMs)], nowMs);
   }
 
   /** Tells by gossip what the log does not hold yet of this node. */
--- a/src/common/control/fleet_view.ts
+++ b/src/common/control/fleet_view.ts
@@ -9,22 +9,10 @@
   /** State by the roster in the log (or gossip, if provisional). */
   readonly roster: 'joined' | 'leaving';
   readonly liveness: peer.LivenessState;
-  /** Known by gossip only; takes calls but never is a key's home. */
+  /** Known by gossip only. */
   readonly provisional: boolean;
 }
 
-/** The home of a key. */
-export interface KeyHome {
-  readonly nodeId: string;
-  /**
-   * Since when, by this node's clock, no other member can have been the home: keys minted earlier
-   * may have run elsewhere. Meant for the home itself.
-   */
-  readonly sinceMs: units.EpochMs;
-  /** Monotonic time from which no earlier home's lease can be valid. */
-  readonly takeoverAtMs: units.MonotonicMs;
-}
-
 /** Read access to membership and configuration. */
 export interface FleetView {
   /** Configuration in force, undefined before the first. */
@@ -42,17 +30,8 @@
   /** Returns a member by node id, undefined if unknown or gone. */
   member(nodeId: string): MemberView | undefined;
 
-  /** Node id of the home of `key` by the roster in the log, undefined if the service has none. */
-  homeOf(service: string, key: string): string | undefined;
-
-  /** Returns the home of `key` with what its gate needs to judge the key, if there is a home. */
-  keyHome(service: string, key: string): KeyHome | undefined;
-
   /** Age of the newest confirmation that no roster record is missing; infinite before the first. */
   rosterConfirmedAgeMs(nowMs: units.MonotonicMs): units.Millis;
-
-  /** Whether this node may run keyed requests of its service by its roster lease. */
-  keyLeaseValid(nowMs: units.MonotonicMs): boolean;
 }
 
 /** Whether an entry may send new work to a member under the view's configuration. */
--- a/src/common/control/log_state.ts
+++ b/src/common/control/log_state.ts
@@ -83,13 +83,11 @@
     const records =
       fromOffset === undefined ? undefined : this.recordsFrom(fromOffset);
     if (records !== undefined) {
-      return {...common, roster: [], departures: [], complete: false, records};
+      return {...common, roster: [], complete: false, records};
     }
-    const state = this.roster.state();
     return {
       ...common,
-      roster: state.entries,
-      departures: state.departures,
+      roster: this.roster.state(),
       complete: this.complete,
       snapshotBase64: this.snapshotBase64(),
     };
@@ -184,7 +182,7 @@
     snapshot: peer.ConfigurationSnapshot,
   ): void {
     if (!this.configuration.adopt(snapshot)) return;
-    this.roster.adopt({entries: state.roster, departures: state.departures});
+    this.roster.adopt(state.roster);
     this.recent = [];
     this.advance(state.rosterOffset);
   }
@@ -196,7 +194,7 @@
   ): void {
     this.configuration.foldSnapshot(snapshot);
     if (this.roster.complete || !this.keepsFrom(state.rosterOffset)) return;
-    this.roster.adopt({entries: state.roster, departures: state.departures});
+    this.roster.adopt(state.roster);
     for (const stored of this.recent) {
       if (stored.offset < state.rosterOffset) continue;
       const record = this.decode(stored);
--- a/src/common/control/outbox.ts
+++ b/src/common/control/outbox.ts
@@ -2,9 +2,9 @@
 import * as peer from '../../generated/peer.js';
 import * as failureDetector from '../membership/failure_detector.js';
 import * as units from '../units.js';
+import * as confirmationUpkeep from './confirmation_upkeep.js';
 import * as control from './control_contract.js';
 import * as gossip from './gossip.js';
-import * as leaseUpkeep from './lease_upkeep.js';
 import * as logState from './log_state.js';
 import * as recordNeeds from './record_needs.js';
 
@@ -16,7 +16,7 @@
     private readonly self: peer.Member,
     private readonly log: logState.LogState,
     private readonly news: gossip.Gossip,
-    private readonly upkeep: leaseUpkeep.LeaseUpkeep,
+    private readonly upkeep: confirmationUpkeep.ConfirmationUpkeep,
     private readonly needs: recordNeeds.RecordNeeds,
   ) {}
 
@@ -75,7 +75,7 @@
       incarnation: this.self.incarnation,
       configurationRevision: this.log.configuration.revision,
       rosterOffset: this.log.seenOffset,
-      logAgeMs: this.upkeep.lease.wireAgeMs(nowMs),
+      logAgeMs: this.upkeep.newest.wireAgeMs(nowMs),
       body,
       ...this.news.contentsOf(nowMs),
       sender: this.needs.isInLog ? undefined : this.self,
--- a/src/common/control/reader_choice.ts
+++ b/src/common/control/reader_choice.ts
@@ -9,7 +9,7 @@
 /** Readers of each data centre and of each service. */
 export const READERS = 2;
 
-/** Age of the newest confirmation at which a member reads the log itself to keep its lease. */
+/** Age of the newest confirmation at which a member reads the log itself. */
 const MEMBER_FALLBACK_MS: units.Millis = 1_600;
 
 /** Age at which any other node does. */
--- a/src/common/control/record_needs.ts
+++ b/src/common/control/record_needs.ts
@@ -2,7 +2,6 @@
 import * as peer from '../../generated/peer.js';
 import * as randomSource from '../random_source.js';
 import * as rendezvous from '../membership/rendezvous.js';
-import * as roster from '../membership/roster.js';
 import * as units from '../units.js';
 import * as control from './control_contract.js';
 import * as logState from './log_state.js';
@@ -37,8 +36,6 @@
 export interface LivenessView {
   /** Time for which a node has been dead, undefined if it is not. */
   deadForMs(nodeId: string, nowMs: units.MonotonicMs): units.Millis | undefined;
-  /** Whether the node has been heard of and is neither suspected nor dead. */
-  isAlive(nodeId: string): boolean;
 }
 
 /** Derives the needs. */
@@ -117,7 +114,7 @@
   current(now: units.Instant): readonly ownRecords.Need[] {
     return [
       ...this.presenceNeeds(now),
-      ...this.siblingNeeds(now),
+      ...this.siblingNeeds(now.monotonicMs),
       ...this.snapshotNeeds(now),
     ];
   }
@@ -137,7 +134,7 @@
         : [];
     }
     if (this.wanted === 'nothing') return [];
-    if (entry?.roster !== 'joined' || this.isUnheld(now)) {
+    if (entry?.roster !== 'joined') {
       return [
         this.need(
           `join.${entry?.offset}`,
@@ -159,71 +156,40 @@
     ];
   }
 
-  /** Whether the service has no holder left that could admit this node. */
-  private isUnheld(now: units.Instant): boolean {
-    if (!this.log.complete) return false;
-    return this.log.roster
-      .holdersOf(this.self.service)
-      .every(h => now.epochMs - h.selfTimeMs >= roster.HOLDER_RESET_MS);
-  }
-
   private joinDelayMs(): units.Millis {
     const perMember = JOIN_JITTER_PER_MEMBER_MS * this.log.roster.size;
     return this.random.nextInt(JOIN_JITTER_MS + perMember);
   }
 
-  /** Siblings to admit as key holders, and dead ones to declare gone. */
-  private siblingNeeds(now: units.Instant): readonly ownRecords.Need[] {
-    const own = this.ownEntry();
-    if (own?.roster !== 'joined') return [];
-    const siblings = this.log.roster
+  /** Dead siblings to declare gone. */
+  private siblingNeeds(nowMs: units.MonotonicMs): readonly ownRecords.Need[] {
+    if (!this.isJoined) return [];
+    return this.log.roster
       .entriesOf(this.self.service)
-      .filter(e => e.member.nodeId !== this.self.nodeId);
-    return siblings.flatMap(sibling => [
-      ...this.goneNeed(own, sibling, now.monotonicMs),
-      ...this.admitNeed(own, sibling),
-    ]);
+      .filter(e => e.member.nodeId !== this.self.nodeId)
+      .flatMap(sibling => this.goneNeed(sibling, nowMs));
   }
 
   private goneNeed(
-    own: control.RosterEntryState,
     sibling: control.RosterEntryState,
     nowMs: units.MonotonicMs,
   ): readonly ownRecords.Need[] {
     const {member} = sibling;
     const deadForMs = this.liveness.deadForMs(member.nodeId, nowMs);
     if (deadForMs === undefined || deadForMs < GONE_AFTER_MS) return [];
-    if (roster.isHolder(sibling) && !roster.isHolder(own)) return [];
     const key = `gone.${member.nodeId}.${sibling.offset}`;
     return [
       this.need(key, peer.RosterEvent.GONE, member, () => this.rankMs(member)),
     ];
   }
 
-  private admitNeed(
-    own: control.RosterEntryState,
-    sibling: control.RosterEntryState,
-  ): readonly ownRecords.Need[] {
-    const {member} = sibling;
-    const due =
-      roster.isHolder(own) &&
-      sibling.roster === 'joined' &&
-      !roster.isHolder(sibling) &&
-      this.liveness.isAlive(member.nodeId);
-    if (!due) return [];
-    const key = `admit.${member.nodeId}.${member.incarnation}`;
-    return [
-      this.need(key, peer.RosterEvent.ADMIT, member, () => this.rankMs(member)),
-    ];
-  }
-
-  /** Wait by this node's rank among the holders for a record about `about`. */
+  /** Wait by this node's rank in its service for a record about `about`. */
   private rankMs(about: peer.Member): units.Millis {
-    const holders = this.log.roster
-      .holdersOf(this.self.service)
-      .map(h => h.member.nodeId)
+    const members = this.log.roster
+      .entriesOf(this.self.service)
+      .map(e => e.member.nodeId)
       .filter(id => id !== about.nodeId && !this.isDead(id));
-    const ranked = rendezvous.rank(this.self.service, holders);
+    const ranked = rendezvous.rank(this.self.service, members);
     const rank = ranked.indexOf(this.self.nodeId);
     return (rank < 0 ? ranked.length : rank) * RANK_STEP_MS;
   }
@@ -264,24 +230,10 @@
     return {
       key,
       delayMs,
-      body: () => ({$case: 'roster', value: this.rosterRecord(event, member)}),
-    };
-  }
-
-  private rosterRecord(
-    event: peer.RosterEvent,
-    member: peer.Member,
-  ): peer.RosterRecord {
-    const entry =
-      event === peer.RosterEvent.REFRESH ? this.ownEntry() : undefined;
-    return {
-      event,
-      member,
-      authorNodeId: this.self.nodeId,
-      holder: entry !== undefined && roster.isHolder(entry),
-      holderSinceOffset: entry?.holderSinceOffset ?? 0,
-      holderSinceMs: entry?.holderSinceMs ?? 0,
-      basisOffset: this.log.nextOffset,
+      body: () => ({
+        $case: 'roster',
+        value: {event, member, authorNodeId: this.self.nodeId},
+      }),
     };
   }
 }
--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -58,10 +58,6 @@
   'entry.waits': 'Waits between attempts of one request.',
   'gate.cold-detected':
     'Warm backend servers found to have turned cold without a signal.',
-  'gate.delegated': 'Requests with a key that a full home let a sibling run.',
-  'gate.key-import-refused':
-    'Keys of a former home for which the memory had no room.',
-  'gate.key-lost': 'Keys that no other home took at a planned stop.',
   'gate.second-run':
     'Second runs of idempotent requests whose first run was silent.',
   'gate.stale-accepted':
--- a/src/common/entry/attempt_failures.ts
+++ b/src/common/entry/attempt_failures.ts
@@ -15,7 +15,6 @@
     reason: peer.RefusalReason.LINK_FAILED,
     retryAfterMs: LINK_RETRY_AFTER_MS,
     alternatives: [],
-    homeNodeId: '',
   };
 }
 
--- a/src/common/entry/unkeyed_planner.ts
+++ b/src/common/entry/attempt_planner.ts
@@ -1,4 +1,4 @@
-/** Steps of a request without an idempotency key. */
+/** Decides what follows at an entry: an attempt, a wait, or a refusal. */
 import * as peer from '../../generated/peer.js';
 import * as fleetView from '../control/fleet_view.js';
 import * as randomSource from '../random_source.js';
@@ -11,7 +11,7 @@
 import * as call from './call.js';
 import * as nextStep from './next_step.js';
 
-/** What planners decide by. */
+/** What a planner decides by. */
 export interface PlannerOptions {
   readonly view: fleetView.FleetView;
   readonly router: router.Router;
@@ -20,7 +20,7 @@
 }
 
 /** Returns what the attempt after the newest failure costs. */
-export function priceOfNext(c: call.Call): retryBudget.Price {
+function priceOfNext(c: call.Call): retryBudget.Price {
   const failure = c.lastFailure;
   if (failure === undefined) return 'none';
   const kind = failureKind.failureKind(failure.reason);
@@ -28,13 +28,15 @@
 }
 
 /** Tries members of the service, within the bounds of class, budget and deadline. */
-export class UnkeyedPlanner implements nextStep.Planner {
+export class AttemptPlanner {
   constructor(private readonly options: PlannerOptions) {}
 
+  /** Returns the first step. */
   first(c: call.Call, nowMs: units.MonotonicMs): nextStep.NextStep {
     return this.attemptAnywhere(c, nowMs);
   }
 
+  /** Returns the step after a failed attempt. */
   afterFailure(
     c: call.Call,
     failure: call.AttemptFailure,
@@ -51,6 +53,7 @@
     }
   }
 
+  /** Returns the step after a wait. */
   afterWait(c: call.Call, nowMs: units.MonotonicMs): nextStep.NextStep {
     c.startRound();
     if (!this.pay(c, priceOfNext(c))) {
--- a/src/common/entry/attempt_sender.ts
+++ b/src/common/entry/attempt_sender.ts
@@ -43,7 +43,7 @@
     nowMs: units.MonotonicMs,
   ): contract.EntryAction {
     this.options.invariants.check(
-      c.idempotent || c.keyed || c.provenNotRun,
+      c.idempotent || c.provenNotRun,
       {step: 'dispatch', peer: m.nodeId},
       'a request that must not run twice has no attempt that may have run',
     );
@@ -93,7 +93,7 @@
   /** Whether a redirection of this attempt would be followed: once, while the budget lasts. */
   private isRedirectable(c: call.Call, attempt: call.Attempt): boolean {
     const {budgets, followsRedirections} = this.options;
-    if (!followsRedirections || c.keyed || attempt.number > 1) return false;
+    if (!followsRedirections || attempt.number > 1) return false;
     return budgets.of(c.request.service).mayRedirect;
   }
 }
--- a/src/common/entry/call.ts
+++ b/src/common/entry/call.ts
@@ -26,8 +26,6 @@
   readonly outcome: peer.Outcome;
   readonly retryAfterMs: units.Millis;
   readonly alternatives: readonly peer.Alternative[];
-  /** Home of the key named by the gate, empty without one. */
-  readonly homeNodeId: string;
 }
 
 /** A whole answer with the node that gave it. */
@@ -51,8 +49,6 @@
   retries = 0;
   /** Waits made between attempts. */
   waits = 0;
-  /** Times that a gate named another home of the key. */
-  homeHops = 0;
   /** Whether it is settled if the request found room where it looked first. */
   roomSought = false;
   /** Backend servers that died while they ran the request. */
@@ -73,11 +69,6 @@
     this.deadlineAtMs = nowMs + request.deadlineMs;
   }
 
-  /** Whether the request carries an idempotency key. */
-  get keyed(): boolean {
-    return this.request.idempotencyKey !== '';
-  }
-
   /** Whether a second run does no harm. */
   get idempotent(): boolean {
     return this.request.requestClass.idempotent;
--- a/src/common/entry/call_runner.ts
+++ b/src/common/entry/call_runner.ts
@@ -7,6 +7,7 @@
 import * as router from '../routing/router.js';
 import * as units from '../units.js';
 import * as attemptFailures from './attempt_failures.js';
+import * as attemptPlanner from './attempt_planner.js';
 import * as attemptSender from './attempt_sender.js';
 import * as call from './call.js';
 import * as callEnder from './call_ender.js';
@@ -26,10 +27,7 @@
   readonly router: router.Router;
   readonly sender: attemptSender.AttemptSender;
   readonly ender: callEnder.CallEnder;
-  /** Planner of requests without an idempotency key. */
-  readonly unkeyed: nextStep.Planner;
-  /** Planner of requests with one. */
-  readonly keyed: nextStep.Planner;
+  readonly planner: attemptPlanner.AttemptPlanner;
   /** Takes the actions, in order. */
   readonly emit: (actions: readonly contract.EntryAction[]) => void;
 }
@@ -43,7 +41,7 @@
     if (mayHedge(c)) {
       c.hedgeAtMs = nowMs + c.request.requestClass.hedgeAfterMs;
     }
-    this.take(c, this.plannerOf(c).first(c, nowMs), nowMs);
+    this.take(c, this.options.planner.first(c, nowMs), nowMs);
   }
 
   /** Ends an open attempt. */
@@ -60,7 +58,7 @@
   ): void {
     c.lastFailure = failure;
     if (c.openAttempts.length > 0) return;
-    const step = this.plannerOf(c).afterFailure(c, failure, nowMs);
+    const step = this.options.planner.afterFailure(c, failure, nowMs);
     this.take(c, step, nowMs);
   }
 
@@ -90,7 +88,7 @@
     if (c.deadlineAtMs <= nowMs) return this.endAtDeadline(c);
     if (c.againAtMs !== undefined && c.againAtMs <= nowMs) {
       c.againAtMs = undefined;
-      this.take(c, this.plannerOf(c).afterWait(c, nowMs), nowMs);
+      this.take(c, this.options.planner.afterWait(c, nowMs), nowMs);
     }
     if (c.hedgeAtMs !== undefined && c.hedgeAtMs <= nowMs) {
       c.hedgeAtMs = undefined;
@@ -170,12 +168,8 @@
     this.options.counters.increment('entry.hedges');
     this.options.emit([sender.open(c, choice.member, nowMs)]);
   }
-
-  private plannerOf(c: call.Call): nextStep.Planner {
-    return c.keyed ? this.options.keyed : this.options.unkeyed;
-  }
 }
 
 function mayHedge(c: call.Call): boolean {
-  return c.idempotent && !c.keyed && c.request.requestClass.hedgeAfterMs > 0;
+  return c.idempotent && c.request.requestClass.hedgeAfterMs > 0;
 }
--- a/src/common/entry/entry_contract.ts
+++ b/src/common/entry/entry_contract.ts
@@ -15,7 +15,6 @@
   readonly body: Buffer;
   readonly deadlineMs: units.Millis;
   /** Empty without one. */
-  readonly idempotencyKey: string;
   readonly depth: number;
   /** Retries left to the whole call chain, undefined at its top. */
   readonly retriesLeft?: number;
--- a/src/common/entry/entry_core.ts
+++ b/src/common/entry/entry_core.ts
@@ -14,15 +14,14 @@
 import * as selector from '../routing/selector.js';
 import * as units from '../units.js';
 import * as attemptFailures from './attempt_failures.js';
+import * as attemptPlanner from './attempt_planner.js';
 import * as attemptSender from './attempt_sender.js';
 import * as call from './call.js';
 import * as callEnder from './call_ender.js';
 import * as callRunner from './call_runner.js';
 import * as callTable from './call_table.js';
 import * as contract from './entry_contract.js';
-import * as keyedPlanner from './keyed_planner.js';
 import * as linkRecovery from './link_recovery.js';
-import * as unkeyedPlanner from './unkeyed_planner.js';
 
 const FULL_RETRY_AFTER_MS = 100;
 const NOT_READY_RETRY_AFTER_MS = 1_000;
@@ -98,13 +97,13 @@
       followsRedirections: options.selector.kind === 'redirect',
     });
     this.ender = new callEnder.CallEnder({...options, calls, sender});
-    const planning = {...options, budgets, router: this.router};
+    const {router: gates} = this;
+    const planning = {...options, budgets, router: gates};
     this.runner = new callRunner.CallRunner({
       ...planning,
       sender,
       ender: this.ender,
-      unkeyed: new unkeyedPlanner.UnkeyedPlanner(planning),
-      keyed: new keyedPlanner.KeyedPlanner(planning),
+      planner: new attemptPlanner.AttemptPlanner(planning),
       emit: actions => void this.actions.push(...actions),
     });
   }
@@ -357,7 +356,7 @@
 
 /** Whether an answer with an error status may be replaced by that of another attempt. */
 function mayReplace(c: call.Call, answer: peer.CallAnswer): boolean {
-  return c.idempotent && !c.keyed && RETRYABLE_STATUSES.has(answer.status);
+  return c.idempotent && RETRYABLE_STATUSES.has(answer.status);
 }
 
 /**
--- a/src/common/entry/link_recovery.ts
+++ b/src/common/entry/link_recovery.ts
@@ -28,7 +28,7 @@
  * goes on asking the gate that has it, at growing intervals.
  */
 export function afterSilence(c: call.Call, attempt: call.Attempt): LinkStep {
-  const mostResends = mayRepeat(c) ? 1 : MAX_RESENDS;
+  const mostResends = c.idempotent ? 1 : MAX_RESENDS;
   if (attempt.resends >= mostResends) return ENDED_UNKNOWN;
   const delayMs =
     attempt.resends === 0
@@ -44,12 +44,7 @@
   sent: boolean,
 ): LinkStep {
   if (!sent && attempt.resends === 0) return ENDED_NOT_RUN;
-  if (mayRepeat(c) || attempt.brokenLinks > 0) return ENDED_UNKNOWN;
+  if (c.idempotent || attempt.brokenLinks > 0) return ENDED_UNKNOWN;
   if (attempt.resends >= MAX_RESENDS) return ENDED_UNKNOWN;
   return {kind: 'resend', delayMs: 0, brokenLinks: attempt.brokenLinks + 1};
 }
-
-/** Whether a further attempt may be made although this one may have run. */
-function mayRepeat(c: call.Call): boolean {
-  return c.idempotent || c.keyed;
-}
--- a/src/common/entry/next_step.ts
+++ b/src/common/entry/next_step.ts
@@ -18,22 +18,6 @@
       readonly retryAfterMs: units.Millis;
     };
 
-/** Decides the steps of a request. */
-export interface Planner {
-  /** Returns the first step. */
-  first(c: call.Call, nowMs: units.MonotonicMs): NextStep;
-
-  /** Returns the step after a failed attempt. */
-  afterFailure(
-    c: call.Call,
-    failure: call.AttemptFailure,
-    nowMs: units.MonotonicMs,
-  ): NextStep;
-
-  /** Returns the step after a wait. */
-  afterWait(c: call.Call, nowMs: units.MonotonicMs): NextStep;
-}
-
 /** Refuses for the reason of the newest failure, or because no member can take the request. */
 export function refuseFor(failure: call.AttemptFailure | undefined): NextStep {
   if (failure === undefined) {
--- a/src/common/entry/refusals.ts
+++ b/src/common/entry/refusals.ts
@@ -18,6 +18,5 @@
     alternatives: [],
     load: undefined,
     serverDied: false,
-    homeNodeId: '',
   };
 }
--- a/src/common/gate/arrivals.ts
+++ b/src/common/gate/arrivals.ts
@@ -5,9 +5,7 @@
 import * as callEnds from './call_ends.js';
 import * as record from './call_record.js';
 import * as contract from './gate_contract.js';
-import * as delegations from './delegations.js';
 import * as gateParts from './gate_parts.js';
-import * as keyedCalls from './keyed_calls.js';
 import * as quarantine from './quarantine.js';
 
 /** Takes calls into the queue, or refuses them at once. */
@@ -15,8 +13,6 @@
   constructor(
     private readonly parts: gateParts.GateParts,
     private readonly ends: callEnds.CallEnds,
-    private readonly keyed: keyedCalls.KeyedCalls,
-    private readonly delegations: delegations.Delegations,
     private readonly quarantine: quarantine.Quarantine,
   ) {}
 
@@ -34,7 +30,6 @@
       return this.parts.responder.reply(source, call.callId, result, now);
     }
     this.parts.calls.add(rec);
-    if (rec.key !== '' && !this.keyed.admits(rec, now)) return;
     this.admit(rec, now);
   }
 
@@ -42,9 +37,7 @@
   onCancel(callId: string, now: units.Instant): void {
     const {calls, runs} = this.parts;
     const rec = calls.liveCall(callId);
-    if (rec && this.keyed.mustGoOn(rec)) {
-      this.detach(rec, now);
-    } else if (rec) {
+    if (rec) {
       runs.abortAll(rec, now.monotonicMs);
       this.ends.refuse(rec, peer.RefusalReason.CANCELLED, now);
     } else if (!calls.resultOf(callId)) {
@@ -114,10 +107,7 @@
       };
     }
     const closed = entrance.refusalReason();
-    const isKeyed = call.idempotencyKey !== '' && !call.delegated;
-    if (closed && !(isKeyed && entrance.mayDelegate(closed))) {
-      return record.notRun(closed);
-    }
+    if (closed) return record.notRun(closed);
     return this.quarantine.refusalOf(call, now);
   }
 
@@ -131,16 +121,14 @@
 
   /** Queues a call, or refuses it or a less entitled one. */
   private admit(rec: record.CallRecord, now: units.Instant): void {
-    const closed = this.parts.entrance.refusalReason();
-    if (closed) return this.refuseFromClosed(rec, closed, now);
     const offer = this.parts.admission.offer(rec, now.monotonicMs);
     switch (offer.kind) {
       case 'queued':
         return;
       case 'displaced':
-        return this.refuseForRoom(offer.item, now);
+        return this.ends.refuse(offer.item, this.fullReason, now);
       case 'full':
-        return this.refuseForRoom(rec, now);
+        return this.ends.refuse(rec, this.fullReason, now);
       case 'too-late':
         return this.ends.refuse(rec, peer.RefusalReason.DEADLINE, now);
       default:
@@ -148,32 +136,6 @@
     }
   }
 
-  private refuseFromClosed(
-    rec: record.CallRecord,
-    reason: peer.RefusalReason,
-    now: units.Instant,
-  ): void {
-    if (rec.key !== '' && this.delegations.delegateFromClosed(rec, now)) return;
-    this.ends.refuse(rec, reason, now);
-  }
-
-  private refuseForRoom(rec: record.CallRecord, now: units.Instant): void {
-    if (rec.key !== '' && this.delegations.delegate(rec, now)) return;
-    this.ends.refuse(rec, this.fullReason, now);
-  }
-
-  /** Answers the cancellation of a call that goes on without its source. */
-  private detach(rec: record.CallRecord, now: units.Instant): void {
-    if (!rec.source) return;
-    const detail = {
-      reason: peer.RefusalReason.CANCELLED,
-      outcome: peer.Outcome.UNKNOWN,
-    };
-    const result = {kind: 'refused', detail} as const;
-    this.parts.responder.reply(rec.source, rec.callId, result, now);
-    rec.source = undefined;
-  }
-
   private get fullReason(): peer.RefusalReason {
     return this.parts.admission.isCold
       ? peer.RefusalReason.COLD_START
--- a/src/common/gate/call_record.ts
+++ b/src/common/gate/call_record.ts
@@ -10,7 +10,6 @@
   readonly outcome: peer.Outcome;
   readonly retryAfterMs?: units.Millis;
   readonly serverDied?: boolean;
-  readonly homeNodeId?: string;
 }
 
 /** An answer of the backend server, complete. */
@@ -18,8 +17,6 @@
   readonly status: number;
   readonly headers: readonly peer.Header[];
   readonly body: Uint8Array;
-  /** Whether it comes from an earlier run of the same key. */
-  readonly replayed: boolean;
 }
 
 /** How a call ended. */
@@ -46,10 +43,6 @@
 export type CallState =
   | {readonly kind: 'waiting'}
   | {readonly kind: 'running'; readonly runs: readonly Run[]}
-  /** A sibling runs it. */
-  | {readonly kind: 'delegated'; readonly nodeId: string}
-  /** Waits for the result of another call with the same key. */
-  | {readonly kind: 'joined'; readonly ownerCallId: string}
   /** Its connection broke; until then the server's death may explain it. */
   | {readonly kind: 'broken'; readonly untilMs: units.MonotonicMs}
   | {readonly kind: 'finished'};
@@ -107,12 +100,6 @@
     return this.requestClass.idempotent;
   }
 
-  /** Idempotency key that this gate accounts for, empty without one. */
-  get key(): string {
-    const keyed = !this.idempotent && !this.call.delegated;
-    return keyed ? this.call.idempotencyKey : '';
-  }
-
   /** Runs that are under way. */
   get runs(): readonly Run[] {
     return this.state.kind === 'running' ? this.state.runs : [];
@@ -120,10 +107,6 @@
 
   /** What can be said of the execution while no answer is known. */
   get outcomeSoFar(): peer.Outcome {
-    const mayHaveRun =
-      this.runsSent > 0 ||
-      this.state.kind === 'joined' ||
-      this.state.kind === 'delegated';
-    return mayHaveRun ? peer.Outcome.UNKNOWN : peer.Outcome.NOT_RUN;
+    return this.runsSent > 0 ? peer.Outcome.UNKNOWN : peer.Outcome.NOT_RUN;
   }
 }
--- a/src/common/gate/dispatcher.ts
+++ b/src/common/gate/dispatcher.ts
@@ -4,10 +4,8 @@
 import * as units from '../units.js';
 import * as callEnds from './call_ends.js';
 import * as record from './call_record.js';
-import * as delegations from './delegations.js';
 import * as gateOptions from './gate_options.js';
 import * as gateParts from './gate_parts.js';
-import * as keyedCalls from './keyed_calls.js';
 import * as quarantine from './quarantine.js';
 
 /** Starts runs on the backend server while there is room. */
@@ -15,8 +13,6 @@
   constructor(
     private readonly parts: gateParts.GateParts,
     private readonly ends: callEnds.CallEnds,
-    private readonly keyed: keyedCalls.KeyedCalls,
-    private readonly delegations: delegations.Delegations,
     private readonly quarantine: quarantine.Quarantine,
   ) {}
 
@@ -65,23 +61,15 @@
   }
 
   private refuseWaiting(reason: peer.RefusalReason, now: units.Instant): void {
-    const {admission, entrance} = this.parts;
-    for (const rec of admission.queue.items()) {
-      const mayDelegate = rec.key !== '' && entrance.mayDelegate(reason);
-      if (mayDelegate && this.delegations.delegateFromClosed(rec, now)) {
-        admission.queue.remove(rec);
-      } else {
-        this.ends.refuse(rec, reason, now);
-      }
+    for (const rec of this.parts.admission.queue.items()) {
+      this.ends.refuse(rec, reason, now);
     }
   }
 
   private start(rec: record.CallRecord, now: units.Instant): void {
     this.ends.guard(rec, now, () => {
       this.checkMayStart(rec);
-      const detail =
-        this.quarantine.refusalOf(rec.call, now) ??
-        this.keyed.refusalAtDispatch(rec, now);
+      const detail = this.quarantine.refusalOf(rec.call, now);
       if (detail) return this.ends.refuseWith(rec, detail, now);
       this.parts.runs.start(rec, now.monotonicMs);
     });
--- a/src/common/gate/entrance.ts
+++ b/src/common/gate/entrance.ts
@@ -14,13 +14,6 @@
 /** Longest refusal of new work for the sake of a view that nobody confirms. */
 const STALE_WAIT_MS = 5_000;
 
-/** Reasons that bar runs on the backend server but not the work of a key's home. */
-const SERVER_ONLY_REASONS: ReadonlySet<peer.RefusalReason> = new Set([
-  peer.RefusalReason.DATA_CENTRE_OUT,
-  peer.RefusalReason.SERVER_OUT,
-  peer.RefusalReason.SERVER_ABSENT,
-]);
-
 /** State of a gate as far as it concerns new work. */
 export class Entrance {
   private server: control.ServerState = 'absent';
@@ -117,14 +110,6 @@
     return this.outReason() ?? this.serverRefusal();
   }
 
-  /**
-   * Whether a home that may not run a keyed call itself, for the reason given, may let a sibling
-   * run it: what bars the run concerns the backend server only, the memory of keys goes on.
-   */
-  mayDelegate(reason: peer.RefusalReason): boolean {
-    return !this.stopping && SERVER_ONLY_REASONS.has(reason);
-  }
-
   private isUnconfirmed(now: units.MonotonicMs): boolean {
     const {view} = this.options;
     if (view.stale) return true;
--- a/src/common/gate/gate_contract.ts
+++ b/src/common/gate/gate_contract.ts
@@ -55,11 +55,6 @@
       readonly load: peer.LoadReport;
     }
   | {readonly kind: 'suspect'; readonly report: peer.SuspectReport}
-  | {readonly kind: 'delegate-answered'; readonly answer: peer.CallAnswer}
-  | {readonly kind: 'delegate-refused'; readonly refusal: peer.CallRefusal}
-  /** The link to the sibling broke or its answer did not arrive: the run may have happened. */
-  | {readonly kind: 'delegate-lost'; readonly callId: string}
-  | {readonly kind: 'keys-received'; readonly handover: peer.KeyHandover}
   | {readonly kind: 'tick'}
   | {readonly kind: 'stop'};
 
@@ -88,21 +83,11 @@
       readonly source: CallSource;
       readonly refusal: peer.CallRefusal;
     }
-  | {
-      readonly kind: 'delegate';
-      readonly nodeId: string;
-      readonly call: peer.CallRequest;
-    }
   | {
       readonly kind: 'tell-siblings';
       readonly nodeIds: readonly string[];
       readonly load: peer.LoadReport;
     }
   | {readonly kind: 'report-suspect'; readonly report: peer.SuspectReport}
-  | {
-      readonly kind: 'hand-over';
-      readonly nodeId: string;
-      readonly handover: peer.KeyHandover;
-    }
-  /** After `stop`: nothing is in flight and key memory is handed over. */
+  /** After `stop`: nothing is in flight. */
   | {readonly kind: 'drained'};
--- a/src/common/gate/gate_core.ts
+++ b/src/common/gate/gate_core.ts
@@ -7,11 +7,9 @@
 import * as arrivals from './arrivals.js';
 import * as callEnds from './call_ends.js';
 import * as dispatcher from './dispatcher.js';
-import * as delegations from './delegations.js';
 import * as contract from './gate_contract.js';
 import * as gateOptions from './gate_options.js';
 import * as gateParts from './gate_parts.js';
-import * as keyedCalls from './keyed_calls.js';
 import * as loadNotices from './load_notices.js';
 import * as quarantine from './quarantine.js';
 import * as responder from './responder.js';
@@ -29,8 +27,6 @@
   private lastMs: units.MonotonicMs = 0;
   private readonly parts: gateParts.GateParts;
   private readonly ends: callEnds.CallEnds;
-  private readonly keyed: keyedCalls.KeyedCalls;
-  private readonly delegations: delegations.Delegations;
   private readonly quarantine: quarantine.Quarantine;
   private readonly arrivals: arrivals.Arrivals;
   private readonly dispatcher: dispatcher.Dispatcher;
@@ -42,22 +38,16 @@
     const emit: responder.Emit = action => void this.actions.push(action);
     this.parts = gateParts.createParts(options, this, emit);
     this.ends = new callEnds.CallEnds(this.parts);
-    this.keyed = new keyedCalls.KeyedCalls(this.parts, this.ends, emit);
     this.quarantine = new quarantine.Quarantine(this.parts, this.ends, emit);
     this.notices = new loadNotices.LoadNotices(this.parts, emit);
-    this.delegations = new delegations.Delegations(this.parts, this.ends, emit);
     this.arrivals = new arrivals.Arrivals(
       this.parts,
       this.ends,
-      this.keyed,
-      this.delegations,
       this.quarantine,
     );
     this.dispatcher = new dispatcher.Dispatcher(
       this.parts,
       this.ends,
-      this.keyed,
-      this.delegations,
       this.quarantine,
     );
     this.results = new serverResults.ServerResults(
@@ -84,7 +74,6 @@
       this.parts.runs.nextSettleMs ?? Infinity,
       this.parts.entrance.nextObserveMs ?? Infinity,
       this.drainedSent ? Infinity : (this.notices.nextWakeMs ?? Infinity),
-      this.drainedSent ? Infinity : (this.keyed.nextWakeMs ?? Infinity),
     );
     for (const rec of this.parts.calls.liveRecords) {
       next = Math.min(next, rec.wakeMs);
@@ -143,14 +132,6 @@
           event.load,
           now.monotonicMs,
         );
-      case 'delegate-answered':
-        return this.delegations.onAnswered(event.answer, now);
-      case 'delegate-refused':
-        return this.delegations.onRefused(event.refusal, now);
-      case 'delegate-lost':
-        return this.delegations.onLost(event.callId, now);
-      case 'keys-received':
-        return this.keyed.onReceived(event.handover, now);
       case 'suspect':
         return this.quarantine.onReport(event.report, now);
       case 'tick':
@@ -174,7 +155,6 @@
   private advance(now: units.Instant): void {
     const {admission, calls, entrance, runs} = this.parts;
     calls.purge(now.monotonicMs);
-    this.keyed.purge(now);
     runs.settle(now.monotonicMs);
     if (entrance.hasReturned() || entrance.isStarting) {
       admission.restart(now.monotonicMs);
@@ -184,7 +164,7 @@
     this.expire(now);
     this.dispatcher.dispatch(now);
     this.dispatcher.replaceSilent(now);
-    if (entrance.isStopping) this.finishStop(now);
+    if (entrance.isStopping) this.finishStop();
     this.notices.observe(this.loadReport(), now.monotonicMs);
   }
 
@@ -207,12 +187,9 @@
     }
   }
 
-  /** Reports that nothing is in flight and the keys are handed over. */
-  private finishStop(now: units.Instant): void {
-    if (this.drainedSent) return;
-    const handedOver = this.keyed.handOver(now);
-    if (!handedOver || this.parts.calls.liveCount > 0) return;
-    this.keyed.countLost();
+  /** Reports that nothing is in flight. */
+  private finishStop(): void {
+    if (this.drainedSent || this.parts.calls.liveCount > 0) return;
     this.drainedSent = true;
     this.actions.push({kind: 'drained'});
   }
--- a/src/common/gate/gate_options.ts
+++ b/src/common/gate/gate_options.ts
@@ -11,8 +11,6 @@
 export interface GateBounds {
   /** Most calls waiting or running at once, and most remembered after their end. */
   readonly calls: number;
-  /** Most idempotency keys remembered. */
-  readonly keys: number;
 }
 
 /** Settings and surroundings of a gate core. */
--- a/src/common/gate/quarantine.ts
+++ b/src/common/gate/quarantine.ts
@@ -88,8 +88,9 @@
       this.forgetEnded(now.monotonicMs);
       this.ended.set(fingerprint, now.monotonicMs);
     }
-    if (result.kind !== 'answered' || result.answer.replayed) return;
-    this.suspects.onSuccess(fingerprint, now.monotonicMs);
+    if (result.kind === 'answered') {
+      this.suspects.onSuccess(fingerprint, now.monotonicMs);
+    }
   }
 }
 
--- a/src/common/gate/responder.ts
+++ b/src/common/gate/responder.ts
@@ -59,7 +59,6 @@
         body: Buffer.from(answer.body),
         load: this.load.loadReport(now),
         configurationRevision: this.revision,
-        replayed: answer.replayed,
       },
     });
   }
@@ -87,7 +86,6 @@
         load: this.load.loadReport(now),
         configurationRevision: this.revision,
         serverDied: detail.serverDied ?? false,
-        homeNodeId: detail.homeNodeId ?? '',
       },
     });
   }
--- a/src/common/gate/server_results.ts
+++ b/src/common/gate/server_results.ts
@@ -31,7 +31,7 @@
     const {status, headers, body} = event;
     admission.onAnswered(rec, status, run.startedMs, now.monotonicMs);
     runs.abortAll(rec, now.monotonicMs);
-    const answer = {status, headers, body, replayed: false};
+    const answer = {status, headers, body};
     this.ends.finish(rec, {kind: 'answered', answer}, now);
   }
 
--- a/src/common/membership/rendezvous.ts
+++ b/src/common/membership/rendezvous.ts
@@ -18,25 +18,6 @@
     .map(ranked => ranked.nodeId);
 }
 
-/** Returns the first of the ranking, undefined if there are no members. */
-export function first(
-  key: string,
-  nodeIds: readonly string[],
-): string | undefined {
-  const keyHash = hash.hashText(key);
-  let best: Ranked | undefined;
-  for (const nodeId of nodeIds) {
-    const ranked = {nodeId, weight: weight(keyHash, nodeId)};
-    if (best === undefined || compare(ranked, best) > 0) best = ranked;
-  }
-  return best?.nodeId;
-}
-
-/** Whether `left` ranks before `right` for a key. */
-export function ranksBefore(key: string, left: string, right: string): boolean {
-  return first(key, [left, right]) === left && left !== right;
-}
-
 interface Ranked {
   readonly nodeId: string;
   readonly weight: number;
--- a/src/common/membership/roster.ts
+++ b/src/common/membership/roster.ts
@@ -1,12 +1,12 @@
-/** Fold of the log's roster records: members and key holders, alike on every node. */
+/** Fold of the log's roster records: members, alike on every node. */
 import * as peer from '../../generated/peer.js';
 import * as control from '../control/control_contract.js';
 import * as counters from '../counters.js';
 import * as invariants from '../invariants.js';
 import * as units from '../units.js';
 
-/** Silence in the log after which a joiner starts the key memory of its service anew. */
-export const HOLDER_RESET_MS: units.Millis = 600_000;
+/** Time in which every member refreshes its record, so that older ones matter no more. */
+export const REFRESHED_ALL_MS: units.Millis = 600_000;
 
 /** Most members kept; the same on every node, because the fold depends on it. */
 export const MAX_MEMBERS = 10_000;
@@ -14,9 +14,6 @@
 /** Most entries of gone members kept to fence late records. */
 export const MAX_TOMBSTONES = 1_000;
 
-/** Most ends of holding kept for each service. */
-export const MAX_DEPARTURES = 64;
-
 /** Record of the roster with its place in the log. */
 export interface PlacedRecord {
   readonly record: peer.RosterRecord;
@@ -25,21 +22,13 @@
   readonly timeMs: units.EpochMs;
 }
 
-/** State of the roster as peers exchange it. */
-export interface RosterState {
-  readonly entries: readonly control.RosterEntryState[];
-  readonly departures: readonly control.HolderDeparture[];
-}
-
 type Entries = readonly control.RosterEntryState[];
 
-/** Members and key holders by the log up to an offset. */
+/** Members by the log up to an offset. */
 export class Roster {
   private entries = new Map<string, control.RosterEntryState>();
   private services = new Map<string, Set<string>>();
-  private departures = new Map<string, control.HolderDeparture[]>();
   private readonly entriesCache = new Map<string, Entries>();
-  private readonly holdersCache = new Map<string, Entries>();
   private tombstones = 0;
   private changes = 0;
   /** First offset from which every record has been folded, undefined if none is missing. */
@@ -83,42 +72,21 @@
     return [...this.entries.values()].filter(e => e.roster !== 'gone');
   }
 
-  /** Key holders of a service. */
-  holdersOf(service: string): Entries {
-    let found = this.holdersCache.get(service);
-    if (found === undefined) {
-      found = this.entriesOf(service).filter(isHolder);
-      this.holdersCache.set(service, found);
-    }
-    return found;
-  }
-
-  /** Recent ends of holding in a service, oldest first. */
-  departuresOf(service: string): readonly control.HolderDeparture[] {
-    return this.departures.get(service) ?? [];
-  }
-
-  /** Returns the state for a peer. */
-  state(): RosterState {
-    return {
-      entries: [...this.entries.values()],
-      departures: [...this.departures.values()].flat(),
-    };
+  /** Returns the state for a peer, gone members included. */
+  state(): Entries {
+    return [...this.entries.values()];
   }
 
   /** Takes the complete state of another node in place of this one. */
-  adopt(state: RosterState): void {
+  adopt(state: Entries): void {
     this.changes++;
     this.entries = new Map();
     this.services = new Map();
-    this.departures = new Map();
     this.entriesCache.clear();
-    this.holdersCache.clear();
     this.tombstones = 0;
     this.partialFrom = undefined;
     this.partialSinceMs = undefined;
-    for (const entry of state.entries) this.put(entry);
-    for (const departure of state.departures) this.depart(departure);
+    for (const entry of state) this.put(entry);
   }
 
   /** Notes that records below `firstOffset` are missing. */
@@ -141,9 +109,6 @@
       case peer.RosterEvent.GONE:
         this.foldGone(placed);
         return;
-      case peer.RosterEvent.ADMIT:
-        this.foldAdmit(placed);
-        return;
       case peer.RosterEvent.UNSPECIFIED:
       case peer.RosterEvent.UNRECOGNIZED:
         this.count.increment('malformed.log-record');
@@ -153,66 +118,27 @@
     }
   }
 
-  /** After a span in which every holder has refreshed, nothing older can matter. */
+  /** After a span in which every member has refreshed, nothing older can matter. */
   private noteProgress(timeMs: units.EpochMs): void {
     if (this.partialFrom === undefined) return;
     this.partialSinceMs ??= timeMs;
-    if (timeMs - this.partialSinceMs < HOLDER_RESET_MS) return;
+    if (timeMs - this.partialSinceMs < REFRESHED_ALL_MS) return;
     this.partialFrom = undefined;
     this.partialSinceMs = undefined;
   }
 
   private foldPresence(placed: PlacedRecord): void {
-    const {member, record, offset, timeMs} = placed;
+    const {member, offset, timeMs} = placed;
     const current = this.entries.get(member.nodeId);
     if (!this.isNewsOfItself(placed, current)) return;
     if (current === undefined && this.isFull()) return;
-    const restarted =
-      current !== undefined && current.member.incarnation < member.incarnation;
-    if (restarted) this.endHolding(current, placed);
-    const kept =
-      current?.roster === 'joined' && !restarted ? holding(current) : {};
-    this.put({
-      member,
-      roster: 'joined',
-      offset,
-      timeMs,
-      selfTimeMs: timeMs,
-      ...kept,
-    });
-    if (record.event === peer.RosterEvent.JOIN) this.startIfUnheld(placed);
-    else this.restateHolding(placed);
-  }
-
-  /** The first member of a service without holders starts its key memory. */
-  private startIfUnheld(placed: PlacedRecord): void {
-    if (!this.complete) return;
-    const {service} = placed.member;
-    for (const holder of this.holdersOf(service)) {
-      if (placed.timeMs - holder.selfTimeMs < HOLDER_RESET_MS) return;
-    }
-    for (const holder of this.holdersOf(service)) {
-      this.endHolding(holder, placed);
-    }
-    this.startHolding(placed.member.nodeId, placed.offset, placed.timeMs);
-  }
-
-  /** Takes a holder's own statement where the records it rests on have been dropped. */
-  private restateHolding(placed: PlacedRecord): void {
-    const {record, member} = placed;
-    if (this.partialFrom === undefined || !record.holder) return;
-    if (record.basisOffset < this.partialFrom) return;
-    this.startHolding(
-      member.nodeId,
-      record.holderSinceOffset,
-      record.holderSinceMs,
-    );
+    const roster = 'joined';
+    this.put({member, roster, offset, timeMs, selfTimeMs: timeMs});
   }
 
   private foldLeaving(placed: PlacedRecord): void {
     const current = this.entries.get(placed.member.nodeId);
     if (current === undefined || !this.isNewsOfItself(placed, current)) return;
-    this.endHolding(current, placed);
     this.put({
       member: placed.member,
       roster: 'leaving',
@@ -222,18 +148,11 @@
     });
   }
 
-  /** A holder is declared gone by another holder of its service only. */
   private foldGone(placed: PlacedRecord): void {
-    const {member, record, offset, timeMs} = placed;
+    const {member, offset, timeMs} = placed;
     const current = this.entries.get(member.nodeId);
     if (current === undefined || current.roster === 'gone') return;
     if (current.member.incarnation !== member.incarnation) return;
-    const mayEnd =
-      !isHolder(current) ||
-      record.authorNodeId === member.nodeId ||
-      this.isHolderOf(record.authorNodeId, current.member.service);
-    if (!mayEnd) return;
-    this.endHolding(current, placed);
     this.put({
       member: current.member,
       roster: 'gone',
@@ -243,15 +162,6 @@
     });
   }
 
-  private foldAdmit(placed: PlacedRecord): void {
-    const {member, record, offset, timeMs} = placed;
-    const current = this.entries.get(member.nodeId);
-    if (current?.roster !== 'joined' || isHolder(current)) return;
-    if (current.member.incarnation !== member.incarnation) return;
-    if (!this.isHolderOf(record.authorNodeId, current.member.service)) return;
-    this.startHolding(member.nodeId, offset, timeMs);
-  }
-
   /** Whether a record that a member writes about itself is its newest. */
   private isNewsOfItself(
     placed: PlacedRecord,
@@ -269,44 +179,6 @@
     return timeMs > current.selfTimeMs;
   }
 
-  private isHolderOf(nodeId: string, service: string): boolean {
-    const entry = this.entries.get(nodeId);
-    return (
-      entry !== undefined && isHolder(entry) && entry.member.service === service
-    );
-  }
-
-  private startHolding(
-    nodeId: string,
-    holderSinceOffset: number,
-    holderSinceMs: units.EpochMs,
-  ): void {
-    const entry = this.entries.get(nodeId);
-    if (entry) this.put({...entry, holderSinceOffset, holderSinceMs});
-  }
-
-  private endHolding(
-    entry: control.RosterEntryState,
-    placed: PlacedRecord,
-  ): void {
-    if (!isHolder(entry)) return;
-    const {member, roster, offset, timeMs, selfTimeMs} = entry;
-    this.put({member, roster, offset, timeMs, selfTimeMs});
-    this.depart({
-      service: member.service,
-      nodeId: member.nodeId,
-      offset: placed.offset,
-      timeMs: placed.timeMs,
-    });
-  }
-
-  private depart(departure: control.HolderDeparture): void {
-    const list = this.departures.get(departure.service) ?? [];
-    list.push(departure);
-    if (list.length > MAX_DEPARTURES) list.shift();
-    this.departures.set(departure.service, list);
-  }
-
   private put(entry: control.RosterEntryState): void {
     const {nodeId, service} = entry.member;
     const old = this.entries.get(nodeId);
@@ -332,7 +204,6 @@
 
   private dropCaches(service: string): void {
     this.entriesCache.delete(service);
-    this.holdersCache.delete(service);
   }
 
   private dropOldTombstones(): void {
@@ -362,16 +233,3 @@
     });
   }
 }
-
-/** Whether an entry holds keys. */
-export function isHolder(entry: control.RosterEntryState): boolean {
-  return entry.holderSinceOffset !== undefined;
-}
-
-function holding(
-  entry: control.RosterEntryState,
-): Pick<control.RosterEntryState, 'holderSinceOffset' | 'holderSinceMs'> {
-  if (!isHolder(entry)) return {};
-  const {holderSinceOffset, holderSinceMs} = entry;
-  return {holderSinceOffset, holderSinceMs};
-}
--- a/src/common/retries/failure_kind.ts
+++ b/src/common/retries/failure_kind.ts
@@ -16,7 +16,6 @@
     case peer.RefusalReason.DEADLINE:
     case peer.RefusalReason.COLD_START:
     case peer.RefusalReason.SERVER_SHED:
-    case peer.RefusalReason.KEY_MEMORY_FULL:
       return 'full';
     case peer.RefusalReason.LEAVING:
     case peer.RefusalReason.DATA_CENTRE_OUT:
@@ -24,8 +23,6 @@
     case peer.RefusalReason.SERVER_ABSENT:
     case peer.RefusalReason.NO_SERVER:
     case peer.RefusalReason.NOT_READY:
-    case peer.RefusalReason.WRONG_HOME:
-    case peer.RefusalReason.STALE_ROSTER:
       return 'absent';
     case peer.RefusalReason.SERVER_FAILED:
     case peer.RefusalReason.BAD_ANSWER:
@@ -37,8 +34,6 @@
     case peer.RefusalReason.NO_ROUTE:
     case peer.RefusalReason.RETRY_BUDGET:
     case peer.RefusalReason.QUARANTINED:
-    case peer.RefusalReason.KEY_UNACCOUNTED:
-    case peer.RefusalReason.KEY_REUSED:
     case peer.RefusalReason.TOO_LARGE:
     case peer.RefusalReason.CANCELLED:
     case peer.RefusalReason.TOO_DEEP:
--- a/src/common/retries/retry_policy.ts
+++ b/src/common/retries/retry_policy.ts
@@ -55,7 +55,7 @@
   return requestClass.kind === 'must-arrive';
 }
 
-/** Decides what follows a failed attempt of a request without an idempotency key. */
+/** Decides what follows a failed attempt of a request. */
 export function decide(state: RetryState): RetryDecision {
   const kind = failureKind.failureKind(state.reason);
   const mayRepeat = state.allNotRun || state.requestClass.idempotent;
--- a/src/node/caller_headers.ts
+++ b/src/node/caller_headers.ts
@@ -12,12 +12,9 @@
 
 const MAX_REQUEST_ID_LENGTH = 128;
 
-const MAX_IDEMPOTENCY_KEY_LENGTH = 256;
-
 /** What a caller's headers say about the call. */
 export interface CallFields {
   readonly deadlineMs: units.Millis | undefined;
-  readonly idempotencyKey: string;
   readonly depth: number;
   readonly retriesLeft: number | undefined;
 }
@@ -35,18 +32,15 @@
     httpHeaders.RETRIES_LEFT_HEADER,
     MAX_COUNT,
   );
-  const idempotencyKey = singleHeader(req, httpHeaders.IDEMPOTENCY_KEY_HEADER);
   if (
     deadlineMs === 'malformed' ||
     depth === 'malformed' ||
-    retriesLeft === 'malformed' ||
-    (idempotencyKey ?? '').length > MAX_IDEMPOTENCY_KEY_LENGTH
+    retriesLeft === 'malformed'
   ) {
     return undefined;
   }
   return {
     deadlineMs,
-    idempotencyKey: idempotencyKey ?? '',
     depth: depth ?? 0,
     retriesLeft,
   };
--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -12,7 +12,6 @@
 import * as eventLoop from './event_loop.js';
 import * as eventSource from './event_source.js';
 import * as gateActions from './gate_actions.js';
-import * as keyHandovers from './key_handovers.js';
 import * as logger from './logger.js';
 import * as nodeCores from './node_cores.js';
 import * as nodeEvent from './node_event.js';
@@ -45,7 +44,6 @@
   readonly cores: nodeCores.Cores;
   readonly sockets: nodeSockets.NodeSockets;
   readonly server: serverState.ServerState;
-  readonly handovers: keyHandovers.KeyHandovers;
   readonly commands: eventSource.EventSource<nodeEvent.NodeEvent>;
 }
 
@@ -119,7 +117,7 @@
 
   private makeLoop(): eventLoop.EventLoop {
     const {count, log} = this.options;
-    const {self, cores, sockets, server, handovers} = this.parts;
+    const {self, cores, sockets, server} = this.parts;
     const {http, links, connections, datagrams, remote} = sockets;
     const view = cores.control;
     return new eventLoop.EventLoop({
@@ -141,7 +139,6 @@
         links,
         connections,
         datagrams,
-        handOver: (nodeId, handover) => handovers.send(nodeId, handover),
         onDrained: () => this.drained.raise(),
       }),
       controlActions: new controlActions.ControlActions(
@@ -155,7 +152,7 @@
 
   private statusSources(): nodeStatus.StatusSources {
     const {settings, count} = this.options;
-    const {cores, server, commands} = this.parts;
+    const {cores, server} = this.parts;
     return {
       settings,
       view: cores.control,
@@ -164,17 +161,15 @@
       counters: () => count.snapshot(),
       explain: service => cores.entry.explain(service, clock.now()),
       peerState: fromOffset => cores.control.peerState(fromOffset, clock.now()),
-      receiveKeys: handover => commands.emit({kind: 'keys-received', handover}),
     };
   }
 
   private stopSteps(): plannedStop.StopSteps {
-    const {sockets, handovers, commands, cores} = this.parts;
+    const {sockets, commands, cores} = this.parts;
     return {
       begin: () => commands.emit({kind: 'stop'}),
       left: async () => {
         await Promise.all([this.drained.raised, this.left.raised]);
-        await handovers.settled();
       },
       announceClosing: () => sockets.http.announceClosing(),
       callersServed: () => sockets.http.idle(),
@@ -216,6 +211,5 @@
     sockets.connections,
     log,
   );
-  const handovers = new keyHandovers.KeyHandovers(cores.control, log);
-  return {self, cores, sockets, server, handovers, commands};
+  return {self, cores, sockets, server, commands};
 }
--- a/src/node/entry_actions.ts
+++ b/src/node/entry_actions.ts
@@ -52,7 +52,7 @@
       this.view,
       call.service,
     );
-    this.links.sendCall(target, call, 'entry', timeoutMs);
+    this.links.sendCall(target, call, timeoutMs);
   }
 
   private cancel(
--- a/src/node/event_loop.ts
+++ b/src/node/event_loop.ts
@@ -115,9 +115,8 @@
       case 'link-refusal':
         return this.handleRefusal(event);
       case 'link-failed':
-        return this.handleLinkFailed(event);
       case 'link-silent':
-        return this.handleLinkSilent(event);
+        return this.toEntry(event);
       case 'link-call':
         return this.handleCall(event);
       case 'link-cancel':
@@ -128,7 +127,6 @@
         return this.parts.server.lost(this);
       case 'server-answered':
       case 'server-failed':
-      case 'keys-received':
         return this.toGate(event);
       case 'datagram':
       case 'log-read':
@@ -151,41 +149,17 @@
   private handleAnswer(
     event: Extract<linkEvent.LinkEvent, {readonly kind: 'link-answer'}>,
   ): void {
-    const {nodeId, owner, answer} = event;
+    const {nodeId, answer} = event;
     this.noteVersions(nodeId, answer.configurationRevision, 0);
-    if (owner === 'entry') this.toEntry({kind: 'answer', nodeId, answer});
-    else this.toGate({kind: 'delegate-answered', answer});
+    this.toEntry({kind: 'answer', nodeId, answer});
   }
 
   private handleRefusal(
     event: Extract<linkEvent.LinkEvent, {readonly kind: 'link-refusal'}>,
   ): void {
-    const {nodeId, owner, refusal} = event;
+    const {nodeId, refusal} = event;
     this.noteVersions(nodeId, refusal.configurationRevision, 0);
-    if (owner === 'entry') this.toEntry({kind: 'refusal', nodeId, refusal});
-    else this.toGate({kind: 'delegate-refused', refusal});
-  }
-
-  private handleLinkFailed(
-    event: Extract<linkEvent.LinkEvent, {readonly kind: 'link-failed'}>,
-  ): void {
-    const {nodeId, owner, callId, sent} = event;
-    if (owner === 'entry') {
-      this.toEntry({kind: 'link-failed', nodeId, callId, sent});
-    } else if (sent) {
-      this.toGate({kind: 'delegate-lost', callId});
-    } else {
-      const refusal = gateActions.notDelegated(callId);
-      this.toGate({kind: 'delegate-refused', refusal});
-    }
-  }
-
-  private handleLinkSilent(
-    event: Extract<linkEvent.LinkEvent, {readonly kind: 'link-silent'}>,
-  ): void {
-    const {nodeId, owner, callId} = event;
-    if (owner === 'entry') this.toEntry({kind: 'link-silent', nodeId, callId});
-    else this.toGate({kind: 'delegate-lost', callId});
+    this.toEntry({kind: 'refusal', nodeId, refusal});
   }
 
   private handleCall(
--- a/src/node/gate_actions.ts
+++ b/src/node/gate_actions.ts
@@ -20,8 +20,6 @@
   readonly links: peerLinks.PeerLinks;
   readonly connections: serverConnections.ServerConnections;
   readonly datagrams: datagramSocket.DatagramSocket;
-  /** Hands key memory to another node. */
-  handOver(nodeId: string, handover: peer.KeyHandover): void;
   /** Nothing is in flight at the gate after a stop. */
   onDrained(): void;
 }
@@ -41,14 +39,10 @@
         return this.answer(action.source, action.answer, inputs);
       case 'refuse':
         return this.refuse(action.source, action.refusal, inputs);
-      case 'delegate':
-        return this.delegate(action.nodeId, action.call, inputs);
       case 'tell-siblings':
         return this.tellSiblings(action.nodeIds, action.load);
       case 'report-suspect':
         return inputs.toControl({kind: 'suspect-found', report: action.report});
-      case 'hand-over':
-        return this.around.handOver(action.nodeId, action.handover);
       case 'drained':
         return this.around.onDrained();
       default:
@@ -109,22 +103,6 @@
     }
   }
 
-  private delegate(
-    nodeId: string,
-    call: peer.CallRequest,
-    inputs: coreInputs.CoreInputs,
-  ): void {
-    const {view, links} = this.around;
-    const target = memberDirectory.linkTarget(view, nodeId);
-    if (target === undefined) {
-      const refusal = notDelegated(call.callId);
-      inputs.toGate({kind: 'delegate-refused', refusal});
-      return;
-    }
-    const timeoutMs = memberDirectory.progressTimeoutMs(view, call.service);
-    links.sendCall(target, call, 'gate', timeoutMs);
-  }
-
   private tellSiblings(
     nodeIds: readonly string[],
     load: peer.LoadReport,
@@ -148,12 +126,3 @@
     }
   }
 }
-
-/** Returns the refusal of a delegated call that never left this node. */
-export function notDelegated(callId: string): peer.CallRefusal {
-  return peer.CallRefusal.fromPartial({
-    callId,
-    reason: peer.RefusalReason.LINK_FAILED,
-    outcome: peer.Outcome.NOT_RUN,
-  });
-}
--- a/src/node/http_entry.ts
+++ b/src/node/http_entry.ts
@@ -281,7 +281,6 @@
       ],
       body,
       deadlineMs: fields.deadlineMs ?? requestClass.deadlineMs,
-      idempotencyKey: fields.idempotencyKey,
       depth: fields.depth,
       retriesLeft: fields.retriesLeft,
       fingerprint: this.fingerprint.of(service, method, path, body),
--- a/src/node/http_headers.ts
+++ b/src/node/http_headers.ts
@@ -14,7 +14,6 @@
 export const RETRIES_LEFT_HEADER = 'Geraniumloft-Retries-Left';
 
 /** Key under which a non-idempotent request runs at most once. */
-export const IDEMPOTENCY_KEY_HEADER = 'Idempotency-Key';
 
 /** What a refusal says about execution. */
 export const OUTCOME_HEADER = 'Geraniumloft-Outcome';
--- a/src/node/link_event.ts
+++ b/src/node/link_event.ts
@@ -1,28 +1,22 @@
 /** What links between nodes report. */
 import * as peer from '../generated/peer.js';
 
-/** Which core of this node sent an attempt over a link. */
-export type AttemptOwner = 'entry' | 'gate';
-
 /** What happens on links. */
 export type LinkEvent =
   | {
       readonly kind: 'link-answer';
       readonly nodeId: string;
-      readonly owner: AttemptOwner;
       readonly answer: peer.CallAnswer;
     }
   | {
       readonly kind: 'link-refusal';
       readonly nodeId: string;
-      readonly owner: AttemptOwner;
       readonly refusal: peer.CallRefusal;
     }
   /** The attempt's link broke or could not be opened. */
   | {
       readonly kind: 'link-failed';
       readonly nodeId: string;
-      readonly owner: AttemptOwner;
       readonly callId: string;
       /** Whether a byte of the attempt may have left. */
       readonly sent: boolean;
@@ -31,7 +25,6 @@
   | {
       readonly kind: 'link-silent';
       readonly nodeId: string;
-      readonly owner: AttemptOwner;
       readonly callId: string;
     }
   | {
--- a/src/node/node_event.ts
+++ b/src/node/node_event.ts
@@ -1,6 +1,5 @@
 /** Everything that happens to a node, as one union. */
 import * as control from '../common/control/control_contract.js';
-import * as peer from '../generated/peer.js';
 import * as datagramSocket from './datagram_socket.js';
 import * as httpEntry from './http_entry.js';
 import * as linkEvent from './link_event.js';
@@ -27,6 +26,5 @@
   | serverConnections.ServerEvent
   | datagramSocket.DatagramEvent
   | RemoteStateEvent
-  | {readonly kind: 'keys-received'; readonly handover: peer.KeyHandover}
   | {readonly kind: 'tick'}
   | {readonly kind: 'stop'};
--- a/src/node/node_status.ts
+++ b/src/node/node_status.ts
@@ -16,7 +16,6 @@
   counters(): Readonly<Record<string, number>>;
   explain(service: string): entryCore.EntryExplanation;
   peerState(fromOffset: number | undefined): control.PeerState;
-  receiveKeys(handover: peer.KeyHandover): void;
 }
 
 /** Serves the operator port. */
@@ -56,10 +55,6 @@
     return this.sources.peerState(fromOffset);
   }
 
-  receiveKeys(handover: peer.KeyHandover): void {
-    this.sources.receiveKeys(handover);
-  }
-
   private members(): readonly operatorContract.MemberStatus[] {
     const {settings: own, view} = this.sources;
     const services = view.configuration?.document.services ?? [];
--- a/src/node/operator_client.ts
+++ b/src/node/operator_client.ts
@@ -5,7 +5,6 @@
 import * as control from '../common/control/control_contract.js';
 import * as errors from '../common/errors.js';
 import * as units from '../common/units.js';
-import * as peer from '../generated/peer.js';
 import * as httpOrigin from './http_origin.js';
 import * as contract from './operator_contract.js';
 import * as operatorRouter from './operator_router.js';
@@ -66,17 +65,6 @@
     });
   }
 
-  /** Hands over idempotency keys; returns how many the peer took. */
-  async handOverKeys(handover: peer.KeyHandover): Promise<number> {
-    const encoded = Buffer.from(
-      peer.KeyHandover.encode(handover).finish(),
-    ).toString('base64');
-    const result = await this.call('hand over keys', options => {
-      return this.client.receiveKeys.mutate(encoded, options);
-    });
-    return result.received;
-  }
-
   private async call<T>(
     step: string,
     procedure: (options: {readonly signal: AbortSignal}) => Promise<T>,
--- a/src/node/operator_contract.ts
+++ b/src/node/operator_contract.ts
@@ -52,6 +52,4 @@
   explain(service: string): unknown;
   /** What this node knows from a log offset on, or all it knows. */
   peerState(fromOffset: number | undefined): control.PeerState;
-  /** Takes over idempotency keys from a node that leaves. */
-  receiveKeys(handover: peer.KeyHandover): void;
 }
--- a/src/node/operator_router.ts
+++ b/src/node/operator_router.ts
@@ -1,14 +1,10 @@
 /** tRPC router of the operator port. */
 import * as trpc from '@trpc/server';
 
-import * as peer from '../generated/peer.js';
 import * as contract from './operator_contract.js';
 
 const MAX_SERVICE_NAME_LENGTH = 63;
 
-/** Largest key handover accepted, in bytes of base64. */
-export const MAX_HANDOVER_LENGTH = 8 * 1024 * 1024;
-
 const builder = trpc.initTRPC.context<contract.OperatorService>().create();
 
 /** Accepts the name of a service. */
@@ -30,14 +26,6 @@
   throw new TypeError('expected an offset');
 }
 
-/** Accepts an encoded key handover in base64. */
-function parseHandover(input: unknown): string {
-  if (typeof input !== 'string' || input.length > MAX_HANDOVER_LENGTH) {
-    throw new TypeError('expected an encoded key handover');
-  }
-  return input;
-}
-
 /** Procedures for operators and for peers that are behind. */
 export const operatorRouter = builder.router({
   status: builder.procedure.query(({ctx}) => ctx.status()),
@@ -50,13 +38,6 @@
   peerState: builder.procedure
     .input(parseOffset)
     .query(({ctx, input}) => ctx.peerState(input)),
-  receiveKeys: builder.procedure
-    .input(parseHandover)
-    .mutation(({ctx, input}) => {
-      const handover = peer.KeyHandover.decode(Buffer.from(input, 'base64'));
-      ctx.receiveKeys(handover);
-      return {received: handover.entries.length};
-    }),
 });
 
 /** Type of the router, for clients. */
--- a/src/node/operator_server.ts
+++ b/src/node/operator_server.ts
@@ -10,6 +10,9 @@
 import * as sources from './sources.js';
 import * as tcpListener from './tcp_listener.js';
 
+/** Largest body; every procedure is a query with a short input. */
+const MAX_BODY_BYTES = 64 * 1024;
+
 const MAX_HEADER_BYTES = 16 * 1024;
 const REQUEST_TIMEOUT_MS = 5_000;
 
@@ -35,7 +38,7 @@
     const handler = standalone.createHTTPHandler({
       router: operatorRouter.operatorRouter,
       createContext: () => options.service,
-      maxBodySize: operatorRouter.MAX_HANDOVER_LENGTH * 2,
+      maxBodySize: MAX_BODY_BYTES,
     });
     const limits = {
       maxHeaderSize: MAX_HEADER_BYTES,
--- a/src/node/peer_links.ts
+++ b/src/node/peer_links.ts
@@ -86,11 +86,10 @@
   sendCall(
     target: outgoingLink.LinkTarget,
     call: peer.CallRequest,
-    owner: linkEvent.AttemptOwner,
     progressTimeoutMs: units.Millis,
   ): void {
     const link = this.linkTo(target, progressTimeoutMs);
-    link.sendCall(call, owner, progressTimeoutMs);
+    link.sendCall(call, progressTimeoutMs);
   }
 
   /** Tells a gate that an attempt is no longer wanted. */
--- a/src/node/planned_stop.ts
+++ b/src/node/planned_stop.ts
@@ -9,7 +9,7 @@
 export interface StopSteps {
   /** Tells the cores to leave. */
   begin(): void;
-  /** Resolves once the gate has drained, keys are handed over and the leaving is known. */
+  /** Resolves once the gate has drained and the leaving is known. */
   left(): Promise<void>;
   /** Asks callers to connect elsewhere. */
   announceClosing(): void;
--- a/src/node/refusal_response.ts
+++ b/src/node/refusal_response.ts
@@ -24,7 +24,6 @@
     case peer.RefusalReason.TOO_LARGE:
       return 413;
     case peer.RefusalReason.QUARANTINED:
-    case peer.RefusalReason.KEY_REUSED:
       return 422;
     case peer.RefusalReason.TOO_DEEP:
       return 508;
@@ -33,7 +32,6 @@
     case peer.RefusalReason.SERVER_FAILED:
     case peer.RefusalReason.BAD_ANSWER:
     case peer.RefusalReason.LINK_FAILED:
-    case peer.RefusalReason.KEY_UNACCOUNTED:
       return 502;
     case peer.RefusalReason.DEADLINE:
       return 504;
@@ -49,9 +47,6 @@
     case peer.RefusalReason.NO_SERVER:
     case peer.RefusalReason.RETRY_BUDGET:
     case peer.RefusalReason.SERVER_ABSENT:
-    case peer.RefusalReason.WRONG_HOME:
-    case peer.RefusalReason.STALE_ROSTER:
-    case peer.RefusalReason.KEY_MEMORY_FULL:
     case peer.RefusalReason.NOT_READY:
     case peer.RefusalReason.SERVER_SHED:
       return 503;
