--- a/test/paths/platform_path.test.ts
+++ b/test/paths/platform_path.test.ts
@@ -242,6 +242,20 @@
   assert.equal((await fleet.send(node, {id: 'long', headers})).status, 431);
 });
 
+test('an answer that comes while the body still arrives is whole and its own', async () => {
+  await using fleet = await platformFleet.PlatformFleet.start(1);
+  const [node] = fleet.nodes;
+  node.server.mode = {kind: 'early'};
+  const body = 'x'.repeat(99_000);
+  for (let i = 0; i < 10; i++) {
+    const req = {id: `early${i}`, path: '/place/1', method: 'POST', body};
+    const answer = await fleet.send(node, req);
+    assert.equal(answer.status, 200);
+    assert.equal(answer.body, `i0:early${i}`);
+    assert.equal(fleet.runsOf(`early${i}`), 1);
+  }
+});
+
 test('a frozen node costs callers elsewhere no answer', async () => {
   await using fleet = await platformFleet.PlatformFleet.start(3);
   const [, frozen, caller] = fleet.nodes;
--- a/test/stand_ins/platform/server_stand_in.ts
+++ b/test/stand_ins/platform/server_stand_in.ts
@@ -16,6 +16,8 @@
   | {readonly kind: 'foreign'}
   /** Answers without its seal. */
   | {readonly kind: 'unsealed'}
+  /** Answers while the body still arrives. */
+  | {readonly kind: 'early'}
   /** Never answers. */
   | {readonly kind: 'hang'}
   | {readonly kind: 'error'};
@@ -92,6 +94,11 @@
   }
 
   private accept(req: http.IncomingMessage, res: http.ServerResponse): void {
+    if (this.mode.kind === 'early') {
+      req.resume();
+      this.answer(req, res, Buffer.alloc(0));
+      return;
+    }
     const chunks: Buffer[] = [];
     req.on('data', (chunk: Buffer) => chunks.push(chunk));
     req.on('end', () => this.answer(req, res, Buffer.concat(chunks)));
@@ -170,6 +177,9 @@
             `Server-Seal: s\r\n\r\n${text}`,
         );
         return;
+      case 'early':
+        res.end(text);
+        return;
       case 'foreign':
         res.setHeader('Request-Id', 'another');
         res.end(text);
