Keep the limit of servers that shed, and doubt gates that are silent

A server that sheds with slots free is not full, and what it shed did not run: the limit now falls only if the server says that it is full, sheds count as failures in placement, and only the budget bounds how often the request goes on. A link now asks for a sign of life 80 ms after an unheard request; without it for 100 ms the gate is chosen last, and repeatable requests there get their second run at once. Nodes save up the repetitions of three seconds; shares are such that all nodes together stay below the fleet's budget, calls of servers counted. Ruled out: bytes between data centres by bodies sent to gates that refuse (0.5 of 3.6 MB, counted on a scratch copy); price of pulses (5%). Tests fail without the changes: sheds keep the limit, sheds go on within the budget, doubtful gates last, second run at once, saved repetitions.

--- a/src/common/serving/entry.test.ts
+++ b/src/common/serving/entry.test.ts
@@ -138,6 +138,31 @@
   assert.ok(repeats > 0);
 });
 
+test('a request that servers shed goes on within the budget, whatever its attempts', () => {
+  const gates = Array.from({length: 4}, (unused, i) => fixtures.gate(`g${i}`));
+  const world = new fixtures.EntryWorld(gates);
+  world.request({attempts: 1, repeatable: false});
+  world.refuseLast(Reason.SHED);
+  world.refuseLast(Reason.SHED);
+  assert.equal(new Set(world.sent.map(s => s.nodeId)).size, 3);
+  world.answerLast(200, 10);
+  assert.equal(world.responses.length, 1);
+});
+
+test('a service of which all servers shed is offered no more than the budget', () => {
+  const gates = Array.from({length: 10}, (unused, i) => fixtures.gate(`g${i}`));
+  const world = new fixtures.EntryWorld(gates, {ratio: 0.2, slack: 50});
+  const requests = 200;
+  for (let i = 0; i < requests; i++) {
+    world.request();
+    while (world.givenUp.length <= i) world.refuseLast(Reason.SHED);
+  }
+  const repeats = world.sent.length - requests;
+  assert.ok(repeats <= 0.2 * requests + 50 / gates.length);
+  assert.ok(repeats > 0);
+  assert.ok(world.givenUp.every(g => g.reason === 'shed' && !g.mayHaveRun));
+});
+
 test("a caller's departure withdraws its attempt", () => {
   const world = new fixtures.EntryWorld([NEAR]);
   const id = world.request();
@@ -169,6 +194,43 @@
   assert.equal(world.withdrawn.length, 1);
 });
 
+test('a request at a gate that may be out of reach gets a second run at once', () => {
+  const world = new fixtures.EntryWorld([NEAR, FAR, fixtures.gate('other')]);
+  world.request();
+  world.request({repeatable: false});
+  const [first] = world.sent;
+  world.entry.onDoubtful(first.nodeId, 180);
+  assert.equal(world.sent.length, 3);
+  assert.notEqual(world.last.nodeId, first.nodeId);
+  assert.equal(world.last.dispatch.requestId, 'r1');
+});
+
+test('a gate that may be out of reach is chosen last', () => {
+  const doubtful = fixtures.gate('doubtful', {doubtful: true});
+  const world = new fixtures.EntryWorld([doubtful, FAR]);
+  world.request();
+  assert.equal(world.last.nodeId, 'far');
+  assert.equal(world.last.dispatch.redirectable, false);
+});
+
+test('a node saves up repetitions of three seconds, and no more', () => {
+  const gates = Array.from({length: 50}, (unused, i) => fixtures.gate(`g${i}`));
+  const world = new fixtures.EntryWorld(gates, {ratio: 0.2, slack: 50});
+  for (let i = 0; i < 200; i++) {
+    world.request({}, i * 100);
+    world.answerLast(200, i * 100);
+  }
+  let repeats = 0;
+  for (let i = 0; i < 20; i++) {
+    const before = world.sent.length;
+    world.request({}, 20_000);
+    world.refuseLast(Reason.BROKEN, {mayHaveRun: true}, 20_000);
+    repeats += world.sent.length - before - 1;
+    if (world.sent.length > before + 1) world.answerLast(200, 20_000);
+  }
+  assert.ok(repeats >= 3 && repeats <= 0.2 * 50 + 1, `${repeats}`);
+});
+
 test('an answer to an attempt that has ended changes nothing', () => {
   const world = new fixtures.EntryWorld([NEAR]);
   world.request();
--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -81,7 +81,7 @@
     }
     const call = new entryCall.EntryCall(request, route, part.service, now);
     this.calls.set(request.id, call);
-    this.budgetOf(part.service).onRequest();
+    this.budgetOf(part.service).onRequest(now);
     this.advance(call, now);
   }
 
@@ -141,8 +141,8 @@
         call.full.add(nodeId);
         return this.advance(call, now);
       case serving.Reason.SHED:
-        call.closed.add(nodeId);
-        call.servers++;
+        // It did not run there, so that it uses the budget but none of the route's attempts.
+        call.failed.add(nodeId);
         return this.repeat(call, {reason: refusal.reason}, now);
       case serving.Reason.OVERLOADED:
         return this.endUnlessOpen(call, 'no-room', now);
@@ -171,6 +171,15 @@
     this.onFailedRun(call, {reason: 'link-failed'}, now);
   }
 
+  /** A gate may be out of reach: its requests get second runs elsewhere at once. */
+  onDoubtful(nodeId: string, now: units.MonotonicMs): void {
+    for (const call of [...this.calls.values()]) {
+      const [attempt] = call.attempts.values();
+      if (attempt?.nodeId !== nodeId || !call.route.repeatable) continue;
+      this.secondRun(call, now);
+    }
+  }
+
   /** Does what time has made due. */
   tick(now: units.MonotonicMs): void {
     for (const call of [...this.calls.values()]) {
--- a/src/common/serving/gate_room.ts
+++ b/src/common/serving/gate_room.ts
@@ -14,7 +14,7 @@
 /** Share of the slots that is used; many servers slow down when nearly full. */
 const SLOT_SHARE = 0.8;
 
-/** Time for which a server that shed a request is sent no more than it had then. */
+/** Time for which a full server that shed a request is sent no more than it had then. */
 const SHED_PAUSE_MS: units.Millis = 300;
 
 /** Part of the mean run time below which the time left is not worth a run. */
@@ -88,8 +88,10 @@
     this.runningCount--;
   }
 
-  /** Notes that the backend server had no room. */
+  /** Notes that the backend server shed a request, though it may have slots free. */
   onShed(now: units.MonotonicMs): void {
+    this.times.onFailed(now);
+    if (!this.pace.isFull) return;
     this.shedCap = this.runningCount;
     this.shedUntilMs = now + SHED_PAUSE_MS;
   }
--- a/src/common/serving/placement.ts
+++ b/src/common/serving/placement.ts
@@ -12,6 +12,8 @@
   readonly service: string;
   /** Whether requests can be sent there now. */
   readonly reachable: boolean;
+  /** Whether it has been silent to a question, and may be out of reach. */
+  readonly doubtful: boolean;
 }
 
 /** The gates that an entry knows. */
@@ -48,6 +50,9 @@
 /** Multiple of the mean run time that a cold server adds. */
 const COLD_SHARE = 1;
 
+/** Time that a request is expected to lose at a gate that may be out of reach. */
+const DOUBTFUL_MS: units.Millis = 5_000;
+
 /** Part of the cost that is random, so that entries with the same view do not choose alike. */
 const JITTER_SHARE = 0.05;
 
@@ -62,8 +67,8 @@
 }
 
 /** Whether a gate is believed to have a slot free. */
-export function hasRoom({estimate}: RankedGate): boolean {
-  return estimate.outstanding < estimate.load.limit;
+export function hasRoom({gate, estimate}: RankedGate): boolean {
+  return !gate.doubtful && estimate.outstanding < estimate.load.limit;
 }
 
 /** Ranks gates by the time that a request is expected to take there. */
@@ -91,7 +96,9 @@
     const typicalMs = typicalOf(usable.map(u => u.estimate.load.meanMs));
     const awayMs = DATA_CENTRE_SLACK_SHARE * Math.max(0, slackMs);
     const costOf = (u: (typeof usable)[number]): units.Millis =>
-      this.costMs(u.estimate, typicalMs) + (this.isNear(u.gate) ? 0 : awayMs);
+      this.costMs(u.estimate, typicalMs) +
+      (this.isNear(u.gate) ? 0 : awayMs) +
+      (u.gate.doubtful ? DOUBTFUL_MS : 0);
     return usable
       .map(u => ({...u, costMs: costOf(u)}))
       .sort((a, b) => a.costMs - b.costMs);
--- a/src/common/serving/repeat_budget.ts
+++ b/src/common/serving/repeat_budget.ts
@@ -1,4 +1,5 @@
 /** Bounds how often requests are sent to a further backend server. */
+import * as units from '../units.js';
 
 /** What all nodes together may spend on repetitions of a service's requests. */
 export interface FleetRepeatBudget {
@@ -8,11 +9,20 @@
   readonly slack: number;
 }
 
+/** Share of the slack that the nodes use together; requests are not spread evenly over them. */
+const SLACK_SHARE = 0.6;
+
+/**
+ * Share of the ratio that is earned with a request: the budget counts what clients sent, while an
+ * entry sees calls of servers as well, and a repeated run repeats its own calls.
+ */
+const RATIO_SHARE = 0.4;
+
 /**
- * Share of the fleet's budget that the nodes use: a repeated run repeats its own calls to other
- * services, and requests are not spread evenly over the nodes.
+ * Time whose requests' repetitions may be saved up: a third of the window in which the fleet's
+ * budget is counted, so that what is saved and what is earned stay below it together.
  */
-const USED_SHARE = 0.5;
+const SAVED_MS: units.Millis = 3_000;
 
 /** Fewest tokens that a node can hold, so that a large fleet can still repeat at all. */
 const MIN_CAPACITY = 1;
@@ -20,6 +30,9 @@
 /** Budget of one node for one service. */
 export class RepeatBudget {
   private tokens: number;
+  /** Requests of the recent past, older ones by a falling weight. */
+  private recent = 0;
+  private requestedMs: units.MonotonicMs = 0;
 
   constructor(
     private readonly budget: FleetRepeatBudget,
@@ -30,8 +43,10 @@
 
   /** Repetitions that may be made at once. */
   get capacity(): number {
-    const share = this.budget.slack / Math.max(1, this.nodeCount());
-    return Math.max(MIN_CAPACITY, share * USED_SHARE);
+    const {slack, ratio} = this.budget;
+    const share = (slack * SLACK_SHARE) / Math.max(1, this.nodeCount());
+    const saved = ratio * RATIO_SHARE * this.recent;
+    return Math.max(MIN_CAPACITY, share + saved);
   }
 
   /** Repetitions that may be made now. */
@@ -40,10 +55,13 @@
   }
 
   /** Notes a request. */
-  onRequest(): void {
+  onRequest(now: units.MonotonicMs): void {
+    const weight = Math.exp((this.requestedMs - now) / SAVED_MS);
+    this.recent = this.recent * weight + 1;
+    this.requestedMs = now;
     this.tokens = Math.min(
       this.capacity,
-      this.tokens + this.budget.ratio * USED_SHARE,
+      this.tokens + this.budget.ratio * RATIO_SHARE,
     );
   }
 
--- a/src/common/serving/server_gate.test.ts
+++ b/src/common/serving/server_gate.test.ts
@@ -39,6 +39,29 @@
   assert.equal(world.output.runs.length, LIMIT_OF_TEN_SLOTS + 1);
 });
 
+test('a server that sheds with slots free keeps its limit and counts as failing', () => {
+  const world = new fixtures.GateWorld().open();
+  const load = {running: 1, waiting: 0, slots: 10, pacePercent: 100};
+  for (let i = 0; i < 10; i++) {
+    const key = world.call({}, i);
+    world.gate.onServerLoad(load, i);
+    world.gate.onRunEnded(key, {kind: 'shed', status: 503}, i);
+  }
+  const {limit, failingPercent} = world.gate.load(10);
+  assert.equal(limit, 8);
+  assert.ok(failingPercent > 50);
+});
+
+test('a full server that sheds gets no more than it had for a while', () => {
+  const world = new fixtures.GateWorld().open();
+  const keys = Array.from({length: 5}, () => world.call());
+  const load = {running: 10, waiting: 3, slots: 10, pacePercent: 100};
+  world.gate.onServerLoad(load, 10);
+  world.gate.onRunEnded(keys[0], {kind: 'shed', status: 503}, 10);
+  assert.equal(world.gate.load(20).limit, 4);
+  assert.equal(world.gate.load(1_000).limit, 8);
+});
+
 test('a server that announces its leaving gets nothing more, and what waits is refused', () => {
   const world = new fixtures.GateWorld().open();
   fill(world);
--- a/src/common/serving/server_pace.ts
+++ b/src/common/serving/server_pace.ts
@@ -23,9 +23,11 @@
 export class ServerPace {
   private percent = USUAL_PERCENT;
   private sampledMs: units.MonotonicMs = -Infinity;
+  private full = false;
 
   /** Takes a sample. */
   onLoad(load: ServerLoad, now: units.MonotonicMs): void {
+    this.full = load.running >= load.slots;
     if (load.pacePercent === undefined) return;
     this.percent = load.pacePercent;
     this.sampledMs = now;
@@ -41,6 +43,11 @@
     return this.percentAt(now) > STALLED_PERCENT;
   }
 
+  /** Whether the server said with its newest load that no slot is free. */
+  get isFull(): boolean {
+    return this.full;
+  }
+
   /** Age of the newest sample. */
   ageMs(now: units.MonotonicMs): units.Millis {
     return now - this.sampledMs;
--- a/src/common/serving/serving_fixtures.test.ts
+++ b/src/common/serving/serving_fixtures.test.ts
@@ -246,6 +246,7 @@
     dataCentre: DATA_CENTRE,
     service: SERVICE,
     reachable: true,
+    doubtful: false,
     ...over,
   };
 }
--- a/src/node/serving/entry_side.ts
+++ b/src/node/serving/entry_side.ts
@@ -105,6 +105,10 @@
           this.reports.forget(nodeId);
           this.readers.delete(nodeId);
         },
+        onDoubtful: nodeId => {
+          this.entry.onDoubtful(nodeId, clock.monotonicMs());
+          afterEvent();
+        },
         onAnswer: (nodeId, answer) => {
           this.entry.onAnswer(nodeId, answer, clock.monotonicMs());
           afterEvent();
@@ -194,6 +198,7 @@
         dataCentre,
         service,
         reachable: nodeId === self.nodeId || this.links.isUp(nodeId),
+        doubtful: this.links.isDoubtful(nodeId),
       }));
   }
 
--- a/src/node/serving/gate_link.test.ts
+++ b/src/node/serving/gate_link.test.ts
@@ -110,6 +110,7 @@
   readonly answers: readonly number[];
   readonly lost: readonly number[];
   readonly mismatches: readonly string[];
+  readonly doubted: readonly string[];
 }
 
 async function connect(expected = 'gate'): Promise<World> {
@@ -120,6 +121,7 @@
   const answers: number[] = [];
   const lost: number[] = [];
   const mismatches: string[] = [];
+  const doubted: string[] = [];
   const link = new gateLink.GateLink(record(expected, await relay.listen()), {
     nowMs: clock.monotonicMs,
     greeting: toNodeId => ({
@@ -130,6 +132,7 @@
     listener: {
       onUp: () => undefined,
       onDown: () => undefined,
+      onDoubtful: nodeId => void doubted.push(nodeId),
       onAnswer: (unusedId, answer) => void answers.push(answer.call),
       onRefusal: () => undefined,
       onPulse: () => undefined,
@@ -147,6 +150,7 @@
     answers,
     lost,
     mismatches,
+    doubted,
     async [Symbol.asyncDispose]() {
       clearInterval(ticks);
       link[Symbol.dispose]();
@@ -210,3 +214,24 @@
   await happens(() => world.mismatches.length > 0, 'the mismatch');
   assert.equal(world.link.isUp, false);
 });
+
+test('a gate that hears no request is doubted before its link is given up', async () => {
+  await using world = await connect();
+  await happens(() => world.link.isUp, 'the link');
+  for (const mute of world.relay.mutes) mute();
+  const sentMs = clock.monotonicMs();
+  world.link.dispatch(fixtures.dispatch({call: 1}));
+  await happens(() => world.doubted.length === 1, 'the doubt');
+  assert.ok(clock.monotonicMs() - sentMs < 300);
+  assert.ok(world.link.isDoubtful && world.link.isUp);
+});
+
+test('a gate that runs a long request answers the question and is not doubted', async () => {
+  await using world = await connect();
+  await happens(() => world.link.isUp, 'the link');
+  world.link.dispatch(fixtures.dispatch({call: 1}));
+  await new Promise(resolve => setTimeout(resolve, 600));
+  assert.deepEqual(world.doubted, []);
+  world.gate.answer(1);
+  await happens(() => world.answers.length === 1, 'the answer');
+});
--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -6,12 +6,18 @@
 import * as framedSocket from '../framed_socket.js';
 import * as linkFrame from './link_frame.js';
 
-/** Silence with requests outstanding after which the gate is asked for a sign of life. */
+/** Silence after a request after which the gate is asked for a sign of life, once a request. */
+const UNHEARD_MS: units.Millis = 80;
+
+/** Silence with requests outstanding after which it is asked again. */
 const SILENCE_MS: units.Millis = 250;
 
 /** Silence without requests after which it is asked; gates send their load every 4 s at least. */
 const IDLE_SILENCE_MS: units.Millis = 6_000;
 
+/** Time without the sign of life after which the gate may be out of reach. */
+const DOUBT_MS: units.Millis = 100;
+
 /** Time allowed for the sign of life. */
 const PING_TIMEOUT_MS: units.Millis = 300;
 
@@ -30,6 +36,8 @@
 export interface GateLinkListener {
   onUp(nodeId: string): void;
   onDown(nodeId: string, detail: string): void;
+  /** The gate is silent and may be out of reach. */
+  onDoubtful(nodeId: string): void;
   onAnswer(nodeId: string, answer: serving.Answer): void;
   onRefusal(nodeId: string, refusal: serving.Refusal): void;
   onPulse(nodeId: string, pulse: serving.Pulse): void;
@@ -71,6 +79,9 @@
   private gateProcessMs: number | undefined;
   private receivedMs: units.MonotonicMs = 0;
   private pingedMs: units.MonotonicMs | undefined;
+  /** Time of the first request since the newest frame. */
+  private unheardMs: units.MonotonicMs | undefined;
+  private doubtful = false;
   private backoffMs = FIRST_BACKOFF_MS;
   private disposed = false;
 
@@ -86,9 +97,15 @@
     return this.state.kind === 'up';
   }
 
+  /** Whether the gate has been silent to a question, and may be out of reach. */
+  get isDoubtful(): boolean {
+    return this.doubtful;
+  }
+
   /** Sends a request. */
   dispatch(dispatch: serving.Dispatch): void {
     const sentMs = this.context.nowMs();
+    this.unheardMs ??= sentMs;
     this.outstanding.set(dispatch.call, new Outstanding(dispatch, sentMs));
     this.send({$case: 'dispatch', value: dispatch});
   }
@@ -171,7 +188,7 @@
   ): void {
     if (this.socket !== socket) return;
     this.receivedMs = this.context.nowMs();
-    this.pingedMs = undefined;
+    this.hear();
     const {listener} = this.context;
     const {nodeId} = this.record;
     const {body} = frame;
@@ -253,14 +270,17 @@
 
   private checkSilence(now: units.MonotonicMs): void {
     if (this.pingedMs !== undefined) {
-      if (now - this.pingedMs > PING_TIMEOUT_MS) this.lose('silent');
+      const unansweredMs = now - this.pingedMs;
+      if (unansweredMs > PING_TIMEOUT_MS) this.lose('silent');
+      else if (unansweredMs > DOUBT_MS) this.doubt();
       return;
     }
     const [oldest] = this.outstanding.values();
     const sinceMs = Math.max(this.receivedMs, oldest?.sentMs ?? 0);
     const silentMs = now - sinceMs;
     const bound = oldest === undefined ? IDLE_SILENCE_MS : SILENCE_MS;
-    if (silentMs <= bound) return;
+    const unheardMs = now - (this.unheardMs ?? now);
+    if (silentMs <= bound && unheardMs <= UNHEARD_MS) return;
     this.pingedMs = now;
     this.send({$case: 'ping', value: {}});
   }
@@ -270,7 +290,7 @@
     const now = this.context.nowMs();
     const socket = this.socket;
     this.socket = undefined;
-    this.pingedMs = undefined;
+    this.hear();
     socket?.[Symbol.dispose]();
     for (const item of this.outstanding.values()) item.lostMs ??= now;
     const waitMs = wasUp ? 0 : this.backoffMs;
@@ -283,6 +303,18 @@
     }
   }
 
+  private doubt(): void {
+    if (this.doubtful) return;
+    this.doubtful = true;
+    this.context.listener.onDoubtful(this.record.nodeId);
+  }
+
+  private hear(): void {
+    this.pingedMs = undefined;
+    this.unheardMs = undefined;
+    this.doubtful = false;
+  }
+
   private send(body: serving.NodeFrame['body']): void {
     if (this.state.kind === 'up') this.socket?.send({body});
   }
--- a/src/node/serving/gate_links.ts
+++ b/src/node/serving/gate_links.ts
@@ -11,6 +11,7 @@
   readonly listener: Pick<
     gateLink.GateLinkListener,
     | 'onDown'
+    | 'onDoubtful'
     | 'onAnswer'
     | 'onRefusal'
     | 'onPulse'
@@ -41,6 +42,11 @@
     return this.links.get(nodeId)?.isUp ?? false;
   }
 
+  /** Whether a node has been silent to a question, and may be out of reach. */
+  isDoubtful(nodeId: string): boolean {
+    return this.links.get(nodeId)?.isDoubtful ?? false;
+  }
+
   /** Sends a request to a node's gate. */
   dispatch(nodeId: string, dispatch: serving.Dispatch): void {
     const link = this.links.get(nodeId);
@@ -88,6 +94,10 @@
           this.note('peer-lost', {nodeId, detail});
           listener.onDown(nodeId, detail);
         },
+        onDoubtful: nodeId => {
+          this.note('peer-silent', {nodeId});
+          listener.onDoubtful(nodeId);
+        },
         onMismatch: (nodeId, found) => this.replace(nodeId, found),
       },
     });
