--- a/src/common/gate/load_notices.ts
+++ b/src/common/gate/load_notices.ts
@@ -2,6 +2,7 @@
 import * as peer from '../../generated/peer.js';
 import * as units from '../units.js';
 import * as gateParts from './gate_parts.js';
+import * as loadRoom from './load_room.js';
 import * as responder from './responder.js';
 
 /** Datagrams a second for notices, if the settings say nothing. */
@@ -88,14 +89,9 @@
 ): boolean {
   if (!told) return true;
   if (told.cold !== load.cold || told.leaving !== load.leaving) return true;
-  const before = roomOf(told);
-  const room = roomOf(load);
+  const before = loadRoom.roomOf(told);
+  const room = loadRoom.roomOf(load);
   if (before > 0 !== room > 0) return true;
   const threshold = Math.max(1, load.limit * ROOM_CHANGE_SHARE);
   return Math.abs(room - before) >= threshold;
 }
-
-/** Returns the requests that a gate can take at once. */
-export function roomOf(load: peer.LoadReport): number {
-  return load.limit - load.inFlight - load.queued;
-}
--- a/src/common/gate/sibling_loads.ts
+++ b/src/common/gate/sibling_loads.ts
@@ -3,7 +3,7 @@
 import * as fleet from '../control/fleet_view.js';
 import * as units from '../units.js';
 import * as gateOptions from './gate_options.js';
-import * as loadNotices from './load_notices.js';
+import * as loadRoom from './load_room.js';
 
 /** Age from which a report says nothing any more. */
 const REPORT_AGE_MAX_MS = 15_000;
@@ -50,7 +50,7 @@
   withRoom(now: units.MonotonicMs): readonly Sibling[] {
     const siblings = this.members().flatMap(m => {
       const sibling = this.siblingAt(m.member.nodeId, now);
-      if (!sibling || loadNotices.roomOf(sibling.load) <= 0) return [];
+      if (!sibling || loadRoom.roomOf(sibling.load) <= 0) return [];
       const isNear = m.member.dataCentre === this.options.dataCentre;
       return [{sibling, isNear, tie: this.options.random.next()}];
     });
@@ -92,5 +92,5 @@
 
 /** Room reported, weighed by the age of the report. */
 function likelyRoom(load: peer.LoadReport): number {
-  return loadNotices.roomOf(load) / (1 + load.ageMs / ROOM_HALF_AGE_MS);
+  return loadRoom.roomOf(load) / (1 + load.ageMs / ROOM_HALF_AGE_MS);
 }
