Test the bundled daemon

The bundle takes parts of undici in place of its index; a part that was missing left the daemon without its store, which no test saw (found while the bundle was made, before it was committed).

--- a/test/paths/platform_fleet.ts
+++ b/test/paths/platform_fleet.ts
@@ -9,6 +9,9 @@
 
 const READY_TIMEOUT_MS = 15_000;
 
+/** The daemon as it is compiled, below the build directory. */
+const COMPILED_DAEMON = 'src/daemon/main.js';
+
 /** Data centres of the nodes, in turn. */
 const DATA_CENTRES = ['north', 'south', 'east'];
 
@@ -51,12 +54,21 @@
   private constructor(
     readonly store: storeStandIn.StoreStandIn,
     readonly storeAddress: string,
+    private readonly program: string,
   ) {}
 
-  /** Starts a fleet and waits until each node knows all servers. */
-  static async start(size: number): Promise<PlatformFleet> {
+  /**
+   * Starts a fleet and waits until each node knows all servers.
+   *
+   * @param program the daemon's file, relative to the build directory.
+   */
+  static async start(
+    size: number,
+    program = COMPILED_DAEMON,
+  ): Promise<PlatformFleet> {
     const store = new storeStandIn.StoreStandIn();
-    const fleet = new PlatformFleet(store, await store.listen());
+    const address = await store.listen();
+    const fleet = new PlatformFleet(store, address, program);
     store.put('keyed.op', 'config', documents.configuration(1));
     for (let i = 0; i < size; i++) await fleet.addNode();
     fleet.beats = setInterval(() => void fleet.announceAll(), 500);
@@ -102,7 +114,7 @@
       }),
     );
     const name = `node-${i}`;
-    const process = startDaemon(name, settings);
+    const process = this.startDaemon(name, settings);
     const node = {
       name,
       process,
@@ -119,7 +131,10 @@
 
   /** Starts the daemon of a node again after its end. */
   async restart(node: FleetNode): Promise<FleetNode> {
-    const started = {...node, process: startDaemon(node.name, node.settings)};
+    const started = {
+      ...node,
+      process: this.startDaemon(node.name, node.settings),
+    };
     this.nodes[this.nodes.indexOf(node)] = started;
     await this.isReady(started);
     return started;
@@ -188,6 +203,10 @@
     );
   }
 
+  private startDaemon(name: string, settings: string): child.Child {
+    return child.startProgram(name, this.program, ['--settings', settings]);
+  }
+
   private async announceAll(): Promise<void> {
     await Promise.all(
       this.nodes.map(({server, control}) =>
@@ -211,11 +230,6 @@
   }
 }
 
-function startDaemon(name: string, settings: string): child.Child {
-  const program = 'src/daemon/main.js';
-  return child.startProgram(name, program, ['--settings', settings]);
-}
-
 async function statusOf(address: string): Promise<number> {
   try {
     const res = await fetch(`http://${address}/ready`);
