--- a/src/cli/commands/data_centre.ts
+++ b/src/cli/commands/data_centre.ts
@@ -1,19 +1,15 @@
 /** `geraniumloft data-centre out|return|list`. */
 import * as clipanion from 'clipanion';
 
-import * as operation from '../../common/configuration/operation.js';
 import * as logState from '../../common/control/log_state.js';
-import * as logClient from '../../node/log_client.js';
-import * as changeCommand from '../change_command.js';
-import * as exitCodes from '../exit_codes.js';
+import * as generated from '../../generated/configuration.js';
 import * as exceptions from '../exceptions.js';
-import * as fleetLog from '../fleet_log.js';
-import * as operatorCommand from '../operator_command.js';
+import * as outCommands from '../out_commands.js';
 
 const CATEGORY = 'Data centres';
 
 /** Takes a data centre out. */
-export class DataCentreOutCommand extends changeCommand.ChangeCommand {
+export class DataCentreOutCommand extends outCommands.OutCommand {
   static override paths = [['data-centre', 'out']];
   static override usage = clipanion.Command.Usage({
     category: CATEGORY,
@@ -32,21 +28,21 @@
     return this.allowLast;
   }
 
-  protected override operation(): operation.Operation {
-    const exception = {
-      id: exceptions.exceptionId('data-centre-out', this.dataCentre),
-      kind: 'data-centre-out' as const,
-      dataCentre: this.dataCentre,
-      reason: this.reason,
-      author: this.authorName,
-      timeMs: Date.now(),
-    };
-    return {kind: 'add-exception', exception};
+  protected override readonly kind = 'data-centre-out';
+
+  protected override get subject(): string {
+    return this.dataCentre;
+  }
+
+  protected override exception(
+    details: outCommands.OutDetails,
+  ): generated.DataCentreOut {
+    return {...details, kind: this.kind, dataCentre: this.dataCentre};
   }
 }
 
 /** Returns a data centre. */
-export class DataCentreReturnCommand extends changeCommand.ChangeCommand {
+export class DataCentreReturnCommand extends outCommands.ReturnCommand {
   static override paths = [['data-centre', 'return']];
   static override usage = clipanion.Command.Usage({
     category: CATEGORY,
@@ -58,35 +54,34 @@
 
   readonly dataCentre = clipanion.Option.String({required: true});
 
-  protected override operation(folded: logState.LogState): operation.Operation {
-    return exceptions.removal(
-      folded,
-      `data centre ${this.dataCentre}`,
-      e => e.kind === 'data-centre-out' && e.dataCentre === this.dataCentre,
-    );
+  protected override get subject(): string {
+    return `data centre ${this.dataCentre}`;
+  }
+
+  protected override takesOut(e: generated.Exception): boolean {
+    return e.kind === 'data-centre-out' && e.dataCentre === this.dataCentre;
   }
 }
 
 /** Lists data centres. */
-export class DataCentreListCommand extends operatorCommand.LogCommand {
+export class DataCentreListCommand extends outCommands.ListCommand<exceptions.DataCentreRow> {
   static override paths = [['data-centre', 'list']];
   static override usage = clipanion.Command.Usage({
     category: CATEGORY,
     description: 'List data centres with their servers and state.',
   });
 
-  protected override async runOn(
-    log: logClient.LogService,
-    fleet: fleetLog.FleetLog,
-  ): Promise<exitCodes.ExitCode> {
-    const rows = exceptions.dataCentreRows(fleet.folded);
-    const lines = rows.map(row => {
-      const state = row.out
-        ? `out: ${row.out.reason} (${row.out.author})`
-        : 'in';
-      return `${row.dataCentre} ${row.servers} servers ${state}`;
-    });
-    this.print(rows, lines);
-    return exitCodes.EXIT_CODES.done;
+  protected override rows(
+    folded: logState.LogState,
+  ): readonly exceptions.DataCentreRow[] {
+    return exceptions.dataCentreRows(folded);
+  }
+
+  protected override text(row: exceptions.DataCentreRow): string {
+    return `${row.dataCentre} ${row.servers} servers`;
+  }
+
+  protected override stateIn(): string {
+    return 'in';
   }
 }
--- a/src/cli/commands/server.ts
+++ b/src/cli/commands/server.ts
@@ -1,19 +1,15 @@
 /** `geraniumloft server out|return|list`. */
 import * as clipanion from 'clipanion';
 
-import * as operation from '../../common/configuration/operation.js';
 import * as logState from '../../common/control/log_state.js';
-import * as logClient from '../../node/log_client.js';
-import * as changeCommand from '../change_command.js';
-import * as exitCodes from '../exit_codes.js';
+import * as generated from '../../generated/configuration.js';
 import * as exceptions from '../exceptions.js';
-import * as fleetLog from '../fleet_log.js';
-import * as operatorCommand from '../operator_command.js';
+import * as outCommands from '../out_commands.js';
 
 const CATEGORY = 'Backend servers';
 
 /** Takes a backend server out. */
-export class ServerOutCommand extends changeCommand.ChangeCommand {
+export class ServerOutCommand extends outCommands.OutCommand {
   static override paths = [['server', 'out']];
   static override usage = clipanion.Command.Usage({
     category: CATEGORY,
@@ -25,21 +21,21 @@
 
   readonly server = clipanion.Option.String({required: true});
 
-  protected override operation(): operation.Operation {
-    const exception = {
-      id: exceptions.exceptionId('server-out', this.server),
-      kind: 'server-out' as const,
-      server: this.server,
-      reason: this.reason,
-      author: this.authorName,
-      timeMs: Date.now(),
-    };
-    return {kind: 'add-exception', exception};
+  protected override readonly kind = 'server-out';
+
+  protected override get subject(): string {
+    return this.server;
+  }
+
+  protected override exception(
+    details: outCommands.OutDetails,
+  ): generated.ServerOut {
+    return {...details, kind: this.kind, server: this.server};
   }
 }
 
 /** Returns a backend server. */
-export class ServerReturnCommand extends changeCommand.ChangeCommand {
+export class ServerReturnCommand extends outCommands.ReturnCommand {
   static override paths = [['server', 'return']];
   static override usage = clipanion.Command.Usage({
     category: CATEGORY,
@@ -49,35 +45,34 @@
 
   readonly server = clipanion.Option.String({required: true});
 
-  protected override operation(folded: logState.LogState): operation.Operation {
-    return exceptions.removal(
-      folded,
-      `server ${this.server}`,
-      e => e.kind === 'server-out' && e.server === this.server,
-    );
+  protected override get subject(): string {
+    return `server ${this.server}`;
+  }
+
+  protected override takesOut(e: generated.Exception): boolean {
+    return e.kind === 'server-out' && e.server === this.server;
   }
 }
 
 /** Lists backend servers. */
-export class ServerListCommand extends operatorCommand.LogCommand {
+export class ServerListCommand extends outCommands.ListCommand<exceptions.ServerRow> {
   static override paths = [['server', 'list']];
   static override usage = clipanion.Command.Usage({
     category: CATEGORY,
     description: 'List backend servers by the roster in the log.',
   });
 
-  protected override async runOn(
-    log: logClient.LogService,
-    fleet: fleetLog.FleetLog,
-  ): Promise<exitCodes.ExitCode> {
-    const rows = exceptions.serverRows(fleet.folded);
-    const lines = rows.map(row => {
-      const state = row.out
-        ? `out: ${row.out.reason} (${row.out.author})`
-        : row.roster;
-      return `${row.server} ${row.service} ${row.dataCentre} ${state}`;
-    });
-    this.print(rows, lines);
-    return exitCodes.EXIT_CODES.done;
+  protected override rows(
+    folded: logState.LogState,
+  ): readonly exceptions.ServerRow[] {
+    return exceptions.serverRows(folded);
+  }
+
+  protected override text(row: exceptions.ServerRow): string {
+    return `${row.server} ${row.service} ${row.dataCentre}`;
+  }
+
+  protected override stateIn(row: exceptions.ServerRow): string {
+    return row.roster;
   }
 }
