--- a/test/paths/platform_bundle.test.ts
+++ b/test/paths/platform_bundle.test.ts
@@ -14,7 +14,9 @@
   'the bundled daemon serves as the compiled one does',
   async () => {
     await execFile(process.execPath, ['tools/bundle.mjs']);
-    await using fleet = await platformFleet.PlatformFleet.start(2, BUNDLE);
+    await using fleet = await platformFleet.PlatformFleet.start(2, {
+      program: BUNDLE,
+    });
     fleet.nodes[0].server.mode = {kind: 'answer-lost'};
     const answers = await Promise.all(
       Array.from({length: 10}, (unused, i) =>
--- a/test/paths/platform_fleet.ts
+++ b/test/paths/platform_fleet.ts
@@ -46,6 +46,14 @@
   readonly agent?: http.Agent;
 }
 
+/** How a fleet is started. */
+export interface PlatformFleetOptions {
+  /** The daemon's file, relative to the build directory. */
+  readonly program?: string;
+  /** Settings of all nodes that differ from the usual ones. */
+  readonly settings?: object;
+}
+
 /** Daemons, servers and the store; disposing it ends them. */
 export class PlatformFleet implements AsyncDisposable {
   readonly nodes: FleetNode[] = [];
@@ -54,21 +62,21 @@
   private constructor(
     readonly store: storeStandIn.StoreStandIn,
     readonly storeAddress: string,
-    private readonly program: string,
+    private readonly options: Required<PlatformFleetOptions>,
   ) {}
 
-  /**
-   * Starts a fleet and waits until each node knows all servers.
-   *
-   * @param program the daemon's file, relative to the build directory.
-   */
+  /** Starts a fleet and waits until each node knows all servers. */
   static async start(
     size: number,
-    program = COMPILED_DAEMON,
+    options: PlatformFleetOptions = {},
   ): Promise<PlatformFleet> {
     const store = new storeStandIn.StoreStandIn();
     const address = await store.listen();
-    const fleet = new PlatformFleet(store, address, program);
+    const fleet = new PlatformFleet(store, address, {
+      program: COMPILED_DAEMON,
+      settings: {},
+      ...options,
+    });
     store.put('keyed.op', 'config', documents.configuration(1));
     for (let i = 0; i < size; i++) await fleet.addNode();
     fleet.beats = setInterval(() => void fleet.announceAll(), 500);
@@ -111,6 +119,7 @@
         store: this.storeAddress,
         bounds: {grace_s: 4},
         routineLogShare: 1,
+        ...this.options.settings,
       }),
     );
     const name = `node-${i}`;
@@ -204,7 +213,10 @@
   }
 
   private startDaemon(name: string, settings: string): child.Child {
-    return child.startProgram(name, this.program, ['--settings', settings]);
+    return child.startProgram(name, this.options.program, [
+      '--settings',
+      settings,
+    ]);
   }
 
   private async announceAll(): Promise<void> {
