--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -12,7 +12,7 @@
 const GREETING_TIMEOUT_MS: units.Millis = 2_000;
 
 /** Time without a frame after which a session is ended; entries ask for a sign of life earlier. */
-const IDLE_TIMEOUT_MS: units.Millis = 60_000;
+export const IDLE_TIMEOUT_MS: units.Millis = 60_000;
 
 /** Interval at which an entry that sends requests is told the load. */
 const PULSE_INTERVAL_MS: units.Millis = 1_000;
