Lint for the platform's names outside platform/

The rule on imports kept src from the adapter; the names themselves were not checked. Names that cannot be mistaken are now forbidden as literals in src.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -30,6 +30,42 @@
   },
 ];
 
+/** Names of the users' platform that cannot be mistaken for others. */
+const PLATFORM_NAMES = [
+  'request-id',
+  'deadline-ms',
+  'caller-service',
+  'expect-instance',
+  'server-seal',
+  'not-executed',
+  'server-load',
+  'cold-ms',
+  'instance-id',
+  'keyed\\.\\w+',
+  'log-(append|newest)',
+  'evacuate\\/',
+  'route_kind',
+  'path_prefix',
+  'timeout_s',
+  'target_latency_s',
+  'node_info',
+  'slot_count',
+  'cold_left_s',
+  'cold_start_s',
+  'cold_per_s',
+  'health_path',
+  'max_conns',
+  'grace_s',
+  'budget_slack',
+  'retry_budget_ratio',
+  'cold_over',
+];
+
+const PLATFORM_SYNTAX = {
+  selector: `Literal[value=/^(${PLATFORM_NAMES.join('|')})$/i]`,
+  message: 'Only platform/ knows the names of the users’ platform.',
+};
+
 const FORBIDDEN_IN_COMMON = [
   'Date',
   'setTimeout',
@@ -158,6 +194,12 @@
       ],
     },
   },
+  {
+    files: ['src/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': ['error', ...HOUSE_SYNTAX, PLATFORM_SYNTAX],
+    },
+  },
   {
     files: ['src/node/**/*.ts'],
     rules: {
--- a/src/node/http_entry.test.ts
+++ b/src/node/http_entry.test.ts
@@ -11,6 +11,7 @@
 import * as child from '../../test/paths/child.js';
 import * as fleet from '../../test/paths/fleet.js';
 import * as httpEntry from './http_entry.js';
+import * as httpHeaders from './http_headers.js';
 import * as requestFingerprint from './request_fingerprint.js';
 
 const SEED = Number(process.env['SEED'] ?? 5);
@@ -125,10 +126,14 @@
   'malformed headers of a call are refused as not run',
   async () => {
     await using entry = await echoEntry();
-    for (const name of ['Deadline-Ms', 'Depth', 'Retries-Left']) {
+    for (const name of [
+      httpHeaders.DEADLINE_HEADER,
+      httpHeaders.DEPTH_HEADER,
+      httpHeaders.RETRIES_LEFT_HEADER,
+    ]) {
       const answer = await fleet.call(entry.port, {
         path: '/orders/1',
-        headers: {[`Geraniumloft-${name}`]: '-1'},
+        headers: {[name]: '-1'},
       });
       assert.equal(answer.status, 400);
       assert.equal(answer.headers['geraniumloft-reason'], 'bad-request');
