--- a/src/common/control/log_state.ts
+++ b/src/common/control/log_state.ts
@@ -123,7 +123,7 @@
     if (!(fresh && emptied)) {
       this.count.increment('log.gap');
       this.configuration.skipTo(page.firstOffset);
-      this.roster.skipTo(page.firstOffset);
+      this.roster.noteGap();
     }
     this.advance(page.firstOffset);
   }
--- a/src/common/entry/attempt_planner.ts
+++ b/src/common/entry/attempt_planner.ts
@@ -1,6 +1,5 @@
 /** Decides what follows at an entry: an attempt, a wait, or a refusal. */
 import * as peer from '../../generated/peer.js';
-import * as fleetView from '../control/fleet_view.js';
 import * as randomSource from '../random_source.js';
 import * as failureKind from '../retries/failure_kind.js';
 import * as retryBudget from '../retries/retry_budget.js';
@@ -13,7 +12,6 @@
 
 /** What a planner decides by. */
 export interface PlannerOptions {
-  readonly view: fleetView.FleetView;
   readonly router: router.Router;
   readonly budgets: serviceBudgets.ServiceBudgets;
   readonly random: randomSource.RandomSource;
--- a/src/common/entry/entry_core.ts
+++ b/src/common/entry/entry_core.ts
@@ -97,8 +97,7 @@
       followsRedirections: options.selector.kind === 'redirect',
     });
     this.ender = new callEnder.CallEnder({...options, calls, sender});
-    const {router: gates} = this;
-    const planning = {...options, budgets, router: gates};
+    const planning = {...options, budgets, router: this.router};
     this.runner = new callRunner.CallRunner({
       ...planning,
       sender,
--- a/src/common/membership/roster.test.ts
+++ b/src/common/membership/roster.test.ts
@@ -70,7 +70,7 @@
 
 nodeTest.test('a truncated log counts as whole once all have refreshed', () => {
   const {add, fold} = folded();
-  fold.skipTo(10);
+  fold.noteGap();
   add(JOIN, B);
   assert.equal(fold.complete, false);
   add(REFRESH, A, A, {timeMs: roster.REFRESHED_ALL_MS - 1});
--- a/src/common/membership/roster.ts
+++ b/src/common/membership/roster.ts
@@ -31,15 +31,15 @@
   private readonly entriesCache = new Map<string, Entries>();
   private tombstones = 0;
   private changes = 0;
-  /** First offset from which every record has been folded, undefined if none is missing. */
-  private partialFrom: number | undefined;
+  /** Whether records that may still matter are missing. */
+  private partial = false;
   private partialSinceMs: units.EpochMs | undefined;
 
   constructor(private readonly count: counters.Counters) {}
 
   /** Whether the roster accounts for every record up to the folded offset. */
   get complete(): boolean {
-    return this.partialFrom === undefined;
+    return !this.partial;
   }
 
   /** Number of entries, gone members included. */
@@ -84,14 +84,14 @@
     this.services = new Map();
     this.entriesCache.clear();
     this.tombstones = 0;
-    this.partialFrom = undefined;
+    this.partial = false;
     this.partialSinceMs = undefined;
     for (const entry of state) this.put(entry);
   }
 
-  /** Notes that records below `firstOffset` are missing. */
-  skipTo(firstOffset: number): void {
-    this.partialFrom = firstOffset;
+  /** Notes that the log has dropped records before they were read. */
+  noteGap(): void {
+    this.partial = true;
     this.partialSinceMs = undefined;
   }
 
@@ -120,10 +120,10 @@
 
   /** After a span in which every member has refreshed, nothing older can matter. */
   private noteProgress(timeMs: units.EpochMs): void {
-    if (this.partialFrom === undefined) return;
+    if (!this.partial) return;
     this.partialSinceMs ??= timeMs;
     if (timeMs - this.partialSinceMs < REFRESHED_ALL_MS) return;
-    this.partialFrom = undefined;
+    this.partial = false;
     this.partialSinceMs = undefined;
   }
 
