Prove the sum of all nodes' repetitions, and 408

Four fleets of different size, with calls of servers among the requests, ask for repetitions all the time, from the start or after a calm; no window of ten seconds may hold more than the fleet's budget.

--- /dev/null
+++ b/src/common/serving/repeat_budget.test.ts
@@ -0,0 +1,66 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+
+import * as repeatBudget from './repeat_budget.js';
+
+const WINDOW_MS = 10_000;
+const LENGTH_MS = 40_000;
+
+interface Fleet {
+  readonly nodes: number;
+  /** Requests a second at each node, calls of servers counted. */
+  readonly perSecond: number;
+  /** Part of the requests that clients sent; the fleet's budget counts these. */
+  readonly clientShare: number;
+  readonly slack: number;
+}
+
+const RATIO = 0.2;
+
+/** Repetitions of all nodes in the worst window; every request asks for them from `fromMs` on. */
+function worstWindow(fleet: Fleet, fromMs: number): number {
+  const {nodes, perSecond, slack} = fleet;
+  const budgets = Array.from(
+    {length: nodes},
+    () => new repeatBudget.RepeatBudget({ratio: RATIO, slack}, () => nodes),
+  );
+  const takenMs: number[] = [];
+  const gapMs = 1_000 / (nodes * perSecond);
+  for (let i = 0; i * gapMs < LENGTH_MS; i++) {
+    const now = i * gapMs;
+    const budget = budgets[i % nodes];
+    budget.onRequest(now);
+    while (now >= fromMs && budget.take()) takenMs.push(now);
+  }
+  let worst = 0;
+  let first = 0;
+  takenMs.forEach((ms, i) => {
+    while (takenMs[first] <= ms - WINDOW_MS) first++;
+    worst = Math.max(worst, i - first + 1);
+  });
+  return worst;
+}
+
+/** What the fleet may spend in a window. */
+function allowed({nodes, perSecond, clientShare, slack}: Fleet): number {
+  const clients = (nodes * perSecond * clientShare * WINDOW_MS) / 1_000;
+  return RATIO * clients + slack;
+}
+
+const FLEETS: readonly Fleet[] = [
+  {nodes: 62, perSecond: 4, clientShare: 0.47, slack: 164},
+  {nodes: 90, perSecond: 5, clientShare: 0.5, slack: 220},
+  {nodes: 8, perSecond: 15, clientShare: 0.5, slack: 56},
+  {nodes: 11, perSecond: 12, clientShare: 1, slack: 62},
+];
+
+nodeTest.test('all nodes together stay below the budget of the fleet', () => {
+  for (const fleet of FLEETS) {
+    for (const fromMs of [0, 1_000, 15_000]) {
+      const worst = worstWindow(fleet, fromMs);
+      const most = allowed(fleet);
+      assert.ok(worst <= most, `${worst} of ${most}: ${fleet.nodes} nodes`);
+      assert.ok(worst > 0);
+    }
+  }
+});
--- a/test/paths/platform_path.test.ts
+++ b/test/paths/platform_path.test.ts
@@ -242,6 +242,19 @@
   assert.equal((await fleet.send(node, {id: 'long', headers})).status, 431);
 });
 
+test('headers that do not end in time are refused with 408', async () => {
+  await using fleet = await platformFleet.PlatformFleet.start(1);
+  const [host, port] = fleet.nodes[0].callers.split(':');
+  const socket = net.connect({host, port: Number(port)});
+  let received = '';
+  socket.on('data', chunk => (received += String(chunk)));
+  socket.on('error', () => undefined);
+  const closed = new Promise(resolve => socket.on('close', resolve));
+  socket.write(`GET /history/1 HTTP/1.1\r\nHost: ${documents.HOST}\r\n`);
+  await child.within(closed, WAIT_MS, 'the connection to close');
+  assert.match(received, /^HTTP\/1\.1 408 /);
+});
+
 test('an answer that comes while the body still arrives is whole and its own', async () => {
   await using fleet = await platformFleet.PlatformFleet.start(1);
   const [node] = fleet.nodes;
