--- a/bench/log_cost.ts
+++ b/bench/log_cost.ts
@@ -4,6 +4,7 @@
  */
 import * as fs from 'node:fs';
 
+import * as units from '../src/common/units.js';
 import * as platformFleet from '../test/paths/platform_fleet.js';
 
 const NODES = 2;
@@ -12,7 +13,6 @@
 const MEASURED_MS = 8_000;
 const ROUNDS = 3;
 const TICKS_PER_SECOND = 100;
-const MS_PER_SECOND = 1_000;
 
 const VARIANTS = [
   {name: 'least log', settings: {routineLogShare: 0, logBytesPerSecond: 1_000}},
@@ -28,7 +28,7 @@
   const [, rest] = fs.readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ');
   const fields = rest.split(' ');
   const [user, system] = [Number(fields[11]), Number(fields[12])];
-  return ((user + system) * MS_PER_SECOND) / TICKS_PER_SECOND;
+  return ((user + system) * units.MS_PER_SECOND) / TICKS_PER_SECOND;
 }
 
 /** Sends requests for a while; returns how many. */
@@ -43,7 +43,7 @@
     const node = fleet.nodes[open.length % fleet.nodes.length];
     open.push(fleet.send(node, {id: `${prefix}${open.length}`}));
     await new Promise(resolve =>
-      setTimeout(resolve, MS_PER_SECOND / REQUESTS_PER_SECOND),
+      setTimeout(resolve, units.MS_PER_SECOND / REQUESTS_PER_SECOND),
     );
   }
   await Promise.all(open);
--- a/src/common/gate/sibling_loads.ts
+++ b/src/common/gate/sibling_loads.ts
@@ -63,14 +63,6 @@
     return siblings.slice(0, ALTERNATIVES).map(s => s.sibling);
   }
 
-  /** Counts a call that is about to go to a sibling, until its next report. */
-  onSent(nodeId: string): void {
-    const report = this.reports.get(nodeId);
-    if (!report) return;
-    const load = {...report.load, inFlight: report.load.inFlight + 1};
-    this.reports.set(nodeId, {...report, load});
-  }
-
   private siblingAt(
     nodeId: string,
     now: units.MonotonicMs,
--- a/src/common/membership/rendezvous.ts
+++ b/src/common/membership/rendezvous.ts
@@ -2,7 +2,7 @@
 import * as hash from './hash.js';
 
 /** Returns the weight of a member for a key; the member of the highest weight is chosen. */
-export function weight(keyHash: number, nodeId: string): number {
+function weight(keyHash: number, nodeId: string): number {
   return hash.combine(keyHash, hash.hashText(nodeId));
 }
 
--- a/src/common/quarantine/suspect_requests.ts
+++ b/src/common/quarantine/suspect_requests.ts
@@ -11,6 +11,19 @@
 /** Most requests under suspicion. */
 const SUSPECTS_BOUND = 1_024;
 
+/** Bounds of a table of suspects. */
+export interface SuspectBounds {
+  /** Time after the newest death for which a request stays suspect. */
+  readonly lifeMs: units.Millis;
+  /** Most requests under suspicion. */
+  readonly count: number;
+}
+
+const DEFAULT_BOUNDS: SuspectBounds = {
+  lifeMs: SUSPICION_MS,
+  count: SUSPECTS_BOUND,
+};
+
 interface Suspect {
   readonly deaths: number;
   readonly expiresMs: units.MonotonicMs;
@@ -20,6 +33,8 @@
 export class SuspectRequests {
   private readonly suspects = new Map<string, Suspect>();
 
+  constructor(private readonly bounds = DEFAULT_BOUNDS) {}
+
   /** Number of requests under suspicion. */
   get size(): number {
     return this.suspects.size;
@@ -44,16 +59,29 @@
   /** Takes note that a backend server died while it ran the request. */
   onDeath(fingerprint: string, now: units.MonotonicMs): peer.SuspectReport {
     const deaths = this.deathsOf(fingerprint, now) + 1;
-    this.put(fingerprint, {deaths, expiresMs: now + SUSPICION_MS});
-    return {fingerprint, deaths, expiresInMs: SUSPICION_MS};
+    const {lifeMs} = this.bounds;
+    this.put(fingerprint, {deaths, expiresMs: now + lifeMs});
+    return {fingerprint, deaths, expiresInMs: lifeMs};
   }
 
-  /** Takes a report of another gate. */
-  onReport(report: peer.SuspectReport, now: units.MonotonicMs): void {
+  /** Takes a report of another gate; returns whether it says more than was known. */
+  onReport(report: peer.SuspectReport, now: units.MonotonicMs): boolean {
     const {fingerprint, deaths} = report;
-    if (deaths <= this.deathsOf(fingerprint, now)) return;
-    const expiresInMs = Math.min(report.expiresInMs, SUSPICION_MS);
+    if (deaths <= this.deathsOf(fingerprint, now)) return false;
+    const expiresInMs = Math.min(report.expiresInMs, this.bounds.lifeMs);
     this.put(fingerprint, {deaths, expiresMs: now + expiresInMs});
+    return true;
+  }
+
+  /** All requests under suspicion, with the time left. */
+  list(now: units.MonotonicMs): readonly peer.SuspectReport[] {
+    return [...this.suspects]
+      .filter(([, {expiresMs}]) => expiresMs > now)
+      .map(([fingerprint, {deaths, expiresMs}]) => ({
+        fingerprint,
+        deaths,
+        expiresInMs: expiresMs - now,
+      }));
   }
 
   /** Clears a request that ran without harm, unless it has been quarantined meanwhile. */
@@ -65,7 +93,7 @@
   private put(fingerprint: string, suspect: Suspect): void {
     this.suspects.delete(fingerprint);
     this.suspects.set(fingerprint, suspect);
-    if (this.suspects.size <= SUSPECTS_BOUND) return;
+    if (this.suspects.size <= this.bounds.count) return;
     const [oldest] = this.suspects.keys();
     this.suspects.delete(oldest);
   }
--- a/src/common/serving/decision.ts
+++ b/src/common/serving/decision.ts
@@ -30,3 +30,13 @@
 export interface DecisionLog {
   write(decision: Decision): void;
 }
+
+/** Notes a change of what the process believes. */
+export function noteBelief(
+  log: DecisionLog,
+  component: Decision['component'],
+  event: string,
+  facts: Facts,
+): void {
+  log.write({component, event, importance: 'belief', facts});
+}
--- a/src/common/serving/gate_replies.ts
+++ b/src/common/serving/gate_replies.ts
@@ -78,12 +78,7 @@
 
   /** Logs that the gate has opened or closed. */
   noteClosure(was: serving.Closure, closure: serving.Closure): void {
-    this.log.write({
-      component: 'gate',
-      event: 'gate-closure',
-      importance: 'belief',
-      facts: {was, closure},
-    });
+    decision.noteBelief(this.log, 'gate', 'gate-closure', {was, closure});
   }
 
   private send(
--- a/src/common/serving/server_trust.ts
+++ b/src/common/serving/server_trust.ts
@@ -114,7 +114,6 @@
   }
 
   private note(event: string, facts: decision.Facts): void {
-    const importance = 'belief';
-    this.options.log.write({component: 'gate', event, importance, facts});
+    decision.noteBelief(this.options.log, 'gate', event, facts);
   }
 }
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 /** The daemon for the users' platform: `geraniumloft-node [--settings FILE] [--check]`. */
 import * as adapter from '../../platform/adapter.js';
+import * as decision from '../common/serving/decision.js';
 import * as generated from '../generated/node_settings.js';
 import * as eventLog from '../node/serving/event_log.js';
 import * as nodeSettings from '../node/serving/node_settings.js';
@@ -41,7 +42,7 @@
     processStartedMs,
   });
   const note = (event: string, facts: Readonly<Record<string, string>>): void =>
-    log.write({component: 'node', event, importance: 'belief', facts});
+    decision.noteBelief(log, 'node', event, facts);
   note('start', {service: initial.service, dataCentre: initial.dataCentre});
   const reloads = followSettings(path, reloaded => node.reload(reloaded), note);
   const signal = await stopSignal();
--- a/src/node/body_reader.ts
+++ b/src/node/body_reader.ts
@@ -55,6 +55,7 @@
   );
 }
 
-function joined(chunks: readonly Buffer[]): Buffer {
+/** Returns the chunks of a body as one; a single chunk is not copied. */
+export function joined(chunks: readonly Buffer[]): Buffer {
   return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
 }
--- a/src/node/http_headers.ts
+++ b/src/node/http_headers.ts
@@ -1,6 +1,11 @@
 /** Names of HTTP headers, and the headers that are not passed on. */
+import type * as http from 'node:http';
+
 import * as peer from '../generated/peer.js';
 
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+
 /** Time left for a request, in milliseconds. */
 export const DEADLINE_HEADER = 'Geraniumloft-Deadline-Ms';
 
@@ -13,8 +18,6 @@
 /** Retries left to the whole call chain. */
 export const RETRIES_LEFT_HEADER = 'Geraniumloft-Retries-Left';
 
-/** Key under which a non-idempotent request runs at most once. */
-
 /** What a refusal says about execution. */
 export const OUTCOME_HEADER = 'Geraniumloft-Outcome';
 
@@ -113,6 +116,22 @@
   return flat;
 }
 
+/**
+ * Whether the headers of an answer tell where its body ends. Without a length or chunks, a body
+ * that was cut short looks whole.
+ */
+export function isDelimited(
+  status: number,
+  headers: http.IncomingHttpHeaders,
+): boolean {
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined ||
+    status === NO_CONTENT ||
+    status === NOT_MODIFIED
+  );
+}
+
 /** Returns the value of the header `name`, undefined if absent. */
 export function findHeader(
   headers: readonly peer.Header[],
@@ -127,14 +146,10 @@
   connection: string | undefined,
   own: ReadonlySet<string>,
 ): readonly peer.Header[] {
-  const named = connectionOptions(connection);
+  const kept = endToEndHeaders(rawHeaders, connection, name => own.has(name));
   const headers: peer.Header[] = [];
-  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
-    const name = rawHeaders[i];
-    const lower = name.toLowerCase();
-    if (HOP_BY_HOP_HEADERS.has(lower) || own.has(lower)) continue;
-    if (named.has(lower)) continue;
-    headers.push({name, value: rawHeaders[i + 1]});
+  for (let i = 0; i < kept.length; i += 2) {
+    headers.push({name: kept[i], value: kept[i + 1]});
   }
   return headers;
 }
--- a/src/node/server_connection.ts
+++ b/src/node/server_connection.ts
@@ -14,10 +14,9 @@
 /** Idle time after which a connection is closed. */
 export const IDLE_TIMEOUT_MS: units.Millis = 20_000;
 
-const NO_CONTENT = 204;
-const NOT_MODIFIED = 304;
 const UNAVAILABLE = 503;
 const NOT_RUN = 'not-run';
+
 /** A request on its way to the backend server. */
 export interface ServerRequest {
   readonly method: string;
@@ -129,7 +128,10 @@
     this.answering = true;
     this.status = status;
     this.headers = headers;
-    if (!this.isOwnAnswer(headers) || !this.isDelimited(headers)) {
+    const isDelimited =
+      this.request.method === 'HEAD' ||
+      httpHeaders.isDelimited(status, headers);
+    if (!this.isOwnAnswer(headers) || !isDelimited) {
       controller.abort(new Error('answer cannot be relayed'));
     }
   }
@@ -187,17 +189,6 @@
     return answered === undefined || answered === sent;
   }
 
-  /** Without a length or chunks, a body that was cut short looks whole. */
-  private isDelimited(headers: http.IncomingHttpHeaders): boolean {
-    return (
-      headers['content-length'] !== undefined ||
-      headers['transfer-encoding'] !== undefined ||
-      this.request.method === 'HEAD' ||
-      this.status === NO_CONTENT ||
-      this.status === NOT_MODIFIED
-    );
-  }
-
   private shedFailure(): gate.ServerFailure | undefined {
     if (this.status !== UNAVAILABLE) return undefined;
     const find = (name: string) => this.headers[name.toLowerCase()];
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -101,12 +101,13 @@
 
   /** Tells the load where it is due. */
   tick(now: units.MonotonicMs): void {
-    const value = this.options.pulse();
+    let value: serving.Pulse | undefined;
     const idleMs = pulseInterval.idlePulseMs(this.options.nodeCount());
     for (const session of this.sessions.values()) {
       const sending = now - session.dispatchedMs < SENDING_MS;
       const interval = sending ? PULSE_INTERVAL_MS : idleMs;
       if (now - session.pulsedMs < interval) continue;
+      value ??= this.options.pulse();
       this.pulse(session, value, now);
     }
   }
--- a/src/node/serving/fleet_knowledge.ts
+++ b/src/node/serving/fleet_knowledge.ts
@@ -158,12 +158,7 @@
   }
 
   private note(event: string, facts: decision.Facts): void {
-    this.options.log.write({
-      component: 'fleet',
-      event,
-      importance: 'belief',
-      facts,
-    });
+    decision.noteBelief(this.options.log, 'fleet', event, facts);
   }
 }
 
--- a/src/node/serving/fleet_registry.ts
+++ b/src/node/serving/fleet_registry.ts
@@ -2,9 +2,9 @@
 import * as decision from '../../common/serving/decision.js';
 import * as units from '../../common/units.js';
 import * as serving from '../../generated/serving.js';
-import * as abortablePause from './abortable_pause.js';
 import * as dialect from './dialect.js';
 import * as fleetDirectory from './fleet_directory.js';
+import * as storeLoop from './store_loop.js';
 
 /** Waits after a failed call; doubled after each failure. */
 const FIRST_BACKOFF_MS: units.Millis = 200;
@@ -13,9 +13,6 @@
 /** Interval of reads that find what greetings have missed. */
 const REFRESH_MS: units.Millis = 30_000;
 
-/** Part of a wait that is random, so that nodes do not come at once. */
-const JITTER = 0.5;
-
 const KEY_PREFIX = 'node/';
 
 /** What a registry is made with. */
@@ -32,36 +29,33 @@
  * that nobody has to follow the topic.
  */
 export class FleetRegistry implements AsyncDisposable {
-  private readonly stop = new AbortController();
+  private readonly loop: storeLoop.StoreLoop;
   private written: serving.NodeRecord | undefined;
-  private failures = 0;
-  private done: Promise<void> | undefined;
 
-  constructor(private readonly options: FleetRegistryOptions) {}
+  constructor(private readonly options: FleetRegistryOptions) {
+    this.loop = new storeLoop.StoreLoop({
+      firstBackoffMs: FIRST_BACKOFF_MS,
+      maxBackoffMs: MAX_BACKOFF_MS,
+      step: () => this.step(),
+      onDone: () => undefined,
+      onFailed: err => this.noteFailure(err),
+      random: () => options.random(),
+    });
+  }
 
   /** Starts to keep the record. */
   start(): void {
-    this.done = this.run();
+    this.loop.start();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.stop.abort();
-    await this.done;
+    await this.loop[Symbol.asyncDispose]();
   }
 
-  private async run(): Promise<void> {
-    while (!this.stop.signal.aborted) {
-      try {
-        await this.write();
-        await this.read();
-        this.failures = 0;
-        await this.pause(REFRESH_MS);
-      } catch (err) {
-        this.noteFailure(err);
-        const waitMs = FIRST_BACKOFF_MS * 2 ** (this.failures - 1);
-        await this.pause(Math.min(MAX_BACKOFF_MS, waitMs));
-      }
-    }
+  private async step(): Promise<void> {
+    await this.write();
+    await this.read();
+    await this.loop.pause(this.loop.jittered(REFRESH_MS));
   }
 
   private async write(): Promise<void> {
@@ -76,7 +70,7 @@
   private async read(): Promise<void> {
     const {store, directory} = this.options;
     const {records} = await store.newest('fleet');
-    if (this.stop.signal.aborted) return;
+    if (this.loop.signal.aborted) return;
     for (const {key, value} of records) {
       const record = value && decode(value);
       if (record === undefined || key !== KEY_PREFIX + record.nodeId) continue;
@@ -85,21 +79,11 @@
     }
   }
 
-  private pause(ms: units.Millis): Promise<void> {
-    const waitMs = ms * (1 + JITTER * this.options.random());
-    return abortablePause.pause(waitMs, this.stop.signal);
-  }
-
   private noteFailure(err: unknown): void {
-    this.failures++;
-    if (this.failures > 1 || this.stop.signal.aborted) return;
+    if (this.loop.failures > 1) return;
     const detail = err instanceof Error ? err.message : String(err);
-    this.options.log.write({
-      component: 'store',
-      event: 'registry-failed',
-      importance: 'belief',
-      facts: {detail},
-    });
+    const {log} = this.options;
+    decision.noteBelief(log, 'store', 'registry-failed', {detail});
   }
 }
 
--- a/src/node/serving/gate_link.test.ts
+++ b/src/node/serving/gate_link.test.ts
@@ -1,10 +1,10 @@
 import * as assert from 'node:assert/strict';
-import * as net from 'node:net';
 import * as nodeTest from 'node:test';
 
 import * as fixtures from '../../common/serving/serving_fixtures.test.js';
 import * as serving from '../../generated/serving.js';
 import * as child from '../../../test/paths/child.js';
+import * as faultRelay from '../../../test/paths/fault_relay.js';
 import * as clock from '../clock.js';
 import * as entrySessions from './entry_sessions.js';
 import * as gateLink from './gate_link.js';
@@ -60,53 +60,9 @@
   }
 }
 
-/** A relay that can reset or silence what passes. */
-class Relay implements AsyncDisposable {
-  silent = false;
-  private readonly pairs: Array<readonly [net.Socket, net.Socket]> = [];
-  private readonly server = net.createServer(near => this.join(near));
-
-  constructor(private readonly toPort: number) {}
-
-  async listen(): Promise<number> {
-    await new Promise<void>(resolve =>
-      this.server.listen(0, '127.0.0.1', resolve),
-    );
-    return (this.server.address() as net.AddressInfo).port;
-  }
-
-  reset(): void {
-    for (const [near] of this.pairs.splice(0)) near.resetAndDestroy();
-  }
-
-  async [Symbol.asyncDispose](): Promise<void> {
-    this.reset();
-    await new Promise<void>(resolve => this.server.close(() => resolve()));
-  }
-
-  private join(near: net.Socket): void {
-    const far = net.connect(this.toPort, '127.0.0.1');
-    this.pairs.push([near, far]);
-    const muted = this.silent;
-    let mute = muted;
-    near.on('data', chunk => void (mute || far.write(chunk)));
-    far.on('data', chunk => void (mute || near.write(chunk)));
-    for (const [a, b] of [
-      [near, far],
-      [far, near],
-    ]) {
-      a.on('error', () => undefined);
-      a.on('close', () => b.destroy());
-    }
-    this.mutes.push(() => void (mute = true));
-  }
-
-  readonly mutes: Array<() => void> = [];
-}
-
 interface World extends AsyncDisposable {
   readonly gate: GateEnd;
-  readonly relay: Relay;
+  readonly relay: faultRelay.FaultRelay;
   readonly link: gateLink.GateLink;
   readonly answers: readonly number[];
   readonly lost: readonly number[];
@@ -118,12 +74,13 @@
   const gate = new GateEnd();
   const [port] = await child.freePorts(1);
   await gate.sessions.listen({ip: '127.0.0.1', port});
-  const relay = new Relay(port);
+  const relay = new faultRelay.FaultRelay(port);
+  const [, relayPort] = (await relay.listen()).split(':');
   const answers: number[] = [];
   const lost: number[] = [];
   const mismatches: string[] = [];
   const doubted: string[] = [];
-  const link = new gateLink.GateLink(record(expected, await relay.listen()), {
+  const link = new gateLink.GateLink(record(expected, Number(relayPort)), {
     nowMs: clock.monotonicMs,
     idleSilenceMs: () => 6_000,
     greeting: toNodeId => ({
@@ -194,7 +151,7 @@
   await happens(() => world.link.isUp, 'the link');
   world.link.dispatch(fixtures.dispatch({call: 1, repeatable: false}));
   await happens(() => world.gate.dispatched.length === 1, 'the request');
-  for (const mute of world.relay.mutes) mute();
+  world.relay.silence();
   await happens(() => world.gate.dispatched.length === 2, 'the repetition');
   world.gate.answer(1);
   await happens(() => world.answers.length === 1, 'the answer');
@@ -220,7 +177,7 @@
 test('a gate that hears no request is doubted before its link is given up', async () => {
   await using world = await connect();
   await happens(() => world.link.isUp, 'the link');
-  for (const mute of world.relay.mutes) mute();
+  world.relay.silence();
   const sentMs = clock.monotonicMs();
   world.link.dispatch(fixtures.dispatch({call: 1}));
   await happens(() => world.doubted.length === 1, 'the doubt');
--- a/src/node/serving/gate_links.ts
+++ b/src/node/serving/gate_links.ts
@@ -119,11 +119,6 @@
   }
 
   private note(event: string, facts: decision.Facts): void {
-    this.options.log.write({
-      component: 'fleet',
-      event,
-      importance: 'belief',
-      facts,
-    });
+    decision.noteBelief(this.options.log, 'fleet', event, facts);
   }
 }
--- a/src/node/serving/server_messages.ts
+++ b/src/node/serving/server_messages.ts
@@ -79,11 +79,7 @@
   }
 
   private noteRefused(facts: decision.Facts): void {
-    this.options.log.write({
-      component: 'server',
-      event: 'announcement-refused',
-      importance: 'belief',
-      facts,
-    });
+    const {log} = this.options;
+    decision.noteBelief(log, 'server', 'announcement-refused', facts);
   }
 }
--- a/src/node/serving/server_run.ts
+++ b/src/node/serving/server_run.ts
@@ -5,6 +5,7 @@
 
 import * as gateCall from '../../common/serving/gate_call.js';
 import * as units from '../../common/units.js';
+import * as bodyReader from '../body_reader.js';
 import * as httpHeaders from '../http_headers.js';
 import * as dialect from './dialect.js';
 
@@ -19,8 +20,6 @@
 
 const FIRST_FINAL_STATUS = 200;
 const FIRST_REDIRECT_STATUS = 300;
-const NO_CONTENT = 204;
-const NOT_MODIFIED = 304;
 
 /** A request for the backend server. */
 export interface ServerRequest {
@@ -183,8 +182,7 @@
       return {kind: 'misdirected', instanceId: facts.instanceId};
     }
     if (facts?.notRun) return {kind: 'shed', status};
-    const body =
-      this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks);
+    const body = bodyReader.joined(this.chunks);
     const headers = httpHeaders.endToEndHeaders(
       httpHeaders.flattened(this.headers),
       headerText(this.headers.connection),
@@ -202,20 +200,13 @@
     if (facts.requestId !== this.requestId) return 'answer to another request';
     if (this.headers['content-encoding'] !== undefined) return 'encoded body';
     // The end of a connection does not tell a whole body from one that was cut.
-    if (!this.isDelimited) return 'body without length';
+    if (!httpHeaders.isDelimited(this.status, this.headers)) {
+      return 'body without length';
+    }
     const isSuccess = this.status < FIRST_REDIRECT_STATUS;
     return isSuccess && !facts.sealed ? 'success without seal' : undefined;
   }
 
-  private get isDelimited(): boolean {
-    return (
-      this.headers['content-length'] !== undefined ||
-      this.headers['transfer-encoding'] !== undefined ||
-      this.status === NO_CONTENT ||
-      this.status === NOT_MODIFIED
-    );
-  }
-
   private finish(end: gateCall.RunEnd): void {
     if (this.done) return;
     this.done = true;
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -293,12 +293,7 @@
   }
 
   private note(event: string, facts: decision.Facts): void {
-    this.options.telemetry.write({
-      component: 'node',
-      event,
-      importance: 'belief',
-      facts,
-    });
+    decision.noteBelief(this.options.telemetry, 'node', event, facts);
   }
 }
 
--- a/src/node/serving/topic_follower.ts
+++ b/src/node/serving/topic_follower.ts
@@ -1,16 +1,13 @@
 /** Follows a topic of the store: first the newest record of each key, then records as they come. */
 import * as decision from '../../common/serving/decision.js';
 import * as units from '../../common/units.js';
-import * as abortablePause from './abortable_pause.js';
 import * as dialect from './dialect.js';
+import * as storeLoop from './store_loop.js';
 
 /** Waits after a failed read; doubled after each failure. */
 const FIRST_BACKOFF_MS: units.Millis = 100;
 const MAX_BACKOFF_MS: units.Millis = 1_000;
 
-/** Part of a wait that is random, so that nodes do not come back at once. */
-const BACKOFF_JITTER = 0.5;
-
 /** Interval at which it is looked whether records have to be read again. */
 const UNNEEDED_WAIT_MS: units.Millis = 500;
 
@@ -43,13 +40,20 @@
 
 /** Follows one topic until it is disposed. */
 export class TopicFollower implements AsyncDisposable {
-  private readonly stop = new AbortController();
+  private readonly loop: storeLoop.StoreLoop;
   private nextOffset: number | undefined;
-  private failures = 0;
   private reachable = false;
-  private done: Promise<void> | undefined;
 
-  constructor(private readonly options: TopicFollowerOptions) {}
+  constructor(private readonly options: TopicFollowerOptions) {
+    this.loop = new storeLoop.StoreLoop({
+      firstBackoffMs: FIRST_BACKOFF_MS,
+      maxBackoffMs: MAX_BACKOFF_MS,
+      step: () => this.step(),
+      onDone: () => this.noteAnswered(),
+      onFailed: err => this.noteFailure(err),
+      random: () => options.random(),
+    });
+  }
 
   /** Whether the newest read was answered. */
   get isReachable(): boolean {
@@ -58,72 +62,48 @@
 
   /** Starts to follow. */
   start(): void {
-    this.done = this.run();
+    this.loop.start();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.stop.abort();
-    await this.done;
-  }
-
-  private async run(): Promise<void> {
-    while (!this.stop.signal.aborted) {
-      try {
-        await this.step();
-        this.noteRegained();
-      } catch (err) {
-        if (this.stop.signal.aborted) return;
-        this.noteFailure(err);
-        await this.pause(this.backoffMs());
-      }
-    }
+    await this.loop[Symbol.asyncDispose]();
   }
 
   private async step(): Promise<void> {
     const {store, topic, listener, waitMs} = this.options;
     if (this.nextOffset === undefined) {
       const newest = await store.newest(topic);
-      if (this.stop.signal.aborted) return;
+      if (this.loop.signal.aborted) return;
       listener.onNewest(newest);
       this.nextOffset = newest.endOffset;
       return;
     }
-    if (!this.options.isNeeded()) return this.pause(UNNEEDED_WAIT_MS);
-    const {signal} = this.stop;
+    if (!this.options.isNeeded()) return this.loop.pause(UNNEEDED_WAIT_MS);
+    const {signal} = this.loop;
     const known = this.options.knownOffset();
     this.nextOffset = Math.max(this.nextOffset, known + 1);
     const result = await store.follow(topic, this.nextOffset, waitMs(), signal);
-    if (this.stop.signal.aborted) return;
+    if (this.loop.signal.aborted) return;
     if (result.kind === 'expired') {
       this.nextOffset = undefined;
       return;
     }
-    if (result.endOffset < this.nextOffset) return this.pause(STALE_WAIT_MS);
+    if (result.endOffset < this.nextOffset) {
+      return this.loop.pause(STALE_WAIT_MS);
+    }
     for (const record of result.records) listener.onRecord(record);
     this.nextOffset = result.nextOffset;
   }
 
-  private backoffMs(): units.Millis {
-    const doubled = FIRST_BACKOFF_MS * 2 ** (this.failures - 1);
-    const jitter = 1 + BACKOFF_JITTER * this.options.random();
-    return Math.min(MAX_BACKOFF_MS, doubled) * jitter;
-  }
-
-  private pause(ms: units.Millis): Promise<void> {
-    return abortablePause.pause(ms, this.stop.signal);
-  }
-
   private noteFailure(err: unknown): void {
-    this.failures++;
     this.setReachable(false);
-    if (this.failures > 1) return;
+    if (this.loop.failures > 1) return;
     const detail = err instanceof Error ? err.message : String(err);
     this.note('store-lost', {detail});
   }
 
-  private noteRegained(): void {
-    if (this.failures > 0) this.note('store-regained', {});
-    this.failures = 0;
+  private noteAnswered(): void {
+    if (this.loop.failures > 0) this.note('store-regained', {});
     this.setReachable(true);
   }
 
@@ -135,16 +115,9 @@
 
   private note(event: string, facts: decision.Facts): void {
     const {topic, log} = this.options;
-    log.write({
-      component: 'store',
-      event,
-      importance: 'belief',
-      facts: {
-        topic,
-        offset: this.nextOffset,
-        failures: this.failures,
-        ...facts,
-      },
-    });
+    const {failures} = this.loop;
+    const offset = this.nextOffset;
+    const all = {topic, offset, failures, ...facts};
+    decision.noteBelief(log, 'store', event, all);
   }
 }
--- a/test/paths/fleet.ts
+++ b/test/paths/fleet.ts
@@ -53,6 +53,8 @@
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string;
+  /** Keeps connections; each request has its own without it. */
+  readonly agent?: http.Agent;
 }
 
 /** Configuration of two services, read by GET and written by POST. */
@@ -237,7 +239,7 @@
       method: options.method ?? 'GET',
       path: options.path,
       headers: options.headers,
-      agent: false,
+      agent: options.agent ?? false,
     });
     req.on('error', reject);
     req.on('response', res => {
--- a/test/paths/platform_fleet.ts
+++ b/test/paths/platform_fleet.ts
@@ -1,11 +1,12 @@
 /** A fleet of real daemons on loopback, with stand-ins of the platform around it. */
-import * as http from 'node:http';
+import type * as http from 'node:http';
 
 import * as documents from '../stand_ins/platform/documents.js';
 import * as serverStandIn from '../stand_ins/platform/server_stand_in.js';
 import * as storeStandIn from '../stand_ins/platform/store_stand_in.js';
 import * as child from './child.js';
 import * as faultRelay from './fault_relay.js';
+import * as fleets from './fleet.js';
 
 const READY_TIMEOUT_MS = 15_000;
 
@@ -150,41 +151,22 @@
   }
 
   /** Sends a request to a node. */
-  send(node: FleetNode, req: CallerRequest): Promise<CallerAnswer> {
-    const {id, path = '/history/1', method = 'GET', body = ''} = req;
-    const [host, port] = node.callers.split(':');
-    return new Promise((resolve, reject) => {
-      const sent = http.request(
-        {
-          host,
-          port,
-          path,
-          method,
-          agent: req.agent ?? false,
-          headers: {
-            Host: documents.HOST,
-            'Request-Id': id,
-            'Deadline-Ms': String(req.deadlineMs ?? 1_500),
-            ...(body === '' ? {} : {'Content-Length': body.length}),
-            ...req.headers,
-          },
-        },
-        res => {
-          const chunks: Buffer[] = [];
-          res.on('data', (chunk: Buffer) => chunks.push(chunk));
-          res.on('error', reject);
-          res.on('end', () =>
-            resolve({
-              status: res.statusCode ?? 0,
-              headers: res.headers,
-              body: Buffer.concat(chunks).toString(),
-            }),
-          );
-        },
-      );
-      sent.on('error', reject);
-      sent.end(body);
+  async send(node: FleetNode, req: CallerRequest): Promise<CallerAnswer> {
+    const {id, path = '/history/1', method, body, agent} = req;
+    const [, port] = node.callers.split(':');
+    const answer = await fleets.call(Number(port), {
+      path,
+      method,
+      body,
+      agent,
+      headers: {
+        Host: documents.HOST,
+        'Request-Id': id,
+        'Deadline-Ms': String(req.deadlineMs ?? 1_500),
+        ...req.headers,
+      },
     });
+    return {...answer, body: answer.body.toString()};
   }
 
   /** Runs of a request on all servers. */
--- a/test/stand_ins/platform/store_stand_in.ts
+++ b/test/stand_ins/platform/store_stand_in.ts
@@ -86,10 +86,6 @@
     dropped.firstOffset = dropped.records.length;
   }
 
-  keysOf(topic: string): readonly string[] {
-    return this.topic(topic).records.map(record => record.key);
-  }
-
   async [Symbol.asyncDispose](): Promise<void> {
     const closed = new Promise<void>(resolve =>
       this.server.close(() => resolve()),
