Log and count runs that start in a stall, and the duration of stalls

The incident's hypotheses differ in one thing that neither logs nor metrics told: which runs begin while neighbours slow the server down, and how long that lasts. The decision `run` carries reason=stalled, so that the counter of decisions counts such runs; `stall-ended` carries the duration, which the latency histogram takes as part `stalled by neighbours`. Decisions are not changed; the interval of pulses moves to one function, so that tests can use it.

--- a/src/common/serving/gate_replies.ts
+++ b/src/common/serving/gate_replies.ts
@@ -81,6 +81,17 @@
     decision.noteStateChange(this.log, 'gate', 'gate-closure', {was, closure});
   }
 
+  /** Logs the end of a stall of the backend server by its neighbours, if there was one. */
+  noteStall(durationMs: units.Millis | undefined): void {
+    if (durationMs === undefined) return;
+    this.log.write({
+      component: 'gate',
+      event: 'stall-ended',
+      importance: 'routine',
+      facts: {durationMs: Math.round(durationMs)},
+    });
+  }
+
   private send(
     linkId: number,
     callNumber: number,
--- a/src/common/serving/server_gate.test.ts
+++ b/src/common/serving/server_gate.test.ts
@@ -294,3 +294,21 @@
   const last = refusals[refusals.length - 1];
   assert.ok(last.retryAfterMs > 2 * first.retryAfterMs);
 });
+
+test('the log tells which runs start in a stall and how long it lasts', () => {
+  const harness = new fixtures.GateHarness().open();
+  const load = {running: 0, waiting: 0, slots: 10, pacePercent: 400};
+  harness.gate.onServerLoad(load, 100);
+  harness.call({}, 110);
+  harness.gate.onServerLoad(load, 200);
+  harness.gate.onServerLoad({...load, pacePercent: 100}, 350);
+  harness.call({}, 360);
+  const runs = harness.log.decisions.filter(d => d.event === 'run');
+  const reasons = runs.map(d => d.facts['reason']);
+  assert.deepEqual(reasons, ['stalled', undefined]);
+  const ends = harness.log.decisions.filter(d => d.event === 'stall-ended');
+  assert.deepEqual(
+    ends.map(d => d.facts['durationMs']),
+    [250],
+  );
+});
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -200,7 +200,7 @@
 
   /** Handles a load report of the backend server. */
   onServerLoad(load: serverPace.ServerLoad, now: units.MonotonicMs): void {
-    this.capacity.pace.onLoad(load, now);
+    this.replies.noteStall(this.capacity.pace.onLoad(load, now));
   }
 
   /** Sends no requests until a health check confirms the backend server. */
@@ -295,6 +295,7 @@
     this.capacity.onStarted(now);
     const {pace, running} = this.capacity;
     this.replies.note(call, 'routine', 'run', {
+      reason: pace.isStalled(now) ? 'stalled' : undefined,
       instanceId,
       waitedMs: Math.round(now - call.arrivedMs),
       running,
--- a/src/common/serving/server_pace.ts
+++ b/src/common/serving/server_pace.ts
@@ -24,13 +24,26 @@
   private percent = NORMAL_PERCENT;
   private sampledMs: units.MonotonicMs = -Infinity;
   private full = false;
+  /** Time of the first sample of the present stall. */
+  private stalledSinceMs: units.MonotonicMs | undefined;
 
-  /** Records a load report; it may contain no pace. */
-  onLoad(load: ServerLoad, now: units.MonotonicMs): void {
+  /**
+   * Records a load report; it may contain no pace.
+   *
+   * @returns the duration of the stall that the report shows to be over, if any.
+   */
+  onLoad(load: ServerLoad, now: units.MonotonicMs): units.Millis | undefined {
     this.full = load.running >= load.slots;
-    if (load.pacePercent === undefined) return;
+    if (load.pacePercent === undefined) return undefined;
     this.percent = load.pacePercent;
     this.sampledMs = now;
+    if (this.percent > STALLED_PERCENT) {
+      this.stalledSinceMs ??= now;
+      return undefined;
+    }
+    const sinceMs = this.stalledSinceMs;
+    this.stalledSinceMs = undefined;
+    return sinceMs === undefined ? undefined : now - sinceMs;
   }
 
   /** Returns the latest pace in percent, the normal one if the sample is too old. */
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -14,12 +14,6 @@
 /** Time without a frame after which a session is closed; entries ping earlier. */
 export const IDLE_TIMEOUT_MS: units.Millis = 60_000;
 
-/** Pulse interval to an entry that sends requests. */
-const ACTIVE_PULSE_INTERVAL_MS: units.Millis = 1_000;
-
-/** Time after a request during which an entry counts as sending requests. */
-const ACTIVE_AFTER_DISPATCH_MS: units.Millis = 3_000;
-
 /** Receives the events of sessions. */
 export interface EntrySessionsListener {
   /** A node has connected and sent its greeting. */
@@ -106,10 +100,10 @@
   /** Sends the pulses that are due. */
   tick(now: units.MonotonicMs): void {
     let value: serving.Pulse | undefined;
-    const idleMs = pulseInterval.idlePulseIntervalMs(this.options.nodeCount());
+    const nodes = this.options.nodeCount();
     for (const session of this.sessions.values()) {
-      const isActive = now - session.dispatchedMs < ACTIVE_AFTER_DISPATCH_MS;
-      const interval = isActive ? ACTIVE_PULSE_INTERVAL_MS : idleMs;
+      const sinceDispatchMs = now - session.dispatchedMs;
+      const interval = pulseInterval.pulseIntervalMs(sinceDispatchMs, nodes);
       if (now - session.pulsedMs < interval) continue;
       value ??= this.options.pulse();
       this.sendPulse(session, value, now);
--- a/src/node/serving/pulse_interval.ts
+++ b/src/node/serving/pulse_interval.ts
@@ -10,6 +10,12 @@
 /** Per node of the fleet; up to 375 nodes, each sends and receives 12 idle pulses a second. */
 const IDLE_INTERVAL_MS_PER_NODE: units.Millis = 80;
 
+/** Interval to an entry that sends requests. */
+const ACTIVE_INTERVAL_MS: units.Millis = 1_000;
+
+/** Time after a request during which an entry counts as sending requests. */
+const ACTIVE_AFTER_DISPATCH_MS: units.Millis = 3_000;
+
 /** Time without a frame until an entry pings, in pulse intervals. */
 const PING_AFTER_INTERVALS = 1.5;
 
@@ -19,6 +25,15 @@
   return Math.min(MAX_IDLE_INTERVAL_MS, ms);
 }
 
+/** Returns the pulse interval to an entry whose latest request came `sinceDispatchMs` ago. */
+export function pulseIntervalMs(
+  sinceDispatchMs: units.Millis,
+  nodes: number,
+): units.Millis {
+  const isActive = sinceDispatchMs < ACTIVE_AFTER_DISPATCH_MS;
+  return isActive ? ACTIVE_INTERVAL_MS : idlePulseIntervalMs(nodes);
+}
+
 /** Returns the time without a frame until an entry without pending requests pings a gate. */
 export function idlePingAfterMs(nodes: number): units.Millis {
   return PING_AFTER_INTERVALS * idlePulseIntervalMs(nodes);
--- a/src/node/serving/telemetry.ts
+++ b/src/node/serving/telemetry.ts
@@ -17,6 +17,7 @@
   ['entry/answered', 'ageMs', 'whole'],
   ['gate/run', 'waitedMs', 'waiting at the gate'],
   ['gate/answered', 'durationMs', 'at the backend server'],
+  ['gate/stall-ended', 'durationMs', 'stalled by neighbours'],
 ];
 
 /** Counts decisions, observes their durations and passes them on to a log. */
--- a/tools/docs_content.ts
+++ b/tools/docs_content.ts
@@ -191,7 +191,7 @@
     '| series | labels | meaning |',
     '|---|---|---|',
     '| `geraniumloft_decisions_total` | component, event, reason | one count for each decision that has a line in the log, whether the line was written, dropped or sampled out |',
-    '| `geraniumloft_latency_seconds` | part, route | histogram, in seconds, by `part`: `whole`, `waiting at the gate`, `at the backend server` |',
+    '| `geraniumloft_latency_seconds` | part, route | histogram, in seconds, by `part`: `whole`, `waiting at the gate`, `at the backend server`, `stalled by neighbours` |',
     '',
     `Refusal reasons of gates (\`REASON_\`): ${formatNames(Object.values(serving.Reason), 'REASON_')}.`,
     '',
