Keep links to live nodes when the store holds stale records

Cause: records of nodes that are gone stay in the store, and their addresses pass on. At each re-read of the store, every 30 to 45 s, a stale record displaced the node that now lives at its address: the link to it was closed, its open requests were reported lost, and the gate ended their runs a second later. The greeting on the next link then put the live node back. State that peers send could do the same.

Change: the directory believes a record of the store or of another node only if it contradicts no node to which a link is open. What a node says of itself still goes first, so that a new node displaces a dead one whose link has not been found silent.

--- a/src/node/serving/fleet_directory.ts
+++ b/src/node/serving/fleet_directory.ts
@@ -5,6 +5,8 @@
 /** The records of this node and of all other nodes known to it. */
 export class FleetDirectory implements Disposable {
   private readonly records = new Map<string, serving.NodeRecord>();
+  /** Nodes to which a link is open, so that their records are known to be true. */
+  private readonly linked = new Set<string>();
   private readonly changes = new emitter.Emitter<serving.NodeRecord>();
   private readonly removals = new emitter.Emitter<string>();
 
@@ -41,20 +43,36 @@
     return this.records.get(nodeId);
   }
 
-  /** Adds or updates a record; removes another node that had the same address. */
+  /** Records whether a link to a node is open. */
+  setLinked(nodeId: string, linked: boolean): void {
+    if (linked) this.linked.add(nodeId);
+    else this.linked.delete(nodeId);
+  }
+
+  /**
+   * Adds or updates a record that the node itself has sent; removes another node that had the same
+   * address.
+   */
   put(record: serving.NodeRecord): void {
-    if (record.nodeId === this.own.nodeId || !isComplete(record)) return;
-    if (record.ip === this.own.ip && record.port === this.own.port) return;
-    const known = this.records.get(record.nodeId);
-    if (known !== undefined && isSame(known, record)) return;
-    for (const other of this.records.values()) {
-      const sameAddr = other.ip === record.ip && other.port === record.port;
-      if (sameAddr && other.nodeId !== record.nodeId) this.remove(other.nodeId);
+    if (!this.isNews(record)) return;
+    for (const {nodeId} of this.displacedBy(record)) {
+      if (nodeId !== record.nodeId) this.remove(nodeId);
     }
     this.records.set(record.nodeId, record);
     this.changes.fire(record);
   }
 
+  /**
+   * Adds or updates a record of the store or of another node; ignored if it contradicts a node to
+   * which a link is open. The store keeps records of nodes that are gone, whose addresses others
+   * may have got.
+   */
+  putReported(record: serving.NodeRecord): void {
+    const displaced = this.displacedBy(record);
+    if (displaced.some(({nodeId}) => this.linked.has(nodeId))) return;
+    this.put(record);
+  }
+
   /** Removes a node. */
   remove(nodeId: string): void {
     if (this.records.delete(nodeId)) this.removals.fire(nodeId);
@@ -64,6 +82,26 @@
     this.changes[Symbol.dispose]();
     this.removals[Symbol.dispose]();
   }
+
+  /** Whether a record is complete, of another node, and not yet known. */
+  private isNews(record: serving.NodeRecord): boolean {
+    const {own} = this;
+    if (record.nodeId === own.nodeId || !isComplete(record)) return false;
+    if (hasSameAddress(record, own)) return false;
+    const known = this.records.get(record.nodeId);
+    return known === undefined || !isSame(known, record);
+  }
+
+  /** Returns the known records that cannot be true beside a record. */
+  private displacedBy(
+    record: serving.NodeRecord,
+  ): readonly serving.NodeRecord[] {
+    return this.others.filter(
+      other =>
+        !isSame(other, record) &&
+        (other.nodeId === record.nodeId || hasSameAddress(other, record)),
+    );
+  }
 }
 
 /** Whether two records are equal. */
@@ -77,6 +115,10 @@
   );
 }
 
+function hasSameAddress(a: serving.NodeRecord, b: serving.NodeRecord): boolean {
+  return a.ip === b.ip && a.port === b.port;
+}
+
 function isComplete(record: serving.NodeRecord): boolean {
   const {nodeId, ip, port, service} = record;
   return nodeId !== '' && ip !== '' && port > 0 && service !== '';
--- a/src/node/serving/fleet_registry.ts
+++ b/src/node/serving/fleet_registry.ts
@@ -75,7 +75,7 @@
       const record = value && decode(value);
       if (record === undefined || key !== KEY_PREFIX + record.nodeId) continue;
       if (record.nodeId === directory.self.nodeId) this.written = record;
-      else directory.put(record);
+      else directory.putReported(record);
     }
   }
 
--- a/src/node/serving/fleet_sync.ts
+++ b/src/node/serving/fleet_sync.ts
@@ -100,7 +100,7 @@
   onState(nodeId: string, state: serving.FleetState): void {
     const {intent, directory, suspects} = this.options;
     const now = this.options.nowMs();
-    for (const record of state.nodes) directory.put(record);
+    for (const record of state.nodes) directory.putReported(record);
     for (const suspect of state.suspects) suspects.onReport(suspect, now);
     const snapshot = intentSnapshotOf(state);
     if (snapshot === undefined) {
--- a/src/node/serving/gate_links.ts
+++ b/src/node/serving/gate_links.ts
@@ -91,8 +91,12 @@
       idlePingAfterMs: () => pulseInterval.idlePingAfterMs(directory.size),
       listener: {
         ...listener,
-        onUp: nodeId => this.note('peer-regained', {nodeId}),
+        onUp: nodeId => {
+          directory.setLinked(nodeId, true);
+          this.note('peer-regained', {nodeId});
+        },
         onDown: (nodeId, detail) => {
+          directory.setLinked(nodeId, false);
           this.note('peer-lost', {nodeId, detail});
           listener.onDown(nodeId, detail);
         },
@@ -109,6 +113,7 @@
   private disconnect(nodeId: string): void {
     const link = this.links.get(nodeId);
     this.links.delete(nodeId);
+    this.options.directory.setLinked(nodeId, false);
     link?.[Symbol.dispose]();
   }
 
