Soak: kept connections, series of stops, reloads and configurations, fleet size

Callers keep 7 of 10 connections open until the process is gone. Faults draw from a generator of their own: before, requests drew from the same one, so that a seed did not give the same faults twice.

--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,4 +1,7 @@
-/** Runs soak tests with consecutive seeds: `node build/test/soak/main.js --seed 1 --runs 50`. */
+/**
+ * Runs soak tests with consecutive seeds:
+ * `node build/test/soak/main.js --seed 1 --runs 50 --nodes 5`.
+ */
 import * as fs from 'node:fs';
 import * as util from 'node:util';
 
@@ -9,6 +12,7 @@
     seed: {type: 'string', default: '1'},
     runs: {type: 'string', default: '10'},
     parallel: {type: 'string', default: '2'},
+    nodes: {type: 'string', default: '5'},
     logs: {type: 'string', default: 'build/soak'},
   },
 });
@@ -21,7 +25,7 @@
 async function runSeeds(): Promise<void> {
   while (next <= last) {
     const seed = next++;
-    const outcome = await soakRun.run(seed);
+    const outcome = await soakRun.run(seed, Number(values.nodes));
     const {requests, served, faults, breaches, logs} = outcome;
     const verdict = breaches.length === 0 ? 'ok' : 'FAILED';
     console.log(`seed ${seed}: ${verdict}, ${served} of ${requests} served`);
--- a/test/soak/soak_faults.ts
+++ b/test/soak/soak_faults.ts
@@ -1,6 +1,7 @@
 /** Faults of a soak run: chosen by seed, overlapping, each reverted after its duration. */
 import * as randomSource from '../../src/common/random_source.js';
 import * as platformFleet from '../paths/platform_fleet.js';
+import * as documents from '../stand_ins/platform/documents.js';
 
 /** Range of the duration of a fault. */
 const MIN_FAULT_MS = 300;
@@ -15,8 +16,12 @@
 /** Time after an evacuation is written in which requests may still arrive. */
 const EVACUATION_GRACE_MS = 5_000;
 
-/** Faults active at once; more could leave no node to serve the callers. */
-const MAX_ACTIVE = 2;
+/** Share of the nodes with a fault at once; more could leave none to serve the callers. */
+const MAX_ACTIVE_SHARE = 0.4;
+
+/** Maximum length of a series of stops, reloads or configurations, and of the pauses in it. */
+const MAX_SERIES = 4;
+const MAX_SERIES_PAUSE_MS = 400;
 
 type Fault = (node: platformFleet.FleetNode, forMs: number) => Promise<void>;
 
@@ -28,11 +33,15 @@
   /** Evacuated data centres. */
   private readonly evacuated = new Set<string>();
   private active = 0;
+  private version = 1;
 
   private readonly kinds: ReadonlyArray<readonly [string, Fault]> = [
     ['kill', (node, forMs) => this.restart(node, 'SIGKILL', forMs)],
     ['stop', (node, forMs) => this.restart(node, 'SIGTERM', forMs)],
     ['pause', (node, forMs) => this.pause(node, forMs)],
+    ['stops in turn', (node, forMs) => this.restartInTurn(node, forMs)],
+    ['reloads', node => this.reload(node)],
+    ['configurations', () => this.changeConfiguration()],
     ['drain', (node, forMs) => this.drain(node, forMs)],
     ['evacuate', (node, forMs) => this.evacuate(node, forMs)],
     ['reset links', async node => node.relay.reset()],
@@ -81,18 +90,75 @@
     const [name, fault] = this.kinds[this.random.nextInt(this.kinds.length)];
     const forMs =
       MIN_FAULT_MS + this.random.nextInt(MAX_FAULT_MS - MIN_FAULT_MS);
-    if (this.faultyNodes.has(node.name) || this.active >= MAX_ACTIVE) return;
+    if (this.faultyNodes.has(node.name) || this.isExhausted) return;
     this.injected.push(`${name} at ${node.name} for ${forMs} ms`);
+    await this.withFault(node, () => fault(node, forMs));
+  }
+
+  /** Runs a fault and keeps other faults from its node meanwhile. */
+  private async withFault(
+    node: platformFleet.FleetNode,
+    fault: () => Promise<void>,
+  ): Promise<void> {
     this.faultyNodes.add(node.name);
     this.active++;
     try {
-      await fault(node, forMs);
+      await fault();
     } finally {
       this.active--;
       this.faultyNodes.delete(node.name);
     }
   }
 
+  /** Whether so many nodes have a fault that no other may get one. */
+  private get isExhausted(): boolean {
+    return this.active >= MAX_ACTIVE_SHARE * this.fleet.nodes.length;
+  }
+
+  /** Restarts nodes one after the other; the next one stops before the last is back. */
+  private async restartInTurn(
+    node: platformFleet.FleetNode,
+    forMs: number,
+  ): Promise<void> {
+    const restarts = [this.restart(node, 'SIGTERM', forMs)];
+    for (let i = 1; i < MAX_SERIES; i++) {
+      await this.pauseInSeries();
+      const next = this.fleet.nodes.find(n => !this.faultyNodes.has(n.name));
+      if (next === undefined || this.isExhausted) break;
+      restarts.push(
+        this.withFault(next, () => this.restart(next, 'SIGTERM', forMs)),
+      );
+    }
+    await Promise.all(restarts);
+  }
+
+  private async reload(node: platformFleet.FleetNode): Promise<void> {
+    for (let i = 0; i < MAX_SERIES; i++) {
+      node.process.signal('SIGHUP');
+      await this.pauseInSeries();
+    }
+  }
+
+  /** Writes newer configurations that allow the same requests and add a route each. */
+  private async changeConfiguration(): Promise<void> {
+    for (let i = 0; i < MAX_SERIES; i++) {
+      const {routes} = documents.configuration(1) as {
+        readonly routes: readonly object[];
+      };
+      const version = ++this.version;
+      const added = documents.addedRoute(`added${version}`);
+      const document = documents.configuration(version, {
+        routes: [...routes, added],
+      });
+      this.fleet.store.put('keyed.op', 'config', document);
+      await this.pauseInSeries();
+    }
+  }
+
+  private pauseInSeries(): Promise<void> {
+    return wait(this.random.nextInt(MAX_SERIES_PAUSE_MS));
+  }
+
   private async restart(
     node: platformFleet.FleetNode,
     signal: 'SIGKILL' | 'SIGTERM',
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -1,13 +1,18 @@
 /** One soak run: daemon processes under external faults, checked by the answers to callers. */
+import * as http from 'node:http';
+
 import * as randomSource from '../../src/common/random_source.js';
 import * as platformFleet from '../paths/platform_fleet.js';
 import * as soakFaults from './soak_faults.js';
 
-const NODE_COUNT = 5;
+const DEFAULT_NODE_COUNT = 5;
 
 /** Interval between requests. */
 const REQUEST_INTERVAL_MS = 12;
 
+/** Share of the requests that callers send on connections that they keep open. */
+const KEPT_CONNECTION_SHARE = 0.7;
+
 /** Duration of the faults, and of the recovery after them. */
 const FAULTS_MS = 9_000;
 const RECOVERY_MS = 6_000;
@@ -30,6 +35,13 @@
   readonly body: string;
 }
 
+interface SendOptions {
+  readonly id: string;
+  readonly startedMs: number;
+  /** Keeps connections open; undefined for a new connection. */
+  readonly agent: http.Agent | undefined;
+}
+
 /** Result of a run. */
 export interface SoakOutcome {
   readonly requests: number;
@@ -42,20 +54,31 @@
 }
 
 /** Runs a fleet under the faults that the seed determines. */
-export async function run(seed: number): Promise<SoakOutcome> {
-  const random = new randomSource.SeededRandom(seed);
-  await using fleet = await platformFleet.PlatformFleet.start(NODE_COUNT);
+export async function run(
+  seed: number,
+  nodeCount = DEFAULT_NODE_COUNT,
+): Promise<SoakOutcome> {
+  const random = new randomSource.SeededRandom(~seed);
+  await using fleet = await platformFleet.PlatformFleet.start(nodeCount);
+  const agent = new http.Agent({keepAlive: true});
   for (const {server} of fleet.nodes) server.mode = {kind: 'ok', workMs: 30};
-  const faults = new soakFaults.SoakFaults(fleet, random);
+  const faults = new soakFaults.SoakFaults(
+    fleet,
+    // Of their own, so that a seed gives the same faults whatever the requests' timing.
+    new randomSource.SeededRandom(seed),
+  );
   const sends: Array<Promise<SentRequest>> = [];
   const startedMs = performance.now();
   const sending = setInterval(() => {
-    sends.push(send(fleet, random, `${seed}-${sends.length}`, startedMs));
+    const kept = random.next() < KEPT_CONNECTION_SHARE ? agent : undefined;
+    const id = `${seed}-${sends.length}`;
+    sends.push(send(fleet, random, {id, startedMs, agent: kept}));
   }, REQUEST_INTERVAL_MS);
   await faults.run(FAULTS_MS);
   await new Promise(resolve => setTimeout(resolve, RECOVERY_MS));
   clearInterval(sending);
   const all = await Promise.all(sends);
+  agent.destroy();
   const breaches = [
     ...all.flatMap(sent => breachesOf(sent, fleet)),
     ...faults.breaches,
@@ -75,8 +98,7 @@
 async function send(
   fleet: platformFleet.PlatformFleet,
   random: randomSource.RandomSource,
-  id: string,
-  startedMs: number,
+  {id, startedMs, agent}: SendOptions,
 ): Promise<SentRequest> {
   const node = fleet.nodes[random.nextInt(fleet.nodes.length)];
   const unsafe = random.next() < 0.3;
@@ -85,7 +107,11 @@
     ? {id, path: '/place/1', method: 'POST', body: id}
     : {id, path: '/history/1'};
   try {
-    const answer = await fleet.send(node, {...req, deadlineMs: DEADLINE_MS});
+    const answer = await fleet.send(node, {
+      ...req,
+      agent,
+      deadlineMs: DEADLINE_MS,
+    });
     return {id, unsafe, atMs, status: answer.status, body: answer.body};
   } catch {
     // A killed process sends no answer.
