Do not take stalls seen at two distant samples for one that lasts

Read, not seen: an idle gate samples the pace every 500 ms. Two stalls seen at such samples counted as one, which after three mean durations passes for a server that is slow for good, so that long runs started in the stall. A stall now begins anew when the previous sample is too old to tell. Test that failed before: 'stalls seen at two distant samples count as one that lasts'.

--- a/src/common/serving/server_gate.test.ts
+++ b/src/common/serving/server_gate.test.ts
@@ -176,6 +176,15 @@
   assert.ok(harness.isRunning(harness.call({}, 2_010)));
 });
 
+test('stalls seen at two distant samples count as one that lasts', () => {
+  const harness = new fixtures.GateHarness().open();
+  learnRunTime(harness, 200);
+  const stalled = {running: 0, waiting: 0, slots: 10, pacePercent: 400};
+  harness.gate.onServerLoad(stalled, 1_000);
+  harness.gate.onServerLoad(stalled, 2_000);
+  assert.ok(!harness.isRunning(harness.call({}, 2_010)));
+});
+
 test('an outdated pace sample is ignored', () => {
   const harness = new fixtures.GateHarness().open();
   const stalled = {running: 0, waiting: 0, slots: 10, pacePercent: 400};
--- a/src/common/serving/server_pace.ts
+++ b/src/common/serving/server_pace.ts
@@ -46,7 +46,8 @@
   onLoad(load: ServerLoad, now: units.MonotonicMs): units.Millis | undefined {
     this.full = load.running >= load.slots;
     if (load.pacePercent === undefined) return undefined;
-    const previousAgeMs = this.ageMs(now);
+    // Between samples too far apart one stall may have ended and another begun.
+    if (this.ageMs(now) > SAMPLE_MAX_AGE_MS) this.stalledSinceMs = undefined;
     this.percent = load.pacePercent;
     this.sampledMs = now;
     if (this.percent > STALLED_PERCENT) {
@@ -55,9 +56,7 @@
     }
     const sinceMs = this.stalledSinceMs;
     this.stalledSinceMs = undefined;
-    if (sinceMs === undefined || previousAgeMs > SAMPLE_MAX_AGE_MS) {
-      return undefined;
-    }
+    if (sinceMs === undefined) return undefined;
     const stallMs = now - sinceMs;
     this.learnStall(stallMs);
     return stallMs;
