Gate: log the rate limits that answers of the backend server name

Answers to requests, refusals and health checks are now read for Server-Limit and Server-Leaving; the gate logs each change of the limit of an incarnation with the kind of answer (also counted, by event and reason) and each malformed one. No decision uses the limit yet.

An answer is read when its head arrives, and only for the incarnation that the run was sent to. An answer without a limit withdraws it only if answers of its kind have named one. The stand-in server can name limits.

Ruled out: reading the limit at the end of the answer, since a slow body would order it after later answers.

--- a/src/common/serving/gate_call.ts
+++ b/src/common/serving/gate_call.ts
@@ -19,7 +19,12 @@
 /** Progress of a request at a gate. */
 export type Stage =
   | {readonly kind: 'waiting'}
-  | {readonly kind: 'running'; readonly startedMs: units.MonotonicMs}
+  | {
+      readonly kind: 'running';
+      readonly startedMs: units.MonotonicMs;
+      /** Incarnation of the backend server, see `IncarnationTracker.serial`. */
+      readonly serial: number;
+    }
   /** The connection broke; a health check shows whether the backend server died. */
   | {readonly kind: 'broken'; readonly untilMs: units.MonotonicMs};
 
--- a/src/common/serving/incarnations.ts
+++ b/src/common/serving/incarnations.ts
@@ -1,4 +1,5 @@
 /** Tracks the current incarnation of the backend server beside a node. */
+import * as serverStatement from './server_statement.js';
 import * as units from '../units.js';
 
 /** Announcement that a backend server sends to its node. */
@@ -25,6 +26,7 @@
   readonly coldLeftMs: units.Millis | undefined;
   /** Slots of the backend server, if reported. */
   readonly slots: number | undefined;
+  readonly statement?: serverStatement.ServerStatement;
 }
 
 /** Effect of an event on the known incarnation. */
@@ -45,6 +47,9 @@
   readonly slots: number;
   readonly state: 'ready' | 'leaving' | 'gone';
   readonly coldUntilMs: units.MonotonicMs;
+  /** Distinguishes incarnations within the process, also those with the same instance id. */
+  readonly serial: number;
+  readonly limits: serverStatement.LimitStatements;
 }
 
 /** Slots assumed until the backend server reports its own. */
@@ -58,6 +63,7 @@
   private current: Incarnation | undefined;
   private newestStartMs = 0;
   private hasAnnouncement = false;
+  private lastSerial = 0;
 
   /** Instance id of the current incarnation, undefined if none is known. */
   get instanceId(): string | undefined {
@@ -69,6 +75,16 @@
     return this.current?.slots ?? 0;
   }
 
+  /** Number of the current incarnation within this process, 0 if none is known. */
+  get serial(): number {
+    return this.current?.serial ?? 0;
+  }
+
+  /** Requests per second that the backend server accepts, undefined without a limit. */
+  get limitPerSecond(): number | undefined {
+    return this.current?.limits.perSecond;
+  }
+
   /** State of the backend server; `absent` also if another instance has its address. */
   get state(): 'absent' | 'ready' | 'leaving' {
     if (this.current === undefined || this.current.state === 'gone') {
@@ -107,7 +123,7 @@
     this.hasAnnouncement = true;
     this.newestStartMs = announcement.startMs;
     if (isNew && !completesAdopted) {
-      this.current = incarnationOf(announcement, now);
+      this.current = incarnationOf(announcement, ++this.lastSerial, now);
       return 'new-incarnation';
     }
     return this.updateCurrent(current!, announcement, now);
@@ -141,6 +157,19 @@
     return this.updateColdStart(this.current, sample.coldLeftMs, now);
   }
 
+  /**
+   * Handles the statement of an answer; returns whether the rate limit changed.
+   *
+   * @param serial incarnation that gave the answer; an earlier one says nothing about the current.
+   */
+  onStatement(
+    statement: serverStatement.ServerStatement,
+    serial: number,
+  ): boolean {
+    if (serial !== this.current?.serial) return false;
+    return this.current.limits.apply(statement);
+  }
+
   /** Marks the incarnation as gone, because another instance answers at its address. */
   markGone(): IncarnationChange {
     if (this.current === undefined || this.current.state === 'gone') {
@@ -168,6 +197,8 @@
       slots: sample.slots ?? DEFAULT_SLOTS,
       state: 'ready',
       coldUntilMs: now + (sample.coldLeftMs ?? 0),
+      serial: ++this.lastSerial,
+      limits: new serverStatement.LimitStatements(),
     };
     return 'new-incarnation';
   }
@@ -211,6 +242,7 @@
 
 function incarnationOf(
   announcement: Announcement,
+  serial: number,
   now: units.MonotonicMs,
 ): Incarnation {
   return {
@@ -220,5 +252,7 @@
     slots: announcement.slots,
     state: announcement.state,
     coldUntilMs: now + announcement.coldLeftMs,
+    serial,
+    limits: new serverStatement.LimitStatements(),
   };
 }
--- a/src/common/serving/server_availability.ts
+++ b/src/common/serving/server_availability.ts
@@ -1,6 +1,7 @@
 /** Availability of the backend server beside a gate. */
 import * as decision from './decision.js';
 import * as incarnations from './incarnations.js';
+import * as serverStatement from './server_statement.js';
 import * as units from '../units.js';
 
 /** Whether the known incarnation has been confirmed by a health check. */
@@ -71,6 +72,9 @@
     const change = this.tracker.onHealth(sample, now);
     this.noteChange(change, 'health check', now);
     const isKnown = sample.instanceId === this.tracker.instanceId;
+    if (isKnown && sample.statement) {
+      this.onStatement(sample.statement, this.tracker.serial);
+    }
     if (isKnown) {
       if (this.state === 'down') this.note('server-up', {});
       this.state = 'confirmed';
@@ -89,6 +93,23 @@
     if (this.tracker.state !== 'absent') this.note('server-down', {failure});
   }
 
+  /** Handles the statement of an answer that an incarnation gave. */
+  onStatement(
+    statement: serverStatement.ServerStatement,
+    serial: number,
+  ): void {
+    const {instanceId, limitPerSecond: was} = this.tracker;
+    const changed = this.tracker.onStatement(statement, serial);
+    const {source, limit} = statement;
+    if (limit.kind === 'malformed') {
+      const facts = {reason: source, instanceId, text: limit.text};
+      this.note('server-limit-malformed', facts);
+    }
+    if (!changed) return;
+    const perSecond = this.tracker.limitPerSecond;
+    this.note('server-limit', {reason: source, instanceId, was, perSecond});
+  }
+
   /** Handles a request that reached another instance at the same address. */
   onMisdirected(now: units.MonotonicMs): void {
     this.noteChange(this.tracker.markGone(), 'misdirected', now);
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -1,17 +1,15 @@
 /** Admission and scheduling of requests at the backend server beside this node. */
 import * as serving from '../../generated/serving.js';
 import * as invariants from '../invariants.js';
-import * as randomSource from '../random_source.js';
 import * as units from '../units.js';
-import * as crashSuspects from './crash_suspects.js';
-import * as decision from './decision.js';
 import * as replyCache from './reply_cache.js';
 import * as gateCall from './gate_call.js';
 import * as gateReplies from './gate_replies.js';
 import * as gateCapacity from './gate_capacity.js';
-import * as operatorIntent from './operator_intent.js';
+import * as gateOptions from './gate_options.js';
 import * as incarnations from './incarnations.js';
 import * as serverPace from './server_pace.js';
+import * as serverStatement from './server_statement.js';
 import * as serverAvailability from './server_availability.js';
 
 /** Maximum wait for a health check after a connection broke during a run. */
@@ -28,22 +26,6 @@
 /** Cap on logged ages; older samples carry no information. */
 const MAX_LOGGED_AGE_MS: units.Millis = 1_000_000;
 
-/** Dependencies and settings of a gate. */
-export interface GateOptions {
-  readonly service: () => string;
-  readonly dataCentre: string;
-  readonly intent: operatorIntent.OperatorIntent;
-  readonly suspects: crashSuspects.CrashSuspects;
-  readonly output: gateCall.GateOutput;
-  readonly log: decision.DecisionLog;
-  readonly random: randomSource.RandomSource;
-  /** Maximum request rate in cold start, as a multiple of the declared rate. */
-  readonly coldRateFactor: number;
-  /** Start of the process on the monotonic and the wall clock. */
-  readonly startedMs: units.MonotonicMs;
-  readonly startedEpochMs: units.EpochMs;
-}
-
 /** Gate of one backend server; no other component sends requests to that server. */
 export class ServerGate {
   private readonly server: serverAvailability.ServerAvailability;
@@ -54,7 +36,7 @@
   private wasOut = false;
   private lastClosure = serving.Closure.UNCONFIGURED;
 
-  constructor(private readonly options: GateOptions) {
+  constructor(private readonly options: gateOptions.GateOptions) {
     const {log, output} = options;
     this.replies = new gateReplies.GateReplies(output, log);
     this.server = new serverAvailability.ServerAvailability({
@@ -149,6 +131,13 @@
     }
   }
 
+  /** Handles what the head of an answer states; ignored if the call is not running. */
+  onStatement(key: string, statement: serverStatement.ServerStatement): void {
+    const stage = this.calls.get(key)?.stage;
+    if (stage?.kind !== 'running') return;
+    this.server.onStatement(statement, stage.serial);
+  }
+
   /** Handles the end of a run; ignored if the call is not running. */
   onRunEnded(key: string, end: gateCall.RunEnd, now: units.MonotonicMs): void {
     const call = this.calls.get(key);
@@ -291,14 +280,14 @@
   }
 
   private start(call: gateCall.GateCall, now: units.MonotonicMs): void {
-    const {instanceId} = this.server.tracker;
+    const {instanceId, serial} = this.server.tracker;
     const {intent, output} = this.options;
     const barred = this.barredReason(call, now);
     if (instanceId === undefined || barred !== undefined) {
       const reason = barred ?? serving.Reason.CLOSED;
       return this.refuse(call, {reason, mayHaveRun: false}, now);
     }
-    call.stage = {kind: 'running', startedMs: now};
+    call.stage = {kind: 'running', startedMs: now, serial};
     this.capacity.onStarted(now);
     const {pace, running} = this.capacity;
     this.replies.note(call, 'routine', 'run', {
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -160,6 +160,13 @@
       answerMemory: answerMemory.AnswerMemory.ofProcess(this.options.memoryMb),
       nowMs: clock.monotonicMs,
       listener: {
+        onHead: (key, facts) => {
+          // Another instance has answered a misdirected request.
+          if (facts.misdirected) return;
+          const source = facts.notRun ? 'shed' : 'run';
+          const {limit, leaving} = facts;
+          this.gate.onStatement(key, {source, limit, leaving});
+        },
         onRunEnded: (key, {end, facts}) => {
           const now = clock.monotonicMs();
           if (facts?.load) {
--- a/src/node/serving/health_checker.test.ts
+++ b/src/node/serving/health_checker.test.ts
@@ -22,6 +22,8 @@
     instanceId: undefined,
     coldLeftMs: undefined,
     load: undefined,
+    limit: {kind: 'none'},
+    leaving: false,
   }),
 };
 
--- a/src/node/serving/health_checker.ts
+++ b/src/node/serving/health_checker.ts
@@ -186,6 +186,11 @@
       instanceId: facts.instanceId,
       coldLeftMs: facts.coldLeftMs,
       slots: facts.load?.slots,
+      statement: {
+        source: 'health',
+        limit: facts.limit,
+        leaving: facts.leaving,
+      },
     };
     this.options.listener.onHealth(sample, facts.load);
   }
--- a/src/node/serving/platform_adapter.ts
+++ b/src/node/serving/platform_adapter.ts
@@ -5,6 +5,7 @@
 import * as logPosition from '../../common/serving/log_position.js';
 import * as operatorIntent from '../../common/serving/operator_intent.js';
 import * as serverPace from '../../common/serving/server_pace.js';
+import * as serverStatement from '../../common/serving/server_statement.js';
 import * as units from '../../common/units.js';
 
 /** Fields of the headers of a caller's request. */
@@ -37,6 +38,9 @@
   /** Remaining time of the cold start, undefined if not stated. */
   readonly coldLeftMs: units.Millis | undefined;
   readonly load: serverPace.ServerLoad | undefined;
+  readonly limit: serverStatement.StatedLimit;
+  /** Whether the backend server states that it is leaving. */
+  readonly leaving: boolean;
 }
 
 /** Reads and writes the headers of callers and backend servers. */
--- a/src/node/serving/server_connection.ts
+++ b/src/node/serving/server_connection.ts
@@ -105,14 +105,23 @@
     return this.disposed;
   }
 
-  /** Sends a request; calls `onEnd` once. */
-  send(req: ServerRequest, onEnd: (outcome: RunOutcome) => void): void {
+  /**
+   * Sends a request; calls `onEnd` once.
+   *
+   * @param onHead called for the head of an answer to this request or of a refusal.
+   */
+  send(
+    req: ServerRequest,
+    onEnd: (outcome: RunOutcome) => void,
+    onHead: (facts: platformAdapter.AnswerFacts) => void = () => undefined,
+  ): void {
     this.connector.startAnswer();
     this.reader = new AnswerReader(
       req,
       this.options,
       () => this.connector.socketError,
       onEnd,
+      onHead,
     );
     this.client.dispatch(
       {
@@ -151,6 +160,7 @@
     private readonly options: AnswerReaderOptions,
     private readonly socketError: () => Error | undefined,
     private readonly onEnd: (outcome: RunOutcome) => void,
+    private readonly onHead: (facts: platformAdapter.AnswerFacts) => void,
   ) {}
 
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
@@ -188,6 +198,7 @@
     this.facts = this.options.http.readAnswer(status, headers);
     const fault = this.findFault(this.facts);
     if (fault !== undefined) return this.reject(fault, controller);
+    this.onHead(this.facts);
     this.allocation = this.options.answerMemory.allocate(() =>
       this.reject('answer too large', controller),
     );
--- a/src/node/serving/server_pool.ts
+++ b/src/node/serving/server_pool.ts
@@ -16,6 +16,8 @@
 
 /** Receives the events of the pool. */
 export interface ServerPoolListener {
+  /** The head of the answer to a running request came. */
+  onHead(key: string, facts: platformAdapter.AnswerFacts): void;
   onRunEnded(key: string, outcome: serverConnection.RunOutcome): void;
   /** An idle connection ended; the backend server may have restarted. */
   onIdleEnded(): void;
@@ -75,7 +77,14 @@
       body: dispatch.body as Buffer,
       deadlineMs: call.deadlineMs,
     };
-    connection.send(request, outcome => this.onEnded(key, connection, outcome));
+    connection.send(
+      request,
+      outcome => this.onEnded(key, connection, outcome),
+      facts => {
+        if (this.running.get(key) !== connection) return;
+        this.options.listener.onHead(key, facts);
+      },
+    );
   }
 
   /** Closes the connection of a run; `onRunEnded` does not follow. */
--- a/test/stand_ins/platform/server_stand_in.ts
+++ b/test/stand_ins/platform/server_stand_in.ts
@@ -42,6 +42,10 @@
   mode: ServerMode = {kind: 'ok', workMs: 0};
   pacePercent = 100;
   coldLeftMs = 0;
+  /** Rate limit that answers to requests name, undefined for none. */
+  limit: string | undefined;
+  /** Whether health checks name the limit too. */
+  limitInHealth = false;
   /** Whether this incarnation has announced that it leaves; its health checks fail. */
   private leavingId: string | undefined;
   readonly runs: ReceivedRequest[] = [];
@@ -123,6 +127,10 @@
     body: Buffer,
   ): void {
     res.setHeader('Server-Load', `${this.running},0,10,${this.pacePercent}`);
+    const namesLimit = req.url !== '/healthz' || this.limitInHealth;
+    if (namesLimit && this.limit !== undefined) {
+      res.setHeader('Server-Limit', this.limit);
+    }
     if (req.url === '/healthz') {
       res.setHeader('Instance-Id', this.instanceId);
       res.setHeader('Cold-Ms', String(this.coldLeftMs));
