Tests that fail: servers get more than they state in their answers (LIMIT, DRAIN)

What servers see: several times the requests of the limit that they name, and requests long after their answers said that they leave.

The virtual fleet now has processes that end, freeze and lose their links, and servers with incarnations; an audit counts by the users' rules who was told. The load test of the same fleet keeps its check and bound.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -39,6 +39,8 @@
   'server-seal',
   'not-executed',
   'server-load',
+  'server-limit',
+  'server-leaving',
   'cold-ms',
   'instance-id',
   'keyed\\.\\w+',
--- a/src/common/serving/server_availability.ts
+++ b/src/common/serving/server_availability.ts
@@ -103,11 +103,11 @@
     const {source, limit} = statement;
     if (limit.kind === 'malformed') {
       const facts = {reason: source, instanceId, text: limit.text};
-      this.note('server-limit-malformed', facts);
+      this.note('rate-limit-malformed', facts);
     }
     if (!changed) return;
     const perSecond = this.tracker.limitPerSecond;
-    this.note('server-limit', {reason: source, instanceId, was, perSecond});
+    this.note('rate-limit', {reason: source, instanceId, was, perSecond});
   }
 
   /** Handles a request that reached another instance at the same address. */
--- a/test/fakes/serving_fleet.ts
+++ b/test/fakes/serving_fleet.ts
@@ -2,8 +2,10 @@
 import * as configuration from '../../src/common/serving/configuration.js';
 import * as randomSource from '../../src/common/random_source.js';
 import * as units from '../../src/common/units.js';
+import * as fleetContext from './fleet_context.js';
 import * as servingFleetNode from './serving_fleet_node.js';
 import * as stallingServer from './stalling_server.js';
+import * as statementAudit from './statement_audit.js';
 import * as virtualServiceClock from './virtual_service_clock.js';
 
 /** Attempts of a caller at one request, the first included. */
@@ -25,7 +27,7 @@
   /** Backend servers of each service in each data centre. */
   readonly serversPerDataCentre: ReadonlyMap<string, number>;
   readonly document: configuration.FleetConfiguration;
-  readonly classes: readonly servingFleetNode.RequestClass[];
+  readonly classes: readonly fleetContext.RequestClass[];
   /** Requests of callers for each node. */
   readonly requestsPerSecond: number;
   readonly server: stallingServer.ServerOptions;
@@ -43,7 +45,7 @@
 /** One request of a caller, over all its attempts. */
 interface Operation {
   readonly node: servingFleetNode.FleetNode;
-  readonly requestClass: servingFleetNode.RequestClass;
+  readonly requestClass: fleetContext.RequestClass;
   readonly outcomes: Outcomes;
   readonly sentMs: units.MonotonicMs;
 }
@@ -51,17 +53,21 @@
 /** A fleet whose nodes exchange messages without loss. */
 export class ServingFleet {
   readonly outcomes = new Map<string, Outcomes>();
-  private readonly clock = new virtualServiceClock.VirtualClock();
+  readonly clock = new virtualServiceClock.VirtualClock();
+  readonly audit = new statementAudit.StatementAudit();
   private readonly random: randomSource.SeededRandom;
-  private readonly nodes: readonly servingFleetNode.FleetNode[];
+  readonly nodes: readonly servingFleetNode.FleetNode[];
+  private lastProcessId = 0;
 
   constructor(private readonly options: FleetOptions) {
     this.random = new randomSource.SeededRandom(options.seed);
     const nodesById = new Map<string, servingFleetNode.FleetNode>();
     const all = identities(options);
-    const ctx: servingFleetNode.FleetContext = {
+    const ctx: fleetContext.FleetContext = {
       ...options,
       clock: this.clock,
+      audit: this.audit,
+      nextProcessId: () => ++this.lastProcessId,
       random: this.random,
       retrySlack: RETRY_SLACK_PER_NODE * all.length,
       nodes: () => this.nodes,
@@ -100,7 +106,7 @@
       if (clock.nowMs >= endMs) return;
       const requestClass = this.drawClass();
       const operation: Operation = {
-        node: nodes[random.nextInt(nodes.length)],
+        node: drawServing(nodes, random),
         requestClass,
         outcomes: this.outcomesOf(requestClass.route.name),
         sentMs: clock.nowMs,
@@ -111,7 +117,7 @@
     });
   }
 
-  private drawClass(): servingFleetNode.RequestClass {
+  private drawClass(): fleetContext.RequestClass {
     const {classes} = this.options;
     const total = classes.reduce((sum, c) => sum + c.share, 0);
     let rest = this.random.next() * total;
@@ -129,7 +135,7 @@
   private onReply(
     operation: Operation,
     attempt: number,
-    reply: servingFleetNode.Reply,
+    reply: fleetContext.Reply,
   ): void {
     const {outcomes, requestClass, sentMs} = operation;
     const ageMs = this.clock.nowMs - sentMs;
@@ -152,6 +158,15 @@
   }
 }
 
+/** Returns a node that takes requests; any node if the one drawn does not. */
+function drawServing(
+  nodes: readonly servingFleetNode.FleetNode[],
+  random: randomSource.RandomSource,
+): servingFleetNode.FleetNode {
+  const node = nodes[random.nextInt(nodes.length)];
+  return node.isServing ? node : (nodes.find(n => n.isServing) ?? node);
+}
+
 function identities({
   dataCentres,
   serversPerDataCentre,
--- a/test/runs/serving_load.ts
+++ b/test/runs/serving_load.ts
@@ -1,7 +1,7 @@
 /** Fleet of two services whose lookups wait for checks, under load near what it carries. */
 import * as configuration from '../../src/common/serving/configuration.js';
+import * as fleetContext from '../fakes/fleet_context.js';
 import * as servingFleet from '../fakes/serving_fleet.js';
-import * as servingFleetNode from '../fakes/serving_fleet_node.js';
 
 const ISSUING = 'issuing';
 const CHECKING = 'checking';
@@ -39,8 +39,8 @@
   };
 }
 
-function requestClasses(): readonly servingFleetNode.RequestClass[] {
-  const check: servingFleetNode.RequestClass = {
+function requestClasses(): readonly fleetContext.RequestClass[] {
+  const check: fleetContext.RequestClass = {
     route: route('check', CHECKING, {rank: 0, objectiveMs: 150}),
     workMs: 49,
     deadlineMs: 600,
--- a/test/stand_ins/platform/server_stand_in.ts
+++ b/test/stand_ins/platform/server_stand_in.ts
@@ -44,8 +44,10 @@
   coldLeftMs = 0;
   /** Rate limit that answers to requests name, undefined for none. */
   limit: string | undefined;
-  /** Whether health checks name the limit too. */
-  limitInHealth = false;
+  /** Whether answers to requests state that this incarnation leaves. */
+  statesLeaving = false;
+  /** Whether health checks state the limit and the leaving too. */
+  statesInHealth = false;
   /** Whether this incarnation has announced that it leaves; its health checks fail. */
   private leavingId: string | undefined;
   readonly runs: ReceivedRequest[] = [];
@@ -127,10 +129,7 @@
     body: Buffer,
   ): void {
     res.setHeader('Server-Load', `${this.running},0,10,${this.pacePercent}`);
-    const namesLimit = req.url !== '/healthz' || this.limitInHealth;
-    if (namesLimit && this.limit !== undefined) {
-      res.setHeader('Server-Limit', this.limit);
-    }
+    if (req.url !== '/healthz' || this.statesInHealth) this.state(res);
     if (req.url === '/healthz') {
       res.setHeader('Instance-Id', this.instanceId);
       res.setHeader('Cold-Ms', String(this.coldLeftMs));
@@ -151,6 +150,11 @@
     this.run(req, res, body);
   }
 
+  private state(res: http.ServerResponse): void {
+    if (this.limit !== undefined) res.setHeader('Server-Limit', this.limit);
+    if (this.statesLeaving) res.setHeader('Server-Leaving', '1');
+  }
+
   private run(
     req: http.IncomingMessage,
     res: http.ServerResponse,
