Gate: keep the rate that the backend server names

Nothing read the header; the gate bounded concurrency and the rate of cold servers only.

Cause and class: an answer says something about the server beyond the request, and nothing but the load was taken from it.

Every run, retry, hedge and nested call passes the one gate beside the server, so the gate alone can keep the sum over all nodes exactly: a token bucket with the server's rate and a quarter of a second of burst. Requests wait for their start only while that is in time for their objective; the others are refused at once, those that wait already when the limit is named or when one of higher rank comes too, so that entries go on to other gates. Refusals tell the time of the next start, entries pass on the shortest. Load reports tell the limit and the time to the next start, all entries at once when it appears, goes or changes by a factor of two, once a second at most.

Ruled out: a limit at each entry (the sum is what counts, and entries do not see one another); lowering the concurrency (short runs would pass the rate); letting refused requests wait for a late answer (they would take the starts of requests that can be in time).

--- a/src/common/serving/entry.test.ts
+++ b/src/common/serving/entry.test.ts
@@ -286,3 +286,38 @@
   harness.entry.onAnswer(first.nodeId, answer, 700);
   assert.equal(harness.responses.length, 1);
 });
+
+test('when all gates have used up their rates, the caller is told when the first has a start', () => {
+  const harness = new fixtures.EntryHarness([
+    fixtures.gate('a'),
+    fixtures.gate('b'),
+  ]);
+  harness.request();
+  const {RATE_LIMITED, OVERLOADED} = serving.Reason;
+  harness.refuseLast(RATE_LIMITED, {retryAfterMs: 900});
+  harness.refuseLast(RATE_LIMITED, {retryAfterMs: 400});
+  assert.equal(harness.last.dispatch.redirectable, false);
+  harness.refuseLast(OVERLOADED, {retryAfterMs: 700});
+  const [{reason, retryAfterMs, mayHaveRun}] = harness.givenUp;
+  assert.deepEqual([reason, retryAfterMs, mayHaveRun], ['no-room', 400, false]);
+});
+
+test('a gate without starts at present is chosen last and never for a second run', () => {
+  const harness = new fixtures.EntryHarness([
+    fixtures.gate('a'),
+    fixtures.gate('b'),
+  ]);
+  const limited = fixtures.load({limitPerSecond: 1, startWaitMs: 800});
+  harness.reports.onLoad('a', limited, 0);
+  harness.request();
+  assert.equal(harness.last.nodeId, 'b');
+  harness.entry.tick(500);
+  assert.equal(harness.sent.length, 1);
+  harness.request({}, 900);
+  harness.request({}, 900);
+  assert.deepEqual(harness.sent.map(sent => sent.nodeId).sort(), [
+    'a',
+    'b',
+    'b',
+  ]);
+});
--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -139,6 +139,10 @@
       return this.onFailedRun(call, {reason: refusal.reason}, now);
     }
     switch (refusal.reason) {
+      case serving.Reason.RATE_LIMITED:
+        call.rateRetryMs = Math.min(call.rateRetryMs, refusal.retryAfterMs);
+        call.redirected.add(nodeId);
+        return this.sendNext(call, now);
       case serving.Reason.STALLED:
       case serving.Reason.FULL:
         call.redirected.add(nodeId);
@@ -323,6 +327,7 @@
     const best = ranked.at(0);
     if (best === undefined) return;
     const {load, outstanding} = best.estimate;
+    if (!placement.hasFreeSlot(best)) return;
     if (outstanding + 1 > HEDGE_MAX_UTILISATION * load.limit) return;
     if (!this.budgetOf(service).take(HEDGE_RETRY_RESERVE)) return;
     this.note(call, 'notable', 'second-run', {
@@ -371,7 +376,7 @@
   ): void {
     if (call.failure) return this.respond(call, call.failure, now);
     const {mayHaveRun} = call;
-    const retryAfterMs = retryAfter.retryAfterOf(reason, call.refusal);
+    const retryAfterMs = retryAfter.retryAfterOf(reason, call);
     this.note(call, 'failure', 'gave-up', {
       reason,
       mayHaveRun,
--- a/src/common/serving/entry_call.ts
+++ b/src/common/serving/entry_call.ts
@@ -58,6 +58,9 @@
   /** A server's error response, returned if no other attempt succeeds. */
   failure: serving.Answer | undefined;
 
+  /** Shortest delay given by gates whose rate limit is used up, infinity without one. */
+  rateRetryMs: units.Millis = Infinity;
+
   /** The latest refusal by a gate. */
   refusal: serving.Refusal | undefined;
 
--- a/src/common/serving/gate_call.ts
+++ b/src/common/serving/gate_call.ts
@@ -105,6 +105,8 @@
   checkHealth(): void;
   /** Reports a request that may crash backend servers to other nodes. */
   reportSuspect(fingerprint: string, deaths: number): void;
+  /** Called when entries have to know of a change of the rate limit at once. */
+  rateLimitChanged(): void;
   /** Called when the gate opens or closes, or the reason of a closure changes. */
   closureChanged(closure: serving.Closure): void;
 }
--- a/src/common/serving/gate_capacity.ts
+++ b/src/common/serving/gate_capacity.ts
@@ -5,6 +5,7 @@
 import * as coldStartLimiter from './cold_start_limiter.js';
 import * as gateCall from './gate_call.js';
 import * as operatorIntent from './operator_intent.js';
+import * as rateLimiter from './rate_limiter.js';
 import * as runQueue from './run_queue.js';
 import * as runTimes from './run_times.js';
 import * as incarnations from './incarnations.js';
@@ -35,7 +36,7 @@
 /** Random share of the retry delay, so that retries do not arrive in one wave. */
 const RETRY_AFTER_JITTER = 0.6;
 
-/** Bounds of the retry delay given to refused requests. */
+/** Bounds of the retry delay given to refused requests; a rate limit may require more. */
 const RETRY_AFTER_MIN_MS: units.Millis = 20;
 const RETRY_AFTER_MAX_MS: units.Millis = 3_000;
 
@@ -56,6 +57,7 @@
   readonly queue = new runQueue.RunQueue<gateCall.GateCall>();
   readonly times = new runTimes.RunTimes();
   readonly pace = new serverPace.ServerPace();
+  readonly rate = new rateLimiter.RateLimiter();
   private readonly coldStart: coldStartLimiter.ColdStartLimiter;
   private runningCount = 0;
   private shedLimit = Infinity;
@@ -81,6 +83,7 @@
   onStarted(now: units.MonotonicMs): void {
     this.runningCount++;
     this.coldStart.onStart(now);
+    this.rate.onStart(now);
   }
 
   /** Records the end of a run. */
@@ -121,19 +124,54 @@
     const serviceMs = this.serviceMs(call);
     const slackMs = call.objectiveAtMs - now - serviceMs;
     const waitMs = this.expectedWaitMs(call, now);
+    const ahead = this.queue.countAhead(call, c => this.serviceMs(c), now);
     if (redirectable) {
       if (this.pace.isStalled(now)) return serving.Reason.STALLED;
       const maxWaitMs = siblingNear ? 0 : MAX_WAIT_SLACK_SHARE * slackMs;
-      if (waitMs > Math.max(0, maxWaitMs)) return serving.Reason.FULL;
+      if (waitMs > Math.max(0, maxWaitMs)) {
+        const isRateLimited = this.rate.startMs(ahead, now) > now;
+        return isRateLimited
+          ? serving.Reason.RATE_LIMITED
+          : serving.Reason.FULL;
+      }
     }
     const neededMs = waitMs + this.minRunTimeMs(call);
     if (now + neededMs > call.deadlineMs) return serving.Reason.NO_TIME;
+    if (!this.isInRate(call, ahead, now)) return serving.Reason.OVERLOADED;
     if (waitMs > slackMs && this.isOverloaded(now)) {
       return serving.Reason.OVERLOADED;
     }
     return undefined;
   }
 
+  /** Returns the waiting requests that the rate limit makes late, were they to wait on. */
+  waitingBeyondRate(now: units.MonotonicMs): readonly gateCall.GateCall[] {
+    if (this.rate.perSecond === undefined) return [];
+    let ahead = 0;
+    return this.queue
+      .inOrder(call => this.serviceMs(call), now)
+      .filter(call => {
+        if (!this.isInRate(call, ahead, now)) return true;
+        ahead++;
+        return false;
+      });
+  }
+
+  /** Whether the rate limit lets a request start in time for its objective, or now. */
+  private isInRate(
+    call: gateCall.GateCall,
+    ahead: number,
+    now: units.MonotonicMs,
+  ): boolean {
+    const inObjectiveMs = call.objectiveAtMs - this.serviceMs(call);
+    return this.rate.startMs(ahead, now) <= Math.max(now, inObjectiveMs);
+  }
+
+  /** Returns the time until the rate limit allows a further request, 0 without a limit. */
+  startWaitMs(now: units.MonotonicMs): units.Millis {
+    return this.rate.startMs(this.queue.size, now) - now;
+  }
+
   /** Returns the time by which a waiting request must start; it is refused then. */
   latestStartMs(call: gateCall.GateCall): units.MonotonicMs {
     const latestMs = this.latestUsefulStartMs(call);
@@ -151,20 +189,21 @@
     return latestMs <= now ? serving.Reason.NO_TIME : serving.Reason.OVERLOADED;
   }
 
-  /** Returns the concurrency that can be sustained; the rate limit of a cold start lowers it. */
+  /** Returns the concurrency that can be sustained; limits of the rate lower it. */
   sustainedLimit(now: units.MonotonicMs): number {
     const limit = this.limit(now);
-    if (!this.options.tracker.isCold(now)) return limit;
-    const meanSeconds = this.times.meanMs / units.MS_PER_SECOND;
-    return Math.max(
-      1,
-      Math.min(limit, Math.floor(this.coldPerSecond * meanSeconds)),
+    const perSecond = Math.min(
+      this.options.tracker.isCold(now) ? this.coldPerSecond : Infinity,
+      this.rate.perSecond ?? Infinity,
     );
+    if (perSecond === Infinity) return limit;
+    const meanSeconds = this.times.meanMs / units.MS_PER_SECOND;
+    return Math.max(1, Math.min(limit, Math.floor(perSecond * meanSeconds)));
   }
 
   /** Removes and returns the next request to start, undefined if none may start. */
   takeNext(now: units.MonotonicMs): gateCall.GateCall | undefined {
-    if (this.queue.size === 0 || !this.mayStartCold(now)) return undefined;
+    if (this.queue.size === 0 || this.nextStartMs(now) > now) return undefined;
     return this.queue.take(
       call =>
         this.runningCount < this.limitFor(call, now) &&
@@ -201,7 +240,9 @@
     const limit = this.limitFor(call, now);
     const queued = Math.max(0, ahead - Math.max(0, limit - this.runningCount));
     const holdMs = this.holdMs(call, now);
-    return holdMs + Math.max(coldWaitMs, (queued * this.times.meanMs) / limit);
+    const rateWaitMs = this.rate.startMs(ahead - 1, now) - now;
+    const slotWaitMs = (queued * this.times.meanMs) / limit;
+    return holdMs + Math.max(coldWaitMs, rateWaitMs, slotWaitMs);
   }
 
   /** Returns how long a request is expected to wait for the end of a stall. */
@@ -241,15 +282,22 @@
       drainMs / this.limit(now) + OVERLOAD_RETRY_AFTER_MS * this.refusalShare;
     const jitter = 1 + RETRY_AFTER_JITTER * (this.options.random.next() - 0.5);
     const boundedMs = Math.max(RETRY_AFTER_MIN_MS, waitMs * jitter);
-    return Math.round(Math.min(RETRY_AFTER_MAX_MS, boundedMs));
+    const overloadMs = Math.min(RETRY_AFTER_MAX_MS, boundedMs);
+    return Math.round(Math.max(overloadMs, this.startWaitMs(now)));
   }
 
-  /** Returns when the next waiting request may start on a cold server, infinity if not limited. */
-  nextColdStartMs(now: units.MonotonicMs): units.MonotonicMs {
-    if (this.queue.size === 0 || !this.options.tracker.isCold(now)) {
-      return Infinity;
-    }
-    return this.coldStart.nextStartMs(this.coldPerSecond, now);
+  /** Returns when limits of the rate let the next waiting request start, `now` without any. */
+  nextStartMs(now: units.MonotonicMs): units.MonotonicMs {
+    const rateMs = this.rate.startMs(0, now);
+    if (!this.options.tracker.isCold(now)) return rateMs;
+    const coldMs = this.coldStart.nextStartMs(this.coldPerSecond, now);
+    return Math.max(rateMs, coldMs);
+  }
+
+  /** Returns when limits of the rate next let a waiting request start, infinity if none waits. */
+  nextWakeMs(now: units.MonotonicMs): units.MonotonicMs {
+    const startMs = this.nextStartMs(now);
+    return this.queue.size > 0 && startMs > now ? startMs : Infinity;
   }
 
   private isOverloaded(now: units.MonotonicMs): boolean {
--- a/src/common/serving/gate_replies.ts
+++ b/src/common/serving/gate_replies.ts
@@ -9,6 +9,7 @@
 const NOTABLE_REASONS: ReadonlySet<serving.Reason> = new Set([
   serving.Reason.STALLED,
   serving.Reason.FULL,
+  serving.Reason.RATE_LIMITED,
   serving.Reason.CLOSED,
   serving.Reason.WITHDRAWN,
 ]);
--- a/src/common/serving/gate_reports.ts
+++ b/src/common/serving/gate_reports.ts
@@ -12,6 +12,8 @@
   failingPercent: 0,
   cold: false,
   closure: serving.Closure.UNCONFIGURED,
+  limitPerSecond: undefined,
+  startWaitMs: 0,
 };
 
 /** Current load of a gate as estimated by an entry. */
@@ -20,6 +22,8 @@
   readonly ageMs: units.Millis;
   /** Requests running or waiting: those reported, plus the change in own requests since. */
   readonly outstanding: number;
+  /** Time until the rate limit of the backend server allows a further request. */
+  readonly startWaitMs: units.Millis;
 }
 
 interface Report {
@@ -29,6 +33,15 @@
   readonly ownAtReport: number;
 }
 
+/** Longest time assumed between two starts at a server with a low rate limit. */
+const MAX_SPACING_MS: units.Millis = 10_000;
+
+/** Returns the time between starts that the rate limit requires, 0 without a limit. */
+function spacingMs({limitPerSecond}: serving.Load): units.Millis {
+  if (limitPerSecond === undefined) return 0;
+  return Math.min(MAX_SPACING_MS, units.MS_PER_SECOND / limitPerSecond);
+}
+
 /** Stores the latest report of each gate and counts this entry's own requests there. */
 export class GateReports {
   private readonly reports = new Map<string, Report>();
@@ -65,14 +78,23 @@
     const report = this.reports.get(nodeId);
     const ownNow = this.ownCount(nodeId);
     if (report === undefined) {
-      return {load: UNKNOWN_LOAD, ageMs: Infinity, outstanding: ownNow};
+      return {
+        load: UNKNOWN_LOAD,
+        ageMs: Infinity,
+        outstanding: ownNow,
+        startWaitMs: 0,
+      };
     }
     const {load, receivedMs, ownAtReport: ownThen} = report;
     const reported = load.running + load.waiting;
+    const ageMs = now - receivedMs;
+    const sentSince = Math.max(0, ownNow - ownThen);
     return {
       load,
-      ageMs: now - receivedMs,
+      ageMs,
       outstanding: Math.max(ownNow, reported + ownNow - ownThen),
+      startWaitMs:
+        Math.max(0, load.startWaitMs - ageMs) + spacingMs(load) * sentSince,
     };
   }
 
--- a/src/common/serving/placement.ts
+++ b/src/common/serving/placement.ts
@@ -66,9 +66,12 @@
   readonly random: randomSource.RandomSource;
 }
 
-/** Whether a gate is estimated to have a free slot. */
+/** Whether a gate is estimated to start a request at once. */
 export function hasFreeSlot({gate, estimate}: RankedGate): boolean {
-  return !gate.maybeUnreachable && estimate.outstanding < estimate.load.limit;
+  const {load, outstanding, startWaitMs} = estimate;
+  return (
+    !gate.maybeUnreachable && outstanding < load.limit && startWaitMs === 0
+  );
 }
 
 /** Ranks gates by the expected duration of a request there. */
@@ -110,7 +113,7 @@
   }
 
   private costMs(
-    {load, ageMs, outstanding}: gateReports.GateEstimate,
+    {load, ageMs, outstanding, startWaitMs}: gateReports.GateEstimate,
     typicalMeanMs: units.Millis,
   ): units.Millis {
     const limit = Math.max(1, load.limit);
@@ -126,7 +129,8 @@
       (FAILURE_PENALTY_RUNS * load.failingPercent) / PERCENT;
     const jitter = 1 + JITTER_SHARE * this.options.random.next();
     const stallPenaltyMs = isStalled ? STALL_PENALTY_MS : 0;
-    return (runMs + penalty * typicalMeanMs + stallPenaltyMs) * jitter;
+    const waitMs = startWaitMs + stallPenaltyMs;
+    return (runMs + penalty * typicalMeanMs + waitMs) * jitter;
   }
 }
 
--- a/src/common/serving/retry_after.ts
+++ b/src/common/serving/retry_after.ts
@@ -1,5 +1,4 @@
 /** Retry delays for callers whose requests were given up. */
-import * as serving from '../../generated/serving.js';
 import * as invariants from '../invariants.js';
 import * as units from '../units.js';
 import * as entryCall from './entry_call.js';
@@ -13,7 +12,7 @@
 /** Returns the delay after which the caller should retry. */
 export function retryAfterOf(
   reason: entryCall.GiveUpReason,
-  refusal: serving.Refusal | undefined,
+  {refusal, rateRetryMs}: Pick<entryCall.EntryCall, 'refusal' | 'rateRetryMs'>,
 ): units.Millis {
   switch (reason) {
     case 'unconfigured':
@@ -21,7 +20,7 @@
     case 'no-room':
     case 'no-time':
     case 'shed':
-      return refusal?.retryAfterMs ?? NO_SERVER_RETRY_MS;
+      return Math.min(refusal?.retryAfterMs ?? NO_SERVER_RETRY_MS, rateRetryMs);
     case 'no-server':
     case 'quarantined':
     case 'server-failed':
--- a/src/common/serving/run_queue.ts
+++ b/src/common/serving/run_queue.ts
@@ -59,6 +59,15 @@
     return best;
   }
 
+  /** Returns the waiting requests in the order in which they would start. */
+  inOrder(
+    serviceMs: (item: T) => units.Millis,
+    now: units.MonotonicMs,
+  ): readonly T[] {
+    const keyOf = (item: T): number => orderKey(item, serviceMs(item), now);
+    return [...this.items].sort((a, b) => keyOf(a) - keyOf(b));
+  }
+
   /** Returns the number of waiting requests that would start before a new one. */
   countAhead(
     item: T,
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -2,11 +2,14 @@
 import * as serving from '../../generated/serving.js';
 import * as invariants from '../invariants.js';
 import * as units from '../units.js';
+import * as rateLimitReports from './rate_limit_reports.js';
 import * as replyCache from './reply_cache.js';
 import * as gateCall from './gate_call.js';
 import * as gateReplies from './gate_replies.js';
 import * as gateCapacity from './gate_capacity.js';
+import * as gateLoad from './gate_load.js';
 import * as gateOptions from './gate_options.js';
+import * as gateTimeouts from './gate_timeouts.js';
 import * as incarnations from './incarnations.js';
 import * as serverPace from './server_pace.js';
 import * as serverStatement from './server_statement.js';
@@ -15,14 +18,9 @@
 /** Maximum wait for a health check after a connection broke during a run. */
 const HEALTH_CHECK_WAIT_MS: units.Millis = 150;
 
-/** Time past the deadline after which a run is aborted; the server itself stops at the deadline. */
-const RUN_GRACE_MS: units.Millis = 300;
-
 /** Lowest HTTP status that counts as a server failure. */
 const FIRST_ERROR_STATUS = 500;
 
-const PERCENT = 100;
-
 /** Cap on logged ages; older samples carry no information. */
 const MAX_LOGGED_AGE_MS: units.Millis = 1_000_000;
 
@@ -32,6 +30,7 @@
   private readonly capacity: gateCapacity.GateCapacity;
   private readonly calls = new Map<string, gateCall.GateCall>();
   private readonly replies: gateReplies.GateReplies;
+  private readonly limitReports = new rateLimitReports.RateLimitReports();
   private stopping = false;
   private wasOut = false;
   private lastClosure = serving.Closure.UNCONFIGURED;
@@ -77,17 +76,7 @@
 
   /** Returns the load to report to other nodes. */
   load(now: units.MonotonicMs): serving.Load {
-    const {running, queue, pace, times} = this.capacity;
-    return {
-      running,
-      waiting: queue.size,
-      limit: this.capacity.sustainedLimit(now),
-      pacePercent: Math.round(pace.percentAt(now)),
-      meanMs: Math.round(times.meanMs),
-      failingPercent: Math.round(PERCENT * times.failureShare(now)),
-      cold: this.server.tracker.isCold(now),
-      closure: this.closure(),
-    };
+    return gateLoad.loadOf(this.capacity, this.server, this.closure(), now);
   }
 
   /** Handles a request from an entry, which may be a resend over a new link. */
@@ -108,6 +97,7 @@
     }
     this.calls.set(key, call);
     this.capacity.queue.add(call);
+    this.refuseBeyondRate(now);
     this.processQueue(now);
   }
 
@@ -132,10 +122,15 @@
   }
 
   /** Handles what the head of an answer states; ignored if the call is not running. */
-  onStatement(key: string, statement: serverStatement.ServerStatement): void {
+  onStatement(
+    key: string,
+    statement: serverStatement.ServerStatement,
+    now: units.MonotonicMs,
+  ): void {
     const stage = this.calls.get(key)?.stage;
     if (stage?.kind !== 'running') return;
     this.server.onStatement(statement, stage.serial);
+    this.processQueue(now);
   }
 
   /** Handles the end of a run; ignored if the call is not running. */
@@ -221,9 +216,9 @@
 
   /** Returns the next time at which `tick` is due, infinity if there is none. */
   nextWakeMs(now: units.MonotonicMs): units.MonotonicMs {
-    let next = this.capacity.nextColdStartMs(now);
+    let next = this.capacity.nextWakeMs(now);
     for (const call of this.calls.values()) {
-      next = Math.min(next, this.dueMs(call));
+      next = Math.min(next, gateTimeouts.dueMs(call, this.capacity));
     }
     return next;
   }
@@ -257,6 +252,7 @@
 
   /** Starts queued requests while there is capacity; refuses them all if the gate is closed. */
   private processQueue(now: units.MonotonicMs): void {
+    this.applyRateLimit(now);
     const closure = this.closure();
     if (closure !== this.lastClosure) {
       this.replies.noteClosure(this.lastClosure, closure);
@@ -272,6 +268,26 @@
     }
   }
 
+  /** Applies the limit that the backend server names, which a new incarnation does not inherit. */
+  private applyRateLimit(now: units.MonotonicMs): void {
+    const {rate} = this.capacity;
+    const {limitPerSecond} = this.server.tracker;
+    if (limitPerSecond === rate.perSecond) return;
+    rate.setLimit(limitPerSecond, now);
+    this.refuseBeyondRate(now);
+    if (this.limitReports.take(limitPerSecond, now)) {
+      this.options.output.rateLimitChanged();
+    }
+  }
+
+  /** Refuses waiting requests at once that other gates may start sooner. */
+  private refuseBeyondRate(now: units.MonotonicMs): void {
+    const detail = {reason: serving.Reason.RATE_LIMITED, mayHaveRun: false};
+    for (const call of this.capacity.waitingBeyondRate(now)) {
+      this.refuse(call, detail, now);
+    }
+  }
+
   private refuseQueued(now: units.MonotonicMs): void {
     const detail = {reason: serving.Reason.CLOSED, mayHaveRun: false};
     for (const call of [...this.capacity.queue.waiting]) {
@@ -296,6 +312,7 @@
       waitedMs: Math.round(now - call.arrivedMs),
       running,
       limit: this.capacity.limit(now),
+      limitPerSecond: this.server.tracker.limitPerSecond,
       pacePercent: pace.percentAt(now),
       paceAgeMs: Math.round(Math.min(pace.ageMs(now), MAX_LOGGED_AGE_MS)),
       configuration: intent.configuration?.version,
@@ -392,6 +409,7 @@
       running: load.running,
       waiting: load.waiting,
       limit: load.limit,
+      limitPerSecond: load.limitPerSecond,
       timeLeftMs: Math.round(call.deadlineMs - now),
     });
     const refusal = {
@@ -430,7 +448,7 @@
   }
 
   private expireIfDue(call: gateCall.GateCall, now: units.MonotonicMs): void {
-    if (this.dueMs(call) > now) return;
+    if (gateTimeouts.dueMs(call, this.capacity) > now) return;
     if (call.linkExpiryMs <= now) {
       call.linkLostMs = undefined;
       return this.cancel(call, now);
@@ -451,17 +469,4 @@
         return invariants.assertNever(call.stage);
     }
   }
-
-  private dueMs(call: gateCall.GateCall): units.MonotonicMs {
-    switch (call.stage.kind) {
-      case 'waiting':
-        return Math.min(call.linkExpiryMs, this.capacity.latestStartMs(call));
-      case 'running':
-        return Math.min(call.linkExpiryMs, call.deadlineMs + RUN_GRACE_MS);
-      case 'broken':
-        return call.stage.untilMs;
-      default:
-        return invariants.assertNever(call.stage);
-    }
-  }
 }
--- a/src/common/serving/serving_fixtures.test.ts
+++ b/src/common/serving/serving_fixtures.test.ts
@@ -129,6 +129,7 @@
   readonly refusals: serving.Refusal[] = [];
   readonly suspects: string[] = [];
   readonly closures: serving.Closure[] = [];
+  limitReports = 0;
   healthChecks = 0;
 
   run(call: gateCall.GateCall, instanceId: string, timeLeftMs: number): void {
@@ -155,6 +156,10 @@
     this.suspects.push(fingerprint);
   }
 
+  rateLimitChanged(): void {
+    this.limitReports++;
+  }
+
   closureChanged(closure: serving.Closure): void {
     this.closures.push(closure);
   }
@@ -235,6 +240,8 @@
     failingPercent: 0,
     cold: false,
     closure: serving.Closure.OPEN,
+    limitPerSecond: undefined,
+    startWaitMs: 0,
     ...overrides,
   };
 }
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -150,6 +150,7 @@
         const value = {fingerprint, deaths};
         this.sessions.broadcast({$case: 'suspect', value});
       },
+      rateLimitChanged: () => this.sessions.pulseAll(),
       closureChanged: () => this.sessions.pulseAll(),
     };
   }
@@ -165,7 +166,9 @@
           if (facts.misdirected) return;
           const source = facts.notRun ? 'shed' : 'run';
           const {limit, leaving} = facts;
-          this.gate.onStatement(key, {source, limit, leaving});
+          const statement = {source, limit, leaving} as const;
+          this.gate.onStatement(key, statement, clock.monotonicMs());
+          this.options.afterEvent();
         },
         onRunEnded: (key, {end, facts}) => {
           const now = clock.monotonicMs();
--- a/test/fakes/serving_fleet_process.ts
+++ b/test/fakes/serving_fleet_process.ts
@@ -171,7 +171,7 @@
       const {nowMs} = this.fleet.clock;
       this.origins.set(key, origin);
       this.gate.onServerLoad(this.node.load(), nowMs);
-      this.gate.onStatement(key, origin.statement);
+      this.gate.onStatement(key, origin.statement, nowMs);
       const answer = {status, headers: [], body: Buffer.alloc(0)};
       this.gate.onRunEnded(key, {kind: 'answered', answer}, nowMs);
     });
@@ -248,6 +248,7 @@
           }),
         checkHealth: () => this.checkHealth(),
         reportSuspect: () => undefined,
+        rateLimitChanged: () => this.announceLoad(),
         closureChanged: () => this.announceLoad(),
       },
     });
--- a/test/paths/server_limits.test.ts
+++ b/test/paths/server_limits.test.ts
@@ -30,6 +30,14 @@
   return new Promise(resolve => setTimeout(resolve, ms));
 }
 
+async function startFleet(): Promise<platformFleet.PlatformFleet> {
+  const fleet = await platformFleet.PlatformFleet.start(NODES);
+  for (const {server} of fleet.nodes) {
+    server.mode = {kind: 'ok', workMs: WORK_MS};
+  }
+  return fleet;
+}
+
 /** Sends requests to the nodes in turn while `during` runs; returns the statuses of the answers. */
 async function underLoad(
   fleet: platformFleet.PlatformFleet,
@@ -62,7 +70,7 @@
 }
 
 test('a server gets several times the limit that it names', async () => {
-  await using fleet = await platformFleet.PlatformFleet.start(NODES);
+  await using fleet = await startFleet();
   const [{server}] = fleet.nodes;
   const counts: number[] = [];
   const statuses = await underLoad(fleet, [0, 1, 2], async () => {
@@ -82,10 +90,7 @@
 });
 
 test('a server gets requests after its answers said that it leaves', async () => {
-  await using fleet = await platformFleet.PlatformFleet.start(NODES);
-  for (const node of fleet.nodes) {
-    node.server.mode = {kind: 'ok', workMs: WORK_MS};
-  }
+  await using fleet = await startFleet();
   const [{server}] = fleet.nodes;
   const counts: number[] = [];
   await underLoad(fleet, [0, NEIGHBOUR], async () => {
