Gate: close when an answer of the backend server states that it leaves

Servers whose answers said that they leave got requests on: 65 in 2 s, later than drain_s after nodes had passed such an answer on (daemons beside a stand-in server; the same in virtual time). Only heartbeats and deregistrations were read, which may be late or lost.

Leaving is final: it also outlasts a time in which another instance answered at the address, after which a heartbeat that was late had made the incarnation ready again.

An incarnation known from a health check only, which leaves, is replaced by an announcement with a start time instead of completed by it: a server may start again with the same instance id, and would have been kept out for good.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -40,7 +40,6 @@
   'not-executed',
   'server-load',
   'server-limit',
-  'server-leaving',
   'cold-ms',
   'instance-id',
   'keyed\\.\\w+',
--- a/src/common/serving/incarnations.ts
+++ b/src/common/serving/incarnations.ts
@@ -39,13 +39,24 @@
   /** The event belongs to a former incarnation or came out of order. */
   | 'outdated';
 
+/** Effect of a statement on the known incarnation. */
+export interface StatementEffect {
+  readonly limitChanged: boolean;
+  readonly startsLeaving: boolean;
+}
+
+const NO_EFFECT: StatementEffect = {limitChanged: false, startsLeaving: false};
+
 interface Incarnation {
   readonly instanceId: string;
   /** Undefined if only a health check has reported the incarnation. */
   readonly startMs: units.EpochMs | undefined;
   readonly sequence: number;
   readonly slots: number;
-  readonly state: 'ready' | 'leaving' | 'gone';
+  /** Final for an incarnation. */
+  readonly leaving: boolean;
+  /** Whether another instance has answered at the address since. */
+  readonly gone: boolean;
   readonly coldUntilMs: units.MonotonicMs;
   /** Distinguishes incarnations within the process, also those with the same instance id. */
   readonly serial: number;
@@ -87,10 +98,8 @@
 
   /** State of the backend server; `absent` also if another instance has its address. */
   get state(): 'absent' | 'ready' | 'leaving' {
-    if (this.current === undefined || this.current.state === 'gone') {
-      return 'absent';
-    }
-    return this.current.state;
+    if (this.current === undefined || this.current.gone) return 'absent';
+    return this.current.leaving ? 'leaving' : 'ready';
   }
 
   /** Whether the backend server is in cold start. */
@@ -116,10 +125,12 @@
     ) {
       return 'outdated';
     }
+    // A leaving server that announces itself as ready may be a new one with the same instance id.
     const completesAdopted =
       isNew &&
       current?.startMs === undefined &&
-      current?.instanceId === announcement.instanceId;
+      current?.instanceId === announcement.instanceId &&
+      !current.leaving;
     this.hasAnnouncement = true;
     this.newestStartMs = announcement.startMs;
     if (isNew && !completesAdopted) {
@@ -143,9 +154,7 @@
     if (startMs !== undefined && startMs < (current.startMs ?? 0)) {
       return 'outdated';
     }
-    if (current.state !== 'ready') return 'unchanged';
-    this.current = {...current, state: 'leaving'};
-    return 'leaving';
+    return this.markLeaving(current);
   }
 
   /** Handles the answer to a health check. */
@@ -158,27 +167,35 @@
   }
 
   /**
-   * Handles the statement of an answer; returns whether the rate limit changed.
+   * Handles the statement of an answer.
    *
    * @param serial incarnation that gave the answer; an earlier one says nothing about the current.
    */
   onStatement(
     statement: serverStatement.ServerStatement,
     serial: number,
-  ): boolean {
-    if (serial !== this.current?.serial) return false;
-    return this.current.limits.apply(statement);
+  ): StatementEffect {
+    const {current} = this;
+    if (serial !== current?.serial) return NO_EFFECT;
+    const limitChanged = current.limits.apply(statement);
+    const startsLeaving =
+      statement.leaving && this.markLeaving(current) === 'leaving';
+    return {limitChanged, startsLeaving};
   }
 
   /** Marks the incarnation as gone, because another instance answers at its address. */
   markGone(): IncarnationChange {
-    if (this.current === undefined || this.current.state === 'gone') {
-      return 'unchanged';
-    }
-    this.current = {...this.current, state: 'gone'};
+    if (this.current === undefined || this.current.gone) return 'unchanged';
+    this.current = {...this.current, gone: true};
     return 'gone';
   }
 
+  private markLeaving(current: Incarnation): IncarnationChange {
+    if (current.leaving) return 'unchanged';
+    this.current = {...current, leaving: true};
+    return 'leaving';
+  }
+
   /**
    * Takes the incarnation from a health check when a node starts beside a running backend server.
    * After the first announcement only announcements name an incarnation, since an address may be
@@ -195,7 +212,8 @@
       startMs: undefined,
       sequence: -1,
       slots: sample.slots ?? DEFAULT_SLOTS,
-      state: 'ready',
+      leaving: false,
+      gone: false,
       coldUntilMs: now + (sample.coldLeftMs ?? 0),
       serial: ++this.lastSerial,
       limits: new serverStatement.LimitStatements(),
@@ -209,20 +227,19 @@
     now: units.MonotonicMs,
   ): IncarnationChange {
     const isOutOfOrder = announcement.sequence <= current.sequence;
-    const startsLeaving =
-      announcement.state === 'leaving' && current.state !== 'leaving';
-    const reappears =
-      !isOutOfOrder && !startsLeaving && current.state === 'gone';
+    const startsLeaving = announcement.state === 'leaving' && !current.leaving;
+    const reappears = !isOutOfOrder && !startsLeaving && current.gone;
     this.current = {
       ...current,
       startMs: announcement.startMs,
       sequence: Math.max(announcement.sequence, current.sequence),
       slots: announcement.slots,
-      state: startsLeaving ? 'leaving' : reappears ? 'ready' : current.state,
+      leaving: startsLeaving || current.leaving,
+      gone: current.gone && !startsLeaving && !reappears,
     };
     if (startsLeaving) return 'leaving';
     if (isOutOfOrder) return 'outdated';
-    if (reappears) return 'new-incarnation';
+    if (reappears) return current.leaving ? 'leaving' : 'new-incarnation';
     return this.updateColdStart(this.current, announcement.coldLeftMs, now);
   }
 
@@ -250,7 +267,8 @@
     startMs: announcement.startMs,
     sequence: announcement.sequence,
     slots: announcement.slots,
-    state: announcement.state,
+    leaving: announcement.state === 'leaving',
+    gone: false,
     coldUntilMs: now + announcement.coldLeftMs,
     serial,
     limits: new serverStatement.LimitStatements(),
--- a/src/common/serving/server_availability.ts
+++ b/src/common/serving/server_availability.ts
@@ -99,13 +99,16 @@
     serial: number,
   ): void {
     const {instanceId, limitPerSecond: was} = this.tracker;
-    const changed = this.tracker.onStatement(statement, serial);
+    const effect = this.tracker.onStatement(statement, serial);
     const {source, limit} = statement;
     if (limit.kind === 'malformed') {
       const facts = {reason: source, instanceId, text: limit.text};
       this.note('rate-limit-malformed', facts);
     }
-    if (!changed) return;
+    if (effect.startsLeaving) {
+      this.note('server-leaving', {source: `${source} answer`, instanceId});
+    }
+    if (!effect.limitChanged) return;
     const perSecond = this.tracker.limitPerSecond;
     this.note('rate-limit', {reason: source, instanceId, was, perSecond});
   }
