Gate: log a malformed rate limit once

A server that names a malformed limit in each answer wrote a line of the log for each request. The line is written when the text changes. Read in the code, not seen in a run.

--- a/src/common/serving/gate_rate_limit.test.ts
+++ b/src/common/serving/gate_rate_limit.test.ts
@@ -91,6 +91,20 @@
   assert.ok(harness.isRunning(harness.call()));
 });
 
+test('a malformed limit is logged once and keeps the one in force', () => {
+  const harness = limitedGate(2);
+  const limit = {kind: 'malformed', text: 'x'} as const;
+  const statement = {source: 'run', limit, leaving: false} as const;
+  const key = harness.call({objectiveLeftMs: 2_000});
+  runsUntil(harness, 500);
+  for (let i = 0; i < 3; i++) harness.gate.onStatement(key, statement, 500);
+  assert.equal(harness.gate.load(500).notice?.limitPerSecond, 2);
+  const logged = harness.log.decisions.filter(
+    d => d.event === 'rate-limit-malformed',
+  );
+  assert.equal(logged.length, 1);
+});
+
 test('a request of higher rank takes the next start of a lower one, which is refused', () => {
   const harness = limitedGate(2);
   harness.call({objectiveLeftMs: 900, rank: 2});
--- a/src/common/serving/server_availability.ts
+++ b/src/common/serving/server_availability.ts
@@ -26,6 +26,8 @@
 export class ServerAvailability {
   readonly tracker = new incarnations.IncarnationTracker();
   private state: AvailabilityState = 'unconfirmed';
+  /** The malformed limit that was logged last. */
+  private malformedLimit = '';
 
   constructor(private readonly options: ServerAvailabilityOptions) {}
 
@@ -102,11 +104,7 @@
     const was = this.tracker.limitPerSecond;
     const effect = this.tracker.onStatement(statement, serial);
     const {source, limit} = statement;
-    if (limit.kind === 'malformed') {
-      const {instanceId} = this.tracker;
-      const facts = {reason: source, instanceId, text: limit.text};
-      this.note('rate-limit-malformed', facts);
-    }
+    if (limit.kind === 'malformed') this.noteMalformed(limit.text, source);
     this.noteEffect(effect, `${source} answer`, was);
   }
 
@@ -140,6 +138,13 @@
     });
   }
 
+  private noteMalformed(text: string, source: string): void {
+    if (text === this.malformedLimit) return;
+    this.malformedLimit = text;
+    const {instanceId} = this.tracker;
+    this.note('rate-limit-malformed', {reason: source, instanceId, text});
+  }
+
   private noteEffect(
     {limitChanged, startsLeaving}: incarnations.StatementEffect,
     source: string,
