Soak: servers state limits and leave under overlapping faults

The soak with daemons lets servers name series of limits (below one a second, 0, malformed ones) and state in answers that they leave, beside restarts, freezes, cuts and drains of nodes, and audits by the users' rules what they get from nodes that were told.

--- a/test/fakes/serving_fleet.ts
+++ b/test/fakes/serving_fleet.ts
@@ -57,6 +57,12 @@
   readonly audit = new statementAudit.StatementAudit();
   private readonly random: randomSource.SeededRandom;
   readonly nodes: readonly servingFleetNode.FleetNode[];
+  /** Called for each attempt of a caller that is refused without a run, with its age. */
+  onRefused: (
+    route: configuration.Route,
+    retryAfterMs: units.Millis,
+    ageMs: units.Millis,
+  ) => void = () => undefined;
   private lastProcessId = 0;
 
   constructor(private readonly options: FleetOptions) {
@@ -127,9 +133,15 @@
   private send(operation: Operation, attempt: number): void {
     const {node, requestClass, sentMs} = operation;
     const leftMs = sentMs + requestClass.deadlineMs - this.clock.nowMs;
-    node.send(requestClass, leftMs, reply =>
-      this.onReply(operation, attempt, reply),
-    );
+    const startMs = this.clock.nowMs;
+    node.send(requestClass, leftMs, reply => {
+      if (reply.kind === 'give-up' && !reply.giveUp.mayHaveRun) {
+        const {retryAfterMs} = reply.giveUp;
+        const ageMs = this.clock.nowMs - startMs;
+        this.onRefused(requestClass.route, retryAfterMs, ageMs);
+      }
+      this.onReply(operation, attempt, reply);
+    });
   }
 
   private onReply(
--- a/test/soak/soak_faults.ts
+++ b/test/soak/soak_faults.ts
@@ -2,6 +2,7 @@
 import * as randomSource from '../../src/common/random_source.js';
 import * as platformFleet from '../paths/platform_fleet.js';
 import * as documents from '../stand_ins/platform/documents.js';
+import * as soakStatements from './soak_statements.js';
 
 /** Range of the duration of a fault. */
 const MIN_FAULT_MS = 300;
@@ -38,6 +39,8 @@
   /** Evacuated data centres. */
   private readonly evacuated = new Set<string>();
   private active = 0;
+  /** Changes of statements, which go on beside the faults of their nodes. */
+  private readonly changes: Array<Promise<unknown>> = [];
   private version = 1;
 
   private readonly kinds: ReadonlyArray<readonly [string, Fault]> = [
@@ -48,9 +51,12 @@
     ['reloads', node => this.reload(node)],
     ['configurations', () => this.changeConfiguration()],
     ['drain', (node, forMs) => this.drain(node, forMs)],
+    ['limits', async node => this.stateLimits(node)],
+    ['limits', async node => this.stateLimits(node)],
+    ['leaving stated', async node => this.stateLeaving(node)],
     ['evacuate', (node, forMs) => this.evacuate(node, forMs)],
-    ['reset links', async node => node.relay.reset()],
-    ['silence links', async node => node.relay.silence()],
+    ['reset links', async node => this.breakLinks(node, 'reset')],
+    ['silence links', async node => this.breakLinks(node, 'silence')],
     ['delay links', (node, forMs) => this.impairLinks(node, forMs, 'delay')],
     [
       'cut links one way',
@@ -74,6 +80,7 @@
   constructor(
     private readonly fleet: platformFleet.PlatformFleet,
     private readonly random: randomSource.RandomSource,
+    private readonly statements: soakStatements.SoakStatements,
   ) {}
 
   /** Injects faults for `lengthMs`; resolves when all have been reverted. */
@@ -90,6 +97,7 @@
     }
     await wait(startedMs + lengthMs - performance.now());
     await Promise.all(running);
+    await Promise.all(this.changes);
   }
 
   private async injectOne(): Promise<void> {
@@ -176,12 +184,14 @@
     signal: 'SIGKILL' | 'SIGTERM',
     forMs: number,
   ): Promise<void> {
+    this.statements.audit.onDisrupted(node.name, 'restart');
     node.process.signal(signal);
     const status = await node.process.exitStatus();
     if (signal === 'SIGTERM' && status !== 0) {
       this.breaches.push(`${node.name}: ended with ${status} after a stop`);
     }
     await wait(forMs);
+    this.statements.audit.onDisrupted(node.name, 'restart');
     await this.fleet.restart(node);
   }
 
@@ -189,15 +199,50 @@
     node: platformFleet.FleetNode,
     forMs: number,
   ): Promise<void> {
+    const {audit} = this.statements;
+    audit.onDisrupted(node.name, 'freeze');
     node.process.signal('SIGSTOP');
     await wait(forMs);
     node.process.signal('SIGCONT');
+    audit.onDisrupted(node.name, 'freeze');
   }
 
-  /** Drains the server, then replaces it by a new incarnation at the same address. */
+  private stateLimits({server}: platformFleet.FleetNode): void {
+    const {statements} = this;
+    this.changes.push(
+      statements.change(server, () => statements.nameLimits(server)),
+    );
+  }
+
+  private stateLeaving({server}: platformFleet.FleetNode): void {
+    const {statements} = this;
+    this.changes.push(
+      statements.change(server, () => statements.leave(server)),
+    );
+  }
+
+  private breakLinks(
+    {name, relay}: platformFleet.FleetNode,
+    how: 'reset' | 'silence',
+  ): void {
+    this.statements.audit.onDisrupted(name, 'cut');
+    relay[how]();
+  }
+
+  /** Drains the server unless its statements change. */
   private async drain(
     node: platformFleet.FleetNode,
     forMs: number,
+  ): Promise<void> {
+    await this.statements.change(node.server, () =>
+      this.drainAndReplace(node, forMs),
+    );
+  }
+
+  /** Drains the server, then replaces it by a new incarnation at the same address. */
+  private async drainAndReplace(
+    node: platformFleet.FleetNode,
+    forMs: number,
   ): Promise<void> {
     const {server, control, name} = node;
     const status = await server
@@ -248,10 +293,12 @@
       drop: {kind: 'drop', direction},
       refuse: {kind: 'refuse'},
     } as const;
+    this.statements.audit.onDisrupted(node.name, 'cut');
     relay.mode = modes[kind];
     if (kind === 'refuse') relay.reset();
     await wait(forMs);
     relay.mode = {kind: 'pass'};
+    this.statements.audit.onDisrupted(node.name, 'cut');
   }
 
   private async failStore(
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -4,6 +4,7 @@
 import * as randomSource from '../../src/common/random_source.js';
 import * as platformFleet from '../paths/platform_fleet.js';
 import * as soakFaults from './soak_faults.js';
+import * as soakStatements from './soak_statements.js';
 
 const DEFAULT_NODE_COUNT = 5;
 
@@ -40,6 +41,7 @@
   readonly startedMs: number;
   /** Keeps connections open; undefined for a new connection. */
   readonly agent: http.Agent | undefined;
+  readonly statements: soakStatements.SoakStatements;
 }
 
 /** Result of a run. */
@@ -62,17 +64,20 @@
   await using fleet = await platformFleet.PlatformFleet.start(nodeCount);
   const agent = new http.Agent({keepAlive: true});
   for (const {server} of fleet.nodes) server.mode = {kind: 'ok', workMs: 30};
-  const faults = new soakFaults.SoakFaults(
+  // Of their own, so that a seed gives the same faults whatever the requests' timing.
+  const faultRandom = new randomSource.SeededRandom(seed);
+  const startedMs = performance.now();
+  const statements = new soakStatements.SoakStatements(
     fleet,
-    // Of their own, so that a seed gives the same faults whatever the requests' timing.
-    new randomSource.SeededRandom(seed),
+    faultRandom,
+    startedMs + FAULTS_MS,
   );
+  const faults = new soakFaults.SoakFaults(fleet, faultRandom, statements);
   const sends: Array<Promise<SentRequest>> = [];
-  const startedMs = performance.now();
   const sending = setInterval(() => {
     const kept = random.next() < KEPT_CONNECTION_SHARE ? agent : undefined;
     const id = `${seed}-${sends.length}`;
-    sends.push(send(fleet, random, {id, startedMs, agent: kept}));
+    sends.push(send(fleet, random, {id, startedMs, agent: kept, statements}));
   }, REQUEST_INTERVAL_MS);
   await faults.run(FAULTS_MS);
   await new Promise(resolve => setTimeout(resolve, RECOVERY_MS));
@@ -82,6 +87,7 @@
   const breaches = [
     ...all.flatMap(sent => breachesOf(sent, fleet)),
     ...faults.breaches,
+    ...statements.audit.check(),
     ...recoveryBreaches(all),
   ];
   const served = all.filter(sent => sent.status === 200).length;
@@ -98,7 +104,7 @@
 async function send(
   fleet: platformFleet.PlatformFleet,
   random: randomSource.RandomSource,
-  {id, startedMs, agent}: SendOptions,
+  {id, startedMs, agent, statements}: SendOptions,
 ): Promise<SentRequest> {
   const node = fleet.nodes[random.nextInt(fleet.nodes.length)];
   const unsafe = random.next() < 0.3;
@@ -106,12 +112,14 @@
   const req = unsafe
     ? {id, path: '/place/1', method: 'POST', body: id}
     : {id, path: '/history/1'};
+  statements.onSent(id, node.name);
   try {
     const answer = await fleet.send(node, {
       ...req,
       agent,
       deadlineMs: DEADLINE_MS,
     });
+    statements.onAnswer(node.name, answer);
     return {id, unsafe, atMs, status: answer.status, body: answer.body};
   } catch {
     // A killed process sends no answer.
--- a/test/stand_ins/platform/server_stand_in.ts
+++ b/test/stand_ins/platform/server_stand_in.ts
@@ -54,6 +54,8 @@
   /** Ids of requests whose connection closed while they ran. */
   readonly cancelled: string[] = [];
   running = 0;
+  /** Called for each request that runs. */
+  onRun: (received: ReceivedRequest) => void = () => undefined;
   private sequence = 0;
   private address = '';
   private readonly server = http.createServer((req, res) =>
@@ -170,6 +172,7 @@
       headers,
     };
     this.runs.push(received);
+    this.onRun(received);
     this.running++;
     res.on('close', () => {
       this.running--;
