--- a/test/runs/serving_load.ts
+++ b/test/runs/serving_load.ts
@@ -1,7 +1,7 @@
 /** Fleet of two services whose lookups wait for checks, under load near what it carries. */
-import * as configuration from '../../src/common/serving/configuration.js';
 import * as fleetContext from '../fakes/fleet_context.js';
 import * as servingFleet from '../fakes/serving_fleet.js';
+import * as deskConfiguration from './desk_configuration.js';
 
 const ISSUING = 'issuing';
 const CHECKING = 'checking';
@@ -11,6 +11,8 @@
 
 const DATA_CENTRES = 4;
 
+const COLD_START_MS = 3_000;
+
 /** Size and load of the fleet. */
 export interface Load {
   readonly seed: number;
@@ -20,28 +22,12 @@
   readonly requestsPerSecond: number;
 }
 
-function route(
-  name: string,
-  service: string,
-  overrides: Partial<configuration.Route>,
-): configuration.Route {
-  return {
-    name,
-    host: 'desk.example',
-    pathPrefix: `/${name}/`,
-    repeatable: true,
-    timeoutMs: 10_000,
-    objectiveMs: 600,
-    rank: 2,
-    attempts: 2,
-    parts: [{service, weight: 1}],
-    ...overrides,
-  };
-}
-
 function requestClasses(): readonly fleetContext.RequestClass[] {
   const check: fleetContext.RequestClass = {
-    route: route('check', CHECKING, {rank: 0, objectiveMs: 150}),
+    route: deskConfiguration.route('check', CHECKING, {
+      rank: 0,
+      objectiveMs: 150,
+    }),
     workMs: 49,
     deadlineMs: 600,
     share: 0,
@@ -49,14 +35,14 @@
   return [
     check,
     {
-      route: route('lookup', ISSUING, {timeoutMs: 1_200}),
+      route: deskConfiguration.route('lookup', ISSUING, {timeoutMs: 1_200}),
       workMs: 190,
       deadlineMs: 2_500,
       share: 0.41,
       call: {requestClass: check, share: CHECKED_LOOKUPS},
     },
     {
-      route: route('issue', ISSUING, {
+      route: deskConfiguration.route('issue', ISSUING, {
         rank: 1,
         repeatable: false,
         timeoutMs: 1_500,
@@ -66,13 +52,19 @@
       share: 0.225,
     },
     {
-      route: route('status', CHECKING, {timeoutMs: 3_000, objectiveMs: 1_200}),
+      route: deskConfiguration.route('status', CHECKING, {
+        timeoutMs: 3_000,
+        objectiveMs: 1_200,
+      }),
       workMs: 486,
       deadlineMs: 6_000,
       share: 0.215,
     },
     {
-      route: route('verify', CHECKING, {rank: 1, objectiveMs: 250}),
+      route: deskConfiguration.route('verify', CHECKING, {
+        rank: 1,
+        objectiveMs: 250,
+      }),
       workMs: 77,
       deadlineMs: 1_200,
       share: 0.15,
@@ -80,16 +72,6 @@
   ];
 }
 
-function serviceRules(name: string): configuration.ServiceRules {
-  return {
-    name,
-    healthPath: '/healthz',
-    maxConnections: 1_200,
-    coldStartMs: 3_000,
-    coldPerSecond: 9,
-  };
-}
-
 /** Returns a fleet whose neighbours slow each backend server down for a third of the time. */
 export function fleet({
   seed,
@@ -105,17 +87,11 @@
       [ISSUING, serversPerDataCentre - checking],
       [CHECKING, checking],
     ]),
-    document: {
-      version: 1,
-      routes: classes.map(c => c.route),
-      services: [ISSUING, CHECKING].map(serviceRules),
-      limits: {
-        maxHeaderBytes: 16_384,
-        maxBodyBytes: 1_000_000,
-        headerTimeoutMs: 3_000,
-        idleTimeoutMs: 15_000,
-      },
-    },
+    document: deskConfiguration.document(
+      classes.map(c => c.route),
+      [ISSUING, CHECKING],
+      COLD_START_MS,
+    ),
     classes,
     requestsPerSecond,
     server: {
--- a/test/runs/stated_fleet.ts
+++ b/test/runs/stated_fleet.ts
@@ -1,11 +1,11 @@
 /** A fleet in virtual time whose backend servers name rate limits and leave, under faults. */
-import * as configuration from '../../src/common/serving/configuration.js';
 import * as serverStatement from '../../src/common/serving/server_statement.js';
 import * as randomSource from '../../src/common/random_source.js';
 import * as units from '../../src/common/units.js';
 import * as fleetContext from '../fakes/fleet_context.js';
 import * as servingFleet from '../fakes/serving_fleet.js';
 import * as servingFleetNode from '../fakes/serving_fleet_node.js';
+import * as deskConfiguration from './desk_configuration.js';
 
 const ORDERS = 'orders';
 const STOCK = 'stock';
@@ -37,28 +37,9 @@
   readonly requestsPerSecond: number;
 }
 
-function route(
-  name: string,
-  service: string,
-  overrides: Partial<configuration.Route> = {},
-): configuration.Route {
-  return {
-    name,
-    host: 'desk.example',
-    pathPrefix: `/${name}/`,
-    repeatable: true,
-    timeoutMs: 10_000,
-    objectiveMs: 600,
-    rank: 2,
-    attempts: 2,
-    parts: [{service, weight: 1}],
-    ...overrides,
-  };
-}
-
 function requestClasses(): readonly fleetContext.RequestClass[] {
   const check: fleetContext.RequestClass = {
-    route: route('check', STOCK, {rank: 0, objectiveMs: 150}),
+    route: deskConfiguration.route('check', STOCK, {rank: 0, objectiveMs: 150}),
     workMs: 50,
     deadlineMs: 600,
     share: 0,
@@ -66,20 +47,26 @@
   return [
     check,
     {
-      route: route('lookup', ORDERS, {timeoutMs: 1_200}),
+      route: deskConfiguration.route('lookup', ORDERS, {timeoutMs: 1_200}),
       workMs: 150,
       deadlineMs: 1_500,
       share: 0.6,
       call: {requestClass: check, share: CHECKED_LOOKUPS},
     },
     {
-      route: route('order', ORDERS, {rank: 1, repeatable: false}),
+      route: deskConfiguration.route('order', ORDERS, {
+        rank: 1,
+        repeatable: false,
+      }),
       workMs: 200,
       deadlineMs: 2_000,
       share: 0.2,
     },
     {
-      route: route('prices', STOCK, {rank: 1, objectiveMs: 250}),
+      route: deskConfiguration.route('prices', STOCK, {
+        rank: 1,
+        objectiveMs: 250,
+      }),
       workMs: 80,
       deadlineMs: 800,
       share: 0.2,
@@ -102,23 +89,11 @@
       [ORDERS, servers],
       [STOCK, servers],
     ]),
-    document: {
-      version: 1,
-      routes: classes.map(c => c.route),
-      services: [ORDERS, STOCK].map(name => ({
-        name,
-        healthPath: '/healthz',
-        maxConnections: 1_200,
-        coldStartMs: 0,
-        coldPerSecond: 9,
-      })),
-      limits: {
-        maxHeaderBytes: 16_384,
-        maxBodyBytes: 1_000_000,
-        headerTimeoutMs: 3_000,
-        idleTimeoutMs: 15_000,
-      },
-    },
+    document: deskConfiguration.document(
+      classes.map(c => c.route),
+      [ORDERS, STOCK],
+      0,
+    ),
     classes,
     requestsPerSecond,
     server: {
