Soak: a seed repeats its faults, drains go on beside limits

Read, not seen: servers drew their limits from the generator of the faults, at times that depend on the run, so that a seed gave other faults; and a server that named limits was not drained, which left out an overlap that the soak had checked before. Statements draw from a generator of their own, and only the end of an incarnation excludes another one; a new incarnation names the same limit.

--- a/test/soak/soak_faults.ts
+++ b/test/soak/soak_faults.ts
@@ -40,7 +40,7 @@
   private readonly evacuated = new Set<string>();
   private active = 0;
   /** Changes of statements, which go on beside the faults of their nodes. */
-  private readonly changes: Array<Promise<unknown>> = [];
+  private readonly changes: Array<Promise<void>> = [];
   private version = 1;
 
   private readonly kinds: ReadonlyArray<readonly [string, Fault]> = [
@@ -209,15 +209,13 @@
 
   private stateLimits({server}: platformFleet.FleetNode): void {
     const {statements} = this;
-    this.changes.push(
-      statements.change(server, () => statements.nameLimits(server)),
-    );
+    this.changes.push(statements.nameLimits(server));
   }
 
   private stateLeaving({server}: platformFleet.FleetNode): void {
     const {statements} = this;
     this.changes.push(
-      statements.change(server, () => statements.leave(server)),
+      statements.endIncarnation(server, () => statements.leave(server)),
     );
   }
 
@@ -229,12 +227,12 @@
     relay[how]();
   }
 
-  /** Drains the server unless its statements change. */
+  /** Drains the server unless it leaves already. */
   private async drain(
     node: platformFleet.FleetNode,
     forMs: number,
   ): Promise<void> {
-    await this.statements.change(node.server, () =>
+    await this.statements.endIncarnation(node.server, () =>
       this.drainAndReplace(node, forMs),
     );
   }
@@ -254,8 +252,7 @@
     await wait(forMs);
     const late = server.runs.length - before;
     if (late > 0) this.breaches.push(`${name}: ${late} runs after leaving`);
-    server.instanceId = `${server.instanceId}n`;
-    server.startMs = Date.now();
+    this.statements.replace(server);
   }
 
   private async evacuate(
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -27,6 +27,9 @@
 /** Deadline of a request. */
 const DEADLINE_MS = 1_500;
 
+/** Offset of the seeds of statements from those of faults. */
+const STATEMENT_SEED = 1_000_000;
+
 interface SentRequest {
   readonly id: string;
   readonly unsafe: boolean;
@@ -66,10 +69,11 @@
   for (const {server} of fleet.nodes) server.mode = {kind: 'ok', workMs: 30};
   // Of their own, so that a seed gives the same faults whatever the requests' timing.
   const faultRandom = new randomSource.SeededRandom(seed);
+  const statementRandom = new randomSource.SeededRandom(seed + STATEMENT_SEED);
   const startedMs = performance.now();
   const statements = new soakStatements.SoakStatements(
     fleet,
-    faultRandom,
+    statementRandom,
     startedMs + FAULTS_MS,
   );
   const faults = new soakFaults.SoakFaults(fleet, faultRandom, statements);
--- a/test/soak/soak_statements.ts
+++ b/test/soak/soak_statements.ts
@@ -25,8 +25,9 @@
 export class SoakStatements {
   readonly audit = new statementAudit.StatementAudit();
   private readonly origins = new Map<string, Origin>();
-  /** Servers whose statements or incarnation change at present. */
-  private readonly busy = new Set<serverStandIn.ServerStandIn>();
+  /** Servers that name limits, and servers whose incarnation ends. */
+  private readonly limited = new Set<serverStandIn.ServerStandIn>();
+  private readonly ending = new Set<serverStandIn.ServerStandIn>();
 
   constructor(
     fleet: platformFleet.PlatformFleet,
@@ -54,20 +55,29 @@
     this.audit.onPassedOn(nodeId, incarnation, statement, performance.now());
   }
 
-  /** Runs an exclusive change of a server; false if another one is in progress. */
-  async change(
+  /** Runs the end of an incarnation unless another one of the server is in progress. */
+  async endIncarnation(
     server: serverStandIn.ServerStandIn,
     action: () => Promise<void>,
-  ): Promise<boolean> {
-    if (this.busy.has(server)) return false;
-    this.busy.add(server);
+  ): Promise<void> {
+    if (this.ending.has(server)) return;
+    this.ending.add(server);
     await action();
-    this.busy.delete(server);
-    return true;
+    this.ending.delete(server);
+  }
+
+  /** Replaces a server by a new incarnation at the same address, which names the same limit. */
+  replace(server: serverStandIn.ServerStandIn): void {
+    server.statesLeaving = false;
+    server.instanceId = `${server.instanceId}n`;
+    server.startMs = Date.now();
+    if (server.limit !== undefined) this.setLimit(server, server.limit);
   }
 
   /** Names a series of limits and withdraws the last one. */
   async nameLimits(server: serverStandIn.ServerStandIn): Promise<void> {
+    if (this.limited.has(server)) return;
+    this.limited.add(server);
     const count = 1 + this.random.nextInt(MAX_LIMITS);
     for (let i = 0; i < count; i++) {
       this.setLimit(server, LIMITS[this.random.nextInt(LIMITS.length)]);
@@ -75,15 +85,14 @@
       await this.wait(MIN_LIMIT_MS + extraMs);
     }
     this.setLimit(server, undefined);
+    this.limited.delete(server);
   }
 
   /** States in all answers that the server leaves, then replaces it by a new incarnation. */
   async leave(server: serverStandIn.ServerStandIn): Promise<void> {
     server.statesLeaving = true;
     await this.wait(LEAVING_MS);
-    server.statesLeaving = false;
-    server.instanceId = `${server.instanceId}n`;
-    server.startMs = Date.now();
+    this.replace(server);
   }
 
   private wait(ms: number): Promise<void> {
