--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -60,6 +60,18 @@
   'budget_slack',
   'retry_budget_ratio',
   'cold_over',
+  'api_keys',
+  'rate_per_s',
+  'burst_size',
+  'no_auth',
+  'strict_revoke',
+  'revoke_s',
+  'quota_(window_s|overage|slack)',
+  'expose_(share|slack)',
+  'rollback_s',
+  'rollout\\/',
+  'target_version',
+  'duration_s',
 ];
 
 const PLATFORM_SYNTAX = {
--- a/src/common/serving/configuration.ts
+++ b/src/common/serving/configuration.ts
@@ -1,5 +1,7 @@
 /** The fleet configuration published by operators. */
 import * as units from '../units.js';
+import * as workspace from '../workspaces/workspace.js';
+import * as workspaceDirectory from '../workspaces/workspace_directory.js';
 
 /** A service that takes a share of a route's requests. */
 export interface RoutePart {
@@ -24,6 +26,8 @@
   readonly rank: number;
   /** Maximum number of backend servers that one request may be sent to. */
   readonly attempts: number;
+  /** Whether callers need a key if the configuration has workspaces. */
+  readonly requiresKey: boolean;
   readonly parts: readonly RoutePart[];
 }
 
@@ -57,16 +61,23 @@
   readonly routes: readonly Route[];
   readonly services: readonly ServiceRules[];
   readonly limits: CallerLimits;
+  /** Undefined if requests belong to no workspace and carry no keys. */
+  readonly workspaces?: readonly workspace.Workspace[];
 }
 
 /** A configuration with indexes for lookups by entry and gate. */
 export class ConfigurationInForce {
   private readonly routesByHost: ReadonlyMap<string, readonly Route[]>;
   private readonly servicesByName: ReadonlyMap<string, ServiceRules>;
+  private readonly workspaces:
+    workspaceDirectory.WorkspaceDirectory | undefined;
 
   constructor(readonly document: FleetConfiguration) {
     this.routesByHost = groupByHost(document.routes);
     this.servicesByName = new Map(document.services.map(s => [s.name, s]));
+    const {workspaces} = document;
+    this.workspaces =
+      workspaces && new workspaceDirectory.WorkspaceDirectory(workspaces);
   }
 
   /** Version of the configuration. */
@@ -86,6 +97,17 @@
     return routes.find(route => path.startsWith(route.pathPrefix));
   }
 
+  /** Returns whom a request on a route belongs to. */
+  identify(
+    route: Route,
+    key: workspaceDirectory.CallerKey,
+  ): workspaceDirectory.Identity {
+    if (this.workspaces === undefined || !route.requiresKey) {
+      return {kind: 'anonymous'};
+    }
+    return this.workspaces.identify(key);
+  }
+
   /** Returns the rules of a service, if it is known. */
   serviceRules(name: string): ServiceRules | undefined {
     return this.servicesByName.get(name);
--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -1,5 +1,6 @@
 /** Routes callers' requests to gates, retries them within a budget, and ends each exactly once. */
 import * as serving from '../../generated/serving.js';
+import * as randomSource from '../random_source.js';
 import * as units from '../units.js';
 import * as configuration from './configuration.js';
 import * as decision from './decision.js';
@@ -45,6 +46,7 @@
   readonly budget: retryBudget.FleetRetryBudget;
   /** Number of nodes that share the retry budget. */
   readonly nodeCount: () => number;
+  readonly random: randomSource.RandomSource;
   readonly output: entryCall.EntryOutput;
   readonly log: decision.DecisionLog;
 }
@@ -55,10 +57,12 @@
   private readonly callByAttempt = new Map<number, entryCall.EntryCall>();
   private readonly budgets = new Map<string, retryBudget.RetryBudget>();
   private readonly times = new runTimes.RunTimes();
-  private readonly split = new trafficSplit.TrafficSplit();
+  private readonly split: trafficSplit.TrafficSplit;
   private lastAttempt = 0;
 
-  constructor(private readonly options: EntryOptions) {}
+  constructor(private readonly options: EntryOptions) {
+    this.split = new trafficSplit.TrafficSplit(options.random);
+  }
 
   /** Number of requests in progress. */
   get inProgress(): number {
--- a/src/common/serving/entry_call.ts
+++ b/src/common/serving/entry_call.ts
@@ -1,6 +1,7 @@
 /** Types of callers' requests at an entry. */
 import * as serving from '../../generated/serving.js';
 import * as units from '../units.js';
+import * as workspace from '../workspaces/workspace.js';
 import * as configuration from './configuration.js';
 
 /** A caller's request, fully received. */
@@ -16,6 +17,8 @@
   readonly headers: readonly string[];
   readonly body: Buffer;
   readonly timeLeftMs: units.Millis;
+  /** Workspace of the caller, undefined if the request needs no key. */
+  readonly workspace?: workspace.Workspace;
   /** Identifies the request across retries by callers. */
   readonly fingerprint: string;
 }
--- a/src/common/serving/routing.test.ts
+++ b/src/common/serving/routing.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 
+import * as randomSource from '../random_source.js';
 import * as configuration from './configuration.js';
 import * as fixtures from './serving_fixtures.test.js';
 import * as trafficSplit from './traffic_split.js';
@@ -24,8 +25,12 @@
   assert.equal(cfg.matchRoute('y.example', '/a/b/'), undefined);
 });
 
+function newSplit(seed: number): trafficSplit.TrafficSplit {
+  return new trafficSplit.TrafficSplit(new randomSource.SeededRandom(seed));
+}
+
 test('any span of requests is split by weight', () => {
-  const split = new trafficSplit.TrafficSplit();
+  const split = newSplit(3);
   const parts = [
     {service: 'a', weight: 90},
     {service: 'b', weight: 10},
@@ -38,3 +43,33 @@
     assert.ok(b >= 3 && b <= 5, `${b} of 40`);
   }
 });
+
+// Entries in step sent nothing to a part of 10% in their first five requests each.
+test('entries that start together do not split their requests in step', () => {
+  const route = fixtures.route({
+    parts: [
+      {service: 'a', weight: 90},
+      {service: 'b', weight: 10},
+    ],
+  });
+  for (const entries of [24, 61, 88, 300]) {
+    const splits = Array.from({length: entries}, (_, i) => newSplit(i + 1));
+    let toB = 0;
+    for (let i = 0; i < 300; i++) {
+      if (splits[i % entries].next(route)?.service === 'b') toB++;
+    }
+    assert.ok(Math.abs(toB / 300 - 0.1) < 0.06, `${toB} of 300 at ${entries}`);
+  }
+});
+
+test('a change of the weights takes effect with the next requests', () => {
+  const split = newSplit(5);
+  const parts = (a: number) => [
+    {service: 'a', weight: a},
+    {service: 'b', weight: 100 - a},
+  ];
+  for (let i = 0; i < 50; i++) split.next(fixtures.route({parts: parts(90)}));
+  const route = fixtures.route({parts: parts(10)});
+  const chosen = Array.from({length: 100}, () => split.next(route)?.service);
+  assert.equal(chosen.filter(service => service === 'a').length, 10);
+});
--- a/src/common/serving/serving_fixtures.test.ts
+++ b/src/common/serving/serving_fixtures.test.ts
@@ -29,6 +29,7 @@
     objectiveMs: 600,
     rank: 2,
     attempts: 2,
+    requiresKey: false,
     parts: [{service: SERVICE, weight: 1}],
     ...overrides,
   };
@@ -104,6 +105,7 @@
     siblingNear: false,
     fingerprint: 'f1',
     notice: undefined,
+    workspace: '',
     ...overrides,
   };
 }
@@ -295,6 +297,7 @@
       }),
       budget,
       nodeCount: () => gates.length,
+      random: new randomSource.SeededRandom(7),
       log: this.log,
       output: {
         dispatch: (nodeId, d) => void this.sent.push({nodeId, dispatch: d}),
--- a/src/node/serving/caller_port.ts
+++ b/src/node/serving/caller_port.ts
@@ -5,6 +5,8 @@
 import * as configuration from '../../common/serving/configuration.js';
 import * as entryCall from '../../common/serving/entry_call.js';
 import * as units from '../../common/units.js';
+import * as workspaceDirectory from '../../common/workspaces/workspace_directory.js';
+import * as workspace from '../../common/workspaces/workspace.js';
 import * as serving from '../../generated/serving.js';
 import * as bodyReader from '../body_reader.js';
 import * as httpHeaders from '../http_headers.js';
@@ -40,6 +42,7 @@
 
 const STATUS = {
   badRequest: 400,
+  unauthorized: 401,
   notFound: 404,
   requestTimeout: 408,
   tooLarge: 413,
@@ -223,6 +226,13 @@
       listener.onRefused(requestId, 'no-route');
       return this.writeText(res, STATUS.notFound, 'no route', []);
     }
+    const identity = cfg.identify(route, fields.key);
+    if (identity.kind === 'unknown') {
+      listener.onRefused(requestId, `unknown key ${keyNameOf(fields.key)}`);
+      return this.writeText(res, STATUS.unauthorized, 'unknown key', []);
+    }
+    const caller =
+      identity.kind === 'workspace' ? identity.workspace : undefined;
     const id = ++this.lastId;
     this.exchanges.set(id, {res, requestId});
     res.once('close', () => this.onClosed(id));
@@ -232,8 +242,9 @@
       requestId,
       method,
       target,
-      headers: this.forwardedHeaders(req),
+      headers: this.forwardedHeaders(req, caller),
       body,
+      workspace: caller,
       timeLeftMs: fields.timeLeftMs ?? DEFAULT_TIME_LEFT_MS,
       fingerprint: this.options.fingerprint.of(
         this.options.service(),
@@ -245,14 +256,17 @@
     listener.onRequest(request, route);
   }
 
-  private forwardedHeaders(req: http.IncomingMessage): readonly string[] {
+  private forwardedHeaders(
+    req: http.IncomingMessage,
+    caller: workspace.Workspace | undefined,
+  ): readonly string[] {
     const {http: headerCodec, service} = this.options;
     const kept = httpHeaders.endToEndHeaders(
       req.rawHeaders,
       req.headers.connection,
       name => headerCodec.isReserved(name),
     );
-    return [...kept, ...headerCodec.originHeaders(service())];
+    return [...kept, ...headerCodec.originHeaders(service(), caller?.name)];
   }
 
   private onClosed(id: number): void {
@@ -329,6 +343,15 @@
   }
 }
 
+/** Characters of a digest that name an unknown key in logs. */
+const LOGGED_DIGEST_LENGTH = 8;
+
+function keyNameOf(key: workspaceDirectory.CallerKey): string {
+  return key.kind === 'digest'
+    ? key.digest.slice(0, LOGGED_DIGEST_LENGTH)
+    : `(${key.kind})`;
+}
+
 function headerBytes(req: http.IncomingMessage): number {
   let bytes = (req.url ?? '').length;
   for (let i = 0; i + 1 < req.rawHeaders.length; i += 2) {
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -149,6 +149,7 @@
       }),
       budget: {ratio: bounds.retryRatio, slack: bounds.retrySlack},
       nodeCount: () => directory.size,
+      random,
       log,
       output: {
         dispatch: (nodeId, dispatch) => this.dispatch(nodeId, dispatch),
--- a/src/node/serving/health_checker.test.ts
+++ b/src/node/serving/health_checker.test.ts
@@ -10,7 +10,11 @@
 
 /** Reads nothing from headers. */
 const CODEC: platformAdapter.HeaderCodec = {
-  readCaller: () => ({requestId: undefined, timeLeftMs: undefined}),
+  readCaller: () => ({
+    requestId: undefined,
+    timeLeftMs: undefined,
+    key: {kind: 'none'},
+  }),
   originHeaders: () => [],
   isReserved: () => false,
   runHeaders: () => [],
--- a/src/node/serving/platform_adapter.ts
+++ b/src/node/serving/platform_adapter.ts
@@ -7,6 +7,7 @@
 import * as serverPace from '../../common/serving/server_pace.js';
 import * as serverStatement from '../../common/serving/server_statement.js';
 import * as units from '../../common/units.js';
+import * as workspaceDirectory from '../../common/workspaces/workspace_directory.js';
 
 /** Fields of the headers of a caller's request. */
 export interface CallerFields {
@@ -14,6 +15,7 @@
   readonly requestId: string | undefined;
   /** Time that the caller will wait, undefined if not stated. */
   readonly timeLeftMs: units.Millis | undefined;
+  readonly key: workspaceDirectory.CallerKey;
 }
 
 /** Fields sent to a backend server in addition to the caller's headers. */
@@ -46,8 +48,13 @@
 /** Reads and writes the headers of callers and backend servers. */
 export interface HeaderCodec {
   readCaller(headers: http.IncomingHttpHeaders): CallerFields;
-  /** Returns headers that name the calling service, as alternating names and values. */
-  originHeaders(service: string): readonly string[];
+  /**
+   * Returns headers that name the calling service and workspace, as alternating names and values.
+   */
+  originHeaders(
+    service: string,
+    workspace: string | undefined,
+  ): readonly string[];
   /** Whether only nodes may set a header (in lower case); it is removed from callers' requests. */
   isReserved(name: string): boolean;
   /** Returns the headers of a request to a backend server, as alternating names and values. */
@@ -152,6 +159,26 @@
   decode(record: StoreRecord): operatorIntent.IntentChange;
 }
 
+/** Bounds of a quota over all nodes. */
+export interface QuotaBounds {
+  /** Length of the sliding window in which requests are counted. */
+  readonly windowMs: units.Millis;
+  /** Requests allowed beyond the quota in a window, as a share of it. */
+  readonly overage: number;
+  /** Requests allowed beyond the quota and its overage in a window. */
+  readonly slack: number;
+}
+
+/** Bounds on what an unproven version may get during a roll-out. */
+export interface RolloutBounds {
+  /** Share of the service's requests since the order. */
+  readonly exposeShare: number;
+  /** Requests beyond the share. */
+  readonly exposeSlack: number;
+  /** Time after the first bad answers until the version gets no more requests. */
+  readonly rollbackMs: units.Millis;
+}
+
 /** Bounds that the users state for the whole fleet. */
 export interface FleetBounds {
   /** Time from the stop signal until the process is killed. */
@@ -162,6 +189,10 @@
   readonly retrySlack: number;
   /** Multiple of its configured rate up to which a backend server in cold start gets requests. */
   readonly coldRateFactor: number;
+  /** Time after which a removed key admits no request on any node, infinity without a bound. */
+  readonly revokeMs: units.Millis;
+  readonly quota: QuotaBounds;
+  readonly rollout: RolloutBounds;
 }
 
 /** Everything that an adapter provides. */
--- a/test/fakes/serving_fleet_process.ts
+++ b/test/fakes/serving_fleet_process.ts
@@ -267,6 +267,7 @@
       }),
       budget: {ratio: RETRY_RATIO, slack: fleet.retrySlack},
       nodeCount: () => fleet.nodes().length,
+      random: this.random,
       log: {write: () => undefined},
       output: {
         dispatch: (nodeId, dispatch) => this.dispatch(nodeId, dispatch),
--- a/test/runs/desk_configuration.ts
+++ b/test/runs/desk_configuration.ts
@@ -16,6 +16,7 @@
     objectiveMs: 600,
     rank: 2,
     attempts: 2,
+    requiresKey: false,
     parts: [{service, weight: 1}],
     ...overrides,
   };
