--- a/test/paths/platform_fleet.ts
+++ b/test/paths/platform_fleet.ts
@@ -51,6 +51,8 @@
 export interface PlatformFleetOptions {
   /** Program of the daemon, relative to the build directory. */
   readonly program?: string;
+  /** Arguments for Node.js itself, before the program. */
+  readonly nodeArgs?: readonly string[];
   /** Settings of all nodes that override the defaults of the tests. */
   readonly settings?: object;
 }
@@ -75,6 +77,7 @@
     const address = await store.listen();
     const fleet = new PlatformFleet(store, address, {
       program: COMPILED_DAEMON,
+      nodeArgs: [],
       settings: {},
       ...options,
     });
@@ -195,10 +198,9 @@
   }
 
   private startDaemon(name: string, settings: string): child.Child {
-    return child.startProgram(name, this.options.program, [
-      '--settings',
-      settings,
-    ]);
+    const {program, nodeArgs} = this.options;
+    const args = ['--settings', settings];
+    return child.startProgram(name, program, args, nodeArgs);
   }
 
   private async announceAll(): Promise<void> {
--- a/test/stand_ins/platform/store_stand_in.ts
+++ b/test/stand_ins/platform/store_stand_in.ts
@@ -89,8 +89,13 @@
   /** Appends a JSON value under a key; undefined deletes the key. */
   put(topic: string, key: string, value: object | undefined): void {
     const text = value === undefined ? '' : JSON.stringify(value);
+    this.putBytes(topic, key, Buffer.from(text));
+  }
+
+  /** Appends a value under a key. */
+  putBytes(topic: string, key: string, value: Buffer): void {
     const name = Buffer.from(key);
-    const content = [Buffer.from([name.length]), name, Buffer.from(text)];
+    const content = [Buffer.from([name.length]), name, value];
     this.topic(topic).append(Buffer.concat(content));
   }
 
