--- a/bench/processor_time.ts
+++ b/bench/processor_time.ts
@@ -15,7 +15,7 @@
 import * as child from '../test/paths/child.js';
 import * as platformFleet from '../test/paths/platform_fleet.js';
 
-const DEFAULT_BUNDLE = '../target/geraniumloft-node.mjs';
+const DEFAULT_BUNDLE = '../target/geraniumloft-node.cjs';
 const PEERS = 60;
 const ROUNDS = 5;
 const SETTLE_MS = 3_000;
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -101,6 +101,12 @@
     ],
   },
   js.configs.recommended,
+  {
+    files: ['**/*.cjs'],
+    languageOptions: {
+      globals: {process: 'readonly', __dirname: 'readonly'},
+    },
+  },
   {
     files: ['**/*.mjs'],
     languageOptions: {
@@ -108,6 +114,9 @@
         process: 'readonly',
         console: 'readonly',
         structuredClone: 'readonly',
+        setTimeout: 'readonly',
+        Buffer: 'readonly',
+        URL: 'readonly',
       },
     },
   },
--- a/src/common/documents/validation.ts
+++ b/src/common/documents/validation.ts
@@ -31,21 +31,23 @@
 }
 
 /** Schema of the node settings. */
-export const SETTINGS = new Schema<settings.Settings>(
+export const SETTINGS = /* @__PURE__ */ new Schema<settings.Settings>(
   validators.validateSettings as Validator,
 );
 
 /** Schema of the configuration. */
-export const CONFIGURATION = new Schema<configuration.Configuration>(
-  validators.validateConfiguration as Validator,
-);
+export const CONFIGURATION =
+  /* @__PURE__ */ new Schema<configuration.Configuration>(
+    validators.validateConfiguration as Validator,
+  );
 
 /** Schema of configuration operations. */
-export const OPERATION = new Schema<unknown>(
+export const OPERATION = /* @__PURE__ */ new Schema<unknown>(
   validators.validateOperation as Validator,
 );
 
 /** Schema of the node settings on the users' platform. */
-export const NODE_SETTINGS = new Schema<nodeSettings.NodeSettings>(
-  validators.validateNodeSettings as Validator,
-);
+export const NODE_SETTINGS =
+  /* @__PURE__ */ new Schema<nodeSettings.NodeSettings>(
+    validators.validateNodeSettings as Validator,
+  );
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -100,4 +100,4 @@
 }
 
 // Open connections of callers must not delay the exit; all requests read have been answered.
-process.exit(await main());
+void main().then(status => process.exit(status));
--- a/test/paths/platform_bundle.test.ts
+++ b/test/paths/platform_bundle.test.ts
@@ -8,7 +8,7 @@
 const execFile = util.promisify(childProcess.execFile);
 
 /** Path of the bundle, relative to the build directory. */
-const BUNDLE = '../target/geraniumloft-node.mjs';
+const BUNDLE = '../target/geraniumloft-node.cjs';
 
 nodeTest.test('the bundled daemon works like the compiled one', async () => {
   await execFile(process.execPath, ['tools/bundle.mjs']);
