Keys are admitted only with a proof that the configuration is the newest

Cause: a node cut off from the store admitted removed keys without end. Change: each node holds the age of the store read that confirmed its configuration, renewed by its own reads (the first reader of each data centre waits 1.25 s at a bound of 5 s) or by questions to peers that read the store; pauses, clock jumps, starts and new eras void it. Without it, requests with keys get 503. An unknown key is a fact of its log line and no metric label any more. An unreadable operators' record advances the position.

--- a/src/common/serving/configuration.ts
+++ b/src/common/serving/configuration.ts
@@ -108,6 +108,19 @@
     return this.workspaces.identify(key);
   }
 
+  /** Whether requests belong to workspaces, except on routes that need no key. */
+  get hasWorkspaces(): boolean {
+    return this.workspaces !== undefined;
+  }
+
+  /**
+   * Whether a request can be judged only by the newest configuration: it carries a key, or its
+   * route needs one.
+   */
+  dependsOnKeys(route: Route, key: workspaceDirectory.CallerKey): boolean {
+    return this.hasWorkspaces && (route.requiresKey || key.kind !== 'none');
+  }
+
   /** Returns the rules of a service, if it is known. */
   serviceRules(name: string): ServiceRules | undefined {
     return this.servicesByName.get(name);
--- a/src/common/serving/entry_call.ts
+++ b/src/common/serving/entry_call.ts
@@ -89,6 +89,7 @@
   'server-failed',
   'timeout',
   'internal',
+  'no-freshness-proof',
 ] as const;
 
 /** Reason for which an entry gives up on a request. */
--- a/src/node/serving/caller_port.ts
+++ b/src/node/serving/caller_port.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 
+import * as decision from '../../common/serving/decision.js';
 import * as configuration from '../../common/serving/configuration.js';
 import * as entryCall from '../../common/serving/entry_call.js';
 import * as units from '../../common/units.js';
@@ -37,6 +38,9 @@
 /** Longest time for a request's body, whatever time its caller states. */
 const MAX_BODY_TIME_MS: units.Millis = 60_000;
 
+/** Time until a retry of a request that this node cannot judge or handle now. */
+const REFUSED_RETRY_AFTER_MS: units.Millis = 300;
+
 /** Length of the colon, space and line end of a header line. */
 const HEADER_LINE_OVERHEAD_BYTES = 4;
 
@@ -59,10 +63,16 @@
 export interface CallerPortListener {
   /** Returns the current configuration, undefined before the first one. */
   configuration(): configuration.ConfigurationInForce | undefined;
+  /** Whether the configuration is recent enough to judge a key that is read now. */
+  admitsKeys(): boolean;
   onRequest(request: entryCall.CallerRequest, route: configuration.Route): void;
   onCallerGone(requestId: number): void;
   /** A request was refused before it reached the entry, or its answer could not be written. */
-  onRefused(requestId: string | undefined, reason: string): void;
+  onRefused(
+    requestId: string | undefined,
+    reason: string,
+    facts?: decision.Facts,
+  ): void;
 }
 
 /** Dependencies of `CallerPort`. */
@@ -218,7 +228,7 @@
     if (cfg === undefined || this.phase === 'closed') {
       const reason = cfg === undefined ? 'unconfigured' : 'no-server';
       listener.onRefused(requestId, reason);
-      return this.refuse(res, {reason, mayHaveRun: false, retryAfterMs: 300});
+      return this.refuseNotRun(res, reason);
     }
     const target = req.url ?? '';
     const route = cfg.matchRoute(req.headers.host ?? '', target);
@@ -226,9 +236,14 @@
       listener.onRefused(requestId, 'no-route');
       return this.writeText(res, STATUS.notFound, 'no route', []);
     }
+    if (cfg.dependsOnKeys(route, fields.key) && !listener.admitsKeys()) {
+      listener.onRefused(requestId, 'no-freshness-proof');
+      return this.refuseNotRun(res, 'no-freshness-proof');
+    }
     const identity = cfg.identify(route, fields.key);
     if (identity.kind === 'unknown') {
-      listener.onRefused(requestId, `unknown key ${keyNameOf(fields.key)}`);
+      const key = keyNameOf(fields.key);
+      listener.onRefused(requestId, 'unknown-key', {key});
       return this.writeText(res, STATUS.unauthorized, 'unknown key', []);
     }
     const caller =
@@ -291,6 +306,15 @@
     this.writeText(res, STATUS.unavailable, reason, retry);
   }
 
+  /** Refuses a request that the entry has not seen. */
+  private refuseNotRun(
+    res: http.ServerResponse,
+    reason: entryCall.GiveUpReason,
+  ): void {
+    const retryAfterMs = REFUSED_RETRY_AFTER_MS;
+    this.refuse(res, {reason, mayHaveRun: false, retryAfterMs});
+  }
+
   /** Refuses a request and closes the connection, as its body may not have been read fully. */
   private refuseUnread(
     res: http.ServerResponse,
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -13,6 +13,7 @@
 import * as platformAdapter from './platform_adapter.js';
 import * as fleetDirectory from './fleet_directory.js';
 import * as fleetSync from './fleet_sync.js';
+import * as keyAdmission from './key_admission.js';
 import * as gateLinks from './gate_links.js';
 import * as telemetry from './telemetry.js';
 
@@ -36,6 +37,7 @@
   readonly fingerprint: requestFingerprint.RequestFingerprint;
   readonly log: telemetry.Telemetry;
   readonly localGate: LocalGate;
+  readonly keys: keyAdmission.KeyAdmission;
   greeting(toNodeId: string): serving.Greeting;
   onSuspect(suspect: serving.Suspect): void;
   /** Returns the longest time for which a request that is read now may have waited. */
@@ -127,6 +129,8 @@
         },
         onState: (nodeId, state) => fleetSync().onState(nodeId, state),
         onSuspect,
+        onFreshnessProof: (nodeId, proof) =>
+          this.options.keys.onAnswer(nodeId, proof),
         onRequestLost: (nodeId, call) => {
           this.entry.onLinkFailed(nodeId, call, true, clock.monotonicMs());
           afterEvent();
@@ -168,6 +172,7 @@
       fingerprint,
       listener: {
         configuration: () => intent.configuration,
+        admitsKeys: () => this.options.keys.admits(),
         onRequest: (request, route) => {
           const waitedMs = this.options.waitedMs();
           const timeLeftMs = Math.max(0, request.timeLeftMs - waitedMs);
@@ -182,13 +187,17 @@
           this.entry.onCallerGone(id, clock.monotonicMs());
           afterEvent();
         },
-        onRefused: (requestId, reason) =>
+        onRefused: (requestId, reason, facts) =>
           log.write({
             component: 'entry',
             event: 'refused-unread',
             importance: 'notable',
             requestId,
-            facts: {reason, configuration: intent.configuration?.version},
+            facts: {
+              reason,
+              configuration: intent.configuration?.version,
+              ...facts,
+            },
           }),
       },
     });
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -29,6 +29,8 @@
   greeting(toNodeId: string): serving.Greeting;
   pulse(): serving.Pulse;
   state(): serving.FleetState;
+  /** Returns the answer to a question for this node's freshness proof. */
+  freshness(question: number): serving.FreshnessProof;
   /** Returns the number of nodes in the fleet. */
   nodeCount(): number;
   nowMs(): units.MonotonicMs;
@@ -176,11 +178,17 @@
           body: {$case: 'state', value: this.options.state()},
         });
         return;
+      case 'freshnessRequest': {
+        const value = this.options.freshness(body.value.question);
+        session.socket.send({body: {$case: 'freshnessProof', value}});
+        return;
+      }
       case 'answer':
       case 'refusal':
       case 'pulse':
       case 'state':
       case 'suspect':
+      case 'freshnessProof':
       case undefined:
         return;
     }
--- a/src/node/serving/fleet_sync.test.ts
+++ b/src/node/serving/fleet_sync.test.ts
@@ -7,6 +7,7 @@
 import * as serving from '../../generated/serving.js';
 import * as fleetDirectory from './fleet_directory.js';
 import * as fleetSync from './fleet_sync.js';
+import * as platformAdapter from './platform_adapter.js';
 
 const {test} = nodeTest;
 
@@ -15,7 +16,13 @@
   return {nodeId, dataCentre, service: 's', ip: '10.0.0.1', port};
 }
 
-function setUp(isReader: boolean) {
+function setUp(
+  isReader: boolean,
+  decode: platformAdapter.IntentDecoder['decode'] = ({position}) => ({
+    kind: 'other',
+    position,
+  }),
+) {
   const directory = new fleetDirectory.FleetDirectory(record('own', 'north'));
   directory.put(record('near', 'north'));
   directory.put(record('far', 'south'));
@@ -32,7 +39,7 @@
     intent,
     suspects: new crashSuspects.CrashSuspects(),
     directory,
-    decoder: {decode: ({position}) => ({kind: 'other', position})},
+    decoder: {decode},
     log: new fixtures.RecordedLog(),
     onIntentChanged: () => undefined,
     isReader: () => isReader,
@@ -134,3 +141,14 @@
   to.at(operatorIntent.LOST_RECORD_HOLD_MS + 1);
   assert.equal(to.intent.dataCentresOut.size, 0);
 });
+
+// Otherwise the node would count as outdated until the next readable record, and admit no key.
+test('the position advances past an unreadable record, and nothing else changes', () => {
+  const {sync, intent} = setUp(false, () => {
+    throw new Error('unreadable');
+  });
+  const position = {era: 1, offset: 4};
+  sync.onOperatorsRecord({position, key: 'config', value: Buffer.from('{')});
+  assert.deepEqual(intent.position, position);
+  assert.equal(intent.configuration?.version, 1);
+});
--- a/src/node/serving/fleet_sync.ts
+++ b/src/node/serving/fleet_sync.ts
@@ -71,8 +71,9 @@
 
   /** Applies a record of the operators' topic. */
   onOperatorsRecord(record: platformAdapter.StoreRecord): void {
-    const [change] = this.decode(record);
-    if (change === undefined) return;
+    // Past an unreadable record the position must advance too, as the store's end does.
+    const {position} = record;
+    const [change = {kind: 'other', position} as const] = this.decode(record);
     const {intent, nowMs} = this.options;
     this.onIntentApplied(intent.applyChange(change, nowMs()), 'store');
   }
--- a/src/node/serving/gate_link.test.ts
+++ b/src/node/serving/gate_link.test.ts
@@ -40,6 +40,12 @@
       readsStore: true,
     }),
     state: () => serving.FleetState.fromPartial({intentOffset: 1}),
+    freshness: question => ({
+      question,
+      ageMs: 7,
+      intentEra: 1,
+      intentOffset: 2,
+    }),
     nodeCount: () => 2,
     listener: {
       onGreeting: () => undefined,
@@ -71,6 +77,7 @@
   readonly lost: readonly number[];
   readonly mismatches: readonly string[];
   readonly unreachable: readonly string[];
+  readonly proofs: readonly serving.FreshnessProof[];
 }
 
 async function connect(expected = 'gate'): Promise<Fixture> {
@@ -82,6 +89,7 @@
   const answers: number[] = [];
   const lost: number[] = [];
   const mismatches: string[] = [];
+  const proofs: serving.FreshnessProof[] = [];
   const unreachable: string[] = [];
   const link = new gateLink.GateLink(record(expected, Number(relayPort)), {
     nowMs: clock.monotonicMs,
@@ -100,6 +108,7 @@
       onPulse: () => undefined,
       onState: () => undefined,
       onSuspect: () => undefined,
+      onFreshnessProof: (unusedId, proof) => void proofs.push(proof),
       onRequestLost: (unusedId, call) => void lost.push(call),
       onMismatch: nodeId => void mismatches.push(nodeId),
     },
@@ -113,6 +122,7 @@
     lost,
     mismatches,
     unreachable,
+    proofs,
     async [Symbol.asyncDispose]() {
       clearInterval(ticks);
       link[Symbol.dispose]();
@@ -206,3 +216,13 @@
   fixture.gate.answer(1);
   await waitFor(() => fixture.answers.length === 1, 'the answer');
 });
+
+test('a question for the freshness proof is answered under its number', async () => {
+  await using fixture = await connect();
+  const {link, proofs} = fixture;
+  await waitFor(() => link.isUp, 'the link to open');
+  link.requestFreshness(3);
+  await waitFor(() => proofs.length > 0, 'the proof to arrive');
+  const proof = {question: 3, ageMs: 7, intentEra: 1, intentOffset: 2};
+  assert.deepEqual(proofs, [proof]);
+});
--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -40,6 +40,7 @@
   onPulse(nodeId: string, pulse: serving.Pulse): void;
   onState(nodeId: string, state: serving.FleetState): void;
   onSuspect(suspect: serving.Suspect): void;
+  onFreshnessProof(nodeId: string, proof: serving.FreshnessProof): void;
   /** This link can no longer report the outcome of a request. */
   onRequestLost(nodeId: string, call: number): void;
   /** Another node listens at the address. */
@@ -121,6 +122,12 @@
     this.send({$case: 'stateWanted', value: {}});
   }
 
+  /** Requests the node's freshness proof; a node that stays silent is pinged soon. */
+  requestFreshness(question: number): void {
+    this.unansweredSinceMs ??= this.options.nowMs();
+    this.send({$case: 'freshnessRequest', value: {question}});
+  }
+
   /** Ends the backoff and opens the link now, after the node has connected here. */
   reconnectNow(): void {
     this.backoffMs = FIRST_BACKOFF_MS;
@@ -203,10 +210,13 @@
         return listener.onState(nodeId, body.value);
       case 'suspect':
         return listener.onSuspect(body.value);
+      case 'freshnessProof':
+        return listener.onFreshnessProof(nodeId, body.value);
       case 'dispatch':
       case 'withdraw':
       case 'ping':
       case 'stateWanted':
+      case 'freshnessRequest':
       case undefined:
         return;
     }
--- a/src/node/serving/gate_links.ts
+++ b/src/node/serving/gate_links.ts
@@ -18,6 +18,7 @@
     | 'onPulse'
     | 'onState'
     | 'onSuspect'
+    | 'onFreshnessProof'
     | 'onRequestLost'
   >;
   readonly log: decision.DecisionLog;
@@ -70,6 +71,11 @@
     this.links.get(nodeId)?.requestState();
   }
 
+  /** Requests the freshness proof of a node. */
+  requestFreshness(nodeId: string, question: number): void {
+    this.links.get(nodeId)?.requestFreshness(question);
+  }
+
   /** Runs the timers of all links. */
   tick(now: units.MonotonicMs): void {
     for (const link of [...this.links.values()]) link.tick(now);
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -47,6 +47,8 @@
   greeting(toNodeId: string): serving.Greeting;
   /** Whether this node reads the operators' records successfully. */
   readsStore(): boolean;
+  /** Returns the answer to a peer's question for this node's freshness proof. */
+  freshness(question: number): serving.FreshnessProof;
   /** Another node has connected and sent its greeting. */
   onPeerGreeting(nodeId: string): void;
   /** Returns the longest time for which a request that is read now may have waited. */
@@ -218,6 +220,7 @@
         readsStore: this.options.readsStore(),
       }),
       state: () => fleetSync().state(),
+      freshness: question => this.options.freshness(question),
       nodeCount: () => directory.size,
       listener: {
         onGreeting: sender => {
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -15,6 +15,7 @@
 import * as fleetDirectory from './fleet_directory.js';
 import * as fleetRegistry from './fleet_registry.js';
 import * as fleetSync from './fleet_sync.js';
+import * as keyAdmission from './key_admission.js';
 import * as gateRuntime from './gate_runtime.js';
 import * as nodeStop from './node_stop.js';
 import * as pauseMeter from './pause_meter.js';
@@ -44,6 +45,7 @@
   private readonly random: randomSource.SeededRandom;
   private readonly directory: fleetDirectory.FleetDirectory;
   private readonly fleetSync: fleetSync.FleetSync;
+  private readonly keys: keyAdmission.KeyAdmission;
   private readonly storeReaders: storeReaders.StoreReaders;
   private readonly registry: fleetRegistry.FleetRegistry;
   private readonly gateRuntime: gateRuntime.GateRuntime;
@@ -72,6 +74,7 @@
     this.random = new randomSource.SeededRandom(options.processStartedMs | 0);
     this.directory = use(new fleetDirectory.FleetDirectory(recordOf(settings)));
     this.fleetSync = this.makeFleetSync();
+    this.keys = this.makeKeyAdmission();
     this.storeReaders = use(this.makeStoreReaders());
     this.registry = use(this.makeRegistry());
     this.gateRuntime = use(this.makeGateRuntime());
@@ -164,6 +167,21 @@
     await server.listen(address.parseAddress(listenAddress));
   }
 
+  private makeKeyAdmission(): keyAdmission.KeyAdmission {
+    const {platform, telemetry: log} = this.options;
+    return new keyAdmission.KeyAdmission({
+      boundMs: platform.bounds.revokeMs,
+      intent: this.intent,
+      directory: this.directory,
+      log,
+      now: clock.consistentNow,
+      readsOften: () => this.storeReaders.readsOften,
+      readsStore: nodeId => this.entryRuntime.readsStore(nodeId),
+      requestFreshness: (nodeId, question) =>
+        this.entryRuntime.links.requestFreshness(nodeId, question),
+    });
+  }
+
   private makeStoreReaders(): storeReaders.StoreReaders {
     const {platform, telemetry: log} = this.options;
     const {fleetSync, directory, random} = this;
@@ -173,6 +191,7 @@
       directory,
       random,
       log,
+      proofs: this.keys,
       readsStore: nodeId => this.entryRuntime.readsStore(nodeId),
       knownPosition: () => this.intent.position,
       onReadsStoreChanged: () => this.gateRuntime.pulseAll(),
@@ -212,6 +231,7 @@
       coldRateFactor: this.options.platform.bounds.coldRateFactor,
       startedEpochMs: this.options.processStartedMs,
       readsStore: () => this.storeReaders.readsStore,
+      freshness: question => this.keys.answer(question),
       onPeerGreeting: nodeId => this.entryRuntime.links.reconnectNow(nodeId),
       localEntry: {
         onAnswer: answer => this.entryRuntime.onLocalAnswer(answer),
@@ -227,6 +247,7 @@
       ...this.sharedOptions(),
       bounds: this.options.platform.bounds,
       fingerprint,
+      keys: this.keys,
       onSuspect: suspect => this.onSuspect(suspect),
       localGate: {
         dispatch: dispatch => this.gateRuntime.dispatchLocal(dispatch),
@@ -278,6 +299,7 @@
 
   private async metrics(): Promise<simpleHttpServer.SimpleResponse> {
     const {telemetry: metrics} = this.options;
+    metrics.setProofAge(this.keys.ageMs());
     const text = await metrics.text();
     return {status: OK, contentType: metrics.contentType, text};
   }
@@ -298,6 +320,8 @@
     this.entryRuntime.tick(now);
     this.gateRuntime.tick(now);
     this.fleetSync.tick();
+    this.keys.tick();
+    this.storeReaders.tick();
     this.scheduleTick(now + MAX_TICK_INTERVAL_MS);
     this.afterEvent();
   }
--- a/src/node/serving/store_readers.ts
+++ b/src/node/serving/store_readers.ts
@@ -18,6 +18,26 @@
 /** Readers per data centre: two, as the store may stop serving one without an error. */
 const READERS_PER_DATA_CENTRE = 2;
 
+/**
+ * Share of the revocation bound that a read of the first reader waits if keys must be admitted. A
+ * proof counts from the sending of its read, so the proof of this reader is then at most twice as
+ * old. With four data centres and a bound of 5 s, these are 3.2 calls a second.
+ */
+const PROOF_WAIT_SHARE = 0.25;
+
+/** Share of the bound from which on a read of a reader does not wait at all. */
+const STALE_SHARE = 0.6;
+
+/** Freshness proofs as the reads of the store need and renew them. */
+export interface ProofReader {
+  /** Time for which a proof is valid, infinity if none is needed now. */
+  boundMs(): units.Millis;
+  /** Age of the proof, infinity without one. */
+  ageMs(): units.Millis;
+  now(): units.Instant;
+  onConfirmed(sent: units.Instant, position: logPosition.LogPosition): void;
+}
+
 /** Dependencies of `StoreReaders`. */
 export interface StoreReadersOptions {
   readonly store: platformAdapter.SharedStore;
@@ -29,6 +49,8 @@
   readsStore(nodeId: string): boolean;
   /** Returns the position of the newest operators' record known. */
   knownPosition(): logPosition.LogPosition;
+  /** Freshness proofs, which the reads of this node renew. */
+  readonly proofs: ProofReader;
   /** Called when the store starts or stops answering this node. */
   onReadsStoreChanged(): void;
 }
@@ -48,13 +70,16 @@
       store,
       log,
       random: () => random.next(),
-      waitMs: () => (this.earlierReaders === 0 ? FIRST_WAIT_MS : LATER_WAIT_MS),
+      now: () => options.proofs.now(),
+      waitMs: () => this.waitMs(),
       isNeeded: () => this.isReader,
       knownPosition: () => options.knownPosition(),
       onReachabilityChanged: () => options.onReadsStoreChanged(),
       listener: {
         onNewest: newest => fleetSync.onOperatorsSnapshot(newest),
         onRecord: record => fleetSync.onOperatorsRecord(record),
+        onConfirmed: (sent, position) =>
+          options.proofs.onConfirmed(sent, position),
       },
     });
   }
@@ -74,6 +99,16 @@
     return this.isReader && this.follower.isReachable;
   }
 
+  /** Ends a wait that has become too long, as when this node has become the first reader. */
+  tick(): void {
+    if (this.options.proofs.boundMs() !== Infinity) this.follower.shortenWait();
+  }
+
+  /** Whether this node's reads alone keep its freshness proof young. */
+  get readsOften(): boolean {
+    return this.follower.isReachable && this.earlierReaders === 0;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.follower[Symbol.asyncDispose]();
   }
@@ -89,4 +124,14 @@
         readsStore(other.nodeId),
     ).length;
   }
+
+  private waitMs(): units.Millis {
+    const isFirst = this.earlierReaders === 0;
+    const waitMs = isFirst ? FIRST_WAIT_MS : LATER_WAIT_MS;
+    const {proofs} = this.options;
+    const boundMs = proofs.boundMs();
+    if (boundMs === Infinity) return waitMs;
+    if (proofs.ageMs() > STALE_SHARE * boundMs) return 0;
+    return isFirst ? Math.min(waitMs, PROOF_WAIT_SHARE * boundMs) : waitMs;
+  }
 }
--- a/src/node/serving/telemetry.ts
+++ b/src/node/serving/telemetry.ts
@@ -39,6 +39,12 @@
     registers: [this.registry],
   });
 
+  private readonly proofAge = new promClient.Gauge({
+    name: 'geraniumloft_freshness_proof_age_seconds',
+    help: 'Age of the proof that the configuration is the newest; infinity without one.',
+    registers: [this.registry],
+  });
+
   constructor(private readonly log: decision.DecisionLog) {}
 
   write(d: decision.Decision): void {
@@ -49,6 +55,11 @@
     this.log.write(d);
   }
 
+  /** Sets the age of the freshness proof, infinity without one. */
+  setProofAge(ageMs: units.Millis): void {
+    this.proofAge.set(ageMs / units.MS_PER_SECOND);
+  }
+
   /** Returns all metrics in the text format of Prometheus. */
   text(): Promise<string> {
     return this.registry.metrics();
--- a/src/node/serving/topic_follower.test.ts
+++ b/src/node/serving/topic_follower.test.ts
@@ -77,6 +77,7 @@
 
 function followerOf(store: ReturningStore) {
   const seen: string[] = [];
+  const confirmed: logPosition.LogPosition[] = [];
   let known = logPosition.BEFORE_ALL;
   const note = ({key, position}: platformAdapter.StoreRecord): void => {
     seen.push(`${key}@${position.era}/${position.offset}`);
@@ -89,17 +90,19 @@
     listener: {
       onNewest: ({records}) => records.forEach(note),
       onRecord: note,
+      onConfirmed: (sent, position) => void confirmed.push(position),
     },
     waitMs: () => 1_000,
     isNeeded: () => true,
     knownPosition: () => known,
     onReachabilityChanged: () => undefined,
     random: () => 0,
+    now: () => ({monotonicMs: performance.now(), epochMs: Date.now()}),
   });
   const learn = (position: logPosition.LogPosition): void => {
     known = position;
   };
-  return {follower, seen, learn};
+  return {follower, seen, confirmed, learn};
 }
 
 test('offsets that a returned store gives out again are read as new records', async () => {
@@ -162,3 +165,22 @@
   await timers.setTimeout(OBSERVED_MS);
   assert.ok(store.calls <= MAX_CALLS, `${store.calls} calls`);
 });
+
+test('only reads that reach the end confirm a position, in their era', async () => {
+  const store = new ReturningStore();
+  store.keys = ['a', 'b'];
+  const {follower, confirmed} = followerOf(store);
+  await using running = follower;
+  running.start();
+  await timers.setTimeout(SETTLE_MS);
+  store.setContents(1, ['a', 'b', 'c']);
+  await timers.setTimeout(SETTLE_MS);
+  // The answer to the waiting read is of another era; only the following read confirms.
+  store.setContents(2, ['a']);
+  await timers.setTimeout(SETTLE_MS);
+  assert.deepEqual(confirmed, [
+    {era: 1, offset: 1},
+    {era: 1, offset: 2},
+    {era: 2, offset: 0},
+  ]);
+});
--- a/src/node/serving/topic_follower.ts
+++ b/src/node/serving/topic_follower.ts
@@ -21,11 +21,16 @@
 /** Pause after a read that ended before the known offset: the store returned an older state. */
 const STALE_READ_PAUSE_MS: units.Millis = 300;
 
+/** Time for the answer of a read after its wait, as the client allows it. */
+const LATE_ANSWER_MS: units.Millis = 1_500;
+
 /** Receives the records of a topic. */
 export interface TopicListener {
   /** The newest record of each key, as of `endOffset`. */
   onNewest(newest: platformAdapter.NewestRecords): void;
   onRecord(record: platformAdapter.StoreRecord): void;
+  /** A read sent at `sent` has found no record after `position`; all earlier ones were reported. */
+  onConfirmed(sent: units.Instant, position: logPosition.LogPosition): void;
 }
 
 /** Settings and dependencies of `TopicFollower`. */
@@ -43,6 +48,7 @@
   /** `isReachable` has changed. */
   onReachabilityChanged(): void;
   random(): number;
+  now(): units.Instant;
 }
 
 /** Reads one topic until it is disposed. */
@@ -53,6 +59,9 @@
   /** Reads in a row that did not find their position. */
   private restarts = 0;
   private reachable = false;
+  /** The read that waits for a record, if any. */
+  private waiting:
+    {readonly sent: units.Instant; readonly stop: AbortController} | undefined;
 
   constructor(private readonly options: TopicFollowerOptions) {
     this.loop = new storeLoop.StoreLoop({
@@ -75,6 +84,15 @@
     this.loop.start();
   }
 
+  /** Ends a read that has waited longer than reads may wait now; it is sent again at once. */
+  shortenWait(): void {
+    // A read after a failure is left alone, as only its answer shows that the store is back.
+    if (this.waiting === undefined || !this.reachable) return;
+    const {now, waitMs} = this.options;
+    const waitedMs = now().monotonicMs - this.waiting.sent.monotonicMs;
+    if (waitedMs > waitMs() + LATE_ANSWER_MS) this.waiting.stop.abort();
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.loop[Symbol.asyncDispose]();
   }
@@ -91,20 +109,22 @@
 
   private async readNewest(): Promise<void> {
     const {store, topic, listener, knownPosition} = this.options;
+    const sent = this.options.now();
     const newest = await store.newest(topic);
     if (this.loop.signal.aborted) return;
     listener.onNewest(newest);
     const {era, endOffset} = newest;
     this.next = {era, offset: endOffset};
+    listener.onConfirmed(sent, {era, offset: endOffset - 1});
     // An answer of an earlier era was late, or the store has several states.
     if (era < knownPosition().era) await this.loop.pause(STALE_READ_PAUSE_MS);
   }
 
   private async readFrom(from: logPosition.LogPosition): Promise<void> {
-    const {store, topic, listener, waitMs} = this.options;
-    const {signal} = this.loop;
-    const result = await store.follow(topic, from.offset, waitMs(), signal);
-    if (this.loop.signal.aborted) return;
+    const {listener} = this.options;
+    const sent = this.options.now();
+    const result = await this.waitFor(from.offset, sent);
+    if (result === undefined || this.loop.signal.aborted) return;
     // In another era the offset stands for another record.
     if (result.kind === 'expired' || result.era !== from.era) {
       return this.restart();
@@ -114,8 +134,31 @@
       return this.loop.pause(STALE_READ_PAUSE_MS);
     }
     for (const record of result.records) listener.onRecord(record);
-    this.next = {era: from.era, offset: result.nextOffset};
+    const {era, nextOffset, endOffset} = result;
+    this.next = {era, offset: nextOffset};
     this.restarts = 0;
+    // A long history comes in several answers, and only the last one reaches the end.
+    if (nextOffset < endOffset) return;
+    listener.onConfirmed(sent, {era, offset: endOffset - 1});
+  }
+
+  /** Reads from an offset; undefined if the read was ended to be sent again. */
+  private async waitFor(
+    offset: number,
+    sent: units.Instant,
+  ): Promise<platformAdapter.FollowResult | undefined> {
+    const {store, topic, waitMs} = this.options;
+    const stop = new AbortController();
+    this.waiting = {sent, stop};
+    const signal = AbortSignal.any([this.loop.signal, stop.signal]);
+    try {
+      return await store.follow(topic, offset, waitMs(), signal);
+    } catch (err) {
+      if (stop.signal.aborted) return undefined;
+      throw err;
+    } finally {
+      this.waiting = undefined;
+    }
   }
 
   /** Reads the newest records next, after a pause that grows with each restart in a row. */
--- a/test/paths/platform_fleet.ts
+++ b/test/paths/platform_fleet.ts
@@ -27,6 +27,8 @@
   readonly settings: string;
   /** Relays the links of other nodes to this one. */
   readonly relay: faultRelay.FaultRelay;
+  /** Relays the calls of this node to the store. */
+  readonly storeRelay: faultRelay.FaultRelay;
 }
 
 /** An HTTP answer with its body as text. */
@@ -53,6 +55,8 @@
   readonly program?: string;
   /** Settings of all nodes that override the defaults of the tests. */
   readonly settings?: object;
+  /** Top-level fields of the first configuration that override the defaults of the tests. */
+  readonly configuration?: object;
 }
 
 /** Owns daemons, backend servers and the store; disposing it ends them. */
@@ -76,9 +80,11 @@
     const fleet = new PlatformFleet(store, address, {
       program: COMPILED_DAEMON,
       settings: {},
+      configuration: {},
       ...options,
     });
-    store.put('keyed.op', 'config', documents.configuration(1));
+    const document = documents.configuration(1, fleet.options.configuration);
+    store.put('keyed.op', 'config', document);
     for (let i = 0; i < size; i++) await fleet.addNode();
     fleet.announceTimer = setInterval(() => void fleet.announceAll(), 500);
     await fleet.announceAll();
@@ -103,6 +109,8 @@
     );
     const relay = new faultRelay.FaultRelay(ports[1]);
     const advertised = await relay.listen();
+    const [, storePort] = this.storeAddress.split(':');
+    const storeRelay = new faultRelay.FaultRelay(Number(storePort));
     const settings = child.temporaryFile(
       `node${i}.jsonc`,
       JSON.stringify({
@@ -117,7 +125,7 @@
           announcements: control,
           readiness,
         },
-        store: this.storeAddress,
+        store: await storeRelay.listen(),
         bounds: {grace_s: 4},
         routineLogShare: 1,
         ...this.options.settings,
@@ -134,6 +142,7 @@
       readiness,
       settings,
       relay,
+      storeRelay,
     };
     this.nodes.push(node);
     return node;
@@ -182,6 +191,7 @@
       await node.process[Symbol.asyncDispose]();
       await node.server[Symbol.asyncDispose]();
       await node.relay[Symbol.asyncDispose]();
+      await node.storeRelay[Symbol.asyncDispose]();
     }
     await this.store[Symbol.asyncDispose]();
   }
