Quotas of workspaces over all nodes

The owner of a workspace, chosen by rendezvous hashing, grants tokens; entries lease them before they dispatch a request, and refuse requests over the quota with 429 and a delay.

--- a/src/common/serving/entry_call.ts
+++ b/src/common/serving/entry_call.ts
@@ -89,6 +89,7 @@
   'server-failed',
   'timeout',
   'internal',
+  'over-quota',
 ] as const;
 
 /** Reason for which an entry gives up on a request. */
--- a/src/common/serving/retry_after.ts
+++ b/src/common/serving/retry_after.ts
@@ -26,6 +26,7 @@
     case 'server-failed':
     case 'timeout':
     case 'internal':
+    case 'over-quota':
       return NO_SERVER_RETRY_MS;
     default:
       return invariants.assertNever(reason);
--- a/src/node/serving/caller_port.ts
+++ b/src/node/serving/caller_port.ts
@@ -46,6 +46,7 @@
   notFound: 404,
   requestTimeout: 408,
   tooLarge: 413,
+  tooManyRequests: 429,
   headersTooLarge: 431,
   badGateway: 502,
   unavailable: 503,
@@ -288,7 +289,9 @@
     }
     const seconds = (retryAfterMs / units.MS_PER_SECOND).toFixed(2);
     const retry = ['Retry-After', seconds];
-    this.writeText(res, STATUS.unavailable, reason, retry);
+    const status =
+      reason === 'over-quota' ? STATUS.tooManyRequests : STATUS.unavailable;
+    this.writeText(res, status, reason, retry);
   }
 
   /** Refuses a request and closes the connection, as its body may not have been read fully. */
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -1,4 +1,6 @@
 /** Connects the entry to callers and to the gates of all nodes. */
+import * as configuration from '../../common/serving/configuration.js';
+import * as entryCall from '../../common/serving/entry_call.js';
 import * as entryCore from '../../common/serving/entry.js';
 import * as gateReports from '../../common/serving/gate_reports.js';
 import * as operatorIntent from '../../common/serving/operator_intent.js';
@@ -14,6 +16,7 @@
 import * as fleetDirectory from './fleet_directory.js';
 import * as fleetSync from './fleet_sync.js';
 import * as gateLinks from './gate_links.js';
+import * as quotaRuntime from './quota_runtime.js';
 import * as telemetry from './telemetry.js';
 
 /** The gate of the same node, called without a connection. */
@@ -44,17 +47,27 @@
   afterEvent(): void;
 }
 
+interface WaitingRequest {
+  readonly request: entryCall.CallerRequest;
+  readonly route: configuration.Route;
+  readonly sinceMs: units.MonotonicMs;
+}
+
 /** Runs the entry with a port for callers and links to other nodes' gates. */
 export class EntryRuntime implements AsyncDisposable {
   readonly callers: callerPort.CallerPort;
   readonly links: gateLinks.GateLinks;
+  readonly quotas: quotaRuntime.QuotaRuntime;
   private readonly entry: entryCore.Entry;
   /** Ids of nodes whose latest pulse reports that they read the operators' records successfully. */
   private readonly storeReaders = new Set<string>();
   private readonly reports = new gateReports.GateReports();
+  /** Requests that wait for a token, with the time at which they came. */
+  private readonly waiting = new Map<number, WaitingRequest>();
   private readonly resources = new resourceStack.ResourceStack();
 
   constructor(private readonly options: EntryRuntimeOptions) {
+    this.quotas = this.resources.use(this.makeQuotas());
     this.links = this.resources.use(this.makeLinks());
     this.entry = this.makeEntry();
     this.callers = this.resources.use(this.makeCallerPort());
@@ -67,11 +80,12 @@
 
   /** Time at which `tick` must be called next. */
   nextWakeMs(): units.MonotonicMs {
-    return this.entry.nextWakeMs();
+    return Math.min(this.entry.nextWakeMs(), this.quotas.nextWakeMs());
   }
 
   /** Runs the timers of the entry and of the links. */
   tick(now: units.MonotonicMs): void {
+    this.quotas.tick(now);
     this.entry.tick(now);
     this.links.tick(now);
   }
@@ -103,11 +117,14 @@
       greeting,
       nowMs: clock.monotonicMs,
       listener: {
+        onUp: () => undefined,
         onDown: nodeId => {
+          this.quotas.onLost(nodeId);
           this.reports.forget(nodeId);
           this.storeReaders.delete(nodeId);
         },
         onMaybeUnreachable: nodeId => {
+          this.quotas.onLost(nodeId);
           this.entry.onMaybeUnreachable(nodeId, clock.monotonicMs());
           afterEvent();
         },
@@ -123,10 +140,15 @@
           this.reports.onLoad(nodeId, pulse.load, clock.monotonicMs());
           if (pulse.readsStore) this.storeReaders.add(nodeId);
           else this.storeReaders.delete(nodeId);
+          this.quotas.onPulse(nodeId, pulse);
           fleetSync().onPeerIntent(nodeId, pulse);
         },
         onState: (nodeId, state) => fleetSync().onState(nodeId, state),
         onSuspect,
+        onTokenGrant: (nodeId, grant) => {
+          this.quotas.onTokenGrant(nodeId, grant);
+          afterEvent();
+        },
         onRequestLost: (nodeId, call) => {
           this.entry.onLinkFailed(nodeId, call, true, clock.monotonicMs());
           afterEvent();
@@ -154,8 +176,14 @@
       output: {
         dispatch: (nodeId, dispatch) => this.dispatch(nodeId, dispatch),
         withdraw: (nodeId, call) => this.withdraw(nodeId, call),
-        respond: (id, answer) => this.callers.respond(id, answer),
-        giveUp: (id, giveUp) => this.callers.giveUp(id, giveUp),
+        respond: (id, answer) => {
+          this.quotas.onEnded(id, true);
+          this.callers.respond(id, answer);
+        },
+        giveUp: (id, giveUp) => {
+          this.quotas.onEnded(id, giveUp.mayHaveRun);
+          this.callers.giveUp(id, giveUp);
+        },
       },
     });
   }
@@ -171,14 +199,12 @@
         onRequest: (request, route) => {
           const waitedMs = this.options.waitedMs();
           const timeLeftMs = Math.max(0, request.timeLeftMs - waitedMs);
-          const now = clock.monotonicMs();
-          // The local gate's load is read on each request; other gates report theirs in pulses.
-          const load = this.options.localGate.load();
-          this.reports.onLoad(this.localNodeId, load, now);
-          this.entry.onRequest({...request, timeLeftMs}, route, now);
+          this.onRequest({...request, timeLeftMs}, route);
           afterEvent();
         },
         onCallerGone: id => {
+          this.waiting.delete(id);
+          this.quotas.onCallerGone(id);
           this.entry.onCallerGone(id, clock.monotonicMs());
           afterEvent();
         },
@@ -194,6 +220,64 @@
     });
   }
 
+  private makeQuotas(): quotaRuntime.QuotaRuntime {
+    return new quotaRuntime.QuotaRuntime({
+      ...this.options,
+      bounds: this.options.bounds.quota,
+      links: () => this.links,
+      admit: id => this.endWait(id, (req, route) => this.admit(req, route)),
+      refuse: (id, retryAfterMs) =>
+        this.endWait(id, () => this.refuse(id, retryAfterMs)),
+    });
+  }
+
+  /** Checks the quota before the entry handles a request. */
+  private onRequest(
+    request: entryCall.CallerRequest,
+    route: configuration.Route,
+  ): void {
+    const verdict = this.quotas.onRequest(request);
+    switch (verdict.kind) {
+      case 'admitted':
+        return this.admit(request, route);
+      case 'waiting': {
+        const sinceMs = clock.monotonicMs();
+        this.waiting.set(request.id, {request, route, sinceMs});
+        return;
+      }
+      case 'refused':
+        return this.refuse(request.id, verdict.retryAfterMs);
+    }
+  }
+
+  private endWait(
+    id: number,
+    end: (request: entryCall.CallerRequest, route: configuration.Route) => void,
+  ): void {
+    const item = this.waiting.get(id);
+    if (item === undefined) return;
+    this.waiting.delete(id);
+    const waitedMs = clock.monotonicMs() - item.sinceMs;
+    const timeLeftMs = Math.max(0, item.request.timeLeftMs - waitedMs);
+    end({...item.request, timeLeftMs}, item.route);
+  }
+
+  private admit(
+    request: entryCall.CallerRequest,
+    route: configuration.Route,
+  ): void {
+    const now = clock.monotonicMs();
+    // The local gate's load is read on each request; other gates report theirs in pulses.
+    const load = this.options.localGate.load();
+    this.reports.onLoad(this.localNodeId, load, now);
+    this.entry.onRequest(request, route, now);
+  }
+
+  private refuse(id: number, retryAfterMs: units.Millis): void {
+    const reason = 'over-quota';
+    this.callers.giveUp(id, {reason, mayHaveRun: false, retryAfterMs});
+  }
+
   private gatesOf(service: string): readonly placement.KnownGate[] {
     const {self, others} = this.options.directory;
     return [self, ...others]
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -20,6 +20,8 @@
   onGreeting(sender: serving.NodeRecord): void;
   onDispatch(key: string, linkId: number, dispatch: serving.Dispatch): void;
   onWithdraw(key: string): void;
+  /** An entry asks for tokens; the answer is sent at once. */
+  onTokenRequest(request: serving.TokenRequest): serving.TokenGrant;
   onLinkLost(linkId: number): void;
 }
 
@@ -176,6 +178,12 @@
           body: {$case: 'state', value: this.options.state()},
         });
         return;
+      case 'tokenRequest': {
+        const value = listener.onTokenRequest(body.value);
+        session.socket.send({body: {$case: 'tokenGrant', value}});
+        return;
+      }
+      case 'tokenGrant':
       case 'answer':
       case 'refusal':
       case 'pulse':
--- a/src/node/serving/fleet_registry.test.ts
+++ b/src/node/serving/fleet_registry.test.ts
@@ -53,6 +53,7 @@
     directory,
     log: new fixtures.RecordedLog(),
     random: () => 0,
+    onRead: () => undefined,
   });
   registry.start();
   await read;
@@ -136,6 +137,7 @@
     directory,
     log: new fixtures.RecordedLog(),
     random: () => 0,
+    onRead: () => undefined,
   });
 }
 
--- a/src/node/serving/fleet_registry.ts
+++ b/src/node/serving/fleet_registry.ts
@@ -26,6 +26,8 @@
   readonly directory: fleetDirectory.FleetDirectory;
   readonly log: decision.DecisionLog;
   random(): number;
+  /** The records of all nodes were read. */
+  onRead(): void;
 }
 
 /**
@@ -113,6 +115,7 @@
       if (record.nodeId === directory.self.nodeId) this.written = record;
       else directory.putReported(record);
     }
+    this.options.onRead();
     if (this.written === undefined && era <= this.writtenEra) {
       const site = {step: 'read own record', peer: 'store'};
       throw new errors.GeraniumloftError('the store lacks it', site);
--- a/src/node/serving/gate_link.test.ts
+++ b/src/node/serving/gate_link.test.ts
@@ -47,6 +47,7 @@
         this.dispatched.push(key);
         this.linkIds.push(linkId);
       },
+      onTokenRequest: ({number}) => ({number, grants: []}),
       onWithdraw: key => void this.withdrawn.push(key),
       onLinkLost: () => undefined,
     },
@@ -100,6 +101,7 @@
       onPulse: () => undefined,
       onState: () => undefined,
       onSuspect: () => undefined,
+      onTokenGrant: () => undefined,
       onRequestLost: (unusedId, call) => void lost.push(call),
       onMismatch: nodeId => void mismatches.push(nodeId),
     },
--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -39,6 +39,7 @@
   onRefusal(nodeId: string, refusal: serving.Refusal): void;
   onPulse(nodeId: string, pulse: serving.Pulse): void;
   onState(nodeId: string, state: serving.FleetState): void;
+  onTokenGrant(nodeId: string, grant: serving.TokenGrant): void;
   onSuspect(suspect: serving.Suspect): void;
   /** This link can no longer report the outcome of a request. */
   onRequestLost(nodeId: string, call: number): void;
@@ -116,6 +117,23 @@
     }
   }
 
+  /** Asks for tokens; ignored while the link is down, since the answer would come too late. */
+  requestTokens(value: serving.TokenRequest): void {
+    if (this.state.kind === 'up') {
+      this.unansweredSinceMs ??= this.options.nowMs();
+    }
+    this.send({$case: 'tokenRequest', value});
+  }
+
+  /** Pings the gate unless it was heard within `quietMs` or has a ping to answer. */
+  probe(quietMs: units.Millis): void {
+    const now = this.options.nowMs();
+    if (this.state.kind !== 'up' || this.pingedMs !== undefined) return;
+    if (now - this.receivedMs < quietMs) return;
+    this.pingedMs = now;
+    this.send({$case: 'ping', value: {}});
+  }
+
   /** Requests the fleet state that the node holds. */
   requestState(): void {
     this.send({$case: 'stateWanted', value: {}});
@@ -203,6 +221,9 @@
         return listener.onState(nodeId, body.value);
       case 'suspect':
         return listener.onSuspect(body.value);
+      case 'tokenGrant':
+        return listener.onTokenGrant(nodeId, body.value);
+      case 'tokenRequest':
       case 'dispatch':
       case 'withdraw':
       case 'ping':
--- a/src/node/serving/gate_links.ts
+++ b/src/node/serving/gate_links.ts
@@ -11,6 +11,7 @@
   readonly directory: fleetDirectory.FleetDirectory;
   readonly listener: Pick<
     gateLink.GateLinkListener,
+    | 'onUp'
     | 'onDown'
     | 'onMaybeUnreachable'
     | 'onAnswer'
@@ -18,6 +19,7 @@
     | 'onPulse'
     | 'onState'
     | 'onSuspect'
+    | 'onTokenGrant'
     | 'onRequestLost'
   >;
   readonly log: decision.DecisionLog;
@@ -65,6 +67,16 @@
     this.links.get(nodeId)?.reconnectNow();
   }
 
+  /** Asks a node for tokens; ignored while there is no link to it. */
+  requestTokens(nodeId: string, request: serving.TokenRequest): void {
+    this.links.get(nodeId)?.requestTokens(request);
+  }
+
+  /** Pings all gates that were not heard within `quietMs`. */
+  probeAll(quietMs: units.Millis): void {
+    for (const link of this.links.values()) link.probe(quietMs);
+  }
+
   /** Requests the fleet state that a node holds. */
   requestState(nodeId: string): void {
     this.links.get(nodeId)?.requestState();
@@ -94,6 +106,7 @@
         onUp: nodeId => {
           directory.setLinked(nodeId, true);
           this.note('peer-regained', {nodeId});
+          listener.onUp(nodeId);
         },
         onDown: (nodeId, detail) => {
           directory.setLinked(nodeId, false);
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -44,6 +44,8 @@
   readonly startedEpochMs: units.EpochMs;
   readonly log: telemetry.Telemetry;
   readonly localEntry: LocalEntry;
+  /** Answers an entry that asks for tokens. */
+  onTokenRequest(request: serving.TokenRequest): serving.TokenGrant;
   greeting(toNodeId: string): serving.Greeting;
   /** Whether this node reads the operators' records successfully. */
   readsStore(): boolean;
@@ -235,6 +237,7 @@
           this.gate.onWithdraw(key, clock.monotonicMs());
           afterEvent();
         },
+        onTokenRequest: request => this.options.onTokenRequest(request),
         onLinkLost: linkId => this.gate.onLinkLost(linkId, clock.monotonicMs()),
       },
     });
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -186,6 +186,7 @@
       directory: this.directory,
       log,
       random: () => this.random.next(),
+      onRead: () => this.entryRuntime.quotas.onListRead(),
     });
   }
 
@@ -213,6 +214,8 @@
       startedEpochMs: this.options.processStartedMs,
       readsStore: () => this.storeReaders.readsStore,
       onPeerGreeting: nodeId => this.entryRuntime.links.reconnectNow(nodeId),
+      onTokenRequest: request =>
+        this.entryRuntime.quotas.onTokenRequest(request),
       localEntry: {
         onAnswer: answer => this.entryRuntime.onLocalAnswer(answer),
         onRefusal: refusal => this.entryRuntime.onLocalRefusal(refusal),
@@ -267,6 +270,7 @@
   private onIntentChanged(): void {
     this.registry.onEra(this.intent.position.era);
     this.entryRuntime.callers.applyLimits();
+    this.entryRuntime.quotas.onIntentChanged();
     this.gateRuntime.onIntentChanged(clock.monotonicMs());
     this.afterEvent();
   }
@@ -289,6 +293,7 @@
 
   private onResumed(pausedMs: units.Millis): void {
     this.note('resumed', {pausedMs: Math.round(pausedMs)});
+    this.entryRuntime.quotas.onResumed();
     this.gateRuntime.onResumed();
   }
 
