--- a/src/common/quotas/quota_entry.ts
+++ b/src/common/quotas/quota_entry.ts
@@ -95,11 +95,6 @@
     return this.states.size;
   }
 
-  /** Whether any workspace with a quota was used lately. */
-  get isActive(): boolean {
-    return this.states.size > 0;
-  }
-
   /** Returns the verdict on a request, which must not be dispatched before it is admitted. */
   onRequest(request: QuotaRequest, now: units.MonotonicMs): Verdict {
     const {quota, name} = request.workspace;
@@ -202,16 +197,15 @@
     return next;
   }
 
-  /** Returns the workspaces with the most requests here. */
-  busiest(limit: number, now: units.MonotonicMs): readonly WorkspaceUse[] {
+  /** Returns the use of the workspaces with state, that with the most requests first. */
+  uses(now: units.MonotonicMs): readonly WorkspaceUse[] {
     return [...this.states]
       .map(([name, {demand, refused}]) => ({
         name,
         demandPerSecond: demand.perSecond(now),
         refusedPerSecond: refused.perSecond(now),
       }))
-      .sort((a, b) => b.demandPerSecond - a.demandPerSecond)
-      .slice(0, limit);
+      .sort((a, b) => b.demandPerSecond - a.demandPerSecond);
   }
 
   private onWorkspaceGrant(
--- a/src/common/quotas/token_owner.ts
+++ b/src/common/quotas/token_owner.ts
@@ -4,11 +4,15 @@
 import * as workspace from '../workspaces/workspace.js';
 import * as quotaMembers from './quota_members.js';
 
+/** Part of the slack by which buckets are deeper than the burst. */
+const SLACK_SHARE = 0.25;
+
 /**
- * Part of the slack by which buckets are deeper than the burst. With a burst of 1 and requests at
- * random times, 90% of the rate would otherwise find the bucket empty too often.
+ * Fewest tokens that a bucket can grant at once, those ahead included, as a part of the slack. With
+ * requests at random times, 90% of the rate finds a bucket of 10 tokens empty for up to 2.5% of the
+ * requests.
  */
-const SLACK_SHARE = 0.25;
+const MIN_DEPTH_SHARE = 0.65;
 
 /** Longest time for which a token is granted ahead; shorter than entries let a request wait. */
 const MAX_AHEAD_MS: units.Millis = 100;
@@ -106,7 +110,12 @@
     const {tokens, refilledMs} = isCurrent
       ? bucket
       : {tokens: 0, refilledMs: emptyMs};
-    const depth = Math.max(1, quota.burst + SLACK_SHARE * this.options.slack);
+    const {slack} = this.options;
+    const depth = Math.max(
+      1,
+      MIN_DEPTH_SHARE * slack - perMs * MAX_AHEAD_MS,
+      quota.burst + SLACK_SHARE * slack,
+    );
     return Math.min(depth, tokens + perMs * (now - refilledMs));
   }
 }
--- a/src/node/serving/quota_runtime.ts
+++ b/src/node/serving/quota_runtime.ts
@@ -76,6 +76,7 @@
         refuse: (id, retryAfterMs) => options.refuse(id, retryAfterMs),
       },
     });
+    log.setWorkspaceUses(() => this.entry.uses(clock.monotonicMs()));
     this.subscriptions = [
       directory.onChanged(({nodeId}) =>
         this.members.add(nodeId, clock.monotonicMs()),
--- a/src/node/serving/telemetry.ts
+++ b/src/node/serving/telemetry.ts
@@ -12,6 +12,9 @@
 /** Limit of values per label; further ones are counted as `other`. */
 const MAX_LABEL_VALUES = 64;
 
+/** Workspaces with a label of their own; the others are counted together. */
+const MAX_NAMED_WORKSPACES = 10;
+
 /** Decision, fact that holds a duration in ms, and value of the `part` label. */
 const DURATIONS: ReadonlyArray<readonly [string, string, string]> = [
   ['entry/answered', 'ageMs', 'whole'],
@@ -20,6 +23,13 @@
   ['gate/stall-ended', 'durationMs', 'stalled by neighbours'],
 ];
 
+/** Use of a workspace at this entry. */
+export interface WorkspaceUse {
+  readonly name: string;
+  readonly demandPerSecond: number;
+  readonly refusedPerSecond: number;
+}
+
 /** Counts decisions, observes their durations and passes them on to a log. */
 export class Telemetry implements decision.DecisionLog {
   private readonly registry = new promClient.Registry();
@@ -39,8 +49,21 @@
     registers: [this.registry],
   });
 
+  private readonly workspaces = new promClient.Gauge({
+    name: 'geraniumloft_workspace_requests_per_second',
+    help: 'Requests at this entry of workspaces with a quota, by result; the busiest by name.',
+    labelNames: ['workspace', 'result'],
+    registers: [this.registry],
+  });
+  private workspaceUses: () => readonly WorkspaceUse[] = () => [];
+
   constructor(private readonly log: decision.DecisionLog) {}
 
+  /** Sets the source of the use of workspaces, the busiest first. */
+  setWorkspaceUses(source: () => readonly WorkspaceUse[]): void {
+    this.workspaceUses = source;
+  }
+
   write(d: decision.Decision): void {
     const reason = this.reasons.of(String(d.facts['reason'] ?? ''));
     const {component, event} = d;
@@ -51,6 +74,7 @@
 
   /** Returns all metrics in the text format of Prometheus. */
   text(): Promise<string> {
+    this.collectWorkspaces();
     return this.registry.metrics();
   }
 
@@ -59,6 +83,16 @@
     return this.registry.contentType;
   }
 
+  private collectWorkspaces(): void {
+    this.workspaces.reset();
+    this.workspaceUses().forEach((use, i) => {
+      const workspace = i < MAX_NAMED_WORKSPACES ? use.name : 'other';
+      const {demandPerSecond, refusedPerSecond} = use;
+      this.workspaces.inc({workspace, result: 'asked'}, demandPerSecond);
+      this.workspaces.inc({workspace, result: 'refused'}, refusedPerSecond);
+    });
+  }
+
   private observe(d: decision.Decision): void {
     const name = `${d.component}/${d.event}`;
     for (const [event, fact, part] of DURATIONS) {
