--- a/bench/processor_time.ts
+++ b/bench/processor_time.ts
@@ -65,6 +65,7 @@
         onDispatch: () => undefined,
         onWithdraw: () => undefined,
         onLinkLost: () => undefined,
+        onTokenRequest: ({number}) => ({number, grants: []}),
       },
     });
     this.timer = setInterval(() => {
@@ -106,6 +107,7 @@
         onRequestLost: ignore,
         onMismatch: ignore,
         onFreshnessProof: ignore,
+        onTokenGrant: ignore,
       },
     });
   }
--- a/src/common/serving/entry_call.ts
+++ b/src/common/serving/entry_call.ts
@@ -90,6 +90,7 @@
   'timeout',
   'internal',
   'no-freshness-proof',
+  'over-quota',
 ] as const;
 
 /** Reason for which an entry gives up on a request. */
--- a/src/common/serving/retry_after.ts
+++ b/src/common/serving/retry_after.ts
@@ -27,6 +27,7 @@
     case 'timeout':
     case 'internal':
     case 'no-freshness-proof':
+    case 'over-quota':
       return NO_SERVER_RETRY_MS;
     default:
       return invariants.assertNever(reason);
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -20,6 +20,8 @@
   onGreeting(sender: serving.NodeRecord): void;
   onDispatch(key: string, linkId: number, dispatch: serving.Dispatch): void;
   onWithdraw(key: string): void;
+  /** An entry asks for tokens; the answer is sent at once. */
+  onTokenRequest(request: serving.TokenRequest): serving.TokenGrant;
   onLinkLost(linkId: number): void;
 }
 
@@ -183,6 +185,12 @@
         session.socket.send({body: {$case: 'freshnessProof', value}});
         return;
       }
+      case 'tokenRequest': {
+        const value = listener.onTokenRequest(body.value);
+        session.socket.send({body: {$case: 'tokenGrant', value}});
+        return;
+      }
+      case 'tokenGrant':
       case 'answer':
       case 'refusal':
       case 'pulse':
--- a/src/node/serving/gate_link.test.ts
+++ b/src/node/serving/gate_link.test.ts
@@ -53,6 +53,7 @@
         this.dispatched.push(key);
         this.linkIds.push(linkId);
       },
+      onTokenRequest: ({number}) => ({number, grants: []}),
       onWithdraw: key => void this.withdrawn.push(key),
       onLinkLost: () => undefined,
     },
@@ -109,6 +110,7 @@
       onState: () => undefined,
       onSuspect: () => undefined,
       onFreshnessProof: (unusedId, proof) => void proofs.push(proof),
+      onTokenGrant: () => undefined,
       onRequestLost: (unusedId, call) => void lost.push(call),
       onMismatch: nodeId => void mismatches.push(nodeId),
     },
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -207,6 +207,7 @@
       directory: this.directory,
       log,
       random: () => this.random.next(),
+      onRead: () => this.entryRuntime.quotas.onListRead(),
     });
   }
 
@@ -235,6 +236,8 @@
       readsStore: () => this.storeReaders.readsStore,
       freshness: question => this.keys.answer(question),
       onPeerGreeting: nodeId => this.entryRuntime.links.reconnectNow(nodeId),
+      onTokenRequest: request =>
+        this.entryRuntime.quotas.onTokenRequest(request),
       localEntry: {
         onAnswer: answer => this.entryRuntime.onLocalAnswer(answer),
         onRefusal: refusal => this.entryRuntime.onLocalRefusal(refusal),
@@ -290,6 +293,7 @@
   private onIntentChanged(): void {
     this.registry.onEra(this.intent.position.era);
     this.entryRuntime.callers.applyLimits();
+    this.entryRuntime.quotas.onIntentChanged();
     this.gateRuntime.onIntentChanged(clock.monotonicMs());
     this.afterEvent();
   }
@@ -313,6 +317,7 @@
 
   private onResumed(pausedMs: units.Millis): void {
     this.note('resumed', {pausedMs: Math.round(pausedMs)});
+    this.entryRuntime.quotas.onResumed();
     this.gateRuntime.onResumed();
   }
 
