Check idle links less often; pass counts on when metrics are read

Each tick of 50 ms ran the timers of every link, and each decision had its labels checked and hashed. Links that wait for nothing are now ticked every 250 ms (their ping is due after 6 s), decisions are added up until metrics are read, and the gates of a service are listed without copies of the directory.

--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -195,9 +195,9 @@
   }
 
   private gatesOf(service: string): readonly placement.KnownGate[] {
-    const {self, others} = this.options.directory;
-    return [self, ...others]
-      .filter(record => record.service === service)
+    const {self} = this.options.directory;
+    return this.options.directory
+      .ofService(service)
       .map(({nodeId, dataCentre}) => ({
         nodeId,
         dataCentre,
--- a/src/node/serving/fleet_directory.ts
+++ b/src/node/serving/fleet_directory.ts
@@ -38,6 +38,15 @@
     return [...this.records.values()];
   }
 
+  /** Returns the records of a service's nodes, this one first if it is one of them. */
+  ofService(service: string): readonly serving.NodeRecord[] {
+    const found = this.own.service === service ? [this.own] : [];
+    for (const record of this.records.values()) {
+      if (record.service === service) found.push(record);
+    }
+    return found;
+  }
+
   /** Returns another node's record, undefined if not known. */
   get(nodeId: string): serving.NodeRecord | undefined {
     return this.records.get(nodeId);
--- a/src/node/serving/gate_link.test.ts
+++ b/src/node/serving/gate_link.test.ts
@@ -183,6 +183,19 @@
   assert.equal(fixture.link.isUp, false);
 });
 
+// Idle links are checked rarely; the ping after a request must not wait for that.
+test('a link with a request in progress or just withdrawn is not idle', async () => {
+  await using fixture = await connect();
+  const {link, relay} = fixture;
+  assert.equal(link.isIdle, false);
+  await waitFor(() => link.isIdle, 'the link to open');
+  relay.silence();
+  link.dispatch(fixtures.dispatch({call: 1}));
+  assert.equal(link.isIdle, false);
+  link.withdraw(1);
+  assert.equal(link.isIdle, false);
+});
+
 test('a gate that does not answer pings is reported before its link is replaced', async () => {
   await using fixture = await connect();
   await waitFor(() => fixture.link.isUp, 'the link');
--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -127,6 +127,16 @@
     if (this.state.kind === 'waiting') this.open();
   }
 
+  /** Whether the link is open and waits for nothing, so that only an idle ping can be due. */
+  get isIdle(): boolean {
+    return (
+      this.state.kind === 'up' &&
+      this.pending.size === 0 &&
+      this.pingedMs === undefined &&
+      this.unansweredSinceMs === undefined
+    );
+  }
+
   /** Runs timeouts, pings and reconnects that are due. */
   tick(now: units.MonotonicMs): void {
     switch (this.state.kind) {
@@ -253,6 +263,7 @@
   }
 
   private expireLost(now: units.MonotonicMs): void {
+    if (this.pending.size === 0) return;
     for (const [call, {dispatch, lostMs}] of [...this.pending]) {
       if (lostMs === undefined) continue;
       const windowMs = dispatch.repeatable
--- a/src/node/serving/gate_links.ts
+++ b/src/node/serving/gate_links.ts
@@ -6,6 +6,9 @@
 import * as gateLink from './gate_link.js';
 import * as pulseInterval from './pulse_interval.js';
 
+/** Interval of the timers of idle links, which are pinged after six seconds. */
+const IDLE_TICK_INTERVAL_MS: units.Millis = 250;
+
 /** Dependencies of `GateLinks`. */
 export interface GateLinksOptions {
   readonly directory: fleetDirectory.FleetDirectory;
@@ -29,6 +32,8 @@
 export class GateLinks implements Disposable {
   private readonly links = new Map<string, gateLink.GateLink>();
   private readonly subscriptions: readonly Disposable[];
+  /** Time at which the timers of idle links run next. */
+  private idleTickMs: units.MonotonicMs = 0;
 
   constructor(private readonly options: GateLinksOptions) {
     const {directory} = options;
@@ -70,9 +75,13 @@
     this.links.get(nodeId)?.requestState();
   }
 
-  /** Runs the timers of all links. */
+  /** Runs the timers of the links; those of idle links less often, as they take seconds. */
   tick(now: units.MonotonicMs): void {
-    for (const link of [...this.links.values()]) link.tick(now);
+    const tickIdle = now >= this.idleTickMs;
+    if (tickIdle) this.idleTickMs = now + IDLE_TICK_INTERVAL_MS;
+    for (const link of this.links.values()) {
+      if (tickIdle || !link.isIdle) link.tick(now);
+    }
   }
 
   [Symbol.dispose](): void {
--- a/src/node/serving/telemetry.ts
+++ b/src/node/serving/telemetry.ts
@@ -25,11 +25,13 @@
   private readonly registry = new promClient.Registry();
   private readonly reasons = new BoundedValues();
   private readonly routes = new BoundedValues();
+  private readonly counts = new Map<string, DecisionCount>();
   private readonly decisions = new promClient.Counter({
     name: 'geraniumloft_decisions_total',
     help: 'Decisions by component, event and reason.',
     labelNames: ['component', 'event', 'reason'],
     registers: [this.registry],
+    collect: () => this.collectCounts(),
   });
   private readonly latencies = new promClient.Histogram({
     name: 'geraniumloft_latency_seconds',
@@ -44,7 +46,7 @@
   write(d: decision.Decision): void {
     const reason = this.reasons.of(String(d.facts['reason'] ?? ''));
     const {component, event} = d;
-    this.decisions.inc({component, event, reason});
+    this.count(component, event, reason);
     this.observe(d);
     this.log.write(d);
   }
@@ -59,6 +61,26 @@
     return this.registry.contentType;
   }
 
+  private count(component: string, event: string, reason: string): void {
+    const key = `${component}/${event}/${reason}`;
+    const known = this.counts.get(key);
+    if (known) known.uncollected++;
+    else {
+      const labels = {component, event, reason};
+      this.counts.set(key, new DecisionCount(labels));
+    }
+  }
+
+  /** Passes counts on when metrics are read; the library checks labels at each increment. */
+  private collectCounts(): void {
+    for (const count of this.counts.values()) {
+      if (count.uncollected > 0) {
+        this.decisions.inc(count.labels, count.uncollected);
+      }
+      count.uncollected = 0;
+    }
+  }
+
   private observe(d: decision.Decision): void {
     const name = `${d.component}/${d.event}`;
     for (const [event, fact, part] of DURATIONS) {
@@ -70,6 +92,15 @@
   }
 }
 
+/** Decisions with the same labels since metrics were last read. */
+class DecisionCount {
+  uncollected = 1;
+
+  constructor(
+    readonly labels: Readonly<Record<'component' | 'event' | 'reason', string>>,
+  ) {}
+}
+
 /** Values of one label; the first `MAX_LABEL_VALUES` keep their names. */
 class BoundedValues {
   private readonly seen = new Set<string>();
