Roll-outs: orders, evidence, bounded exposure, verdict and status

Cause: operators order a service to be moved to a target version, which may be bad. Change: orders are decoded and kept by position; gates count runs of both groups and report them with pulses; one node grants requests to gates of the target version, judges it and writes the status with a conditional write. Without an order nothing is closed, limited or reported.

--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -2,6 +2,7 @@
 import * as serving from '../../generated/serving.js';
 import * as randomSource from '../random_source.js';
 import * as units from '../units.js';
+import * as rollouts from '../rollouts/rollouts.js';
 import * as configuration from './configuration.js';
 import * as decision from './decision.js';
 import * as dispatching from './dispatching.js';
@@ -43,6 +44,8 @@
   readonly intent: operatorIntent.OperatorIntent;
   readonly placement: placement.Placement;
   readonly reports: gateReports.GateReports;
+  /** Chooses between versions during roll-outs; undefined without. */
+  readonly rollouts?: rollouts.EntryRollouts;
   readonly budget: retryBudget.FleetRetryBudget;
   /** Number of nodes that share the retry budget. */
   readonly nodeCount: () => number;
@@ -83,6 +86,7 @@
       return;
     }
     const call = new entryCall.EntryCall(request, route, part.service, now);
+    call.drewTarget = this.options.rollouts?.drawsTarget(part.service) ?? false;
     this.calls.set(request.id, call);
     this.budgetOf(part.service).onRequest(now);
     this.sendNext(call, now);
@@ -249,7 +253,12 @@
     const leftMs = call.arrivedMs + objectiveMs - now;
     const slackMs = leftMs - this.times.routeMeanMs(name);
     const {placement: gates} = this.options;
-    return gates.rank(call.service, excluded, slackMs, now);
+    const ranked = gates.rank(call.service, excluded, slackMs, now);
+    // After a refusal or a failure the request goes to a proven version.
+    const isForTarget = call.drewTarget && call.hops === 0;
+    const {rollouts: versions} = this.options;
+    if (versions === undefined) return ranked;
+    return versions.select(call.service, isForTarget, ranked, idOf);
   }
 
   private send(
@@ -440,3 +449,7 @@
     });
   }
 }
+
+function idOf({gate}: placement.RankedGate): string {
+  return gate.nodeId;
+}
--- a/src/common/serving/entry_call.ts
+++ b/src/common/serving/entry_call.ts
@@ -55,6 +55,9 @@
 
   mayHaveRun = false;
 
+  /** Whether it was drawn for the target version of a roll-out. */
+  drewTarget = false;
+
   /** Time at which a hedge is considered, infinity for none. */
   hedgeAtMs: units.MonotonicMs = Infinity;
 
--- a/src/common/serving/gate_call.ts
+++ b/src/common/serving/gate_call.ts
@@ -86,6 +86,31 @@
   /** The answer was truncated, malformed or belonged to another request. */
   | {readonly kind: 'bad-answer'; readonly detail: string};
 
+/** Lowest HTTP status that counts as a server failure. */
+export const FIRST_ERROR_STATUS = 500;
+
+/**
+ * Returns whether the backend server failed the request, undefined if it did not run it. A run that
+ * was withdrawn has not failed: its duration so far counts.
+ */
+export function failureOf(
+  end: RunEnd | {readonly kind: 'withdrawn'},
+): boolean | undefined {
+  switch (end.kind) {
+    case 'answered':
+      return end.answer.status >= FIRST_ERROR_STATUS;
+    case 'withdrawn':
+      return false;
+    case 'broken':
+    case 'bad-answer':
+      return true;
+    case 'shed':
+    case 'misdirected':
+    case 'not-sent':
+      return undefined;
+  }
+}
+
 /** Reason of a refusal and what is known about the run. */
 export interface RefusalDetail {
   readonly reason: serving.Reason;
--- a/src/common/serving/gate_closure.ts
+++ b/src/common/serving/gate_closure.ts
@@ -5,7 +5,11 @@
 
 /** Returns why a gate accepts no new requests, or `OPEN`. */
 export function closureOf(
-  {intent, dataCentre}: Pick<gateOptions.GateOptions, 'intent' | 'dataCentre'>,
+  {
+    intent,
+    dataCentre,
+    rollouts,
+  }: Pick<gateOptions.GateOptions, 'intent' | 'dataCentre' | 'rollouts'>,
   server: serverAvailability.ServerAvailability,
   stopping: boolean,
 ): serving.Closure {
@@ -18,5 +22,6 @@
     return serving.Closure.SERVER_LEAVING;
   }
   if (!server.isPresent) return serving.Closure.SERVER_ABSENT;
+  if (rollouts?.isGateClosed === true) return serving.Closure.VERSION_CLOSED;
   return serving.Closure.OPEN;
 }
--- a/src/common/serving/gate_options.ts
+++ b/src/common/serving/gate_options.ts
@@ -1,17 +1,30 @@
 /** Dependencies and settings of a gate. */
 import * as randomSource from '../random_source.js';
+import * as gateTally from '../rollouts/gate_tally.js';
 import * as units from '../units.js';
 import * as crashSuspects from './crash_suspects.js';
 import * as decision from './decision.js';
 import * as gateCall from './gate_call.js';
 import * as operatorIntent from './operator_intent.js';
 
+/** What a roll-out decides at a gate, and what it is told. */
+export interface GateRollouts {
+  /** Whether the version of the backend server gets no requests. */
+  readonly isGateClosed: boolean;
+  mayStart(now: units.MonotonicMs): boolean;
+  /** @param running number of running requests with the one that starts. */
+  onStarted(running: number, limit: number): void;
+  onEnded(result: gateTally.RunResult): void;
+}
+
 /** Dependencies and settings of a gate. */
 export interface GateOptions {
   readonly service: () => string;
   readonly dataCentre: string;
   readonly intent: operatorIntent.OperatorIntent;
   readonly suspects: crashSuspects.CrashSuspects;
+  /** Limits of roll-outs; none if undefined. */
+  readonly rollouts?: GateRollouts;
   readonly output: gateCall.GateOutput;
   readonly log: decision.DecisionLog;
   readonly random: randomSource.RandomSource;
--- a/src/common/serving/gate_replies.ts
+++ b/src/common/serving/gate_replies.ts
@@ -4,6 +4,7 @@
 import * as decision from './decision.js';
 import * as replyCache from './reply_cache.js';
 import * as gateCall from './gate_call.js';
+import * as gateCapacity from './gate_capacity.js';
 
 /** Refusals logged as notable: the request is redirected or no longer needed. */
 const NOTABLE_REASONS: ReadonlySet<serving.Reason> = new Set([
@@ -14,6 +15,9 @@
   serving.Reason.WITHDRAWN,
 ]);
 
+/** Cap on logged ages; older samples carry no information. */
+const MAX_LOGGED_AGE_MS: units.Millis = 1_000_000;
+
 /** Sends replies and caches them for entries that resend calls. */
 export class GateReplies {
   private readonly cache = new replyCache.ReplyCache();
@@ -67,6 +71,25 @@
     });
   }
 
+  /** Logs the start of a run and what it depended on. */
+  noteRun(
+    call: gateCall.GateCall,
+    capacity: gateCapacity.GateCapacity,
+    now: units.MonotonicMs,
+    facts: decision.Facts,
+  ): void {
+    const {pace, running} = capacity;
+    this.note(call, 'routine', 'run', {
+      reason: pace.isStalled(now) ? 'stalled' : undefined,
+      waitedMs: Math.round(now - call.arrivedMs),
+      running,
+      limit: capacity.limit(now),
+      pacePercent: pace.percentAt(now),
+      paceAgeMs: Math.round(Math.min(pace.ageMs(now), MAX_LOGGED_AGE_MS)),
+      ...facts,
+    });
+  }
+
   /** Logs a refusal; its importance depends on the reason. */
   noteRefusal(
     call: gateCall.GateCall,
--- a/src/common/serving/incarnations.ts
+++ b/src/common/serving/incarnations.ts
@@ -11,6 +11,8 @@
   /** Increases with each announcement of an incarnation. */
   readonly sequence: number;
   readonly service: string;
+  /** Version of the program, empty if not stated. */
+  readonly version: string;
   readonly ip: string;
   readonly port: number;
   readonly slots: number;
@@ -62,6 +64,8 @@
   /** Distinguishes incarnations within the process, also those with the same instance id. */
   readonly serial: number;
   readonly limits: serverStatement.LimitStatements;
+  /** Undefined until an announcement states it. */
+  readonly version: string | undefined;
 }
 
 /** Slots assumed until the backend server reports its own. */
@@ -82,6 +86,11 @@
     return this.current?.instanceId;
   }
 
+  /** Version of the backend server, undefined until an announcement states it. */
+  get version(): string | undefined {
+    return this.current?.version;
+  }
+
   /** Slots of the backend server, 0 if none is known. */
   get slots(): number {
     return this.current?.slots ?? 0;
@@ -249,6 +258,7 @@
       coldUntilMs: now + (sample.coldLeftMs ?? 0),
       serial: ++this.lastSerial,
       limits: new serverStatement.LimitStatements(),
+      version: undefined,
     };
     return 'new-incarnation';
   }
@@ -266,6 +276,7 @@
       startMs: announcement.startMs,
       sequence: Math.max(announcement.sequence, current.sequence),
       slots: announcement.slots,
+      version: announcement.version,
       leaving: startsLeaving || current.leaving,
       gone: current.gone && !startsLeaving && !reappears,
     };
@@ -316,5 +327,6 @@
     coldUntilMs: now + announcement.coldLeftMs,
     serial,
     limits: new serverStatement.LimitStatements(),
+    version: announcement.version,
   };
 }
--- a/src/common/serving/operator_intent.ts
+++ b/src/common/serving/operator_intent.ts
@@ -1,4 +1,5 @@
 /** State requested by operators: the configuration and the data centres taken out of service. */
+import * as rolloutOrders from '../rollouts/rollout_orders.js';
 import * as units from '../units.js';
 import * as configuration from './configuration.js';
 import * as logPosition from './log_position.js';
@@ -22,6 +23,13 @@
       readonly dataCentre: string;
       readonly out: boolean;
     }
+  | {
+      readonly kind: 'rollout';
+      readonly position: logPosition.LogPosition;
+      readonly service: string;
+      /** Undefined if the order is withdrawn. */
+      readonly order: rolloutOrders.RolloutOrder | undefined;
+    }
   /** A record without effect on the intent. */
   | {readonly kind: 'other'; readonly position: logPosition.LogPosition};
 
@@ -39,6 +47,8 @@
   readonly document: configuration.FleetConfiguration | undefined;
   /** Data centres that are not listed are in service. */
   readonly dataCentres: readonly DataCentreRecord[];
+  /** Newest record of each service with an order; none by default. */
+  readonly rollouts?: readonly rolloutOrders.RolloutRecord[];
   /** Position of the latest record included. */
   readonly position: logPosition.LogPosition;
 }
@@ -56,6 +66,8 @@
  * version is higher. A record that the store has lost stays in force for `LOST_RECORD_HOLD_MS`.
  */
 export class OperatorIntent {
+  /** Orders to roll out versions, by service. */
+  readonly rollouts = new rolloutOrders.RolloutOrders();
   private current: configuration.ConfigurationInForce | undefined;
   private readonly dataCentres = new Map<string, DataCentreState>();
   private out: ReadonlySet<string> = new Set();
@@ -103,6 +115,8 @@
         });
         return this.updateOut(now) || hasNewEra;
       }
+      case 'rollout':
+        return this.rollouts.apply(change, now) || hasNewEra;
       case 'other':
         return hasNewEra;
     }
@@ -122,7 +136,9 @@
     const hasNewEra = this.advance(position, now);
     this.removeDeleted(snapshot);
     for (const record of snapshot.dataCentres) this.mergeRecord(record, now);
-    return this.updateOut(now) || isActivated || hasNewEra;
+    const {rollouts = []} = snapshot;
+    const isOrdered = this.rollouts.merge(rollouts, position, now);
+    return this.updateOut(now) || isActivated || isOrdered || hasNewEra;
   }
 
   /**
@@ -156,6 +172,7 @@
     return {
       document: this.current?.document,
       dataCentres,
+      rollouts: this.rollouts.list(now),
       position: this.latest,
     };
   }
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -12,6 +12,7 @@
 import * as gateOptions from './gate_options.js';
 import * as gateTimeouts from './gate_timeouts.js';
 import * as incarnations from './incarnations.js';
+import * as runReports from './run_reports.js';
 import * as serverPace from './server_pace.js';
 import * as serverStatement from './server_statement.js';
 import * as serverAvailability from './server_availability.js';
@@ -19,18 +20,13 @@
 /** Maximum wait for a health check after a connection broke during a run. */
 const HEALTH_CHECK_WAIT_MS: units.Millis = 150;
 
-/** Lowest HTTP status that counts as a server failure. */
-const FIRST_ERROR_STATUS = 500;
-
-/** Cap on logged ages; older samples carry no information. */
-const MAX_LOGGED_AGE_MS: units.Millis = 1_000_000;
-
 /** Gate of one backend server; no other component sends requests to that server. */
 export class ServerGate {
   private readonly server: serverAvailability.ServerAvailability;
   private readonly capacity: gateCapacity.GateCapacity;
   private readonly calls = new Map<string, gateCall.GateCall>();
   private readonly replies: gateReplies.GateReplies;
+  private readonly runReports: runReports.RunReports;
   private readonly limitReports = new rateLimitReports.RateLimitReports();
   private stopping = false;
   private wasOut = false;
@@ -44,10 +40,9 @@
       checkHealth: () => output.checkHealth(),
       onNewIncarnation: () => this.capacity.times.reset(),
     });
-    this.capacity = new gateCapacity.GateCapacity({
-      ...options,
-      tracker: this.server.tracker,
-    });
+    const {tracker} = this.server;
+    this.runReports = new runReports.RunReports(options.rollouts, tracker);
+    this.capacity = new gateCapacity.GateCapacity({...options, tracker});
   }
 
   /** Number of requests without a reply. */
@@ -66,6 +61,11 @@
     return gateClosure.closureOf(this.options, server, stopping);
   }
 
+  /** Version of the backend server, undefined until an announcement has stated it. */
+  get version(): string | undefined {
+    return this.server.tracker.version;
+  }
+
   /** Returns the load to report to other nodes. */
   load(now: units.MonotonicMs): serving.Load {
     return gateLoad.loadOf(this.capacity, this.server, this.closure(), now);
@@ -228,7 +228,7 @@
     if (dispatch.service !== service()) return serving.Reason.WRONG_SERVICE;
     if (this.closure() !== serving.Closure.OPEN) return serving.Reason.CLOSED;
     const barred = this.barredReason(call, now);
-    if (barred !== undefined) return barred;
+    if (barred) return barred;
     const reason = this.capacity.refusalReason(call, now);
     if (!dispatch.redirectable) this.capacity.onAdmission(reason !== undefined);
     return reason;
@@ -240,7 +240,8 @@
     now: units.MonotonicMs,
   ): serving.Reason | undefined {
     if (call.deadlineMs <= now) return serving.Reason.NO_TIME;
-    const {suspects} = this.options;
+    const {suspects, rollouts} = this.options;
+    if (rollouts?.mayStart(now) === false) return serving.Reason.CLOSED;
     const isBarred = suspects.isQuarantined(call.dispatch.fingerprint, now);
     return isBarred ? serving.Reason.QUARANTINED : undefined;
   }
@@ -301,25 +302,18 @@
   }
 
   private start(call: gateCall.GateCall, now: units.MonotonicMs): void {
-    const {instanceId, serial} = this.server.tracker;
+    const {instanceId, serial, limitPerSecond} = this.server.tracker;
     const {intent, output} = this.options;
     const barred = this.barredReason(call, now);
     if (instanceId === undefined || barred !== undefined) {
-      const reason = barred ?? serving.Reason.CLOSED;
-      return this.refuse(call, {reason, mayHaveRun: false}, now);
+      return this.refuseUnrun([call], barred ?? serving.Reason.CLOSED, now);
     }
     call.stage = {kind: 'running', startedMs: now, serial};
     this.capacity.onStarted(now);
-    const {pace, running} = this.capacity;
-    this.replies.note(call, 'routine', 'run', {
-      reason: pace.isStalled(now) ? 'stalled' : undefined,
+    this.runReports.onStarted(this.capacity, now);
+    this.replies.noteRun(call, this.capacity, now, {
       instanceId,
-      waitedMs: Math.round(now - call.arrivedMs),
-      running,
-      limit: this.capacity.limit(now),
-      limitPerSecond: this.server.tracker.limitPerSecond,
-      pacePercent: pace.percentAt(now),
-      paceAgeMs: Math.round(Math.min(pace.ageMs(now), MAX_LOGGED_AGE_MS)),
+      limitPerSecond,
       configuration: intent.configuration?.version,
     });
     output.run(call, instanceId, call.deadlineMs - now);
@@ -331,6 +325,7 @@
     end: gateCall.RunEnd,
     now: units.MonotonicMs,
   ): void {
+    this.runReports.onEnded(call, end, now);
     const refuse = (reason: serving.Reason, mayHaveRun: boolean): void =>
       this.refuse(call, {reason, mayHaveRun}, now);
     switch (end.kind) {
@@ -386,7 +381,7 @@
   ): void {
     const durationMs = now - startedMs;
     const {route, fingerprint, call: number} = call.dispatch;
-    if (status >= FIRST_ERROR_STATUS) {
+    if (status >= gateCall.FIRST_ERROR_STATUS) {
       this.capacity.times.onFailed(now);
     } else {
       this.capacity.times.onAnswered(route, durationMs, now);
@@ -442,7 +437,10 @@
   private cancel(call: gateCall.GateCall, now: units.MonotonicMs): void {
     const isRunning = call.stage.kind === 'running';
     if (isRunning && !call.dispatch.repeatable) return;
-    if (isRunning) this.abort(call);
+    if (isRunning) {
+      this.runReports.onEnded(call, {kind: 'withdrawn'}, now);
+      this.abort(call);
+    }
     const reason = serving.Reason.WITHDRAWN;
     this.refuse(call, {reason, mayHaveRun: isRunning}, now);
   }
@@ -466,6 +464,7 @@
       }
       case 'running':
         this.capacity.times.onFailed(now);
+        this.runReports.onEnded(call, {kind: 'broken'}, now);
         this.abort(call);
         return this.refuse(call, broken, now);
       case 'broken':
--- a/src/common/serving/serving_fixtures.test.ts
+++ b/src/common/serving/serving_fixtures.test.ts
@@ -76,6 +76,7 @@
     startMs: 1_000,
     sequence: 1,
     service: SERVICE,
+    version: 'v1',
     ip: '10.0.0.1',
     port: 80,
     slots: 10,
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -1,6 +1,7 @@
 /** Connects the entry to callers and to the gates of all nodes. */
 import * as entryCore from '../../common/serving/entry.js';
 import * as gateReports from '../../common/serving/gate_reports.js';
+import * as rollouts from '../../common/rollouts/rollouts.js';
 import * as operatorIntent from '../../common/serving/operator_intent.js';
 import * as placement from '../../common/serving/placement.js';
 import * as randomSource from '../../common/random_source.js';
@@ -29,6 +30,7 @@
   readonly dataCentre: string;
   readonly http: platformAdapter.HeaderCodec;
   readonly bounds: platformAdapter.FleetBounds;
+  readonly rollouts: rollouts.Rollouts;
   readonly intent: operatorIntent.OperatorIntent;
   readonly directory: fleetDirectory.FleetDirectory;
   readonly fleetSync: () => fleetSync.FleetSync;
@@ -124,6 +126,10 @@
           if (pulse.readsStore) this.storeReaders.add(nodeId);
           else this.storeReaders.delete(nodeId);
           fleetSync().onPeerIntent(nodeId, pulse);
+          for (const report of pulse.rollouts) {
+            const now = clock.monotonicMs();
+            this.options.rollouts.onReport(nodeId, report, now);
+          }
         },
         onState: (nodeId, state) => fleetSync().onState(nodeId, state),
         onSuspect,
@@ -141,6 +147,7 @@
     return new entryCore.Entry({
       intent,
       reports,
+      rollouts: this.options.rollouts,
       placement: new placement.Placement({
         dataCentre,
         directory: {gatesOf: service => this.gatesOf(service)},
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -29,6 +29,8 @@
   greeting(toNodeId: string): serving.Greeting;
   pulse(): serving.Pulse;
   state(): serving.FleetState;
+  /** Longest interval of pulses that the sender's state asks for, infinity by default. */
+  maxPulseIntervalMs?(): units.Millis;
   /** Returns the number of nodes in the fleet. */
   nodeCount(): number;
   nowMs(): units.MonotonicMs;
@@ -101,9 +103,13 @@
   tick(now: units.MonotonicMs): void {
     let value: serving.Pulse | undefined;
     const nodes = this.options.nodeCount();
+    const maxIntervalMs = this.options.maxPulseIntervalMs?.() ?? Infinity;
     for (const session of this.sessions.values()) {
       const sinceDispatchMs = now - session.dispatchedMs;
-      const interval = pulseInterval.pulseIntervalMs(sinceDispatchMs, nodes);
+      const interval = Math.min(
+        maxIntervalMs,
+        pulseInterval.pulseIntervalMs(sinceDispatchMs, nodes),
+      );
       if (now - session.pulsedMs < interval) continue;
       value ??= this.options.pulse();
       this.sendPulse(session, value, now);
--- a/src/node/serving/fleet_registry.test.ts
+++ b/src/node/serving/fleet_registry.test.ts
@@ -30,6 +30,7 @@
     },
     follow: async () => ({kind: 'expired', era: 1}),
     put: async () => 1,
+    putAt: () => Promise.reject(new Error('not expected')),
     [Symbol.asyncDispose]: async () => undefined,
   };
   return {store, read};
@@ -112,6 +113,10 @@
     return {kind: 'expired', era: this.era};
   }
 
+  putAt(): Promise<never> {
+    return Promise.reject(new Error('not expected'));
+  }
+
   async put(
     topic: platformAdapter.Topic,
     key: string,
--- a/src/node/serving/fleet_sync.ts
+++ b/src/node/serving/fleet_sync.ts
@@ -5,6 +5,7 @@
 import * as operatorIntent from '../../common/serving/operator_intent.js';
 import * as units from '../../common/units.js';
 import * as serving from '../../generated/serving.js';
+import * as rolloutMessage from '../../common/rollouts/rollout_message.js';
 import * as platformAdapter from './platform_adapter.js';
 import * as fleetDirectory from './fleet_directory.js';
 
@@ -61,11 +62,15 @@
     const dataCentres = changes.flatMap(change =>
       change.kind === 'data-centre' ? [change] : [],
     );
+    const rollouts = changes.flatMap(change =>
+      change.kind === 'rollout' ? [change] : [],
+    );
     const documents = changes.flatMap(change =>
       change.kind === 'configuration' ? [change.document] : [],
     );
     const position = {era, offset: endOffset - 1};
-    const snapshot = {document: documents.at(0), dataCentres, position};
+    const document = documents.at(0);
+    const snapshot = {document, dataCentres, rollouts, position};
     this.onIntentApplied(intent.applySnapshot(snapshot, nowMs()), 'store');
   }
 
@@ -127,7 +132,7 @@
   state(): serving.FleetState {
     const {intent, directory, suspects} = this.options;
     const now = this.options.nowMs();
-    const {document, dataCentres} = intent.toSnapshot(now);
+    const {document, dataCentres, rollouts = []} = intent.toSnapshot(now);
     const {intentEra, intentOffset} = this.ownIntent();
     return {
       configurationJson: document === undefined ? '' : JSON.stringify(document),
@@ -141,6 +146,7 @@
           heldMs: Math.ceil(heldMs),
         }),
       ),
+      rollouts: rollouts.map(record => rolloutMessage.encode(record)),
       nodes: [directory.self, ...directory.others],
       suspects: suspects.list(now),
     };
@@ -232,8 +238,11 @@
         heldMs,
       }),
     );
+    const rollouts = state.rollouts.map(record =>
+      rolloutMessage.decode(record),
+    );
     const position = {era: intentEra, offset: intentOffset - 1};
-    return {document, dataCentres, position};
+    return {document, dataCentres, rollouts, position};
   } catch {
     return undefined;
   }
--- a/src/node/serving/gate_link.test.ts
+++ b/src/node/serving/gate_link.test.ts
@@ -36,6 +36,7 @@
       intentEra: 1,
       configurationVersion: 1,
       holdsLostRecords: false,
+      rollouts: [],
       intentOffset: 1,
       readsStore: true,
     }),
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -2,6 +2,7 @@
 import * as crashSuspects from '../../common/serving/crash_suspects.js';
 import * as gateCall from '../../common/serving/gate_call.js';
 import * as operatorIntent from '../../common/serving/operator_intent.js';
+import * as rollouts from '../../common/rollouts/rollouts.js';
 import * as serverGate from '../../common/serving/server_gate.js';
 import * as randomSource from '../../common/random_source.js';
 import * as units from '../../common/units.js';
@@ -21,6 +22,9 @@
 /** Link id of the local entry; sessions of other entries count from 1. */
 const LOCAL_LINK_ID = 0;
 
+/** Interval of pulses while a roll-out of the gate's service is on. */
+const ROLLOUT_PULSE_MS: units.Millis = 1_000;
+
 /** The entry of the same node, called without a connection. */
 export interface LocalEntry {
   onAnswer(answer: serving.Answer): void;
@@ -34,6 +38,7 @@
   readonly http: platformAdapter.HeaderCodec;
   readonly intent: operatorIntent.OperatorIntent;
   readonly suspects: crashSuspects.CrashSuspects;
+  readonly rollouts: rollouts.Rollouts;
   readonly directory: fleetDirectory.FleetDirectory;
   readonly fleetSync: () => fleetSync.FleetSync;
   readonly random: randomSource.RandomSource;
@@ -216,8 +221,11 @@
         load: this.gate.load(clock.monotonicMs()),
         ...fleetSync().ownIntent(),
         readsStore: this.options.readsStore(),
+        rollouts: this.options.rollouts.reports(clock.monotonicMs()),
       }),
       state: () => fleetSync().state(),
+      maxPulseIntervalMs: () =>
+        this.options.rollouts.isActive ? ROLLOUT_PULSE_MS : Infinity,
       nodeCount: () => directory.size,
       listener: {
         onGreeting: sender => {
--- a/src/node/serving/platform_adapter.ts
+++ b/src/node/serving/platform_adapter.ts
@@ -89,7 +89,9 @@
   /** Written by operators. */
   | 'operators'
   /** Written by nodes. */
-  | 'fleet';
+  | 'fleet'
+  /** Written by nodes for operators: the state of roll-outs. */
+  | 'status';
 
 /** A record of a topic; without a value it deletes the key. */
 export interface StoreRecord {
@@ -121,6 +123,13 @@
   /** The store has no record at the offset: it was deleted, or is beyond the end. */
   | {readonly kind: 'expired'; readonly era: number};
 
+/** Result of a conditional write. */
+export interface ConditionalPut {
+  /** False if the topic ended at another offset. */
+  readonly written: boolean;
+  readonly era: number;
+}
+
 /** The platform's store of keyed topics. */
 export interface SharedStore extends AsyncDisposable {
   /**
@@ -151,6 +160,19 @@
    *     written.
    */
   put(topic: Topic, key: string, value: Buffer | undefined): Promise<number>;
+
+  /**
+   * Writes a record if the topic ends at `endOffset`; without a value it deletes the key.
+   *
+   * @throws errors.GeraniumloftError if the store does not confirm; the record may have been
+   *     written, or may be written later while the condition holds.
+   */
+  putAt(
+    topic: Topic,
+    key: string,
+    value: Buffer | undefined,
+    endOffset: number,
+  ): Promise<ConditionalPut>;
 }
 
 /** Decodes the operators' records. */
@@ -159,6 +181,24 @@
   decode(record: StoreRecord): operatorIntent.IntentChange;
 }
 
+/** State of a roll-out as operators see it. */
+export interface RolloutStatus {
+  readonly service: string;
+  readonly state: 'running' | 'done' | 'rolled_back';
+  readonly targetVersion: string;
+  /** Position of the order, undefined if the record does not state it. */
+  readonly order: logPosition.LogPosition | undefined;
+}
+
+/** Reads and writes records of the status topic. */
+export interface RolloutStatusCodec {
+  /** Key of a service's record. */
+  keyOf(service: string): string;
+  encode(status: RolloutStatus): Buffer;
+  /** @throws errors.MalformedInputError if the record is malformed. */
+  decode(value: Buffer): RolloutStatus;
+}
+
 /** Bounds of a quota over all nodes. */
 export interface QuotaBounds {
   /** Length of the sliding window in which requests are counted. */
@@ -200,6 +240,7 @@
   readonly http: HeaderCodec;
   readonly announcements: AnnouncementDecoder;
   readonly intent: IntentDecoder;
+  readonly rolloutStatus: RolloutStatusCodec;
   readonly bounds: FleetBounds;
   readonly store: SharedStore;
 }
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -1,6 +1,7 @@
 /** A node for the users' platform, composed of its parts. */
 import * as crashSuspects from '../../common/serving/crash_suspects.js';
 import * as decision from '../../common/serving/decision.js';
+import * as rolloutsModule from '../../common/rollouts/rollouts.js';
 import * as operatorIntent from '../../common/serving/operator_intent.js';
 import * as randomSource from '../../common/random_source.js';
 import * as units from '../../common/units.js';
@@ -18,6 +19,7 @@
 import * as gateRuntime from './gate_runtime.js';
 import * as nodeStop from './node_stop.js';
 import * as pauseMeter from './pause_meter.js';
+import * as rolloutStatusWriter from './rollout_status_writer.js';
 import * as serverMessageHandler from './server_message_handler.js';
 import * as simpleHttpServer from './simple_http_server.js';
 import * as storeReaders from './store_readers.js';
@@ -56,6 +58,8 @@
     },
     clock.monotonicMs(),
   );
+  private readonly rollouts: rolloutsModule.Rollouts;
+  private readonly statusWriter: rolloutStatusWriter.RolloutStatusWriter;
   private readonly resources = new resourceStack.ResourceStack();
   private settings: generated.NodeSettings;
   private timer: NodeJS.Timeout | undefined;
@@ -72,10 +76,12 @@
     this.random = new randomSource.SeededRandom(options.processStartedMs | 0);
     this.directory = use(new fleetDirectory.FleetDirectory(recordOf(settings)));
     this.fleetSync = this.makeFleetSync();
+    this.rollouts = this.makeRollouts();
     this.storeReaders = use(this.makeStoreReaders());
     this.registry = use(this.makeRegistry());
     this.gateRuntime = use(this.makeGateRuntime());
     this.entryRuntime = use(this.makeEntryRuntime(fingerprint));
+    this.statusWriter = use(this.makeStatusWriter());
     this.gateRuntime.setServer(address.parseAddress(settings.server));
   }
 
@@ -150,6 +156,7 @@
     this.pauseMeter.observe(clock.monotonicMs());
     this.storeReaders.start();
     this.registry.start();
+    this.statusWriter.start();
     this.scheduleTick(clock.monotonicMs() + MAX_TICK_INTERVAL_MS);
   }
 
@@ -179,6 +186,83 @@
     });
   }
 
+  private makeRollouts(): rolloutsModule.Rollouts {
+    const {platform, telemetry: log, processStartedMs, settings} = this.options;
+    const {nodeId, dataCentre} = settings;
+    const service = (): string => this.settings.service;
+    return new rolloutsModule.Rollouts({
+      orders: this.intent.rollouts,
+      bounds: platform.bounds.rollout,
+      nodeId,
+      dataCentre,
+      processStartedMs,
+      random: this.random,
+      log,
+      service,
+      version: () => this.gateRuntime.gate.version,
+      gate: () => this.gateState(),
+      authority: () => ({
+        decides: this.decides,
+        readsStore: this.storeReaders.readsStore && this.statusWriter.hasRead,
+      }),
+      knownGates: name => this.gatesOf(name, () => true),
+      linkedGates: name =>
+        this.gatesOf(name, id => this.entryRuntime.links.isUp(id)),
+      onChanged: () => this.onRolloutChanged(),
+    });
+  }
+
+  private makeStatusWriter(): rolloutStatusWriter.RolloutStatusWriter {
+    const {platform, telemetry: log} = this.options;
+    return new rolloutStatusWriter.RolloutStatusWriter({
+      store: platform.store,
+      codec: platform.rolloutStatus,
+      rollouts: this.rollouts,
+      log,
+      isWriter: () => this.decides && this.storeReaders.readsStore,
+      era: () => this.intent.position.era,
+      nowMs: clock.monotonicMs,
+      random: () => this.random.next(),
+    });
+  }
+
+  private gateState(): rolloutsModule.GateState {
+    const load = this.gateRuntime.gate.load(clock.monotonicMs());
+    const {running, waiting, limit, closure} = load;
+    const isOpen = closure === serving.Closure.OPEN;
+    return {running, waiting, limit, isOpen};
+  }
+
+  /**
+   * Whether this node decides on roll-outs: the first by id of those that read the store, or of all
+   * that it reaches if none does.
+   */
+  private get decides(): boolean {
+    const {self, others} = this.directory;
+    const {links} = this.entryRuntime;
+    const peers = others.filter(({nodeId}) => links.isUp(nodeId));
+    const readers = peers.filter(({nodeId}) =>
+      this.entryRuntime.readsStore(nodeId),
+    );
+    if (this.storeReaders.readsStore) {
+      return readers.every(({nodeId}) => self.nodeId < nodeId);
+    }
+    if (readers.length > 0) return false;
+    return peers.every(({nodeId}) => self.nodeId < nodeId);
+  }
+
+  /** Ids of the nodes of a service, this one included, that fulfil a condition. */
+  private gatesOf(
+    service: string,
+    isIncluded: (nodeId: string) => boolean,
+  ): readonly string[] {
+    const {self, others} = this.directory;
+    const peers = others.filter(({nodeId}) => isIncluded(nodeId));
+    return [self, ...peers]
+      .filter(record => record.service === service)
+      .map(({nodeId}) => nodeId);
+  }
+
   private makeRegistry(): fleetRegistry.FleetRegistry {
     const {platform, telemetry: log} = this.options;
     return new fleetRegistry.FleetRegistry({
@@ -208,6 +292,7 @@
     return new gateRuntime.GateRuntime({
       ...this.sharedOptions(),
       suspects: this.suspects,
+      rollouts: this.rollouts,
       memoryMb: this.options.settings.memoryMb,
       coldRateFactor: this.options.platform.bounds.coldRateFactor,
       startedEpochMs: this.options.processStartedMs,
@@ -226,6 +311,7 @@
     return new entryRuntime.EntryRuntime({
       ...this.sharedOptions(),
       bounds: this.options.platform.bounds,
+      rollouts: this.rollouts,
       fingerprint,
       onSuspect: suspect => this.onSuspect(suspect),
       localGate: {
@@ -267,6 +353,13 @@
   private onIntentChanged(): void {
     this.registry.onEra(this.intent.position.era);
     this.entryRuntime.callers.applyLimits();
+    this.rollouts.onOrders(clock.monotonicMs());
+    this.gateRuntime.onIntentChanged(clock.monotonicMs());
+    this.afterEvent();
+  }
+
+  /** Closes or opens the gate as the roll-out asks, and tells the other nodes. */
+  private onRolloutChanged(): void {
     this.gateRuntime.onIntentChanged(clock.monotonicMs());
     this.afterEvent();
   }
@@ -298,6 +391,7 @@
     this.entryRuntime.tick(now);
     this.gateRuntime.tick(now);
     this.fleetSync.tick();
+    this.rollouts.tick(now);
     this.scheduleTick(now + MAX_TICK_INTERVAL_MS);
     this.afterEvent();
   }
--- a/src/node/serving/topic_follower.test.ts
+++ b/src/node/serving/topic_follower.test.ts
@@ -58,6 +58,10 @@
     return {kind: 'records', records, era, nextOffset: endOffset, endOffset};
   }
 
+  putAt(): Promise<never> {
+    return Promise.reject(new Error('not expected'));
+  }
+
   async put(): Promise<number> {
     return this.era;
   }
--- a/test/fakes/stated_server.ts
+++ b/test/fakes/stated_server.ts
@@ -53,6 +53,7 @@
       startMs: 1 + Math.floor(this.startMs),
       sequence: ++this.sequence,
       service,
+      version: 'v1',
       ip: '127.0.0.1',
       port: 80,
       slots,
--- a/test/paths/platform_fleet.ts
+++ b/test/paths/platform_fleet.ts
@@ -53,6 +53,8 @@
   readonly program?: string;
   /** Settings of all nodes that override the defaults of the tests. */
   readonly settings?: object;
+  /** Versions of the backend servers by node; `v1` by default. */
+  readonly versions?: readonly string[];
 }
 
 /** Owns daemons, backend servers and the store; disposing it ends them. */
@@ -76,6 +78,7 @@
     const fleet = new PlatformFleet(store, address, {
       program: COMPILED_DAEMON,
       settings: {},
+      versions: [],
       ...options,
     });
     store.put('keyed.op', 'config', documents.configuration(1));
@@ -96,6 +99,7 @@
       dataCentre,
       `i${i}`,
     );
+    server.version = this.options.versions[i] ?? 'v1';
     const address = await server.listen();
     const ports = await child.freePorts(4);
     const [callers, peers, control, readiness] = ports.map(
--- a/test/stand_ins/platform/server_stand_in.ts
+++ b/test/stand_ins/platform/server_stand_in.ts
@@ -41,6 +41,8 @@
 export class ServerStandIn implements AsyncDisposable {
   mode: ServerMode = {kind: 'ok', workMs: 0};
   pacePercent = 100;
+  /** Version that announcements state. */
+  version = 'v1';
   coldLeftMs = 0;
   /** Rate limit that answers to requests name, undefined for none. */
   limit: string | undefined;
@@ -93,7 +95,7 @@
     const body = {
       address: this.address,
       born: this.startMs,
-      node_info: {service, version: 'v1', zone, slot_count: 10},
+      node_info: {service, version: this.version, zone, slot_count: 10},
       status: {
         state: isLeaving ? 'draining' : state,
         sequence: ++this.sequence,
--- a/test/stand_ins/platform/store_stand_in.ts
+++ b/test/stand_ins/platform/store_stand_in.ts
@@ -94,6 +94,13 @@
     this.topic(topic).append(Buffer.concat(content));
   }
 
+  /** Returns the JSON values written under a key, the oldest first. */
+  valuesOf(topic: string, key: string): readonly unknown[] {
+    return this.topic(topic)
+      .records.filter(record => record.key === key)
+      .map(({value}) => JSON.parse(value.toString('utf8')) as unknown);
+  }
+
   /** Truncates the history of a topic; `/log-newest` still returns the newest records. */
   truncate(topic: string): void {
     const dropped = this.topic(topic);
@@ -152,7 +159,7 @@
       case '/log-read':
         return this.read(url, topic, res);
       case '/log-append':
-        return this.append(req, topic, res);
+        return this.append(req, url, topic, res);
       default:
         return respond(res, 404, '{}');
     }
@@ -187,6 +194,7 @@
 
   private async append(
     req: http.IncomingMessage,
+    url: URL,
     topic: Topic,
     res: http.ServerResponse,
   ): Promise<void> {
@@ -194,10 +202,14 @@
     for await (const chunk of req) chunks.push(chunk as Buffer);
     const body = Buffer.concat(chunks);
     const offset = topic.records.length;
-    for (let at = 0; at < body.length;) {
-      const recordEnd = at + 4 + body.readUInt32BE(at);
-      topic.append(body.subarray(at + 4, recordEnd));
-      at = recordEnd;
+    const at = url.searchParams.get('at');
+    if (at !== null && Number(at) !== offset) {
+      return respond(res, 412, JSON.stringify({end_offset: offset}));
+    }
+    for (let start = 0; start < body.length;) {
+      const recordEnd = start + 4 + body.readUInt32BE(start);
+      topic.append(body.subarray(start + 4, recordEnd));
+      start = recordEnd;
     }
     if (this.mode.kind === 'answers-lost') {
       res.destroy();
