--- a/src/common/rollouts/exposure.ts
+++ b/src/common/rollouts/exposure.ts
@@ -14,8 +14,8 @@
  * Part of the bounds that is granted. The rest covers retries, which gates count as requests of the
  * service, and grants by two deciders at the same time.
  */
-const GRANTED_SHARE = 0.8;
-const GRANTED_SLACK_SHARE = 0.5;
+const GRANTED_SHARE = 0.88;
+const GRANTED_SLACK_SHARE = 0.6;
 
 /**
  * Unused grant of one gate, as a multiple of its limit. A gate uses it up with its limit in use
--- a/src/common/rollouts/rollout.ts
+++ b/src/common/rollouts/rollout.ts
@@ -4,6 +4,7 @@
 import * as exposure from './exposure.js';
 import * as fleetEvidence from './fleet_evidence.js';
 import * as judge from './judge.js';
+import * as rolloutPhase from './rollout_phase.js';
 import * as rolloutOrders from './rollout_orders.js';
 
 /** Interval of evaluations. */
@@ -17,8 +18,8 @@
 const FEW_ANSWERS = 50;
 
 /** Times of the verdict, as shares of the time to the deadline. */
-const EARLIEST_SHARE = 0.5;
-const LATEST_SHARE = 0.6;
+const EARLIEST_SHARE = 0.55;
+const LATEST_SHARE = 0.65;
 const LATEST_WITH_FEW_SHARE = 0.75;
 const GIVE_UP_SHARE = 0.9;
 
@@ -26,7 +27,7 @@
 const LONGEST_OBSERVATION_MS: units.Millis = 20_000;
 
 /** Scores above which a version is bad at the latest time for a verdict. */
-const LATEST_BAD_SCORE = 3;
+const LATEST_BAD_SCORE = 4;
 
 /** Time before the deadline at which the other versions' gates close. */
 const CLOSING_RESERVE_MS: units.Millis = 6_000;
@@ -44,6 +45,16 @@
 /** Time from the order until the reports of all reachable gates are expected. */
 const REPORTS_EXPECTED_MS: units.Millis = 2_000;
 
+/** Delay of an evaluation from which the process counts as paused; it decides nothing then. */
+const PAUSED_MS: units.Millis = 1_000;
+
+/** Windows after a pause in which nothing is decided, so that news of other nodes is read first. */
+const HELD_WINDOWS = 2;
+
+/** Age of reports that count as fresh, and their share without which nothing final is decided. */
+const FRESH_REPORT_MS: units.Millis = 5_000;
+const MIN_FRESH_SHARE = 0.5;
+
 /** Shares of requests that entries try to send to the target version, in thousandths. */
 const CANARY_PERMILLE = 250;
 const ALL_PERMILLE = 1_000;
@@ -77,6 +88,7 @@
   private currentGrants: readonly serving.RolloutGrant[] = [];
   private windows = 0;
   private nextWindowMs: units.MonotonicMs;
+  private heldWindows = 0;
   /** Why the phase has not ended. */
   waitsFor = '';
 
@@ -113,24 +125,23 @@
   }
 
   get isEnded(): boolean {
-    return this.currentPhase >= serving.RolloutPhase.ROLLING_BACK;
+    const {currentPhase} = this;
+    return (
+      rolloutPhase.isRollback(currentPhase) ||
+      currentPhase === serving.RolloutPhase.DONE
+    );
   }
 
   /** Whether the gates of the target version are closed. */
   get isTargetClosed(): boolean {
     const {currentPhase} = this;
-    if (currentPhase === serving.RolloutPhase.DONE) return false;
-    if (currentPhase >= serving.RolloutPhase.ROLLING_BACK) return true;
+    if (rolloutPhase.isRollback(currentPhase)) return true;
     return currentPhase === serving.RolloutPhase.CANARY && this.hasManyFailures;
   }
 
   /** Whether the gates of all other versions are closed. */
   get areOthersClosed(): boolean {
-    const {currentPhase} = this;
-    return (
-      currentPhase === serving.RolloutPhase.CLOSING ||
-      currentPhase === serving.RolloutPhase.DONE
-    );
+    return rolloutPhase.isMoved(this.currentPhase);
   }
 
   /** Whether every known gate of the service has reported the target version. */
@@ -145,8 +156,10 @@
    * @returns whether the phase has changed.
    */
   adopt(phase: serving.RolloutPhase, sharePermille: number): boolean {
-    if (phase < this.currentPhase) return false;
-    if (phase === this.currentPhase) {
+    const later =
+      rolloutPhase.rankOf(phase) - rolloutPhase.rankOf(this.currentPhase);
+    if (later < 0) return false;
+    if (later === 0) {
       this.share = Math.max(this.share, sharePermille);
       return false;
     }
@@ -158,10 +171,14 @@
   /** Runs an evaluation if it is due; returns whether the phase or the grants have changed. */
   tick(authority: Authority, now: units.MonotonicMs): boolean {
     if (now < this.nextWindowMs) return false;
+    const isLate = now >= this.nextWindowMs + PAUSED_MS;
+    this.heldWindows = isLate
+      ? HELD_WINDOWS
+      : Math.max(0, this.heldWindows - 1);
     this.nextWindowMs = now + WINDOW_MS;
     this.windows++;
     this.judge.observe(this.evidence.takeWindow());
-    if (!authority.decides || this.isEnded) {
+    if (!authority.decides || this.isEnded || this.heldWindows > 0) {
       this.currentGrants = [];
       return false;
     }
@@ -177,7 +194,7 @@
       const {evidence, phase, heardMs} = view;
       if (this.evidence.isTarget(evidence)) return false;
       if (now - heardMs > SILENT_GATE_MS) return false;
-      const isClosed = phase >= serving.RolloutPhase.CLOSING;
+      const isClosed = rolloutPhase.isMoved(phase);
       return !isClosed || evidence.running + evidence.waiting > 0;
     });
     const reported = new Set(this.evidence.gates.map(gate => gate.nodeId));
@@ -192,13 +209,13 @@
   private decide(authority: Authority, now: units.MonotonicMs): void {
     this.currentGrants = [];
     const {phase} = this;
-    const mayMove = authority.readsStore;
+    const mayMove = authority.readsStore && this.hearsFleet(now);
     if (this.isBad) return this.enter(serving.RolloutPhase.ROLLING_BACK);
     if (phase === serving.RolloutPhase.CANARY) {
       if (mayMove && this.isGoodVerdictDue(now)) {
         return this.enter(serving.RolloutPhase.MOVING);
       }
-      if (this.isHopeless(now)) {
+      if (mayMove && this.isHopeless(now)) {
         return this.enter(serving.RolloutPhase.ROLLING_BACK);
       }
       const {evidence, options, windows} = this;
@@ -225,9 +242,11 @@
   }
 
   private get isBad(): boolean {
-    if (this.currentPhase > serving.RolloutPhase.MOVING) return false;
-    if (this.judge.opinion === 'bad') return true;
     const {phase} = this;
+    const isOpen =
+      phase === serving.RolloutPhase.CANARY ||
+      phase === serving.RolloutPhase.MOVING;
+    if (isOpen && this.judge.opinion === 'bad') return true;
     return phase === serving.RolloutPhase.CANARY && this.hasManyFailures;
   }
 
@@ -300,6 +319,14 @@
     this.share = Math.min(ALL_PERMILLE, this.share + MOVING_STEP_PERMILLE);
   }
 
+  /** Whether this node gets the reports of most gates, so that it is not the one cut off. */
+  private hearsFleet(now: units.MonotonicMs): boolean {
+    const {gates} = this.evidence;
+    const fresh = gates.filter(g => now - g.heardMs <= FRESH_REPORT_MS).length;
+    if (fresh >= MIN_FRESH_SHARE * gates.length) return true;
+    return this.wait('reports of gates');
+  }
+
   private get hasOpenTarget(): boolean {
     return this.evidence.gates.some(
       ({evidence}) => this.evidence.isTarget(evidence) && evidence.isOpen,
--- a/src/common/rollouts/rollouts.ts
+++ b/src/common/rollouts/rollouts.ts
@@ -6,6 +6,7 @@
 import * as exposure from './exposure.js';
 import * as gateTally from './gate_tally.js';
 import * as rolloutModule from './rollout.js';
+import * as rolloutPhase from './rollout_phase.js';
 import * as rolloutOrders from './rollout_orders.js';
 
 /** Bounds of roll-outs. */
@@ -303,10 +304,7 @@
     if (rollout === undefined) return;
     this.rollouts.delete(service);
     const {phase, order} = rollout;
-    const isRolledBack =
-      phase === serving.RolloutPhase.ROLLING_BACK ||
-      phase === serving.RolloutPhase.ROLLED_BACK;
-    if (isRolledBack) {
+    if (rolloutPhase.isRollback(phase)) {
       const versions = this.rolledBack.get(service) ?? new Set();
       this.rolledBack.set(service, versions.add(order.targetVersion));
     }
