--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -3,6 +3,7 @@
 import * as entryCall from '../../common/serving/entry_call.js';
 import * as entryCore from '../../common/serving/entry.js';
 import * as gateReports from '../../common/serving/gate_reports.js';
+import * as rollouts from '../../common/rollouts/rollouts.js';
 import * as operatorIntent from '../../common/serving/operator_intent.js';
 import * as placement from '../../common/serving/placement.js';
 import * as randomSource from '../../common/random_source.js';
@@ -33,6 +34,7 @@
   readonly dataCentre: string;
   readonly http: platformAdapter.HeaderCodec;
   readonly bounds: platformAdapter.FleetBounds;
+  readonly rollouts: rollouts.Rollouts;
   readonly intent: operatorIntent.OperatorIntent;
   readonly directory: fleetDirectory.FleetDirectory;
   readonly fleetSync: () => fleetSync.FleetSync;
@@ -144,6 +146,10 @@
           else this.storeReaders.delete(nodeId);
           this.quotas.onPulse(nodeId, pulse);
           fleetSync().onPeerIntent(nodeId, pulse);
+          for (const report of pulse.rollouts) {
+            const now = clock.monotonicMs();
+            this.options.rollouts.onReport(nodeId, report, now);
+          }
         },
         onState: (nodeId, state) => fleetSync().onState(nodeId, state),
         onSuspect,
@@ -167,6 +173,7 @@
     return new entryCore.Entry({
       intent,
       reports,
+      rollouts: this.options.rollouts,
       placement: new placement.Placement({
         dataCentre,
         directory: {gatesOf: service => this.gatesOf(service)},
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -33,6 +33,8 @@
   state(): serving.FleetState;
   /** Returns the answer to a question for this node's freshness proof. */
   freshness(question: number): serving.FreshnessProof;
+  /** Longest interval of pulses that the sender's state asks for, infinity by default. */
+  maxPulseIntervalMs?(): units.Millis;
   /** Returns the number of nodes in the fleet. */
   nodeCount(): number;
   nowMs(): units.MonotonicMs;
@@ -105,9 +107,13 @@
   tick(now: units.MonotonicMs): void {
     let value: serving.Pulse | undefined;
     const nodes = this.options.nodeCount();
+    const maxIntervalMs = this.options.maxPulseIntervalMs?.() ?? Infinity;
     for (const session of this.sessions.values()) {
       const sinceDispatchMs = now - session.dispatchedMs;
-      const interval = pulseInterval.pulseIntervalMs(sinceDispatchMs, nodes);
+      const interval = Math.min(
+        maxIntervalMs,
+        pulseInterval.pulseIntervalMs(sinceDispatchMs, nodes),
+      );
       if (now - session.pulsedMs < interval) continue;
       value ??= this.options.pulse();
       this.sendPulse(session, value, now);
--- a/test/paths/platform_fleet.ts
+++ b/test/paths/platform_fleet.ts
@@ -59,6 +59,8 @@
   readonly settings?: object;
   /** Top-level fields of the first configuration that override the defaults of the tests. */
   readonly configuration?: object;
+  /** Versions of the backend servers by node; `v1` by default. */
+  readonly versions?: readonly string[];
 }
 
 /** Owns daemons, backend servers and the store; disposing it ends them. */
@@ -84,6 +86,7 @@
       nodeArgs: [],
       settings: {},
       configuration: {},
+      versions: [],
       ...options,
     });
     const document = documents.configuration(1, fleet.options.configuration);
@@ -105,6 +108,7 @@
       dataCentre,
       `i${i}`,
     );
+    server.version = this.options.versions[i] ?? 'v1';
     const address = await server.listen();
     const ports = await child.freePorts(4);
     const [callers, peers, control, readiness] = ports.map(
