--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -25,6 +25,7 @@
 import * as simpleHttpServer from './simple_http_server.js';
 import * as storeReaders from './store_readers.js';
 import * as telemetry from './telemetry.js';
+import * as wakeTimer from './wake_timer.js';
 
 /** Longest interval between runs of the timers. */
 const MAX_TICK_INTERVAL_MS: units.Millis = 50;
@@ -64,8 +65,10 @@
   private readonly statusWriter: rolloutStatusWriter.RolloutStatusWriter;
   private readonly resources = new resourceStack.ResourceStack();
   private settings: generated.NodeSettings;
-  private timer: NodeJS.Timeout | undefined;
-  private timerDueMs = Infinity;
+  private readonly wakeTimer = new wakeTimer.WakeTimer({
+    nowMs: clock.monotonicMs,
+    onWake: () => this.tick(),
+  });
   private stopping: nodeStop.NodeStop | undefined;
 
   private constructor(
@@ -136,8 +139,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    clearTimeout(this.timer);
-    this.timerDueMs = -Infinity;
+    this.wakeTimer[Symbol.dispose]();
     await this.resources[Symbol.asyncDispose]();
   }
 
@@ -162,7 +164,7 @@
     this.storeReaders.start();
     this.registry.start();
     this.statusWriter.start();
-    this.scheduleTick(clock.monotonicMs() + MAX_TICK_INTERVAL_MS);
+    this.wakeTimer.schedule(clock.monotonicMs() + MAX_TICK_INTERVAL_MS);
   }
 
   private async serve(
@@ -423,25 +425,14 @@
     this.keys.tick();
     this.storeReaders.tick();
     this.rollouts.tick(now);
-    this.scheduleTick(now + MAX_TICK_INTERVAL_MS);
+    this.wakeTimer.schedule(now + MAX_TICK_INTERVAL_MS);
     this.afterEvent();
   }
 
   /** Schedules the next tick for the earliest timer of the entry and the gate. */
   private afterEvent(): void {
     const gateMs = this.gateRuntime.gate.nextWakeMs(clock.monotonicMs());
-    this.scheduleTick(Math.min(this.entryRuntime.nextWakeMs(), gateMs));
-  }
-
-  private scheduleTick(dueMs: units.MonotonicMs): void {
-    if (dueMs >= this.timerDueMs) return;
-    clearTimeout(this.timer);
-    this.timerDueMs = dueMs;
-    const waitMs = Math.max(1, Math.ceil(dueMs - clock.monotonicMs()));
-    this.timer = setTimeout(() => {
-      this.timerDueMs = Infinity;
-      this.tick();
-    }, waitMs);
+    this.wakeTimer.schedule(Math.min(this.entryRuntime.nextWakeMs(), gateMs));
   }
 
   private note(event: string, facts: decision.Facts): void {
