--- a/tools/launcher.cjs
+++ b/tools/launcher.cjs
@@ -6,22 +6,8 @@
 'use strict';
 const fs = require('fs');
 const path = require('path');
-const v8 = require('v8');
 const vm = require('vm');
 
-/**
- * Set here and not on the command line, as they belong to the cache. A node lives with some ten
- * requests a second, at which optimising functions costs more than it saves: the interrupt budget
- * is ten times the default, so that only much used ones are optimised. WebAssembly functions are
- * compiled when first called.
- */
-const FLAGS = [
-  '--interrupt-budget=1320000',
-  '--wasm-lazy-compilation',
-  '--no-wasm-tier-up',
-];
-for (const flag of FLAGS) v8.setFlagsFromString(flag);
-
 const SCRIPT = path.join(__dirname, 'geraniumloft-node.script');
 const CACHE = path.join(__dirname, 'geraniumloft-node.cache');
 
