--- a/src/common/quotas/quota_entry.ts
+++ b/src/common/quotas/quota_entry.ts
@@ -76,7 +76,8 @@
 /** Admits requests with tokens of the workspace's owner, or with this entry's share. */
 export class QuotaEntry {
   private readonly states = new Map<string, workspaceTokens.WorkspaceTokens>();
-  private readonly quotas = new Map<number, QuotaRequest>();
+  /** Requests that wait for a grant, by id. */
+  private readonly waitingRequests = new Map<number, QuotaRequest>();
   private readonly admitted = new Map<number, Admitted>();
   /** Workspaces with requests that wait, and possibly some that had ones lately. */
   private readonly waitingNames = new Set<string>();
@@ -110,7 +111,7 @@
     }
     state.waiting.push({id: request.id, untilMs: now + MAX_WAIT_MS});
     this.waitingNames.add(name);
-    this.quotas.set(request.id, request);
+    this.waitingRequests.set(request.id, request);
     this.askSoon(name, state, quota, now);
     return {kind: 'waiting'};
   }
@@ -118,8 +119,8 @@
   /** Removes a request whose caller has left; its token is not returned, as it may have run. */
   onGone(id: number): void {
     this.admitted.delete(id);
-    const name = this.quotas.get(id)?.workspace.name;
-    this.quotas.delete(id);
+    const name = this.waitingRequests.get(id)?.workspace.name;
+    this.waitingRequests.delete(id);
     const waiting = name && this.states.get(name)?.waiting;
     if (!waiting) return;
     const i = waiting.findIndex(item => item.id === id);
@@ -179,7 +180,7 @@
       for (const {id, untilMs} of [...state.waiting]) {
         if (untilMs <= now) this.endWait(id, state, now);
       }
-      const request = this.quotas.get(state.waiting.at(0)?.id ?? 0);
+      const request = this.waitingRequests.get(state.waiting.at(0)?.id ?? 0);
       const quota = request?.workspace.quota;
       if (quota) this.askSoon(name, state, quota, now);
     }
@@ -232,7 +233,7 @@
       this.refuseWaiting(state, now);
     }
     const [first] = state.waiting;
-    const quota = first && this.quotas.get(first.id)?.workspace.quota;
+    const quota = first && this.waitingRequests.get(first.id)?.workspace.quota;
     if (quota) this.askSoon(name, state, quota, now);
   }
 
@@ -243,10 +244,10 @@
   ): void {
     while (state.waiting.length > 0) {
       const [{id}] = state.waiting;
-      const quota = this.quotas.get(id)?.workspace.quota;
+      const quota = this.waitingRequests.get(id)?.workspace.quota;
       if (quota && !this.takeToken(id, name, state, quota, now)) return;
       state.waiting.shift();
-      this.quotas.delete(id);
+      this.waitingRequests.delete(id);
       this.options.output.admit(id);
     }
   }
@@ -263,7 +264,7 @@
     state: workspaceTokens.WorkspaceTokens,
     now: units.MonotonicMs,
   ): void {
-    const request = this.quotas.get(id);
+    const request = this.waitingRequests.get(id);
     this.onGone(id);
     if (request === undefined) return;
     const {retryAfterMs} = this.refuse(request, state, now);
--- a/src/node/serving/platform_adapter.ts
+++ b/src/node/serving/platform_adapter.ts
@@ -1,6 +1,7 @@
 /** Interfaces that an adapter to a platform implements. */
 import type * as http from 'node:http';
 
+import * as rollouts from '../../common/rollouts/rollouts.js';
 import * as incarnations from '../../common/serving/incarnations.js';
 import * as logPosition from '../../common/serving/log_position.js';
 import * as operatorIntent from '../../common/serving/operator_intent.js';
@@ -209,16 +210,6 @@
   readonly slack: number;
 }
 
-/** Bounds on what an unproven version may get during a roll-out. */
-export interface RolloutBounds {
-  /** Share of the service's requests since the order. */
-  readonly exposeShare: number;
-  /** Requests beyond the share. */
-  readonly exposeSlack: number;
-  /** Time after the first bad answers until the version gets no more requests. */
-  readonly rollbackMs: units.Millis;
-}
-
 /** Bounds that the users state for the whole fleet. */
 export interface FleetBounds {
   /** Time from the stop signal until the process is killed. */
@@ -232,7 +223,7 @@
   /** Time after which a removed key admits no request on any node, infinity without a bound. */
   readonly revokeMs: units.Millis;
   readonly quota: QuotaBounds;
-  readonly rollout: RolloutBounds;
+  readonly rollout: rollouts.RolloutBounds;
 }
 
 /** Everything that an adapter provides. */
--- a/test/runs/quota_runs.test.ts
+++ b/test/runs/quota_runs.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 
+import * as randomSource from '../../src/common/random_source.js';
 import * as workspace from '../../src/common/workspaces/workspace.js';
 import * as quotaFleet from '../fakes/quota_fleet.js';
 
@@ -119,8 +120,9 @@
     quotaFleet.workspaceOf(`w${i}`, 2, 4),
   );
   const fleet = makeFleet(61, {workspaces});
+  const random = new randomSource.SeededRandom(1);
   for (const {name} of workspaces) {
-    fleet.load(name, 1.8, 20_000 + Math.floor(Math.random() * 1_000), END_MS);
+    fleet.load(name, 1.8, 20_000 + random.nextInt(1_000), END_MS);
   }
   fleet.clock.runUntil(END_MS);
   let [asked, refused] = [0, 0];
