Confirm the pace of a server before a run starts

Change: a gate asks the server's health path before a run if the latest load report is older than 20 ms, and waits for it at most 30 ms. Requests that wait when a sample shows a stall are redirected if other gates have room. Servers that report no pace are not asked.

--- a/src/common/serving/gate_call.ts
+++ b/src/common/serving/gate_call.ts
@@ -128,6 +128,8 @@
   refuse(linkId: number, refusal: serving.Refusal): void;
   /** Requests an immediate health check. */
   checkHealth(): void;
+  /** Requests a load report of the backend server, which is passed to `onServerLoad`. */
+  sampleLoad(): void;
   /** Reports a request that may crash backend servers to other nodes. */
   reportSuspect(fingerprint: string, deaths: number): void;
   /** Called when entries have to know of a change of the rate limit at once. */
--- a/src/common/serving/gate_capacity.ts
+++ b/src/common/serving/gate_capacity.ts
@@ -5,6 +5,7 @@
 import * as coldStartLimiter from './cold_start_limiter.js';
 import * as gateCall from './gate_call.js';
 import * as operatorIntent from './operator_intent.js';
+import * as paceConfirmation from './pace_confirmation.js';
 import * as rateLimiter from './rate_limiter.js';
 import * as runQueue from './run_queue.js';
 import * as runTimes from './run_times.js';
@@ -58,6 +59,9 @@
   readonly times = new runTimes.RunTimes();
   readonly pace = new serverPace.ServerPace();
   readonly rate = new rateLimiter.RateLimiter();
+  private readonly confirmation = new paceConfirmation.PaceConfirmation(
+    this.pace,
+  );
   private readonly coldStart: coldStartLimiter.ColdStartLimiter;
   private runningCount = 0;
   private shedLimit = Infinity;
@@ -201,9 +205,39 @@
     return Math.max(1, Math.min(limit, Math.floor(perSecond * meanSeconds)));
   }
 
+  /**
+   * Records a load report of the backend server.
+   *
+   * @returns the duration of the stall that has ended, see `ServerPace.onLoad`.
+   */
+  onServerLoad(
+    load: serverPace.ServerLoad,
+    now: units.MonotonicMs,
+  ): units.Millis | undefined {
+    const stallMs = this.pace.onLoad(load, now);
+    if (load.pacePercent !== undefined) this.confirmation.onSample();
+    return stallMs;
+  }
+
+  /** Returns the waiting requests that other gates may start before a stall is over. */
+  waitingInStall(now: units.MonotonicMs): readonly gateCall.GateCall[] {
+    if (!this.pace.isStalled(now)) return [];
+    return this.queue.waiting.filter(({dispatch}) => dispatch.redirectable);
+  }
+
+  /** Whether a waiting request could start now but for the age of the latest load report. */
+  awaitsSample(now: units.MonotonicMs): boolean {
+    return this.mayStartNext(now) && this.confirmation.isAwaited(now);
+  }
+
+  /** Records that a load report is wanted; returns whether it has to be requested. */
+  requestSample(now: units.MonotonicMs): boolean {
+    return this.confirmation.request(now);
+  }
+
   /** Removes and returns the next request to start, undefined if none may start. */
   takeNext(now: units.MonotonicMs): gateCall.GateCall | undefined {
-    if (this.queue.size === 0 || this.nextStartMs(now) > now) return undefined;
+    if (!this.mayStartNext(now)) return undefined;
     return this.queue.take(
       call =>
         this.runningCount < this.limitFor(call, now) &&
@@ -213,6 +247,15 @@
     );
   }
 
+  /** Whether requests wait, a slot is free, and limits of the rate allow a start. */
+  private mayStartNext(now: units.MonotonicMs): boolean {
+    return (
+      this.queue.size > 0 &&
+      this.runningCount < this.limit(now) &&
+      this.nextStartMs(now) <= now
+    );
+  }
+
   /** Records an arriving request. */
   onArrival(call: gateCall.GateCall, now: units.MonotonicMs): void {
     const {route, rank, objectiveLeftMs} = call.dispatch;
@@ -294,10 +337,14 @@
     return Math.max(rateMs, coldMs);
   }
 
-  /** Returns when limits of the rate next let a waiting request start, infinity if none waits. */
+  /** Returns when a waiting request may next start or needs a sample, infinity if none waits. */
   nextWakeMs(now: units.MonotonicMs): units.MonotonicMs {
+    if (this.queue.size === 0) return Infinity;
     const startMs = this.nextStartMs(now);
-    return this.queue.size > 0 && startMs > now ? startMs : Infinity;
+    if (startMs > now) return startMs;
+    return this.mayStartNext(now)
+      ? this.confirmation.nextChangeMs(now)
+      : Infinity;
   }
 
   private isOverloaded(now: units.MonotonicMs): boolean {
--- a/src/common/serving/gate_replies.ts
+++ b/src/common/serving/gate_replies.ts
@@ -90,14 +90,25 @@
     });
   }
 
-  /** Logs a refusal; its importance depends on the reason. */
+  /** Logs a refusal and the load that it depended on; its importance depends on the reason. */
   noteRefusal(
     call: gateCall.GateCall,
     reason: serving.Reason,
+    load: serving.Load,
     facts: decision.Facts,
   ): void {
     const importance = NOTABLE_REASONS.has(reason) ? 'notable' : 'failure';
-    this.note(call, importance, 'refused', {reason, ...facts});
+    const {closure, running, waiting, limit, notice} = load;
+    const limitPerSecond = notice?.limitPerSecond;
+    this.note(call, importance, 'refused', {
+      reason,
+      ...facts,
+      closure,
+      running,
+      waiting,
+      limit,
+      limitPerSecond,
+    });
   }
 
   /** Logs that the closure of the gate changed. */
--- a/src/common/serving/server_gate.test.ts
+++ b/src/common/serving/server_gate.test.ts
@@ -192,6 +192,9 @@
   const stalled = {running: 0, waiting: 0, slots: 10, pacePercent: 400};
   harness.gate.onServerLoad(stalled, 0);
   harness.call({redirectable: true}, 500);
+  assert.equal(harness.output.refusals.length, 0);
+  // No newer sample arrives, so the run starts once the wait for one is over.
+  harness.gate.tick(harness.gate.nextWakeMs(500));
   assert.equal(harness.output.runs.length, 1);
 });
 
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -176,7 +176,9 @@
 
   /** Handles a load report of the backend server. */
   onServerLoad(load: serverPace.ServerLoad, now: units.MonotonicMs): void {
-    this.replies.noteStall(this.capacity.pace.onLoad(load, now));
+    this.replies.noteStall(this.capacity.onServerLoad(load, now));
+    const calls = this.capacity.waitingInStall(now);
+    this.refuseUnrun(calls, serving.Reason.STALLED, now);
   }
 
   /**
@@ -261,6 +263,10 @@
     }
     if (!this.server.isConfirmed) return;
     for (;;) {
+      if (this.capacity.awaitsSample(now)) {
+        if (this.capacity.requestSample(now)) this.options.output.sampleLoad();
+        return;
+      }
       const call = this.capacity.takeNext(now);
       if (call === undefined) return;
       this.start(call, now);
@@ -402,16 +408,9 @@
     now: units.MonotonicMs,
   ): void {
     const load = this.load(now);
-    this.replies.noteRefusal(call, reason, {
-      mayHaveRun,
-      serverDied,
-      closure: load.closure,
-      running: load.running,
-      waiting: load.waiting,
-      limit: load.limit,
-      limitPerSecond: load.notice?.limitPerSecond,
-      timeLeftMs: Math.round(call.deadlineMs - now),
-    });
+    const timeLeftMs = Math.round(call.deadlineMs - now);
+    const facts = {mayHaveRun, serverDied, timeLeftMs};
+    this.replies.noteRefusal(call, reason, load, facts);
     const refusal = {
       call: call.dispatch.call,
       reason,
--- a/src/common/serving/server_pace.ts
+++ b/src/common/serving/server_pace.ts
@@ -103,6 +103,16 @@
     return this.full;
   }
 
+  /** Whether the server has reported its pace. */
+  get isReported(): boolean {
+    return this.sampledMs > -Infinity;
+  }
+
+  /** Time of the latest sample, minus infinity if there is none. */
+  get sampledAtMs(): units.MonotonicMs {
+    return this.sampledMs;
+  }
+
   /** Returns the age of the latest sample, infinity if there is none. */
   ageMs(now: units.MonotonicMs): units.Millis {
     return now - this.sampledMs;
--- a/src/common/serving/serving_fixtures.test.ts
+++ b/src/common/serving/serving_fixtures.test.ts
@@ -135,6 +135,7 @@
   readonly closures: serving.Closure[] = [];
   limitReports = 0;
   healthChecks = 0;
+  loadSamples = 0;
 
   run(call: gateCall.GateCall, instanceId: string, timeLeftMs: number): void {
     this.runs.push({key: call.key, instanceId, timeLeftMs});
@@ -156,6 +157,10 @@
     this.healthChecks++;
   }
 
+  sampleLoad(): void {
+    this.loadSamples++;
+  }
+
   reportSuspect(fingerprint: string): void {
     this.suspects.push(fingerprint);
   }
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -155,6 +155,7 @@
         else this.sessions.send(linkId, {$case: 'refusal', value});
       },
       checkHealth: () => this.health.checkNow(),
+      sampleLoad: () => this.health.sample(),
       reportSuspect: (fingerprint, deaths) => {
         const value = {fingerprint, deaths};
         this.sessions.broadcast({$case: 'suspect', value});
--- a/src/node/serving/health_checker.ts
+++ b/src/node/serving/health_checker.ts
@@ -94,6 +94,11 @@
     else this.check();
   }
 
+  /** Checks now unless a check is running, whose answer will do. */
+  sample(): void {
+    if (!this.running) this.check();
+  }
+
   /** Ends a running check without a result; its answer may be old. */
   abandon(): void {
     if (this.client && this.running) this.discard(this.client);
--- a/test/fakes/serving_fleet_process.ts
+++ b/test/fakes/serving_fleet_process.ts
@@ -247,6 +247,7 @@
             process.entry.onRefusal(node.nodeId, value, fleet.clock.nowMs);
           }),
         checkHealth: () => this.checkHealth(),
+        sampleLoad: () => this.checkHealth(),
         reportSuspect: () => undefined,
         rateLimitChanged: () => this.announceLoad(),
         closureChanged: () => this.announceLoad(),
