--- a/src/common/serving/gate_options.ts
+++ b/src/common/serving/gate_options.ts
@@ -30,7 +30,8 @@
   readonly random: randomSource.RandomSource;
   /** Maximum request rate in cold start, as a multiple of the declared rate. */
   readonly coldRateFactor: number;
-  /** Start of the process on the monotonic and the wall clock. */
+  /** Start of the process. */
   readonly startedMs: units.MonotonicMs;
-  readonly startedEpochMs: units.EpochMs;
+  /** Time since which no former process of this node has sent requests to the backend server. */
+  readonly soleSenderSinceMs: units.EpochMs;
 }
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -142,7 +142,8 @@
   ): incarnations.IncarnationChange {
     const change = this.server.onAnnouncement(announcement, now);
     this.applyNotices(this.capacity.queue.waiting);
-    const isNewer = announcement.startMs >= this.options.startedEpochMs;
+    const {soleSenderSinceMs} = this.options;
+    const isNewer = announcement.startMs >= soleSenderSinceMs;
     if (isNewer && change !== 'outdated') this.capacity.onServerStart();
     this.processQueue(now);
     return change;
--- a/src/common/serving/serving_fixtures.test.ts
+++ b/src/common/serving/serving_fixtures.test.ts
@@ -187,7 +187,7 @@
   readonly gate: serverGate.ServerGate;
   private lastCall = 0;
 
-  constructor(startedMs = -10_000, startedEpochMs = 1_500) {
+  constructor(startedMs = -10_000, soleSenderSinceMs = 1_500) {
     this.gate = new serverGate.ServerGate({
       service: () => SERVICE,
       dataCentre: DATA_CENTRE,
@@ -198,7 +198,7 @@
       random: new randomSource.SeededRandom(7),
       coldRateFactor: 1.25,
       startedMs,
-      startedEpochMs,
+      soleSenderSinceMs,
     });
   }
 
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -22,7 +22,9 @@
   path: string,
   initial: generated.NodeSettings,
 ): Promise<void> {
-  const processStartedMs = Date.now();
+  // Loading the script takes hundreds of milliseconds after a restart, in which the backend server
+  // beside this process may start.
+  const processStartedMs = Math.floor(performance.timeOrigin);
   const log = new telemetry.Telemetry(
     new eventLog.EventLog({
       nodeId: initial.nodeId,
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -45,8 +45,8 @@
   readonly coldRateFactor: number;
   /** Memory that the process may use, in MB. */
   readonly memoryMb: number;
-  /** Start of the process. */
-  readonly startedEpochMs: units.EpochMs;
+  /** Time since which no former process of this node has sent requests to the backend server. */
+  readonly soleSenderSinceMs: units.EpochMs;
   readonly log: telemetry.Telemetry;
   readonly localEntry: LocalEntry;
   /** Answers an entry that asks for tokens. */
--- a/src/node/serving/platform_adapter.ts
+++ b/src/node/serving/platform_adapter.ts
@@ -214,6 +214,8 @@
 export interface FleetBounds {
   /** Time from the stop signal until the process is killed. */
   readonly stopMs: units.Millis;
+  /** Time between the end of a process and the start of the next one on its instance, at least. */
+  readonly restartGapMs: units.Millis;
   /** Retries that the fleet may make per request. */
   readonly retryRatio: number;
   /** Retries allowed beyond the ratio in any window. */
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -313,13 +313,14 @@
   }
 
   private makeGateRuntime(): gateRuntime.GateRuntime {
+    const {processStartedMs, platform} = this.options;
     return new gateRuntime.GateRuntime({
       ...this.sharedOptions(),
       suspects: this.suspects,
       rollouts: this.rollouts,
       memoryMb: this.options.settings.memoryMb,
-      coldRateFactor: this.options.platform.bounds.coldRateFactor,
-      startedEpochMs: this.options.processStartedMs,
+      coldRateFactor: platform.bounds.coldRateFactor,
+      soleSenderSinceMs: processStartedMs - platform.bounds.restartGapMs,
       readsStore: () => this.storeReaders.readsStore,
       freshness: question => this.keys.answer(question),
       onPeerGreeting: nodeId => this.entryRuntime.links.reconnectNow(nodeId),
--- a/test/fakes/serving_fleet_process.ts
+++ b/test/fakes/serving_fleet_process.ts
@@ -226,7 +226,7 @@
       random: this.random,
       coldRateFactor: 1.25,
       startedMs: this.startedMs - 10_000,
-      startedEpochMs: this.startedMs,
+      soleSenderSinceMs: this.startedMs,
       output: {
         run: (call, instanceId, timeLeftMs) => {
           this.runs.add(call.key);
