--- /dev/null
+++ b/test/paths/child.test.ts
@@ -0,0 +1,24 @@
+import * as assert from 'node:assert/strict';
+import * as childProcess from 'node:child_process';
+import * as nodeTest from 'node:test';
+
+import * as child from './child.js';
+
+const {test} = nodeTest;
+
+function startScript(script: string): child.Child {
+  const started = childProcess.spawn(process.execPath, ['-e', script], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  return new child.Child(started, 'script');
+}
+
+test('a process that ends by a signal of its own is told apart from a killed one', async () => {
+  await using crashed = startScript('process.kill(process.pid, "SIGSEGV")');
+  assert.equal(await crashed.exitStatus(), null);
+  assert.equal(crashed.unexpectedSignal, 'SIGSEGV');
+  await using killed = startScript('setInterval(() => {}, 1000)');
+  killed.signal('SIGKILL');
+  assert.equal(await killed.exitStatus(), null);
+  assert.equal(killed.unexpectedSignal, undefined);
+});
--- a/test/paths/child.ts
+++ b/test/paths/child.ts
@@ -14,6 +14,8 @@
 /** A child process; disposing it kills the process. */
 export class Child implements AsyncDisposable {
   private readonly exited: Promise<number | null>;
+  private readonly sent = new Set<NodeJS.Signals>();
+  private endedBy: NodeJS.Signals | undefined;
   private output = '';
 
   constructor(
@@ -21,7 +23,10 @@
     readonly name: string,
   ) {
     this.exited = new Promise(resolve =>
-      process.once('exit', code => resolve(code)),
+      process.once('exit', (code, signal) => {
+        this.endedBy = signal ?? undefined;
+        resolve(code);
+      }),
     );
     for (const stream of [process.stdout, process.stderr]) {
       stream?.on('data', chunk => (this.output += String(chunk)));
@@ -40,7 +45,14 @@
     return Number(kilobytes) * 1_024;
   }
 
+  /** Signal that ended the process though this object did not send it, such as SIGSEGV. */
+  get unexpectedSignal(): NodeJS.Signals | undefined {
+    const {endedBy} = this;
+    return endedBy && !this.sent.has(endedBy) ? endedBy : undefined;
+  }
+
   signal(name: NodeJS.Signals): void {
+    this.sent.add(name);
     this.process.kill(name);
   }
 
@@ -67,8 +79,8 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.process.kill('SIGCONT');
-    this.process.kill('SIGKILL');
+    this.signal('SIGCONT');
+    this.signal('SIGKILL');
     await this.exited;
   }
 }
--- a/test/paths/platform_fleet.ts
+++ b/test/paths/platform_fleet.ts
@@ -66,6 +66,8 @@
 /** Owns daemons, backend servers and the store; disposing it ends them. */
 export class PlatformFleet implements AsyncDisposable {
   readonly nodes: FleetNode[] = [];
+  /** All daemons that were started, those included that have ended. */
+  private readonly daemons: child.Child[] = [];
   private announceTimer: NodeJS.Timeout | undefined;
 
   private constructor(
@@ -192,6 +194,16 @@
       .filter(seen => seen.requestId === id).length;
   }
 
+  /** One line for each daemon that a signal ended which no test sent. */
+  get unexpectedEnds(): readonly string[] {
+    return this.daemons
+      .filter(daemon => daemon.unexpectedSignal !== undefined)
+      .map(
+        ({name, unexpectedSignal}) => `${name} ended by ${unexpectedSignal}`,
+      );
+  }
+
+  /** @throws Error if a daemon was ended by a signal that no test sent. */
   async [Symbol.asyncDispose](): Promise<void> {
     clearInterval(this.announceTimer);
     for (const node of this.nodes) {
@@ -201,6 +213,8 @@
       await node.storeRelay[Symbol.asyncDispose]();
     }
     await this.store[Symbol.asyncDispose]();
+    const ends = this.unexpectedEnds;
+    if (ends.length > 0) throw new Error(ends.join('; '));
   }
 
   async waitUntilReady(node: FleetNode): Promise<void> {
@@ -214,7 +228,9 @@
   private startDaemon(name: string, settings: string): child.Child {
     const {program, nodeArgs} = this.options;
     const args = ['--settings', settings];
-    return child.startProgram(name, program, args, nodeArgs);
+    const daemon = child.startProgram(name, program, args, nodeArgs);
+    this.daemons.push(daemon);
+    return daemon;
   }
 
   private async announceAll(): Promise<void> {
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -92,6 +92,7 @@
     ...all.flatMap(sent => breachesOf(sent, fleet)),
     ...faults.breaches,
     ...statements.audit.check(),
+    ...fleet.unexpectedEnds,
     ...recoveryBreaches(all),
   ];
   const served = all.filter(sent => sent.status === 200).length;
