--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -98,7 +98,6 @@
 
   /** Handles a request of the local entry. */
   dispatchLocal(dispatch: serving.Dispatch): void {
-    this.health.onRequest();
     const key = localKey(dispatch.call);
     this.gate.onCall(
       {key, linkId: LOCAL_LINK_ID, dispatch},
@@ -239,7 +238,6 @@
           this.options.onPeerGreeting(sender.nodeId);
         },
         onDispatch: (key, linkId, dispatch) => {
-          this.health.onRequest();
           const waitedMs = this.options.waitedMs();
           const now = clock.monotonicMs();
           this.gate.onCall({key, linkId, dispatch, waitedMs}, now);
--- a/src/node/serving/health_checker.test.ts
+++ b/src/node/serving/health_checker.test.ts
@@ -31,8 +31,8 @@
   }),
 };
 
-/** Time after which requests no longer count as arriving, shorter than the idle interval. */
-const AFTER_LAST_REQUEST_MS = 400;
+/** Longer than the interval while requests wait, shorter than the idle one. */
+const BETWEEN_INTERVALS_MS = 400;
 
 /** Time in which a further check would reach the server. */
 const SETTLE_MS = 100;
@@ -85,19 +85,19 @@
   }
 }
 
-test('the load is sampled while requests wait, also when no more arrive', async () => {
+test('the load is sampled while requests wait', async () => {
   await using harness = await new Harness().open();
   await harness.answered(checker => checker.checkNow());
-  harness.now += AFTER_LAST_REQUEST_MS;
+  harness.now += BETWEEN_INTERVALS_MS;
   harness.hasWaiting = true;
   await harness.answered(checker => checker.tick(harness.now));
   assert.equal(harness.checks, 2);
 });
 
-test('the load is sampled rarely while no request arrives or waits', async () => {
+test('the load is sampled rarely while no request waits', async () => {
   await using harness = await new Harness().open();
   await harness.answered(checker => checker.checkNow());
-  harness.now += AFTER_LAST_REQUEST_MS;
+  harness.now += BETWEEN_INTERVALS_MS;
   await harness.answered(checker => {
     checker.tick(harness.now);
     // Had the tick begun a check, this would make another one after it.
--- a/src/node/serving/health_checker.ts
+++ b/src/node/serving/health_checker.ts
@@ -9,18 +9,15 @@
 import * as platformAdapter from './platform_adapter.js';
 import * as watchedConnector from './watched_connector.js';
 
-/** Interval while requests arrive or wait; stalls of backend servers last about 300 ms. */
-const BUSY_INTERVAL_MS: units.Millis = 100;
+/** Interval while requests wait; stalls of backend servers last about 300 ms. */
+const WAITING_INTERVAL_MS: units.Millis = 100;
 
-/** Interval without requests; detects a restart that the backend server does not announce. */
+/** Interval while none waits; detects a restart that the backend server does not announce. */
 const IDLE_INTERVAL_MS: units.Millis = 500;
 
 /** Interval while the gate needs a health check or the backend server is down. */
 const URGENT_INTERVAL_MS: units.Millis = 100;
 
-/** Time after a request during which the shorter interval applies. */
-const BUSY_AFTER_REQUEST_MS: units.Millis = 300;
-
 /** Timeout of a check. */
 const TIMEOUT_MS: units.Millis = 400;
 
@@ -62,7 +59,6 @@
   /** Number of the latest check; the timeouts of earlier ones have no effect. */
   private checkNumber = 0;
   private checkedMs: units.MonotonicMs = -Infinity;
-  private requestedMs: units.MonotonicMs = -Infinity;
   private recheck = false;
   private loadReportedMs: units.MonotonicMs = -Infinity;
   private brokenCount = 0;
@@ -78,11 +74,6 @@
     this.client = undefined;
   }
 
-  /** Records a request; checks run more often for a while to keep the load current. */
-  onRequest(): void {
-    this.requestedMs = this.options.nowMs();
-  }
-
   /** Records that a response reported the load, which replaces a check. */
   onLoadReported(): void {
     this.loadReportedMs = this.options.nowMs();
@@ -108,22 +99,20 @@
 
   /** Starts a check if one is due. */
   tick(now: units.MonotonicMs): void {
-    if (!this.running && now >= this.dueMs(now)) this.check();
+    if (!this.running && now >= this.dueMs()) this.check();
   }
 
   [Symbol.dispose](): void {
     void this.client?.destroy();
   }
 
-  private dueMs(now: units.MonotonicMs): units.MonotonicMs {
+  private dueMs(): units.MonotonicMs {
     const {needsCheck, hasWaiting} = this.options;
     if (needsCheck()) return this.checkedMs + URGENT_INTERVAL_MS;
     const idleMs = this.checkedMs + IDLE_INTERVAL_MS;
-    const isBusy =
-      hasWaiting() || now - this.requestedMs <= BUSY_AFTER_REQUEST_MS;
-    if (!isBusy) return idleMs;
+    if (!hasWaiting()) return idleMs;
     const knownMs = Math.max(this.checkedMs, this.loadReportedMs);
-    return Math.min(idleMs, knownMs + BUSY_INTERVAL_MS);
+    return Math.min(idleMs, knownMs + WAITING_INTERVAL_MS);
   }
 
   private check(): void {
