--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -11,6 +11,7 @@
 import * as explain from './commands/explain.js';
 import * as server from './commands/server.js';
 import * as status from './commands/status.js';
+import * as outcomes from './commands/outcomes.js';
 import * as trace from './commands/trace.js';
 import * as exitCodes from './exit_codes.js';
 
@@ -30,6 +31,7 @@
   server.ServerOutCommand,
   server.ServerReturnCommand,
   status.StatusCommand,
+  outcomes.OutcomesCommand,
   trace.TraceCommand,
 ];
 
