--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -257,6 +257,11 @@
     return versions.select(call.service, isForTarget, ranked, idOf);
   }
 
+  /**
+   * Sends a call to a gate.
+   *
+   * @param redirectable whether the gate may refuse the call in favour of other gates.
+   */
   private send(
     call: entryCall.EntryCall,
     ranked: placement.RankedGate,
--- a/src/node/serving/health_checker.test.ts
+++ b/src/node/serving/health_checker.test.ts
@@ -85,7 +85,7 @@
   }
 }
 
-test('the load is sampled while requests wait', async () => {
+test('the load is sampled while requests wait, also when no more arrive', async () => {
   await using harness = await new Harness().open();
   await harness.answered(checker => checker.checkNow());
   harness.now += BETWEEN_INTERVALS_MS;
@@ -94,7 +94,7 @@
   assert.equal(harness.checks, 2);
 });
 
-test('the load is sampled rarely while no request waits', async () => {
+test('the load is sampled rarely while no request arrives or waits', async () => {
   await using harness = await new Harness().open();
   await harness.answered(checker => checker.checkNow());
   harness.now += BETWEEN_INTERVALS_MS;
--- a/src/node/serving/platform_adapter.ts
+++ b/src/node/serving/platform_adapter.ts
@@ -210,7 +210,7 @@
   readonly slack: number;
 }
 
-/** Bounds that the users state for the whole fleet. */
+/** Bounds for the whole fleet that the users state or that the platform keeps. */
 export interface FleetBounds {
   /** Time from the stop signal until the process is killed. */
   readonly stopMs: units.Millis;
