--- /dev/null
+++ b/test/paths/cold_servers.test.ts
@@ -0,0 +1,69 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+
+import * as platformFleet from './platform_fleet.js';
+
+const {test} = nodeTest;
+
+/** A server that is cold during the whole test. */
+const COLD_LEFT_MS = 20_000;
+
+/** More than a request waits for a load report, less than the rest of the first second. */
+const MAX_WAIT_MS = 300;
+
+/** Time for which requests of a former process count. */
+const SECOND_MS = 1_000;
+
+/** Age of a server, at the start of its node's process, of which a former process may have known. */
+const KNOWN_AGE_MS = 5_000;
+
+/** Fields of a node's log line of a run. */
+interface LoggedRun {
+  readonly at: string;
+  /** Start of the process, in Unix milliseconds. */
+  readonly process: number;
+  readonly waitedMs: number;
+}
+
+/** Start of the first run after a restart. */
+interface FirstRun {
+  /** Time that the request waited at the gate. */
+  readonly waitedMs: number;
+  /** Age of the node's process at the start of the run. */
+  readonly processAgeMs: number;
+}
+
+/** Restarts a node beside a cold server and sends a request. */
+async function runAfterRestart(serverAgeMs: number): Promise<FirstRun> {
+  await using fleet = await platformFleet.PlatformFleet.start(1);
+  const [node] = fleet.nodes;
+  node.process.signal('SIGKILL');
+  await node.process.exitStatus();
+  node.server.instanceId = 'cold';
+  node.server.coldLeftMs = COLD_LEFT_MS;
+  node.server.startMs = Date.now() - serverAgeMs;
+  const restarted = await fleet.restart(node);
+  assert.equal(await node.server.announce(node.control), 200);
+  assert.equal((await fleet.send(restarted, {id: 'first'})).status, 200);
+  const line = restarted.process.printed
+    .split('\n')
+    .find(text => text.includes('"event":"run"') && text.includes('"first"'));
+  assert.ok(line, restarted.process.printed);
+  const run = JSON.parse(line) as LoggedRun;
+  return {
+    waitedMs: run.waitedMs,
+    processAgeMs: Date.parse(run.at) - run.process,
+  };
+}
+
+// After a loss of power server and node start together, and the server may be a little older.
+test('a cold server that started with its node gets requests at once', async () => {
+  const {waitedMs} = await runAfterRestart(0);
+  assert.ok(waitedMs < MAX_WAIT_MS, `waited ${waitedMs} ms`);
+});
+
+// A former process may have sent such a server as many requests as it carries in a second.
+test('a cold server that is older than its node gets requests after a second', async () => {
+  const {processAgeMs} = await runAfterRestart(KNOWN_AGE_MS);
+  assert.ok(processAgeMs >= SECOND_MS, `ran after ${processAgeMs} ms`);
+});
