--- a/test/paths/cold_servers.test.ts
+++ b/test/paths/cold_servers.test.ts
@@ -14,7 +14,7 @@
 /** Time for which requests of a former process count. */
 const SECOND_MS = 1_000;
 
-/** Age of a server, at the start of its node's process, of which a former process may have known. */
+/** Age of a server, at the start of its node, with which a former process may have known it. */
 const KNOWN_AGE_MS = 5_000;
 
 /** Fields of a node's log line of a run. */
