--- a/bench/processor_time.ts
+++ b/bench/processor_time.ts
@@ -12,10 +12,10 @@
 import * as entrySessions from '../src/node/serving/entry_sessions.js';
 import * as gateLink from '../src/node/serving/gate_link.js';
 import * as resourceStack from '../src/node/resource_stack.js';
+import * as bundle from '../test/paths/bundle.js';
 import * as child from '../test/paths/child.js';
 import * as platformFleet from '../test/paths/platform_fleet.js';
 
-const DEFAULT_BUNDLE = '../target/geraniumloft-node.cjs';
 const PEERS = 60;
 const ROUNDS = 5;
 const SETTLE_MS = 3_000;
@@ -27,9 +27,6 @@
 const START_TIMEOUT_MS = 10_000;
 const NANOSECONDS_PER_MS = 1e6;
 
-/** As in the platform's deployment. */
-const NODE_ARGS = ['--max-old-space-size=160'];
-
 const SETTINGS = {routineLogShare: 0.05};
 
 /** Returns the processor time that all threads of a process have used so far. */
@@ -139,7 +136,7 @@
   const resources = new resourceStack.ResourceStack();
   await using fleet = await platformFleet.PlatformFleet.start(1, {
     program,
-    nodeArgs: NODE_ARGS,
+    nodeArgs: bundle.NODE_ARGS,
     settings: SETTINGS,
   });
   const [{process: first}] = fleet.nodes;
@@ -182,7 +179,7 @@
 async function measureRequest(program: string): Promise<number> {
   await using fleet = await platformFleet.PlatformFleet.start(2, {
     program,
-    nodeArgs: NODE_ARGS,
+    nodeArgs: bundle.NODE_ARGS,
     settings: SETTINGS,
   });
   for (const {server} of fleet.nodes) server.mode = {kind: 'ok', workMs: 20};
@@ -200,7 +197,7 @@
 }
 
 const programs = process.argv.slice(2);
-if (programs.length === 0) programs.push(DEFAULT_BUNDLE);
+if (programs.length === 0) programs.push(bundle.BUNDLE);
 const results = programs.map(() => ({
   start: [] as number[],
   idle: [] as number[],
--- a/test/paths/platform_bundle.test.ts
+++ b/test/paths/platform_bundle.test.ts
@@ -3,17 +3,15 @@
 import * as nodeTest from 'node:test';
 import * as util from 'node:util';
 
+import * as bundle from './bundle.js';
 import * as platformFleet from './platform_fleet.js';
 
 const execFile = util.promisify(childProcess.execFile);
 
-/** Path of the bundle, relative to the build directory. */
-const BUNDLE = '../target/geraniumloft-node.cjs';
-
 nodeTest.test('the bundled daemon works like the compiled one', async () => {
   await execFile(process.execPath, ['tools/bundle.mjs']);
   await using fleet = await platformFleet.PlatformFleet.start(2, {
-    program: BUNDLE,
+    program: bundle.BUNDLE,
   });
   fleet.nodes[0].server.mode = {kind: 'answer-lost'};
   const answers = await Promise.all(
--- a/test/soak/starts.ts
+++ b/test/soak/starts.ts
@@ -5,14 +5,9 @@
  */
 import * as util from 'node:util';
 
+import * as bundle from '../paths/bundle.js';
 import * as child from '../paths/child.js';
 
-/** The bundle, relative to the build directory. */
-const BUNDLE = '../target/geraniumloft-node.cjs';
-
-/** As in the platform's deployment. */
-const NODE_ARGS = ['--max-old-space-size=160'];
-
 /** Requests to the readiness and caller ports between start and stop. */
 const REQUESTS = 20;
 
@@ -52,7 +47,12 @@
   });
   const settings = child.temporaryFile('node.jsonc', text);
   const args = ['--settings', settings];
-  await using daemon = child.startProgram('node-0', BUNDLE, args, NODE_ARGS);
+  await using daemon = child.startProgram(
+    'node-0',
+    bundle.BUNDLE,
+    args,
+    bundle.NODE_ARGS,
+  );
   await daemon.waitForOutput('"event":"start"');
   await sendRequests([callers, readiness]);
   daemon.signal('SIGTERM');
