--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -167,17 +167,23 @@
     }
   }
 
-  /** Handles a failed link; `sent` is true if the gate may have received the request. */
+  /**
+   * Handles a failed link.
+   *
+   * @param sent whether the gate may have received the request.
+   * @param detail why the outcome of the attempt is lost.
+   */
   onLinkFailed(
     nodeId: string,
     attempt: number,
     sent: boolean,
     now: units.MonotonicMs,
+    detail?: string,
   ): void {
     const call = this.endAttempt(nodeId, attempt);
     if (call === undefined) return;
     call.closed.add(nodeId);
-    this.note(call, 'failure', 'link-failed', {nodeId, sent});
+    this.note(call, 'failure', 'link-failed', {nodeId, sent, reason: detail});
     if (!sent) return this.sendNext(call, now);
     this.onFailedRun(call, {reason: 'link-failed'}, now);
   }
@@ -317,14 +323,12 @@
     now: units.MonotonicMs,
   ): void {
     if (call.attempts.size > 0) return;
-    const allowed =
-      (call.route.repeatable || !call.mayHaveRun) &&
-      call.servers < call.route.attempts &&
-      call.endMs - now >= this.times.routeMeanMs(call.route.name);
     const budget = this.budgetOf(call.service);
-    const isWithinBudget = allowed && budget.take();
+    const limit = this.retryLimit(call, now);
+    const isWithinBudget = limit === undefined && budget.take();
     this.note(call, 'failure', isWithinBudget ? 'repeat' : 'no-repeat', {
       ...cause,
+      limit: isWithinBudget ? undefined : (limit ?? 'budget'),
       servers: call.servers,
       attempts: call.route.attempts,
       budget: Number(budget.available.toFixed(1)),
@@ -334,6 +338,18 @@
     this.giveUp(call, call.mayHaveRun ? 'server-failed' : 'shed', now);
   }
 
+  /** Returns what forbids a retry, apart from the budget; undefined if it is allowed. */
+  private retryLimit(
+    call: entryCall.EntryCall,
+    now: units.MonotonicMs,
+  ): 'kind' | 'attempts' | 'time' | undefined {
+    const {route, mayHaveRun, servers, endMs} = call;
+    if (mayHaveRun && !route.repeatable) return 'kind';
+    if (servers >= route.attempts) return 'attempts';
+    const isTooLate = endMs - now < this.times.routeMeanMs(route.name);
+    return isTooLate ? 'time' : undefined;
+  }
+
   /** Sends a second attempt beside an unanswered one. */
   private hedge(call: entryCall.EntryCall, now: units.MonotonicMs): void {
     call.hedgeAtMs = Infinity;
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -119,6 +119,7 @@
       directory,
       log,
       greeting,
+      waitedMs: () => this.options.waitedMs(),
       nowMs: clock.monotonicMs,
       listener: {
         onUp: () => undefined,
@@ -159,8 +160,9 @@
           this.quotas.onTokenGrant(nodeId, grant);
           afterEvent();
         },
-        onRequestLost: (nodeId, call) => {
-          this.entry.onLinkFailed(nodeId, call, true, clock.monotonicMs());
+        onRequestLost: (nodeId, call, cause) => {
+          const now = clock.monotonicMs();
+          this.entry.onLinkFailed(nodeId, call, true, now, cause);
           afterEvent();
         },
       },
--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -29,10 +29,29 @@
 const FIRST_BACKOFF_MS: units.Millis = 100;
 const MAX_BACKOFF_MS: units.Millis = 4_000;
 
+/** Loss of a link that was up. */
+export interface LinkLoss {
+  readonly detail: string;
+  /** Time since the last frame of the gate. */
+  readonly silentMs: units.Millis;
+  /** Requests without an outcome. */
+  readonly pending: number;
+}
+
+/** Why the outcome of a request is lost. */
+export type LossCause =
+  /** The gate's node is no longer known, or its record has changed. */
+  | 'link-removed'
+  /** Another process of the node answers at its address. */
+  | 'process-replaced'
+  /** The link was not restored in time. */
+  | 'link-not-restored';
+
 /** Receives the events of a link. */
 export interface GateLinkListener {
-  onUp(nodeId: string): void;
-  onDown(nodeId: string, detail: string): void;
+  /** @param sameProcess whether the gate's process is the one of the former link. */
+  onUp(nodeId: string, sameProcess: boolean): void;
+  onDown(nodeId: string, loss: LinkLoss): void;
   /** The gate has not answered a ping in time and may be unreachable. */
   onMaybeUnreachable(nodeId: string): void;
   onAnswer(nodeId: string, answer: serving.Answer): void;
@@ -43,7 +62,7 @@
   onSuspect(suspect: serving.Suspect): void;
   onFreshnessProof(nodeId: string, proof: serving.FreshnessProof): void;
   /** This link can no longer report the outcome of a request. */
-  onRequestLost(nodeId: string, call: number): void;
+  onRequestLost(nodeId: string, call: number, cause: LossCause): void;
   /** Another node listens at the address. */
   onMismatch(nodeId: string, found: serving.NodeRecord | undefined): void;
 }
@@ -183,7 +202,7 @@
   [Symbol.dispose](): void {
     this.disposed = true;
     this.socket?.[Symbol.dispose]();
-    this.failAll();
+    this.failAll('link-removed');
   }
 
   private open(): void {
@@ -264,9 +283,9 @@
     this.gateStartedMs = greeting.processStartedMs;
     this.state = {kind: 'up'};
     this.backoffMs = FIRST_BACKOFF_MS;
-    this.options.listener.onUp(nodeId);
+    this.options.listener.onUp(nodeId, sameProcess);
     if (sameProcess) this.resendAll();
-    else this.failAll();
+    else this.failAll('process-replaced');
   }
 
   /** Safe for the same gate process only: it recognizes requests that it has received before. */
@@ -285,11 +304,11 @@
     }
   }
 
-  private failAll(): void {
+  private failAll(cause: LossCause): void {
     const calls = [...this.pending.keys()];
     this.pending.clear();
     for (const call of calls) {
-      this.options.listener.onRequestLost(this.record.nodeId, call);
+      this.options.listener.onRequestLost(this.record.nodeId, call, cause);
     }
   }
 
@@ -302,7 +321,8 @@
         : RESEND_NON_REPEATABLE_MS;
       if (now - lostMs < windowMs) continue;
       this.pending.delete(call);
-      this.options.listener.onRequestLost(this.record.nodeId, call);
+      const {listener} = this.options;
+      listener.onRequestLost(this.record.nodeId, call, 'link-not-restored');
     }
   }
 
@@ -338,7 +358,9 @@
     if (!wasUp) this.backoffMs = Math.min(MAX_BACKOFF_MS, 2 * this.backoffMs);
     if (this.disposed) return;
     if (wasUp) {
-      this.options.listener.onDown(this.record.nodeId, detail);
+      const silentMs = now - this.receivedMs;
+      const loss = {detail, silentMs, pending: this.pending.size};
+      this.options.listener.onDown(this.record.nodeId, loss);
       this.open();
     }
   }
--- a/src/node/serving/gate_links.ts
+++ b/src/node/serving/gate_links.ts
@@ -28,6 +28,8 @@
   >;
   readonly log: decision.DecisionLog;
   greeting(toNodeId: string): serving.Greeting;
+  /** Returns the longest time for which a message that is read now may have waited. */
+  waitedMs(): units.Millis;
   nowMs(): units.MonotonicMs;
 }
 
@@ -60,7 +62,10 @@
   dispatch(nodeId: string, dispatch: serving.Dispatch): void {
     const link = this.links.get(nodeId);
     if (link) link.dispatch(dispatch);
-    else this.options.listener.onRequestLost(nodeId, dispatch.call);
+    else {
+      const {listener} = this.options;
+      listener.onRequestLost(nodeId, dispatch.call, 'link-removed');
+    }
   }
 
   /** Cancels a request at a node's gate; its outcome is not reported. */
@@ -118,15 +123,24 @@
       idlePingAfterMs: () => pulseInterval.idlePingAfterMs(directory.size),
       listener: {
         ...listener,
-        onUp: nodeId => {
+        onUp: (nodeId, sameProcess) => {
           directory.setLinked(nodeId, true);
-          this.note('peer-regained', {nodeId});
-          listener.onUp(nodeId);
+          this.note('peer-regained', {nodeId, sameProcess});
+          listener.onUp(nodeId, sameProcess);
         },
-        onDown: (nodeId, detail) => {
+        onDown: (nodeId, loss) => {
           directory.setLinked(nodeId, false);
-          this.note('peer-lost', {nodeId, detail});
-          listener.onDown(nodeId, detail);
+          const {detail, pending} = loss;
+          const silentMs = Math.round(loss.silentMs);
+          const pausedMs = Math.round(this.options.waitedMs());
+          this.note('peer-lost', {
+            nodeId,
+            reason: detail,
+            silentMs,
+            pausedMs,
+            pending,
+          });
+          listener.onDown(nodeId, loss);
         },
         onMaybeUnreachable: nodeId => {
           this.note('peer-silent', {nodeId});
