--- a/bench/processor_time.ts
+++ b/bench/processor_time.ts
@@ -91,6 +91,7 @@
     this.link ??= new gateLink.GateLink(record, {
       greeting: toNodeId => this.greeting(toNodeId),
       idlePingAfterMs: () => Infinity,
+      afterPoll: callback => void setImmediate(callback),
       nowMs: clock.monotonicMs,
       listener: {
         onUp: ignore,
@@ -101,6 +102,9 @@
         onPulse: ignore,
         onState: ignore,
         onSuspect: ignore,
+        onUnreachable: ignore,
+        onOutcomeUnknown: ignore,
+        onGateResponds: ignore,
         onRequestLost: ignore,
         onMismatch: ignore,
         onFreshnessProof: ignore,
--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -8,10 +8,12 @@
 import * as dispatching from './dispatching.js';
 import * as entryCall from './entry_call.js';
 import * as gateReports from './gate_reports.js';
+import * as openCalls from './open_calls.js';
 import * as operatorIntent from './operator_intent.js';
 import * as placement from './placement.js';
 import * as retryBudget from './retry_budget.js';
 import * as retryAfter from './retry_after.js';
+import * as retryLimit from './retry_limit.js';
 import * as runTimes from './run_times.js';
 import * as trafficSplit from './traffic_split.js';
 
@@ -36,6 +38,9 @@
 /** Retries that a hedge must leave in the budget for failed requests. */
 const HEDGE_RETRY_RESERVE = 1;
 
+/** Interval of checks whether a request can be retried whose only gates are silent. */
+const RETRY_UNKNOWN_INTERVAL_MS: units.Millis = 500;
+
 /** Lowest HTTP status that counts as a server failure. */
 const FIRST_ERROR_STATUS = 500;
 
@@ -56,15 +61,15 @@
 
 /** Decision logic of an entry, without sockets or timers. */
 export class Entry {
-  private readonly calls = new Map<number, entryCall.EntryCall>();
-  private readonly callByAttempt = new Map<number, entryCall.EntryCall>();
-  private readonly budgets = new Map<string, retryBudget.RetryBudget>();
+  private readonly calls = new openCalls.OpenCalls();
+  private readonly budgets: retryBudget.ServiceRetryBudgets;
   private readonly times = new runTimes.RunTimes();
   private readonly split: trafficSplit.TrafficSplit;
-  private lastAttempt = 0;
 
   constructor(private readonly options: EntryOptions) {
-    this.split = new trafficSplit.TrafficSplit(options.random);
+    const {random, budget, nodeCount} = options;
+    this.split = new trafficSplit.TrafficSplit(random);
+    this.budgets = new retryBudget.ServiceRetryBudgets(budget, nodeCount);
   }
 
   /** Number of requests in progress. */
@@ -87,8 +92,8 @@
     }
     const call = new entryCall.EntryCall(request, route, part.service, now);
     call.drewTarget = this.options.rollouts?.drawsTarget(part.service) ?? false;
-    this.calls.set(request.id, call);
-    this.budgetOf(part.service).onRequest(now);
+    this.calls.add(call);
+    this.budgets.of(part.service).onRequest(now);
     this.sendNext(call, now);
   }
 
@@ -110,10 +115,10 @@
     now: units.MonotonicMs,
   ): void {
     this.options.reports.onLoad(nodeId, answer.load, now);
-    const call = this.endAttempt(nodeId, answer.call);
-    if (call === undefined) return;
-    call.servers++;
-    call.mayHaveRun = true;
+    const ended = this.endAttempt(nodeId, answer.call);
+    if (ended === undefined) return;
+    const {call} = ended;
+    this.countRun(ended);
     const failed = answer.status >= FIRST_ERROR_STATUS;
     if (!failed || !call.route.repeatable) {
       return this.respond(call, answer, now);
@@ -130,8 +135,9 @@
     now: units.MonotonicMs,
   ): void {
     this.options.reports.onLoad(nodeId, refusal.load, now);
-    const call = this.endAttempt(nodeId, refusal.call);
-    if (call === undefined) return;
+    const ended = this.endAttempt(nodeId, refusal.call);
+    if (ended === undefined) return;
+    const {call} = ended;
     call.refusal = refusal;
     this.note(call, 'notable', 'refused-by-gate', {
       nodeId,
@@ -140,8 +146,9 @@
     });
     if (refusal.mayHaveRun) {
       call.failed.add(nodeId);
-      return this.onFailedRun(call, {reason: refusal.reason}, now);
+      return this.onFailedRun(ended, {reason: refusal.reason}, now);
     }
+    if (ended.attempt.isOutcomeUnknown) call.servers--;
     switch (refusal.reason) {
       case serving.Reason.RATE_LIMITED:
         call.rateRetryMs = Math.min(call.rateRetryMs, refusal.retryAfterMs);
@@ -156,11 +163,11 @@
         call.failed.add(nodeId);
         return this.retry(call, {reason: refusal.reason}, now);
       case serving.Reason.OVERLOADED:
-        return this.giveUpUnlessPending(call, 'no-room', now);
+        return this.giveUp(call, 'no-room', now);
       case serving.Reason.NO_TIME:
-        return this.giveUpUnlessPending(call, 'no-time', now);
+        return this.giveUp(call, 'no-time', now);
       case serving.Reason.QUARANTINED:
-        return this.giveUpUnlessPending(call, 'quarantined', now);
+        return this.giveUp(call, 'quarantined', now);
       default:
         call.closed.add(nodeId);
         return this.sendNext(call, now);
@@ -180,17 +187,47 @@
     now: units.MonotonicMs,
     detail?: string,
   ): void {
-    const call = this.endAttempt(nodeId, attempt);
-    if (call === undefined) return;
+    const ended = this.endAttempt(nodeId, attempt);
+    if (ended === undefined) return;
+    const {call} = ended;
     call.closed.add(nodeId);
     this.note(call, 'failure', 'link-failed', {nodeId, sent, reason: detail});
     if (!sent) return this.sendNext(call, now);
-    this.onFailedRun(call, {reason: 'link-failed'}, now);
+    this.onFailedRun(ended, {reason: 'link-failed'}, now);
+  }
+
+  /**
+   * Handles an attempt whose gate has been silent for so long that its outcome is unknown: the run
+   * may be at work, or may not have begun. The attempt stays open, since the gate may still answer.
+   */
+  onOutcomeUnknown(
+    nodeId: string,
+    number: number,
+    now: units.MonotonicMs,
+  ): void {
+    const owned = this.calls.findAttempt(nodeId, number);
+    if (owned === undefined || owned.attempt.isOutcomeUnknown) return;
+    const {call, attempt} = owned;
+    call.servers++;
+    attempt.isOutcomeUnknown = true;
+    call.closed.add(nodeId);
+    this.retryUnknown(call, now);
+  }
+
+  /** Handles a gate that responds again after it was silent; it has the request or gets it now. */
+  onGateResponds(nodeId: string, number: number): void {
+    const owned = this.calls.findAttempt(nodeId, number);
+    if (!owned?.attempt.isOutcomeUnknown) return;
+    const {call, attempt} = owned;
+    attempt.isOutcomeUnknown = false;
+    call.servers--;
+    call.closed.delete(nodeId);
+    this.note(call, 'notable', 'gate-responds', {nodeId, attempt: number});
   }
 
   /** Hedges the requests at a gate that may be unreachable. */
   onMaybeUnreachable(nodeId: string, now: units.MonotonicMs): void {
-    for (const call of [...this.calls.values()]) {
+    for (const call of this.calls.all) {
       const [attempt] = call.attempts.values();
       if (attempt?.nodeId !== nodeId || !call.route.repeatable) continue;
       this.hedge(call, now);
@@ -199,34 +236,26 @@
 
   /** Handles expired timers. */
   tick(now: units.MonotonicMs): void {
-    for (const call of [...this.calls.values()]) {
-      if (call.endMs <= now) this.onTimeout(call, now);
-      else if (call.hedgeAtMs <= now) this.hedge(call, now);
+    for (const call of this.calls.all) {
+      if (call.endMs <= now) this.giveUp(call, 'timeout', now);
+      else if (call.hedgeAtMs > now) continue;
+      else if (call.liveAttempts > 0) this.hedge(call, now);
+      else this.retryUnknown(call, now);
     }
   }
 
   /** Returns the next time at which `tick` is due, infinity if there is none. */
   nextWakeMs(): units.MonotonicMs {
     let next = Infinity;
-    for (const call of this.calls.values()) {
+    for (const call of this.calls.all) {
       next = Math.min(next, call.endMs, call.hedgeAtMs);
     }
     return next;
   }
 
-  private budgetOf(service: string): retryBudget.RetryBudget {
-    let budget = this.budgets.get(service);
-    if (budget === undefined) {
-      const {budget: fleetBudget, nodeCount} = this.options;
-      budget = new retryBudget.RetryBudget(fleetBudget, nodeCount);
-      this.budgets.set(service, budget);
-    }
-    return budget;
-  }
-
-  /** Sends a call without an open attempt to the next gate, or gives up. */
+  /** Sends a call without a live attempt to the next gate, or gives up. */
   private sendNext(call: entryCall.EntryCall, now: units.MonotonicMs): void {
-    if (call.attempts.size > 0) return;
+    if (call.liveAttempts > 0) return;
     if (call.hops >= MAX_HOPS) return this.giveUp(call, 'no-room', now);
     const excluded = new Set([
       ...call.redirected,
@@ -276,10 +305,8 @@
   ): void {
     const {nodeId} = ranked.gate;
     const {load, ageMs, outstanding} = ranked.estimate;
-    const number = ++this.lastAttempt;
+    const number = this.calls.openAttempt(call, nodeId);
     call.hops++;
-    call.attempts.set(number, {number, nodeId});
-    this.callByAttempt.set(number, call);
     this.options.reports.onSent(nodeId);
     if (call.route.repeatable && call.hedgeAtMs === Infinity) {
       const runTimeHedgeAtMs = now + HEDGE_MEAN_RUNS * load.meanMs;
@@ -307,13 +334,29 @@
 
   /** Handles an attempt whose run failed or may have failed. */
   private onFailedRun(
-    call: entryCall.EntryCall,
+    ended: openCalls.OwnedAttempt,
     cause: decision.Facts,
     now: units.MonotonicMs,
   ): void {
-    call.mayHaveRun = true;
-    call.servers++;
-    this.retry(call, cause, now);
+    this.countRun(ended);
+    this.retry(ended.call, cause, now);
+  }
+
+  /** Counts the run of an ended attempt, unless it was when its outcome became unknown. */
+  private countRun({call, attempt}: openCalls.OwnedAttempt): void {
+    call.hasRun = true;
+    if (!attempt.isOutcomeUnknown) call.servers++;
+  }
+
+  /** Retries a call all of whose gates are silent; if the budget forbids it, again later. */
+  private retryUnknown(
+    call: entryCall.EntryCall,
+    now: units.MonotonicMs,
+  ): void {
+    const meanMs = this.times.routeMeanMs(call.route.name);
+    const mayRetry = retryLimit.retryLimitOf(call, meanMs, now) === undefined;
+    call.hedgeAtMs = mayRetry ? now + RETRY_UNKNOWN_INTERVAL_MS : Infinity;
+    this.retry(call, {reason: 'outcome-unknown'}, now);
   }
 
   /** Retries a call if the route, the retry budget and the time left allow it. */
@@ -322,9 +365,10 @@
     cause: decision.Facts,
     now: units.MonotonicMs,
   ): void {
-    if (call.attempts.size > 0) return;
-    const budget = this.budgetOf(call.service);
-    const limit = this.retryLimit(call, now);
+    if (call.liveAttempts > 0) return;
+    const budget = this.budgets.of(call.service);
+    const meanMs = this.times.routeMeanMs(call.route.name);
+    const limit = retryLimit.retryLimitOf(call, meanMs, now);
     const isWithinBudget = limit === undefined && budget.take();
     this.note(call, 'failure', isWithinBudget ? 'repeat' : 'no-repeat', {
       ...cause,
@@ -338,23 +382,12 @@
     this.giveUp(call, call.mayHaveRun ? 'server-failed' : 'shed', now);
   }
 
-  /** Returns what forbids a retry, apart from the budget; undefined if it is allowed. */
-  private retryLimit(
-    call: entryCall.EntryCall,
-    now: units.MonotonicMs,
-  ): 'kind' | 'attempts' | 'time' | undefined {
-    const {route, mayHaveRun, servers, endMs} = call;
-    if (mayHaveRun && !route.repeatable) return 'kind';
-    if (servers >= route.attempts) return 'attempts';
-    const isTooLate = endMs - now < this.times.routeMeanMs(route.name);
-    return isTooLate ? 'time' : undefined;
-  }
-
   /** Sends a second attempt beside an unanswered one. */
   private hedge(call: entryCall.EntryCall, now: units.MonotonicMs): void {
     call.hedgeAtMs = Infinity;
-    const {attempts, service, route} = call;
-    if (attempts.size !== 1 || call.servers + 1 >= route.attempts) return;
+    const {attempts, liveAttempts, service, route} = call;
+    if (attempts.size !== 1) return;
+    if (call.servers + liveAttempts >= route.attempts) return;
     const tried = new Set([...call.redirected, ...call.closed]);
     for (const attempt of attempts.values()) tried.add(attempt.nodeId);
     const ranked = this.rank(call, tried, now);
@@ -363,7 +396,7 @@
     const {load, outstanding} = best.estimate;
     if (!placement.hasFreeSlot(best)) return;
     if (outstanding + 1 > HEDGE_MAX_UTILISATION * load.limit) return;
-    if (!this.budgetOf(service).take(HEDGE_RETRY_RESERVE)) return;
+    if (!this.budgets.of(service).take(HEDGE_RETRY_RESERVE)) return;
     this.note(call, 'notable', 'second-run', {
       ageMs: Math.round(now - call.arrivedMs),
     });
@@ -371,11 +404,6 @@
     call.hedgeAtMs = Infinity;
   }
 
-  private onTimeout(call: entryCall.EntryCall, now: units.MonotonicMs): void {
-    call.mayHaveRun ||= call.attempts.size > 0;
-    this.giveUp(call, 'timeout', now);
-  }
-
   private respond(
     call: entryCall.EntryCall,
     answer: serving.Answer,
@@ -394,22 +422,17 @@
     this.options.output.respond(call.request.id, answer);
   }
 
-  /** Gives up unless another attempt is open that may still be answered. */
-  private giveUpUnlessPending(
-    call: entryCall.EntryCall,
-    reason: entryCall.GiveUpReason,
-    now: units.MonotonicMs,
-  ): void {
-    if (call.attempts.size === 0) this.giveUp(call, reason, now);
-  }
-
+  /** Gives up, unless an attempt is open that may still be answered before the timeout. */
   private giveUp(
     call: entryCall.EntryCall,
     reason: entryCall.GiveUpReason,
     now: units.MonotonicMs,
   ): void {
+    const hasTimedOut = reason === 'timeout';
+    if (call.liveAttempts > 0 && !hasTimedOut) return;
     if (call.failure) return this.respond(call, call.failure, now);
-    const {mayHaveRun} = call;
+    if (call.attempts.size > 0 && !hasTimedOut) return;
+    const mayHaveRun = call.mayHaveRun || call.attempts.size > 0;
     const retryAfterMs = retryAfter.retryAfterOf(reason, call);
     this.note(call, 'failure', 'gave-up', {
       reason,
@@ -425,26 +448,22 @@
     this.options.output.giveUp(call.request.id, giveUp);
   }
 
-  /** Removes an attempt; returns its call, undefined if the attempt has ended before. */
+  /** Removes an attempt; returns it with its call, undefined if it has ended before. */
   private endAttempt(
     nodeId: string,
-    attempt: number,
-  ): entryCall.EntryCall | undefined {
-    const call = this.callByAttempt.get(attempt);
-    if (call?.attempts.get(attempt)?.nodeId !== nodeId) return undefined;
-    call.attempts.delete(attempt);
-    this.callByAttempt.delete(attempt);
-    this.options.reports.onEnded(nodeId);
-    return call;
+    number: number,
+  ): openCalls.OwnedAttempt | undefined {
+    const ended = this.calls.endAttempt(nodeId, number);
+    if (ended !== undefined) this.options.reports.onEnded(nodeId);
+    return ended;
   }
 
   /** Removes a call and withdraws its open attempts. */
   private endCall(call: entryCall.EntryCall): void {
-    for (const {nodeId, number} of [...call.attempts.values()]) {
-      this.endAttempt(nodeId, number);
+    for (const {nodeId, number} of this.calls.remove(call)) {
+      this.options.reports.onEnded(nodeId);
       this.options.output.withdraw(nodeId, number);
     }
-    this.calls.delete(call.request.id);
   }
 
   private note(
--- a/src/common/serving/entry_call.ts
+++ b/src/common/serving/entry_call.ts
@@ -24,10 +24,15 @@
 }
 
 /** One attempt at a request, sent to a gate. */
-export interface Attempt {
-  /** Unique within the process. */
-  readonly number: number;
-  readonly nodeId: string;
+export class Attempt {
+  /** Whether the gate has been silent since, so that a run may be at work unseen. */
+  isOutcomeUnknown = false;
+
+  constructor(
+    /** Unique within the process. */
+    readonly number: number,
+    readonly nodeId: string,
+  ) {}
 }
 
 /** A request in progress at an entry. */
@@ -50,10 +55,14 @@
   /** Number of times that the request was sent to a gate. */
   hops = 0;
 
-  /** Number of runs on backend servers, including those that may have started. */
+  /**
+   * Number of runs on backend servers that have ended or whose outcome is unknown, including those
+   * that may not have started.
+   */
   servers = 0;
 
-  mayHaveRun = false;
+  /** Whether an attempt has ended whose run may have begun. */
+  hasRun = false;
 
   /** Whether it was drawn for the target version of a roll-out. */
   drewTarget = false;
@@ -79,6 +88,20 @@
     const timeLeftMs = Math.min(request.timeLeftMs, route.timeoutMs);
     this.endMs = arrivedMs + timeLeftMs;
   }
+
+  /** Whether a server may have run the request, seen from what is known now. */
+  get mayHaveRun(): boolean {
+    return this.hasRun || this.liveAttempts < this.attempts.size;
+  }
+
+  /** Number of open attempts whose gate is not silent. */
+  get liveAttempts(): number {
+    let count = 0;
+    for (const {isOutcomeUnknown} of this.attempts.values()) {
+      if (!isOutcomeUnknown) count++;
+    }
+    return count;
+  }
 }
 
 /** Reasons for which an entry gives up on a request. */
--- a/src/common/serving/retry_budget.ts
+++ b/src/common/serving/retry_budget.ts
@@ -75,3 +75,23 @@
     return true;
   }
 }
+
+/** The retry budgets of one node, by service. */
+export class ServiceRetryBudgets {
+  private readonly budgets = new Map<string, RetryBudget>();
+
+  constructor(
+    private readonly fleetBudget: FleetRetryBudget,
+    private readonly nodeCount: () => number,
+  ) {}
+
+  /** Returns the budget of a service. */
+  of(service: string): RetryBudget {
+    let budget = this.budgets.get(service);
+    if (budget === undefined) {
+      budget = new RetryBudget(this.fleetBudget, this.nodeCount);
+      this.budgets.set(service, budget);
+    }
+    return budget;
+  }
+}
--- a/src/node/framed_socket.ts
+++ b/src/node/framed_socket.ts
@@ -7,11 +7,17 @@
 /** Callbacks of a framed socket to its owner. */
 export interface FramedSocketListener<T> {
   onConnect(): void;
+  /** Called when bytes have arrived, before the frames that they complete. */
+  onBytes?(): void;
   onFrame(frame: T): void;
   /** Called when a frame could not be read; the socket closes next. */
   onMalformed(): void;
-  /** Called once, when the connection has ended for any reason. */
-  onClose(): void;
+  /**
+   * Called once, when the connection has ended.
+   *
+   * @param err error that ended it, undefined if it was closed.
+   */
+  onClose(err?: NodeJS.ErrnoException): void;
 }
 
 /** Interval of TCP keep-alive probes, in milliseconds. */
@@ -21,6 +27,7 @@
 export class FramedSocket<T> implements Disposable {
   private readonly reader: frameCodec.FrameReader<T>;
   private corked = false;
+  private err: NodeJS.ErrnoException | undefined;
 
   constructor(
     private readonly socket: net.Socket,
@@ -34,8 +41,11 @@
     socket.setKeepAlive(true, KEEP_ALIVE_INTERVAL_MS);
     socket.on('connect', () => listener.onConnect());
     socket.on('data', chunk => this.receive(chunk));
-    socket.on('error', () => socket.destroy());
-    socket.on('close', () => listener.onClose());
+    socket.on('error', err => {
+      this.err = err;
+      socket.destroy();
+    });
+    socket.on('close', () => listener.onClose(this.err));
   }
 
   /** Bytes accepted by `send` that have not been passed to the operating system. */
@@ -70,6 +80,7 @@
   }
 
   private receive(chunk: Buffer): void {
+    this.listener.onBytes?.();
     try {
       for (const frame of this.reader.push(chunk)) {
         if (this.socket.destroyed) return;
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -160,9 +160,16 @@
           this.quotas.onTokenGrant(nodeId, grant);
           afterEvent();
         },
+        onOutcomeUnknown: (nodeId, call) => {
+          this.entry.onOutcomeUnknown(nodeId, call, clock.monotonicMs());
+          afterEvent();
+        },
+        onGateResponds: (nodeId, call) =>
+          this.entry.onGateResponds(nodeId, call),
         onRequestLost: (nodeId, call, cause) => {
           const now = clock.monotonicMs();
-          this.entry.onLinkFailed(nodeId, call, true, now, cause);
+          const sent = cause !== 'not-sent';
+          this.entry.onLinkFailed(nodeId, call, sent, now, cause);
           afterEvent();
         },
       },
--- a/src/node/serving/fleet_directory.ts
+++ b/src/node/serving/fleet_directory.ts
@@ -5,7 +5,7 @@
 /** The records of this node and of all other nodes known to it. */
 export class FleetDirectory implements Disposable {
   private readonly records = new Map<string, serving.NodeRecord>();
-  /** Nodes to which a link is open, so that their records are known to be true. */
+  /** Nodes that were reached at their addresses, so that their records are known to be true. */
   private readonly linked = new Set<string>();
   private readonly changes = new emitter.Emitter<serving.NodeRecord>();
   private readonly removals = new emitter.Emitter<string>();
@@ -52,7 +52,7 @@
     return this.records.get(nodeId);
   }
 
-  /** Records whether a link to a node is open. */
+  /** Records whether a node is at its address: a link has opened and not failed to reopen. */
   setLinked(nodeId: string, linked: boolean): void {
     if (linked) this.linked.add(nodeId);
     else this.linked.delete(nodeId);
@@ -72,9 +72,9 @@
   }
 
   /**
-   * Adds or updates a record of the store or of another node; ignored if it contradicts a node to
-   * which a link is open. The store keeps records of nodes that are gone, whose addresses others
-   * may have got.
+   * Adds or updates a record of the store or of another node; ignored if it contradicts a node
+   * that was reached at its address. The store keeps records of nodes that are gone, whose
+   * addresses others may have got.
    */
   putReported(record: serving.NodeRecord): void {
     const displaced = this.displacedBy(record);
--- a/src/node/serving/gate_link.test.ts
+++ b/src/node/serving/gate_link.test.ts
@@ -71,12 +71,37 @@
   }
 }
 
+/** Clock of a link that a test can put forward, and polls that it can hold back. */
+class TestTime {
+  offsetMs = 0;
+  holdsPolls = false;
+  private readonly held: Array<() => void> = [];
+
+  nowMs(): number {
+    return clock.monotonicMs() + this.offsetMs;
+  }
+
+  afterPoll(callback: () => void): void {
+    if (this.holdsPolls) this.held.push(callback);
+    else setImmediate(callback);
+  }
+
+  releasePolls(): void {
+    this.holdsPolls = false;
+    for (const callback of this.held.splice(0)) callback();
+  }
+}
+
 interface Fixture extends AsyncDisposable {
+  readonly time: TestTime;
+  readonly downs: readonly string[];
   readonly gate: TestGate;
   readonly relay: faultRelay.FaultRelay;
   readonly link: gateLink.GateLink;
   readonly answers: readonly number[];
-  readonly lost: readonly number[];
+  readonly lost: readonly string[];
+  readonly unknown: readonly number[];
+  readonly responding: readonly number[];
   readonly mismatches: readonly string[];
   readonly unreachable: readonly string[];
   readonly proofs: readonly serving.FreshnessProof[];
@@ -89,12 +114,17 @@
   const relay = new faultRelay.FaultRelay(port);
   const [, relayPort] = (await relay.listen()).split(':');
   const answers: number[] = [];
-  const lost: number[] = [];
+  const time = new TestTime();
+  const downs: string[] = [];
+  const lost: string[] = [];
+  const unknown: number[] = [];
+  const responding: number[] = [];
   const mismatches: string[] = [];
   const proofs: serving.FreshnessProof[] = [];
   const unreachable: string[] = [];
   const link = new gateLink.GateLink(record(expected, Number(relayPort)), {
-    nowMs: clock.monotonicMs,
+    nowMs: () => time.nowMs(),
+    afterPoll: callback => time.afterPoll(callback),
     idlePingAfterMs: () => 6_000,
     greeting: toNodeId => ({
       sender: record('entry', 2),
@@ -103,7 +133,10 @@
     }),
     listener: {
       onUp: () => undefined,
-      onDown: () => undefined,
+      onDown: (unusedId, {detail}) => void downs.push(detail),
+      onUnreachable: () => undefined,
+      onOutcomeUnknown: (unusedId, call) => void unknown.push(call),
+      onGateResponds: (unusedId, call) => void responding.push(call),
       onMaybeUnreachable: nodeId => void unreachable.push(nodeId),
       onAnswer: (unusedId, answer) => void answers.push(answer.call),
       onRefusal: () => undefined,
@@ -112,17 +145,22 @@
       onSuspect: () => undefined,
       onFreshnessProof: (unusedId, proof) => void proofs.push(proof),
       onTokenGrant: () => undefined,
-      onRequestLost: (unusedId, call) => void lost.push(call),
+      onRequestLost: (unusedId, call, cause) =>
+        void lost.push(`${call} ${cause}`),
       onMismatch: nodeId => void mismatches.push(nodeId),
     },
   });
-  const ticks = setInterval(() => link.tick(clock.monotonicMs()), 20);
+  const ticks = setInterval(() => link.tick(time.nowMs()), 20);
   return {
     gate,
     relay,
     link,
+    time,
+    downs,
     answers,
     lost,
+    unknown,
+    responding,
     mismatches,
     unreachable,
     proofs,
@@ -242,3 +280,84 @@
   const proof = {question: 3, ageMs: 7, intentEra: 1, intentOffset: 2};
   assert.deepEqual(proofs, [proof]);
 });
+
+async function connectAndDispatch(
+  dispatch: Partial<serving.Dispatch> = {},
+): Promise<Fixture> {
+  const fixture = await connect();
+  const {link, gate} = fixture;
+  await waitFor(() => link.isUp, 'the link');
+  link.dispatch(fixtures.dispatch({call: 1, timeLeftMs: 9_000, ...dispatch}));
+  await waitFor(() => gate.dispatched.length === 1, 'the request');
+  return fixture;
+}
+
+// A gate without processor time was taken for one whose run had failed.
+test('a gate that was paused answers over the connection that it knows', async () => {
+  await using fixture = await connectAndDispatch();
+  const {gate, relay, unknown, responding, answers, lost} = fixture;
+  relay.hold();
+  await waitFor(() => unknown.length === 1, 'the silence to be reported');
+  await new Promise(resolve => setTimeout(resolve, 1_500));
+  assert.deepEqual(lost, []);
+  relay.release();
+  await waitFor(() => responding.length === 1, 'the gate to respond');
+  gate.answer(1);
+  await waitFor(() => answers.length === 1, 'the answer');
+  assert.equal(gate.dispatched.length, 1);
+});
+
+test('a withdrawal reaches a gate that was silent when the request was withdrawn', async () => {
+  await using fixture = await connectAndDispatch();
+  const {gate, relay, link, unknown} = fixture;
+  relay.hold();
+  await waitFor(() => unknown.length === 1, 'the silence to be reported');
+  link.withdraw(1);
+  relay.release();
+  await waitFor(() => gate.withdrawn.length === 1, 'the withdrawal');
+  assert.deepEqual(gate.withdrawn, ['entry@5/1']);
+});
+
+test('a pause of this process is not taken for the silence of a gate', async () => {
+  await using fixture = await connectAndDispatch();
+  const {time, relay, link, downs, unreachable} = fixture;
+  relay.mode = {kind: 'delay', delayMs: 60};
+  time.holdsPolls = true;
+  await new Promise(resolve => setTimeout(resolve, 300));
+  time.offsetMs = 1_000;
+  link.tick(time.nowMs());
+  await new Promise(resolve => setTimeout(resolve, 150));
+  time.releasePolls();
+  assert.deepEqual(downs, []);
+  assert.deepEqual(unreachable, []);
+});
+
+test('a request on a link that is down is reported as not sent', async () => {
+  await using fixture = await connectAndDispatch();
+  const {relay, link, lost} = fixture;
+  relay.mode = {kind: 'refuse'};
+  relay.reset();
+  await waitFor(() => !link.isUp, 'the loss of the link');
+  link.dispatch(fixtures.dispatch({call: 2}));
+  assert.deepEqual(lost, ['2 not-sent']);
+});
+
+test('requests are lost soon after nothing listens at the address of their gate', async () => {
+  await using fixture = await connectAndDispatch();
+  const {relay, lost} = fixture;
+  relay.mode = {kind: 'refuse'};
+  relay.reset();
+  const lostMs = clock.monotonicMs();
+  await waitFor(() => lost.length > 0, 'the loss');
+  assert.deepEqual(lost, ['1 process-ended']);
+  assert.ok(clock.monotonicMs() - lostMs < 1_000);
+});
+
+test('a record with another service or data centre keeps the connection and its requests', async () => {
+  await using fixture = await connectAndDispatch();
+  const {gate, relay, link, answers, downs} = fixture;
+  link.update({...record('gate', relay.port), service: 'maps'});
+  gate.answer(1);
+  await waitFor(() => answers.length === 1, 'the answer');
+  assert.deepEqual(downs, []);
+});
--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -1,112 +1,101 @@
 /** A link to another node's gate that reconnects and sends its pending requests again. */
 import * as net from 'node:net';
 
+import * as linkOutage from '../../common/serving/link_outage.js';
 import * as units from '../../common/units.js';
 import * as serving from '../../generated/serving.js';
 import * as framedSocket from '../framed_socket.js';
+import * as gateLinkListener from './gate_link_listener.js';
 import * as linkFrame from './link_frame.js';
+import * as pendingRequests from './pending_requests.js';
 
-/** Time without a frame from the gate after a request until it is pinged, once per request. */
+/** Time without bytes from the gate after a request until it is pinged, once per request. */
 const FIRST_PING_AFTER_MS: units.Millis = 80;
 
-/** Time without a frame until further pings, while requests are pending. */
+/** Time without bytes until further pings, while requests are pending. */
 const REPEAT_PING_AFTER_MS: units.Millis = 250;
 
 /** Age of an unanswered ping at which the gate is reported as maybe unreachable; the link stays. */
 const MAYBE_UNREACHABLE_MS: units.Millis = 100;
 
-/** Age of an unanswered ping at which the link is replaced. */
+/** Age of an unanswered ping at which a new connection is opened beside the silent one. */
 const PING_TIMEOUT_MS: units.Millis = 300;
 
 /** Timeout of opening the connection and exchanging greetings. */
 const OPEN_TIMEOUT_MS: units.Millis = 1_000;
 
-/** Time after the loss of a link within which its requests are sent again over a new one. */
-const RESEND_REPEATABLE_MS: units.Millis = 200;
-const RESEND_NON_REPEATABLE_MS: units.Millis = 1_000;
+/** Timeout of opening the connection while requests are pending, shorter than a resent SYN. */
+const PENDING_CONNECT_TIMEOUT_MS: units.Millis = 500;
 
 /** Backoff between attempts to open the link; doubled after each failure. */
 const FIRST_BACKOFF_MS: units.Millis = 100;
 const MAX_BACKOFF_MS: units.Millis = 4_000;
 
-/** Loss of a link that was up. */
-export interface LinkLoss {
-  readonly detail: string;
-  /** Time since the last frame of the gate. */
-  readonly silentMs: units.Millis;
-  /** Requests without an outcome. */
-  readonly pending: number;
-}
+/** Codes of errors by which an instance is known not to answer; a process causes the others. */
+const UNANSWERED_CODES: ReadonlySet<string> = new Set([
+  'ETIMEDOUT',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+]);
 
-/** Why the outcome of a request is lost. */
-export type LossCause =
-  /** The gate's node is no longer known, or its record has changed. */
-  | 'link-removed'
-  /** Another process of the node answers at its address. */
-  | 'process-replaced'
-  /** The link was not restored in time. */
-  | 'link-not-restored';
-
-/** Receives the events of a link. */
-export interface GateLinkListener {
-  /** @param sameProcess whether the gate's process is the one of the former link. */
-  onUp(nodeId: string, sameProcess: boolean): void;
-  onDown(nodeId: string, loss: LinkLoss): void;
-  /** The gate has not answered a ping in time and may be unreachable. */
-  onMaybeUnreachable(nodeId: string): void;
-  onAnswer(nodeId: string, answer: serving.Answer): void;
-  onRefusal(nodeId: string, refusal: serving.Refusal): void;
-  onPulse(nodeId: string, pulse: serving.Pulse): void;
-  onState(nodeId: string, state: serving.FleetState): void;
-  onTokenGrant(nodeId: string, grant: serving.TokenGrant): void;
-  onSuspect(suspect: serving.Suspect): void;
-  onFreshnessProof(nodeId: string, proof: serving.FreshnessProof): void;
-  /** This link can no longer report the outcome of a request. */
-  onRequestLost(nodeId: string, call: number, cause: LossCause): void;
-  /** Another node listens at the address. */
-  onMismatch(nodeId: string, found: serving.NodeRecord | undefined): void;
-}
+/** Detail of the loss of a link whose gate did not answer a ping. */
+const SILENT = 'silent';
+
+/** Limit of the backoff while requests are pending. */
+const MAX_PENDING_BACKOFF_MS: units.Millis = 50;
 
 /** Dependencies of `GateLink`. */
 export interface GateLinkOptions {
-  readonly listener: GateLinkListener;
+  readonly listener: gateLinkListener.GateLinkListener;
   greeting(toNodeId: string): serving.Greeting;
-  /** Time without a frame until the gate is pinged, while no requests are pending. */
+  /** Time without bytes until the gate is pinged, while no requests are pending. */
   idlePingAfterMs(): units.Millis;
+  /** Calls back once all sockets have been polled, so that what has arrived is read. */
+  afterPoll(callback: () => void): void;
   nowMs(): units.MonotonicMs;
 }
 
-class PendingRequest {
-  /** Time at which the link was lost, undefined once the request was sent again. */
-  lostMs: units.MonotonicMs | undefined;
-
-  constructor(
-    readonly dispatch: serving.Dispatch,
-    readonly sentMs: units.MonotonicMs,
-  ) {}
-}
+type LinkSocket = framedSocket.FramedSocket<serving.NodeFrame>;
 
 type LinkState =
   | {readonly kind: 'waiting'; readonly untilMs: units.MonotonicMs}
-  | {readonly kind: 'opening'; readonly sinceMs: units.MonotonicMs}
+  /** `connected` tells that the gate's instance has accepted the connection. */
+  | {
+      readonly kind: 'opening';
+      readonly sinceMs: units.MonotonicMs;
+      readonly connected: boolean;
+    }
   | {readonly kind: 'up'};
 
-/** Keeps a connection to one gate open and reports an end for each request unless withdrawn. */
+/**
+ * Keeps a connection to one gate open and reports an end for each request unless withdrawn. A
+ * silent connection is kept until a new one has been opened: if the gate's process was only paused,
+ * the answers that it owes come over the connection that it knows.
+ */
 export class GateLink implements Disposable {
   private state: LinkState = {kind: 'waiting', untilMs: 0};
-  private socket: framedSocket.FramedSocket<serving.NodeFrame> | undefined;
-  private readonly pending = new Map<number, PendingRequest>();
+  private socket: LinkSocket | undefined;
+  /** The former connection, which was silent when a new one was opened. */
+  private silentSocket: LinkSocket | undefined;
+  private readonly pending = new pendingRequests.PendingRequests();
+  /** Requests withdrawn while the link was down, of which the gate has to be told. */
+  private readonly unsentWithdrawals = new Set<number>();
   private gateStartedMs: number | undefined;
   private receivedMs: units.MonotonicMs = 0;
   private pingedMs: units.MonotonicMs | undefined;
-  /** Time of the first request sent since the last frame received. */
+  /** Time of the first request sent since the last bytes received. */
   private unansweredSinceMs: units.MonotonicMs | undefined;
   private maybeUnreachable = false;
+  private isCheckScheduled = false;
+  private downSinceMs: units.MonotonicMs | undefined;
+  private openFailures: linkOutage.OpenFailures | undefined;
+  /** Start of the first of `openFailures`. */
+  private failingSinceMs: units.MonotonicMs = 0;
   private backoffMs = FIRST_BACKOFF_MS;
   private disposed = false;
 
   constructor(
-    private readonly record: serving.NodeRecord,
+    private record: serving.NodeRecord,
     private readonly options: GateLinkOptions,
   ) {
     this.open();
@@ -122,36 +111,45 @@
     return this.maybeUnreachable;
   }
 
-  /** Sends a request; while the link is down, it is sent or reported lost on reconnection. */
+  /** Sends a request; reports it as lost if the link is down. */
   dispatch(dispatch: serving.Dispatch): void {
+    if (!this.isUp) return this.reportLost(dispatch.call, 'not-sent');
     const sentMs = this.options.nowMs();
     this.unansweredSinceMs ??= sentMs;
-    this.pending.set(dispatch.call, new PendingRequest(dispatch, sentMs));
+    this.pending.add(dispatch, sentMs);
     this.send({$case: 'dispatch', value: dispatch});
   }
 
   /** Cancels a request; its outcome is not reported. */
   withdraw(call: number): void {
-    if (this.pending.delete(call)) {
-      this.send({$case: 'withdraw', value: {call}});
-    }
+    if (!this.pending.delete(call)) return;
+    if (this.isUp) this.send({$case: 'withdraw', value: {call}});
+    else this.unsentWithdrawals.add(call);
+  }
+
+  /** Applies a new record of the node; one with another address opens a new connection. */
+  update(record: serving.NodeRecord): void {
+    const {ip, port} = this.record;
+    this.record = record;
+    if (record.ip === ip && record.port === port) return;
+    this.dropSilentSocket();
+    if (this.isUp) return this.handleLoss('address changed');
+    this.dropSocket();
+    this.open();
   }
 
   /** Asks for tokens; ignored while the link is down, since the answer would come too late. */
   requestTokens(value: serving.TokenRequest): void {
-    if (this.state.kind === 'up') {
-      this.unansweredSinceMs ??= this.options.nowMs();
-    }
+    if (this.isUp) this.unansweredSinceMs ??= this.options.nowMs();
     this.send({$case: 'tokenRequest', value});
   }
 
   /** Pings the gate unless it was heard within `quietMs` or has a ping to answer. */
   probe(quietMs: units.Millis): void {
     const now = this.options.nowMs();
-    if (this.state.kind !== 'up' || this.pingedMs !== undefined) return;
+    if (!this.isUp || this.pingedMs !== undefined) return;
     if (now - this.receivedMs < quietMs) return;
-    this.pingedMs = now;
-    this.send({$case: 'ping', value: {}});
+    this.ping(now);
   }
 
   /** Requests the fleet state that the node holds. */
@@ -174,7 +172,7 @@
   /** Whether the link is open and waits for nothing, so that only an idle ping can be due. */
   get isIdle(): boolean {
     return (
-      this.state.kind === 'up' &&
+      this.isUp &&
       this.pending.size === 0 &&
       this.pingedMs === undefined &&
       this.unansweredSinceMs === undefined
@@ -188,57 +186,72 @@
         if (this.state.untilMs <= now) this.open();
         break;
       case 'opening':
-        if (now - this.state.sinceMs > OPEN_TIMEOUT_MS) {
-          this.handleLoss('no greeting in time');
-        }
+        if (this.isOpeningOverdue(now)) this.checkAfterPoll();
         break;
       case 'up':
-        this.checkProgress(now);
+        if (this.pingedMs === undefined) this.pingIfDue(now);
+        else if (now - this.pingedMs > MAYBE_UNREACHABLE_MS) {
+          this.checkAfterPoll();
+        }
         break;
     }
-    this.expireLost(now);
+    this.endHopeless(now);
   }
 
   [Symbol.dispose](): void {
     this.disposed = true;
-    this.socket?.[Symbol.dispose]();
+    this.dropSocket();
+    this.dropSilentSocket();
     this.failAll('link-removed');
   }
 
   private open(): void {
     const {ip, port, nodeId} = this.record;
-    this.state = {kind: 'opening', sinceMs: this.options.nowMs()};
-    const socket: framedSocket.FramedSocket<serving.NodeFrame> =
-      linkFrame.wrapSocket(net.connect({host: ip, port}), nodeId, {
+    const sinceMs = this.options.nowMs();
+    this.state = {kind: 'opening', sinceMs, connected: false};
+    const socket: LinkSocket = linkFrame.wrapSocket(
+      net.connect({host: ip, port}),
+      nodeId,
+      {
         onConnect: () => this.onConnect(socket),
+        onBytes: () => this.onBytes(socket),
         onFrame: frame => this.onFrame(socket, frame),
         onMalformed: () => this.onSocketLost(socket, 'malformed frame'),
-        onClose: () => this.onSocketLost(socket, 'connection closed'),
-      });
+        onClose: err =>
+          this.onSocketLost(socket, err?.code ?? 'connection closed'),
+      },
+    );
     this.socket = socket;
   }
 
-  private onConnect(
-    socket: framedSocket.FramedSocket<serving.NodeFrame>,
-  ): void {
+  private onConnect(socket: LinkSocket): void {
+    if (this.socket === socket && this.state.kind === 'opening') {
+      this.state = {...this.state, connected: true};
+      if (this.openFailures?.kind === 'unanswered') {
+        this.openFailures = undefined;
+      }
+    }
     const value = this.options.greeting(this.record.nodeId);
     socket.send({body: {$case: 'greeting', value}});
   }
 
-  private onSocketLost(
-    socket: framedSocket.FramedSocket<serving.NodeFrame>,
-    detail: string,
-  ): void {
-    if (this.socket === socket) this.handleLoss(detail);
+  private onSocketLost(socket: LinkSocket, detail: string): void {
+    if (this.silentSocket === socket) this.silentSocket = undefined;
+    if (this.socket !== socket) return;
+    if (this.isUp) return this.handleLoss(detail);
+    const isUnanswered = UNANSWERED_CODES.has(detail);
+    this.handleOpenFailed(isUnanswered ? 'unanswered' : 'refused');
   }
 
-  private onFrame(
-    socket: framedSocket.FramedSocket<serving.NodeFrame>,
-    frame: serving.NodeFrame,
-  ): void {
+  private onBytes(socket: LinkSocket): void {
+    if (this.silentSocket === socket) this.returnToSilentSocket(socket);
     if (this.socket !== socket) return;
     this.receivedMs = this.options.nowMs();
     this.resetProgressCheck();
+  }
+
+  private onFrame(socket: LinkSocket, frame: serving.NodeFrame): void {
+    if (this.socket !== socket) return;
     const {listener} = this.options;
     const {nodeId} = this.record;
     const {body} = frame;
@@ -275,94 +288,167 @@
   private onGreeting(greeting: serving.Greeting): void {
     const {nodeId} = this.record;
     if (greeting.sender?.nodeId !== nodeId) {
-      this.handleLoss('another node listens at the address');
+      this.handleOpenFailed('refused');
       this.options.listener.onMismatch(nodeId, greeting.sender);
       return;
     }
     const sameProcess = this.gateStartedMs === greeting.processStartedMs;
     this.gateStartedMs = greeting.processStartedMs;
+    this.dropSilentSocket();
+    this.onRestored({sameProcess, sameConnection: false});
+    if (!sameProcess) return this.failAll('process-replaced');
+    // Safe for the same process only: it recognizes requests that it has received before.
+    for (const value of this.pending.resends(this.options.nowMs())) {
+      this.send({$case: 'dispatch', value});
+    }
+  }
+
+  /** Goes back to the former connection, whose gate was only paused. */
+  private returnToSilentSocket(socket: LinkSocket): void {
+    this.dropSocket();
+    this.socket = socket;
+    this.silentSocket = undefined;
+    this.onRestored({sameProcess: true, sameConnection: true});
+  }
+
+  private onRestored(up: gateLinkListener.LinkUp): void {
+    const {listener} = this.options;
+    const {nodeId} = this.record;
     this.state = {kind: 'up'};
     this.backoffMs = FIRST_BACKOFF_MS;
-    this.options.listener.onUp(nodeId, sameProcess);
-    if (sameProcess) this.resendAll();
-    else this.failAll('process-replaced');
+    this.downSinceMs = undefined;
+    this.openFailures = undefined;
+    listener.onUp(nodeId, up);
+    for (const call of this.unsentWithdrawals) {
+      if (up.sameProcess) this.send({$case: 'withdraw', value: {call}});
+    }
+    this.unsentWithdrawals.clear();
+    if (!up.sameProcess) return;
+    for (const call of this.pending.takeUnknown()) {
+      listener.onGateResponds(nodeId, call);
+    }
   }
 
-  /** Safe for the same gate process only: it recognizes requests that it has received before. */
-  private resendAll(): void {
-    const now = this.options.nowMs();
-    for (const item of this.pending.values()) {
-      const elapsedMs = Math.floor(now - item.sentMs);
-      const {timeLeftMs, objectiveLeftMs} = item.dispatch;
-      item.lostMs = undefined;
-      const value = {
-        ...item.dispatch,
-        timeLeftMs: Math.max(1, timeLeftMs - elapsedMs),
-        objectiveLeftMs: Math.max(0, objectiveLeftMs - elapsedMs),
-      };
-      this.send({$case: 'dispatch', value});
-    }
+  private failAll(cause: gateLinkListener.LossCause): void {
+    for (const call of this.pending.takeAll()) this.reportLost(call, cause);
   }
 
-  private failAll(cause: LossCause): void {
-    const calls = [...this.pending.keys()];
-    this.pending.clear();
-    for (const call of calls) {
-      this.options.listener.onRequestLost(this.record.nodeId, call, cause);
-    }
+  private reportLost(call: number, cause: gateLinkListener.LossCause): void {
+    this.options.listener.onRequestLost(this.record.nodeId, call, cause);
   }
 
-  private expireLost(now: units.MonotonicMs): void {
-    if (this.pending.size === 0) return;
-    for (const [call, {dispatch, lostMs}] of [...this.pending]) {
-      if (lostMs === undefined) continue;
-      const windowMs = dispatch.repeatable
-        ? RESEND_REPEATABLE_MS
-        : RESEND_NON_REPEATABLE_MS;
-      if (now - lostMs < windowMs) continue;
-      this.pending.delete(call);
-      const {listener} = this.options;
-      listener.onRequestLost(this.record.nodeId, call, 'link-not-restored');
+  /** Reports the requests whose outcome is unknown, and ends those whose gate is gone. */
+  private endHopeless(now: units.MonotonicMs): void {
+    if (this.downSinceMs === undefined || this.pending.size === 0) return;
+    const durationMs = now - this.downSinceMs;
+    const outage = {durationMs, openFailures: this.openFailures};
+    for (const {call, repeatable} of this.pending.dispatches) {
+      const verdict = linkOutage.verdictOf(outage, repeatable);
+      switch (verdict) {
+        case 'pending':
+          break;
+        case 'unknown':
+          if (!this.pending.markUnknown(call)) break;
+          this.options.listener.onOutcomeUnknown(this.record.nodeId, call);
+          break;
+        case 'process-ended':
+        case 'unreachable':
+          if (this.pending.delete(call)) this.reportLost(call, verdict);
+          break;
+      }
     }
   }
 
-  private checkProgress(now: units.MonotonicMs): void {
-    if (this.pingedMs !== undefined) {
-      const pingAgeMs = now - this.pingedMs;
-      if (pingAgeMs > PING_TIMEOUT_MS) this.handleLoss('silent');
-      else if (pingAgeMs > MAYBE_UNREACHABLE_MS) this.markMaybeUnreachable();
-      return;
-    }
-    const [oldest] = this.pending.values();
-    const sinceMs = Math.max(this.receivedMs, oldest?.sentMs ?? 0);
-    const idleMs = now - sinceMs;
-    const limitMs = oldest
-      ? REPEAT_PING_AFTER_MS
-      : this.options.idlePingAfterMs();
+  private isOpeningOverdue(now: units.MonotonicMs): boolean {
+    if (this.state.kind !== 'opening') return false;
+    const isPendingConnect = this.pending.size > 0 && !this.state.connected;
+    const timeoutMs = isPendingConnect
+      ? PENDING_CONNECT_TIMEOUT_MS
+      : OPEN_TIMEOUT_MS;
+    return now - this.state.sinceMs > timeoutMs;
+  }
+
+  private pingIfDue(now: units.MonotonicMs): void {
+    const {oldestSentMs} = this.pending;
+    const idleMs = now - Math.max(this.receivedMs, oldestSentMs ?? 0);
+    const limitMs =
+      oldestSentMs === undefined
+        ? this.options.idlePingAfterMs()
+        : REPEAT_PING_AFTER_MS;
     const waitingMs = now - (this.unansweredSinceMs ?? now);
     if (idleMs <= limitMs && waitingMs <= FIRST_PING_AFTER_MS) return;
+    this.ping(now);
+  }
+
+  private ping(now: units.MonotonicMs): void {
     this.pingedMs = now;
     this.send({$case: 'ping', value: {}});
   }
 
+  /** Checks overdue answers once what arrived during a pause of this process has been read. */
+  private checkAfterPoll(): void {
+    if (this.isCheckScheduled) return;
+    this.isCheckScheduled = true;
+    this.options.afterPoll(() => {
+      this.isCheckScheduled = false;
+      if (!this.disposed) this.checkOverdue(this.options.nowMs());
+    });
+  }
+
+  private checkOverdue(now: units.MonotonicMs): void {
+    if (this.isOpeningOverdue(now)) return this.handleOpenFailed('unanswered');
+    if (!this.isUp || this.pingedMs === undefined) return;
+    const pingAgeMs = now - this.pingedMs;
+    if (pingAgeMs > PING_TIMEOUT_MS) this.handleLoss(SILENT);
+    else if (pingAgeMs > MAYBE_UNREACHABLE_MS) this.markMaybeUnreachable();
+  }
+
+  /** Handles the loss of a link that was up. */
   private handleLoss(detail: string): void {
-    const wasUp = this.state.kind === 'up';
     const now = this.options.nowMs();
-    const socket = this.socket;
+    if (detail === SILENT) this.silentSocket = this.socket;
+    else this.dropSocket();
     this.socket = undefined;
     this.resetProgressCheck();
-    socket?.[Symbol.dispose]();
-    for (const item of this.pending.values()) item.lostMs ??= now;
-    const waitMs = wasUp ? 0 : this.backoffMs;
-    this.state = {kind: 'waiting', untilMs: now + waitMs};
-    if (!wasUp) this.backoffMs = Math.min(MAX_BACKOFF_MS, 2 * this.backoffMs);
+    this.downSinceMs = now;
+    this.state = {kind: 'waiting', untilMs: now};
     if (this.disposed) return;
-    if (wasUp) {
-      const silentMs = now - this.receivedMs;
-      const loss = {detail, silentMs, pending: this.pending.size};
-      this.options.listener.onDown(this.record.nodeId, loss);
-      this.open();
+    const silentMs = now - this.receivedMs;
+    const loss = {detail, silentMs, pending: this.pending.size};
+    this.options.listener.onDown(this.record.nodeId, loss);
+    this.open();
+  }
+
+  /** Handles a new connection that did not open, and opens another one after a backoff. */
+  private handleOpenFailed(kind: linkOutage.OpenFailures['kind']): void {
+    if (this.state.kind !== 'opening') return;
+    const {sinceMs, connected} = this.state;
+    const now = this.options.nowMs();
+    this.dropSocket();
+    const maxMs = this.pending.size > 0 ? MAX_PENDING_BACKOFF_MS : Infinity;
+    const waitMs = Math.min(this.backoffMs, maxMs);
+    this.backoffMs = Math.min(MAX_BACKOFF_MS, 2 * this.backoffMs);
+    this.state = {kind: 'waiting', untilMs: now + waitMs};
+    if (connected && kind === 'unanswered') {
+      // A process accepts connections and may only be paused.
+      this.openFailures = undefined;
+      return;
     }
+    if (this.openFailures?.kind !== kind) this.failingSinceMs = sinceMs;
+    this.openFailures = {kind, durationMs: now - this.failingSinceMs};
+    this.options.listener.onUnreachable(this.record.nodeId);
+  }
+
+  private dropSocket(): void {
+    const {socket} = this;
+    this.socket = undefined;
+    socket?.[Symbol.dispose]();
+  }
+
+  private dropSilentSocket(): void {
+    const {silentSocket} = this;
+    this.silentSocket = undefined;
+    silentSocket?.[Symbol.dispose]();
   }
 
   private markMaybeUnreachable(): void {
@@ -378,6 +464,6 @@
   }
 
   private send(body: serving.NodeFrame['body']): void {
-    if (this.state.kind === 'up') this.socket?.send({body});
+    if (this.isUp) this.socket?.send({body});
   }
 }
--- a/src/node/serving/gate_links.ts
+++ b/src/node/serving/gate_links.ts
@@ -4,6 +4,7 @@
 import * as serving from '../../generated/serving.js';
 import * as fleetDirectory from './fleet_directory.js';
 import * as gateLink from './gate_link.js';
+import * as gateLinkListener from './gate_link_listener.js';
 import * as pulseInterval from './pulse_interval.js';
 
 /** Interval of the timers of idle links, which are pinged after six seconds. */
@@ -13,7 +14,7 @@
 export interface GateLinksOptions {
   readonly directory: fleetDirectory.FleetDirectory;
   readonly listener: Pick<
-    gateLink.GateLinkListener,
+    gateLinkListener.GateLinkListener,
     | 'onUp'
     | 'onDown'
     | 'onMaybeUnreachable'
@@ -24,6 +25,8 @@
     | 'onSuspect'
     | 'onFreshnessProof'
     | 'onTokenGrant'
+    | 'onOutcomeUnknown'
+    | 'onGateResponds'
     | 'onRequestLost'
   >;
   readonly log: decision.DecisionLog;
@@ -64,7 +67,7 @@
     if (link) link.dispatch(dispatch);
     else {
       const {listener} = this.options;
-      listener.onRequestLost(nodeId, dispatch.call, 'link-removed');
+      listener.onRequestLost(nodeId, dispatch.call, 'not-sent');
     }
   }
 
@@ -115,41 +118,39 @@
   }
 
   private connect(record: serving.NodeRecord): void {
-    this.disconnect(record.nodeId);
+    const {nodeId} = record;
+    const known = this.links.get(nodeId);
+    if (known) known.update(record);
+    else this.links.set(nodeId, this.makeLink(record));
+  }
+
+  private makeLink(record: serving.NodeRecord): gateLink.GateLink {
     const {listener, greeting, nowMs, directory} = this.options;
-    const link = new gateLink.GateLink(record, {
+    return new gateLink.GateLink(record, {
       greeting,
       nowMs,
+      afterPoll: callback => void setImmediate(callback),
       idlePingAfterMs: () => pulseInterval.idlePingAfterMs(directory.size),
       listener: {
         ...listener,
-        onUp: (nodeId, sameProcess) => {
+        onUp: (nodeId, up) => {
           directory.setLinked(nodeId, true);
-          this.note('peer-regained', {nodeId, sameProcess});
-          listener.onUp(nodeId, sameProcess);
+          this.note('peer-regained', {nodeId, ...up});
+          listener.onUp(nodeId, up);
         },
         onDown: (nodeId, loss) => {
-          directory.setLinked(nodeId, false);
-          const {detail, pending} = loss;
-          const silentMs = Math.round(loss.silentMs);
-          const pausedMs = Math.round(this.options.waitedMs());
-          this.note('peer-lost', {
-            nodeId,
-            reason: detail,
-            silentMs,
-            pausedMs,
-            pending,
-          });
+          this.noteLoss(nodeId, loss);
           listener.onDown(nodeId, loss);
         },
         onMaybeUnreachable: nodeId => {
           this.note('peer-silent', {nodeId});
           listener.onMaybeUnreachable(nodeId);
         },
+        // A silent node is still at its address; one that cannot be reached may not be.
+        onUnreachable: nodeId => directory.setLinked(nodeId, false),
         onMismatch: (nodeId, found) => this.replaceNode(nodeId, found),
       },
     });
-    this.links.set(record.nodeId, link);
   }
 
   private disconnect(nodeId: string): void {
@@ -168,6 +169,14 @@
     if (found) this.options.directory.put(found);
   }
 
+  private noteLoss(nodeId: string, loss: gateLinkListener.LinkLoss): void {
+    const {detail, pending} = loss;
+    const silentMs = Math.round(loss.silentMs);
+    const pausedMs = Math.round(this.options.waitedMs());
+    const facts = {nodeId, reason: detail, silentMs, pausedMs, pending};
+    this.note('peer-lost', facts);
+  }
+
   private note(event: string, facts: decision.Facts): void {
     decision.noteStateChange(this.options.log, 'fleet', event, facts);
   }
--- a/test/paths/fault_relay.ts
+++ b/test/paths/fault_relay.ts
@@ -18,12 +18,23 @@
     readonly incoming: net.Socket,
     readonly outgoing: net.Socket,
   ) {}
+
+  pause(): void {
+    this.incoming.pause();
+    this.outgoing.pause();
+  }
+
+  resume(): void {
+    this.incoming.resume();
+    this.outgoing.resume();
+  }
 }
 
 /** Relays TCP connections to one port of 127.0.0.1. */
 export class FaultRelay implements AsyncDisposable {
   mode: RelayMode = {kind: 'pass'};
   private readonly connections = new Set<RelayedConnection>();
+  private isHeld = false;
   private readonly server = net.createServer(incoming => this.accept(incoming));
 
   constructor(private readonly toPort: number) {}
@@ -37,11 +48,28 @@
     return `127.0.0.1:${port}`;
   }
 
+  /** Port on which the relay listens. */
+  get port(): number {
+    return (this.server.address() as net.AddressInfo).port;
+  }
+
   /** Resets all open connections; new ones follow the mode. */
   reset(): void {
     for (const {incoming} of this.connections) incoming.resetAndDestroy();
   }
 
+  /** Holds back all bytes, and the ends of connections, until `release`; loses none. */
+  hold(): void {
+    this.isHeld = true;
+    for (const connection of this.connections) connection.pause();
+  }
+
+  /** Passes on what `hold` has held back. */
+  release(): void {
+    this.isHeld = false;
+    for (const connection of this.connections) connection.resume();
+  }
+
   /** Drops all further bytes on the open connections; new ones follow the mode. */
   silence(): void {
     for (const connection of this.connections) connection.silenced = true;
@@ -81,6 +109,7 @@
     };
     incoming.on('close', closeBoth);
     outgoing.on('close', closeBoth);
+    if (this.isHeld) connection.pause();
   }
 
   private relay(
