--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -8,7 +8,7 @@
 import * as dispatching from './dispatching.js';
 import * as entryCall from './entry_call.js';
 import * as gateReports from './gate_reports.js';
-import * as openCalls from './open_calls.js';
+import * as entryCalls from './entry_calls.js';
 import * as operatorIntent from './operator_intent.js';
 import * as placement from './placement.js';
 import * as retryBudget from './retry_budget.js';
@@ -61,7 +61,7 @@
 
 /** Decision logic of an entry, without sockets or timers. */
 export class Entry {
-  private readonly calls = new openCalls.OpenCalls();
+  private readonly calls = new entryCalls.EntryCalls();
   private readonly budgets: retryBudget.ServiceRetryBudgets;
   private readonly times = new runTimes.RunTimes();
   private readonly split: trafficSplit.TrafficSplit;
@@ -334,7 +334,7 @@
 
   /** Handles an attempt whose run failed or may have failed. */
   private onFailedRun(
-    ended: openCalls.OwnedAttempt,
+    ended: entryCalls.OwnedAttempt,
     cause: decision.Facts,
     now: units.MonotonicMs,
   ): void {
@@ -343,7 +343,7 @@
   }
 
   /** Counts the run of an ended attempt, unless it was when its outcome became unknown. */
-  private countRun({call, attempt}: openCalls.OwnedAttempt): void {
+  private countRun({call, attempt}: entryCalls.OwnedAttempt): void {
     call.hasRun = true;
     if (!attempt.isOutcomeUnknown) call.servers++;
   }
@@ -452,7 +452,7 @@
   private endAttempt(
     nodeId: string,
     number: number,
-  ): openCalls.OwnedAttempt | undefined {
+  ): entryCalls.OwnedAttempt | undefined {
     const ended = this.calls.endAttempt(nodeId, number);
     if (ended !== undefined) this.options.reports.onEnded(nodeId);
     return ended;
--- a/src/common/serving/open_calls.ts
+++ b/src/common/serving/entry_calls.ts
@@ -8,7 +8,7 @@
 }
 
 /** Finds requests by id and by the number of an attempt. */
-export class OpenCalls {
+export class EntryCalls {
   private readonly calls = new Map<number, entryCall.EntryCall>();
   private readonly callByAttempt = new Map<number, entryCall.EntryCall>();
   private lastAttempt = 0;
