Framed sockets report received bytes before a frame is complete

Callers saw links given up while a large answer arrived on them: the owner of a framed socket heard only of whole frames, so a frame that took longer than the ping timeout looked like silence. `FramedSocketListener` gets an optional `onBytes`, called for each chunk before the frames that it completes.

--- a/src/node/framed_socket.ts
+++ b/src/node/framed_socket.ts
@@ -7,6 +7,8 @@
 /** Callbacks of a framed socket to its owner. */
 export interface FramedSocketListener<T> {
   onConnect(): void;
+  /** Called for any bytes received, before the frames that they complete. */
+  onBytes?(): void;
   onFrame(frame: T): void;
   /** Called when a frame could not be read; the socket closes next. */
   onMalformed(): void;
@@ -70,6 +72,7 @@
   }
 
   private receive(chunk: Buffer): void {
+    this.listener.onBytes?.();
     try {
       for (const frame of this.reader.push(chunk)) {
         if (this.socket.destroyed) return;
