Long frames between nodes travel in parts

Callers of routes with downloads saw late answers: an answer of 90 to 540 KB was one frame, and pongs, pulses, freshness proofs, quota grants and short answers waited behind it until the link was given up and the answer sent again.

A frame above 32 KiB is now cut into `Part`s that take turns with those of other long frames, and the socket is handed the next ones only while less than 64 KiB are buffered there; shorter frames are written at once. The receiver joins at most 16 messages and 80 MiB at once. Content is the last field of `Part`, so a part is written as a view of the one encoded copy. Nodes of former builds get whole frames, as `Greeting.accepts_parts` is false there.

A short frame may now overtake a long one. Only dispatches, answers and fleet states are long. - Withdraw before its dispatch: the gate remembers the key for 5 s and refuses the dispatch, which the entry ignores. - Pulse, refusal or short answer before a long answer: its older load would replace the newer one, so a long answer goes without load, after a pulse. - Answers of a call whose dispatch is partly sent: the gate does not know the call, or it knows it from a former link and sends the reply when the dispatch is whole. - Dispatches and answers among themselves: of different calls. A newer `Dispatch.notice` first: what the server said to the gate goes before both. - Pulse, suspect or freshness proof before a fleet state: positions never go back, deaths are counted as the maximum, and a proof names its position; each of them already crossed states of other nodes. - Pings, token requests and grants, freshness questions and proofs: matched by number or by link. Greetings: parts are allowed only after them.

Tests: with parts switched off, "a ping after a long frame is answered before that frame has arrived", "a ping overtakes a long frame on a link that is read slowly", "queued bytes include those of waiting parts" and "frames that are queued at the end are sent" fail; without the pulse, "a pulse that overtakes a long answer is not replaced by an older load" fails; without `allowHalfOpen`, "frames queued when the other end ends its side are sent" fails.

--- a/bench/processor_time.ts
+++ b/bench/processor_time.ts
@@ -83,7 +83,8 @@
   }
 
   private greeting(toNodeId: string): serving.Greeting {
-    return {sender: this.self, processStartedMs: 1, toNodeId};
+    const sender = this.self;
+    return {sender, processStartedMs: 1, toNodeId, acceptsParts: true};
   }
 
   private dial(record: serving.NodeRecord): void {
--- a/src/node/frame_codec.ts
+++ b/src/node/frame_codec.ts
@@ -4,7 +4,7 @@
 import * as errors from '../common/errors.js';
 
 /** Length of the prefix, in bytes. */
-const PREFIX_BYTES = 4;
+export const PREFIX_BYTES = 4;
 
 /** Encodes and decodes frames of one protocol. */
 export interface FrameCodec<T> {
@@ -14,13 +14,42 @@
 
 /** Returns the frame with its length prefix. */
 export function encodeFrame<T>(codec: FrameCodec<T>, frame: T): Buffer {
-  const writer = new wire.BinaryWriter().fixed32(0);
-  const bytes = codec.encode(frame, writer).finish();
+  return encodePrefixed(writer => codec.encode(frame, writer), 0);
+}
+
+/**
+ * Returns what a function writes, after a length prefix.
+ *
+ * @param restBytes - length of the rest of the frame, which follows the returned bytes.
+ */
+export function encodePrefixed(
+  encode: (writer: wire.BinaryWriter) => wire.BinaryWriter,
+  restBytes: number,
+): Buffer {
+  const bytes = encode(new wire.BinaryWriter().fixed32(0)).finish();
   const buffer = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
-  buffer.writeUInt32BE(bytes.byteLength - PREFIX_BYTES, 0);
+  buffer.writeUInt32BE(bytes.byteLength - PREFIX_BYTES + restBytes, 0);
   return buffer;
 }
 
+/**
+ * Decodes a frame without its length prefix.
+ *
+ * @param peerName - names the other end in errors.
+ * @throws errors.MalformedInputError on a frame that cannot be decoded.
+ */
+export function decodeFrame<T>(
+  codec: FrameCodec<T>,
+  bytes: Uint8Array,
+  peerName: string,
+): T {
+  try {
+    return codec.decode(bytes);
+  } catch (err) {
+    throw malformed('frame cannot be decoded', peerName, err);
+  }
+}
+
 /** Splits a byte stream into frames; memory is bounded by the largest frame and one chunk. */
 export class FrameReader<T> {
   private pending: Buffer[] = [];
@@ -57,7 +86,8 @@
         this.neededBytes = PREFIX_BYTES + length;
         break;
       }
-      frames.push(this.decode(bytes.subarray(start + PREFIX_BYTES, end)));
+      const encoded = bytes.subarray(start + PREFIX_BYTES, end);
+      frames.push(decodeFrame(this.codec, encoded, this.peerName));
       start = end;
     }
     this.pending = start === bytes.length ? [] : [bytes.subarray(start)];
@@ -67,22 +97,15 @@
 
   private checkedLength(length: number): number {
     if (length <= this.maxFrameBytes) return length;
-    throw this.malformed(`frame of ${length} bytes is too long`);
-  }
-
-  private decode(bytes: Uint8Array): T {
-    try {
-      return this.codec.decode(bytes);
-    } catch (err) {
-      throw this.malformed('frame cannot be decoded', err);
-    }
+    throw malformed(`frame of ${length} bytes is too long`, this.peerName);
   }
+}
 
-  private malformed(
-    message: string,
-    cause?: unknown,
-  ): errors.MalformedInputError {
-    const site = {step: 'read frame', peer: this.peerName};
-    return new errors.MalformedInputError(message, site, {cause});
-  }
+function malformed(
+  message: string,
+  peer: string,
+  cause?: unknown,
+): errors.MalformedInputError {
+  const site = {step: 'read frame', peer};
+  return new errors.MalformedInputError(message, site, {cause});
 }
--- /dev/null
+++ b/src/node/frame_parts.ts
@@ -0,0 +1,174 @@
+/** Parts of long frames, between which other frames can be sent. */
+import type * as wire from '@bufbuild/protobuf/wire';
+
+import * as errors from '../common/errors.js';
+import * as frameCodec from './frame_codec.js';
+
+/** Length above which an encoded frame is sent in parts, and length of a part, in bytes. */
+export const PART_BYTES = 32 * 1024;
+
+/** Maximum number of messages in each direction of a connection whose parts take turns. */
+export const MAX_OPEN_MESSAGES = 16;
+
+/** Slice of an encoded frame. */
+export interface Part {
+  /** Number of the message, unique within the connection and direction. */
+  readonly message: number;
+  readonly content: Buffer;
+  readonly last: boolean;
+  /** Length of the message in bytes; 0 except in its first part. */
+  readonly totalBytes: number;
+}
+
+/** Carries parts in frames of a protocol. */
+export interface PartProtocol<T> {
+  /** Writes the frame that carries a part, except for the content, with which the frame ends. */
+  encodeHead(part: Part, writer: wire.BinaryWriter): wire.BinaryWriter;
+  /** Returns the part that a frame carries, undefined if it is another frame. */
+  partOf(frame: T): Part | undefined;
+}
+
+class OutgoingMessage {
+  sentBytes = 0;
+
+  constructor(
+    readonly number: number,
+    readonly bytes: Buffer,
+  ) {}
+}
+
+/** Queue of long frames whose parts take turns. */
+export class PartQueue {
+  /** Messages whose parts take turns; the first is next. */
+  private readonly open: OutgoingMessage[] = [];
+  private openBytes = 0;
+  /** Messages of which no part may be sent yet. */
+  private readonly waiting: OutgoingMessage[] = [];
+  private unsentBytes = 0;
+  private lastNumber = 0;
+
+  /**
+   * @param maxOpenBytes - limit of the lengths of all open messages together; the receiver has the
+   *   same.
+   */
+  constructor(private readonly maxOpenBytes: number) {}
+
+  /** Bytes that `next` has not returned. */
+  get bytes(): number {
+    return this.unsentBytes;
+  }
+
+  /** Adds an encoded frame, without its length prefix. */
+  add(bytes: Buffer): void {
+    this.waiting.push(new OutgoingMessage(++this.lastNumber, bytes));
+    this.unsentBytes += bytes.length;
+  }
+
+  /** Removes the next part; undefined if the queue is empty. */
+  next(): Part | undefined {
+    this.openWaiting();
+    const message = this.open.shift();
+    if (message === undefined) return undefined;
+    const {number, bytes, sentBytes} = message;
+    const content = bytes.subarray(sentBytes, sentBytes + PART_BYTES);
+    message.sentBytes += content.length;
+    this.unsentBytes -= content.length;
+    const last = message.sentBytes === bytes.length;
+    if (last) this.openBytes -= bytes.length;
+    else this.open.push(message);
+    const totalBytes = sentBytes === 0 ? bytes.length : 0;
+    return {message: number, content, last, totalBytes};
+  }
+
+  /** Removes all messages. */
+  clear(): void {
+    this.open.length = 0;
+    this.waiting.length = 0;
+    this.openBytes = 0;
+    this.unsentBytes = 0;
+  }
+
+  private openWaiting(): void {
+    while (this.open.length < MAX_OPEN_MESSAGES) {
+      const [first] = this.waiting;
+      if (first === undefined) return;
+      const openBytes = this.openBytes + first.bytes.length;
+      if (this.open.length > 0 && openBytes > this.maxOpenBytes) return;
+      this.openBytes = openBytes;
+      this.open.push(first);
+      this.waiting.shift();
+    }
+  }
+}
+
+class IncomingMessage {
+  receivedBytes = 0;
+
+  constructor(readonly bytes: Buffer) {}
+}
+
+/** Joins parts to frames; memory is bounded by the longest frame. */
+export class PartJoiner<T> {
+  private readonly open = new Map<number, IncomingMessage>();
+  private openBytes = 0;
+
+  constructor(
+    private readonly codec: frameCodec.FrameCodec<T>,
+    private readonly protocol: PartProtocol<T>,
+    /** Limit of the lengths of all open messages together. */
+    private readonly maxOpenBytes: number,
+    /** Names the other end in errors. */
+    private readonly peerName: string,
+  ) {}
+
+  /**
+   * Returns a frame that is no part, or the frame that the part completes, if any.
+   *
+   * @throws errors.MalformedInputError on a part that exceeds a limit or does not fit the former
+   *   ones, and on a message that cannot be decoded.
+   */
+  push(frame: T): T | undefined {
+    const part = this.protocol.partOf(frame);
+    if (part === undefined) return frame;
+    const {message: number, content, last} = part;
+    const message =
+      part.totalBytes > 0 ? this.begin(part) : this.open.get(number);
+    if (message === undefined) throw this.malformed('no first part');
+    const receivedBytes = message.receivedBytes + content.length;
+    const isWhole = receivedBytes === message.bytes.length;
+    if (receivedBytes > message.bytes.length || last !== isWhole) {
+      throw this.malformed('parts do not add up to the length of the message');
+    }
+    message.bytes.set(content, message.receivedBytes);
+    message.receivedBytes = receivedBytes;
+    if (!last) return undefined;
+    this.open.delete(number);
+    this.openBytes -= message.bytes.length;
+    return this.decode(message.bytes);
+  }
+
+  private begin({message: number, totalBytes}: Part): IncomingMessage {
+    if (this.open.has(number)) throw this.malformed('second first part');
+    if (this.open.size === MAX_OPEN_MESSAGES) {
+      throw this.malformed('too many messages in parts');
+    }
+    if (this.openBytes + totalBytes > this.maxOpenBytes) {
+      throw this.malformed(`message of ${totalBytes} bytes is too long`);
+    }
+    const message = new IncomingMessage(Buffer.allocUnsafe(totalBytes));
+    this.open.set(number, message);
+    this.openBytes += totalBytes;
+    return message;
+  }
+
+  private decode(bytes: Buffer): T {
+    const frame = frameCodec.decodeFrame(this.codec, bytes, this.peerName);
+    if (this.protocol.partOf(frame) === undefined) return frame;
+    throw this.malformed('message in parts contains a part');
+  }
+
+  private malformed(message: string): errors.MalformedInputError {
+    const site = {step: 'join parts', peer: this.peerName};
+    return new errors.MalformedInputError(message, site);
+  }
+}
--- /dev/null
+++ b/src/node/serving/entry_sessions.test.ts
@@ -0,0 +1,119 @@
+import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
+import * as nodeTest from 'node:test';
+
+import * as fixtures from '../../common/serving/serving_fixtures.test.js';
+import * as serving from '../../generated/serving.js';
+import * as child from '../../../test/paths/child.js';
+import * as clock from '../clock.js';
+import * as entrySessions from './entry_sessions.js';
+import * as linkFrame from './link_frame.js';
+
+/** Id of the only session. */
+const LINK_ID = 1;
+
+const LONG_BODY = Buffer.alloc(1024 * 1024);
+
+function greeting(nodeId: string, acceptsParts: boolean): serving.Greeting {
+  const sender = serving.NodeRecord.fromPartial({nodeId});
+  return {sender, processStartedMs: 1, toNodeId: 'gate', acceptsParts};
+}
+
+/** A gate with sessions whose load counts the pulses made. */
+function createSessions(onGreeting: () => void): entrySessions.EntrySessions {
+  let pulses = 0;
+  return new entrySessions.EntrySessions({
+    nowMs: clock.monotonicMs,
+    greeting: () => greeting('gate', true),
+    pulse: () =>
+      serving.Pulse.fromPartial({load: fixtures.load({running: ++pulses})}),
+    state: () => serving.FleetState.fromPartial({}),
+    freshness: question => serving.FreshnessProof.fromPartial({question}),
+    nodeCount: () => 2,
+    listener: {
+      onGreeting,
+      onDispatch: () => undefined,
+      onTokenRequest: ({number}) => ({number, grants: []}),
+      onWithdraw: () => undefined,
+      onLinkLost: () => undefined,
+    },
+  });
+}
+
+/** Returns the frames that an entry gets of a gate that sends an answer, then a pulse. */
+async function receivedByEntry(
+  body: Buffer,
+  acceptsParts: boolean,
+): Promise<readonly serving.NodeFrame[]> {
+  const load = fixtures.load({running: 0});
+  const value = serving.Answer.fromPartial({call: 1, body, load});
+  await using sessions = createSessions(() => {
+    sessions.send(LINK_ID, {$case: 'answer', value});
+    sessions.pulseAll();
+  });
+  const [port] = await child.freePorts(1);
+  await sessions.listen({ip: '127.0.0.1', port});
+  return await receiveUntil(port, acceptsParts, frames => {
+    const kinds = frames.map(frame => frame.body?.$case);
+    return kinds.includes('answer') && kinds.lastIndexOf('pulse') > 1;
+  });
+}
+
+function receiveUntil(
+  port: number,
+  acceptsParts: boolean,
+  isComplete: (frames: readonly serving.NodeFrame[]) => boolean,
+): Promise<readonly serving.NodeFrame[]> {
+  const frames: serving.NodeFrame[] = [];
+  return new Promise((resolve, reject) => {
+    const socket = linkFrame.wrapSocket(
+      net.connect({host: '127.0.0.1', port}),
+      'gate',
+      {
+        onConnect: () => {
+          const value = greeting('entry', acceptsParts);
+          socket.send({body: {$case: 'greeting', value}});
+        },
+        onFrame: frame => {
+          frames.push(frame);
+          if (isComplete(frames)) resolve(frames);
+        },
+        onMalformed: () => undefined,
+        onClose: () => reject(new Error('connection closed')),
+      },
+    );
+  });
+}
+
+/** Running requests in the loads that an entry gets, in order. */
+function loadsIn(
+  frames: readonly serving.NodeFrame[],
+): readonly (number | undefined)[] {
+  return frames.flatMap(({body}) =>
+    body?.$case === 'pulse' || body?.$case === 'answer'
+      ? [body.value.load?.running]
+      : [],
+  );
+}
+
+nodeTest.test(
+  'a pulse that overtakes a long answer is not replaced by an older load',
+  async () => {
+    const frames = await receivedByEntry(LONG_BODY, true);
+    assert.equal(frames[0].body?.$case, 'greeting');
+    assert.deepEqual(loadsIn(frames), [1, 2, 3, undefined]);
+  },
+);
+
+nodeTest.test('a short answer brings its load', async () => {
+  const frames = await receivedByEntry(Buffer.alloc(100), true);
+  assert.deepEqual(loadsIn(frames), [1, 0, 2]);
+});
+
+nodeTest.test(
+  'a long answer arrives in order at an entry that does not join parts',
+  async () => {
+    const frames = await receivedByEntry(LONG_BODY, false);
+    assert.deepEqual(loadsIn(frames), [1, 0, 2]);
+  },
+);
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -3,6 +3,7 @@
 
 import * as units from '../../common/units.js';
 import * as serving from '../../generated/serving.js';
+import * as frameParts from '../frame_parts.js';
 import * as framedSocket from '../framed_socket.js';
 import * as tcpListener from '../tcp_listener.js';
 import * as linkFrame from './link_frame.js';
@@ -84,7 +85,10 @@
 
   /** Sends a frame to the entry of a session; ignored if the session has ended. */
   send(linkId: number, body: serving.NodeFrame['body']): void {
-    this.sessions.get(linkId)?.socket.send({body});
+    const session = this.sessions.get(linkId);
+    if (session === undefined) return;
+    if (body?.$case === 'answer') this.sendAnswer(session, body.value);
+    else session.socket.send({body});
   }
 
   /** Sends a frame to all entries that have sent their greeting. */
@@ -128,6 +132,16 @@
     await closed;
   }
 
+  /** Sends an answer; newer pulses can overtake a long one, so its load goes first in a pulse. */
+  private sendAnswer(session: Session, answer: serving.Answer): void {
+    let value = answer;
+    if (session.socket.sendsParts && mayBeLong(answer)) {
+      this.sendPulse(session, this.options.pulse(), this.options.nowMs());
+      value = {...answer, load: undefined};
+    }
+    session.socket.send({body: {$case: 'answer', value}});
+  }
+
   private sendPulse(
     session: Session,
     value: serving.Pulse,
@@ -203,6 +217,7 @@
       case 'state':
       case 'suspect':
       case 'freshnessProof':
+      case 'part':
       case undefined:
         return;
     }
@@ -226,7 +241,14 @@
     }
     connection.setTimeout(IDLE_TIMEOUT_MS, () => connection.destroy());
     session.entryProcess = `${sender.nodeId}@${processStartedMs}`;
+    if (greeting.acceptsParts) session.socket.allowParts();
     this.sendPulse(session, this.options.pulse(), this.options.nowMs());
     this.options.listener.onGreeting(sender);
   }
 }
+
+/** Whether an answer may be sent in parts, with room for headers beyond ASCII and other fields. */
+function mayBeLong({headers, body}: serving.Answer): boolean {
+  const headerBytes = headers.reduce((sum, text) => sum + text.length, 0);
+  return body.length + headerBytes > frameParts.PART_BYTES / 4;
+}
--- a/src/node/serving/gate_link.test.ts
+++ b/src/node/serving/gate_link.test.ts
@@ -30,6 +30,7 @@
       sender: record('gate', 1),
       processStartedMs: this.processStartedMs,
       toNodeId,
+      acceptsParts: false,
     }),
     pulse: () => ({
       load: fixtures.load(),
@@ -100,6 +101,7 @@
       sender: record('entry', 2),
       processStartedMs: 5,
       toNodeId,
+      acceptsParts: false,
     }),
     listener: {
       onUp: () => undefined,
--- a/src/node/serving/link_frame.ts
+++ b/src/node/serving/link_frame.ts
@@ -1,12 +1,37 @@
 /** Framing of connections between nodes. */
 import type * as net from 'node:net';
 
+import * as wire from '@bufbuild/protobuf/wire';
+
 import * as serving from '../../generated/serving.js';
+import * as frameParts from '../frame_parts.js';
 import * as framedSocket from '../framed_socket.js';
 
 /** Largest frame in bytes: the largest request body that callers may send, plus headers. */
 const MAX_FRAME_BYTES = 80 * 1024 * 1024;
 
+/** Tags of `NodeFrame.part` and `Part.content`. */
+const PART_TAG = tagOf(15);
+const CONTENT_TAG = tagOf(4);
+
+const NO_CONTENT = Buffer.alloc(0);
+
+/** Parts on connections between nodes. */
+export const PART_PROTOCOL: frameParts.PartProtocol<serving.NodeFrame> = {
+  encodeHead: (part, writer) => {
+    const {content} = part;
+    const head = serving.Part.encode({...part, content: NO_CONTENT})
+      .uint32(CONTENT_TAG)
+      .uint32(content.length)
+      .finish();
+    return writer
+      .uint32(PART_TAG)
+      .uint32(head.length + content.length)
+      .raw(head);
+  },
+  partOf: ({body}) => (body?.$case === 'part' ? body.value : undefined),
+};
+
 /** Wraps a connection between nodes in a socket that sends and receives `NodeFrame`s. */
 export function wrapSocket(
   socket: net.Socket,
@@ -19,5 +44,10 @@
     MAX_FRAME_BYTES,
     peerName,
     listener,
+    PART_PROTOCOL,
   );
 }
+
+function tagOf(field: number): number {
+  return (field << 3) | wire.WireType.LengthDelimited;
+}
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -367,6 +367,7 @@
         sender: this.directory.self,
         processStartedMs: this.options.processStartedMs,
         toNodeId,
+        acceptsParts: true,
       }),
       waitedMs: () => this.pauseMeter.waitedMs(clock.monotonicMs()),
       afterEvent: () => this.afterEvent(),
