Test: links of geraniumloftd send long frames whole

Its protocol passes no parts to the framed socket, so nothing changes for callers. The test allows parts on a socket of that protocol and sends a long frame, a ping and the end: both frames arrive whole and in order. With the check for a protocol with parts taken out, it runs into its time limit.

--- a/src/node/framed_socket.test.ts
+++ b/src/node/framed_socket.test.ts
@@ -62,6 +62,54 @@
   },
 );
 
+nodeTest.test(
+  'a protocol without parts sends long frames whole and in order',
+  async test => {
+    const [near, far] = await connect(test);
+    const value = peer.CallRequest.fromPartial({
+      callId: 'a',
+      body: Buffer.alloc(8 * frameParts.PART_BYTES, 7),
+    });
+    const sent: readonly peer.Frame[] = [
+      {body: {$case: 'request', value}},
+      {body: {$case: 'ping', value: {nonce: 1}}},
+    ];
+    const received: peer.Frame[] = [];
+    const ended = new Promise<void>(resolve => {
+      const listener = {
+        onConnect: () => undefined,
+        onFrame: (frame: peer.Frame) => void received.push(frame),
+        onMalformed: () => undefined,
+        onClose: resolve,
+      };
+      new framedSocket.FramedSocket(
+        far,
+        peer.Frame,
+        MAX_FRAME_BYTES,
+        'near',
+        listener,
+      );
+    });
+    const socket = new framedSocket.FramedSocket(
+      near,
+      peer.Frame,
+      MAX_FRAME_BYTES,
+      'far',
+      {
+        onConnect: () => undefined,
+        onFrame: () => undefined,
+        onMalformed: () => undefined,
+        onClose: () => undefined,
+      },
+    );
+    socket.allowParts();
+    for (const frame of sent) socket.send(frame);
+    socket.end();
+    await ended;
+    assert.deepEqual(received, sent);
+  },
+);
+
 const MIB = 1024 * 1024;
 
 /** Longer than the send and receive buffers of the operating system together. */
