--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -280,6 +280,7 @@
       case 'ping':
       case 'stateWanted':
       case 'freshnessRequest':
+      case 'part':
       case undefined:
         return;
     }
@@ -294,6 +295,7 @@
     }
     const sameProcess = this.gateStartedMs === greeting.processStartedMs;
     this.gateStartedMs = greeting.processStartedMs;
+    if (greeting.acceptsParts) this.socket?.allowParts();
     this.dropSilentSocket();
     this.onRestored({sameProcess, sameConnection: false});
     if (!sameProcess) return this.failAll('process-replaced');
