Send withdrawals again over a new connection, and reset the silent one

A withdrawal that was sent shortly before its connection was given up, or while the link was down, never reached the gate, and the closed connection could still deliver the request. Withdrawals of the last 10 s are sent over the new connection, where the gate remembers them by key, and a silent connection is reset instead of closed, so that what it holds back is dropped.

--- a/src/node/framed_socket.ts
+++ b/src/node/framed_socket.ts
@@ -104,6 +104,12 @@
     this.writeParts();
   }
 
+  /** Resets the connection, so that what was sent and is under way does not arrive later. */
+  reset(): void {
+    this.partQueue.clear();
+    this.socket.resetAndDestroy();
+  }
+
   /** Ends the connection at once. */
   [Symbol.dispose](): void {
     this.partQueue.clear();
--- a/src/node/serving/gate_link.test.ts
+++ b/src/node/serving/gate_link.test.ts
@@ -320,6 +320,17 @@
   assert.deepEqual(gate.withdrawn, ['entry@5/1']);
 });
 
+// Servers ran requests whose callers had left: the withdrawal was lost with a silent connection.
+test('a withdrawal that a lost connection may not have delivered is sent again', async () => {
+  await using fixture = await connectAndDispatch();
+  const {gate, relay, link, downs} = fixture;
+  relay.silence();
+  link.withdraw(1);
+  await waitFor(() => downs.length === 1, 'the silence to be noticed');
+  await waitFor(() => gate.withdrawn.length === 1, 'the withdrawal');
+  assert.deepEqual(gate.withdrawn, ['entry@5/1']);
+});
+
 test('a pause of this process is not taken for the silence of a gate', async () => {
   await using fixture = await connectAndDispatch();
   const {time, relay, link, downs, unreachable} = fixture;
--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -27,6 +27,9 @@
 /** Timeout of opening the connection while requests are pending, shorter than a resent SYN. */
 const PENDING_CONNECT_TIMEOUT_MS: units.Millis = 500;
 
+/** Time for which withdrawals are sent again over a new connection. */
+const WITHDRAWAL_RESEND_MS: units.Millis = 10_000;
+
 /** Backoff between attempts to open the link; doubled after each failure. */
 const FIRST_BACKOFF_MS: units.Millis = 100;
 const MAX_BACKOFF_MS: units.Millis = 4_000;
@@ -78,8 +81,8 @@
   /** The former connection, which was silent when a new one was opened. */
   private silentSocket: LinkSocket | undefined;
   private readonly pending = new pendingRequests.PendingRequests();
-  /** Requests withdrawn while the link was down, of which the gate has to be told. */
-  private readonly unsentWithdrawals = new Set<number>();
+  /** Requests withdrawn lately, of which the gate may not have been told over a lost connection. */
+  private readonly withdrawals = new Map<number, units.MonotonicMs>();
   private gateStartedMs: number | undefined;
   private receivedMs: units.MonotonicMs = 0;
   private pingedMs: units.MonotonicMs | undefined;
@@ -123,8 +126,13 @@
   /** Cancels a request; its outcome is not reported. */
   withdraw(call: number): void {
     if (!this.pending.delete(call)) return;
-    if (this.isUp) this.send({$case: 'withdraw', value: {call}});
-    else this.unsentWithdrawals.add(call);
+    const now = this.options.nowMs();
+    this.withdrawals.set(call, now);
+    for (const [oldest, withdrawnMs] of this.withdrawals) {
+      if (now - withdrawnMs <= WITHDRAWAL_RESEND_MS) break;
+      this.withdrawals.delete(oldest);
+    }
+    this.send({$case: 'withdraw', value: {call}});
   }
 
   /** Applies a new record of the node; one with another address opens a new connection. */
@@ -321,11 +329,10 @@
     this.downSinceMs = undefined;
     this.openFailures = undefined;
     listener.onUp(nodeId, up);
-    for (const call of this.unsentWithdrawals) {
-      if (up.sameProcess) this.send({$case: 'withdraw', value: {call}});
+    if (!up.sameProcess) return this.withdrawals.clear();
+    for (const call of this.withdrawals.keys()) {
+      this.send({$case: 'withdraw', value: {call}});
     }
-    this.unsentWithdrawals.clear();
-    if (!up.sameProcess) return;
     for (const call of this.pending.takeUnknown()) {
       listener.onGateResponds(nodeId, call);
     }
@@ -450,7 +457,8 @@
   private dropSilentSocket(): void {
     const {silentSocket} = this;
     this.silentSocket = undefined;
-    silentSocket?.[Symbol.dispose]();
+    // A request that it still holds back must not reach the gate after its caller has left.
+    silentSocket?.reset();
   }
 
   private markMaybeUnreachable(): void {
