Review of the wait for silent gates: weaker evidence ends no request

- A reset while a new connection waited for its greeting counted as a process that had ended after one event; it takes two failures in a row now, counted from the end of the first.
- Two unanswered connections in a second counted as an unreachable instance; a queue on a slow link holds them back as long.
It takes two seconds.
- Requests lost as unreachable were not withdrawn from a process that was there all the same.
- A pause of the entry counted while the link was down.
- Large requests on a slow link were sent again without end: the time for an answer to a ping doubles with each connection that brings no reply.
- A request whose second attempt was refused was not retried; budget was taken when no gate was left.

--- a/bench/processor_time.ts
+++ b/bench/processor_time.ts
@@ -103,7 +103,7 @@
         onPulse: ignore,
         onState: ignore,
         onSuspect: ignore,
-        onUnreachable: ignore,
+        onAbsent: ignore,
         onOutcomeUnknown: ignore,
         onGateResponds: ignore,
         onRequestLost: ignore,
--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -9,6 +9,7 @@
 import * as entryCall from './entry_call.js';
 import * as gateReports from './gate_reports.js';
 import * as entryCalls from './entry_calls.js';
+import * as hedging from './hedging.js';
 import * as operatorIntent from './operator_intent.js';
 import * as placement from './placement.js';
 import * as retryBudget from './retry_budget.js';
@@ -26,18 +27,6 @@
 /** Maximum number of gates that one request is sent to. */
 const MAX_HOPS = 8;
 
-/** Share of the latency objective after which an unanswered request is hedged. */
-const HEDGE_OBJECTIVE_SHARE = 0.6;
-
-/** Multiple of the gate's mean run time that must have passed before a hedge as well. */
-const HEDGE_MEAN_RUNS = 2.5;
-
-/** Utilisation of the other gate above which no hedge is sent. */
-const HEDGE_MAX_UTILISATION = 0.6;
-
-/** Retries that a hedge must leave in the budget for failed requests. */
-const HEDGE_RETRY_RESERVE = 1;
-
 /** Interval of checks whether a request can be retried whose only gates are silent. */
 const RETRY_UNKNOWN_INTERVAL_MS: units.Millis = 500;
 
@@ -211,7 +200,7 @@
     call.servers++;
     attempt.isOutcomeUnknown = true;
     call.closed.add(nodeId);
-    this.retryUnknown(call, now);
+    this.retry(call, {reason: 'outcome-unknown', nodeId}, now);
   }
 
   /** Handles a gate that responds again after it was silent; it has the request or gets it now. */
@@ -240,7 +229,7 @@
       if (call.endMs <= now) this.giveUp(call, 'timeout', now);
       else if (call.hedgeAtMs > now) continue;
       else if (call.liveAttempts > 0) this.hedge(call, now);
-      else this.retryUnknown(call, now);
+      else this.retry(call, {reason: 'outcome-unknown'}, now);
     }
   }
 
@@ -309,10 +298,7 @@
     call.hops++;
     this.options.reports.onSent(nodeId);
     if (call.route.repeatable && call.hedgeAtMs === Infinity) {
-      const runTimeHedgeAtMs = now + HEDGE_MEAN_RUNS * load.meanMs;
-      const objectiveHedgeAtMs =
-        call.arrivedMs + HEDGE_OBJECTIVE_SHARE * call.route.objectiveMs;
-      call.hedgeAtMs = Math.max(runTimeHedgeAtMs, objectiveHedgeAtMs);
+      call.hedgeAtMs = hedging.hedgeAtMs(call, load.meanMs, now);
     }
     this.note(call, 'routine', 'sent', {
       nodeId,
@@ -348,17 +334,6 @@
     if (!attempt.isOutcomeUnknown) call.servers++;
   }
 
-  /** Retries a call all of whose gates are silent; if the budget forbids it, again later. */
-  private retryUnknown(
-    call: entryCall.EntryCall,
-    now: units.MonotonicMs,
-  ): void {
-    const meanMs = this.times.routeMeanMs(call.route.name);
-    const mayRetry = retryLimit.retryLimitOf(call, meanMs, now) === undefined;
-    call.hedgeAtMs = mayRetry ? now + RETRY_UNKNOWN_INTERVAL_MS : Infinity;
-    this.retry(call, {reason: 'outcome-unknown'}, now);
-  }
-
   /** Retries a call if the route, the retry budget and the time left allow it. */
   private retry(
     call: entryCall.EntryCall,
@@ -367,21 +342,35 @@
   ): void {
     if (call.liveAttempts > 0) return;
     const budget = this.budgets.of(call.service);
-    const meanMs = this.times.routeMeanMs(call.route.name);
-    const limit = retryLimit.retryLimitOf(call, meanMs, now);
-    const isWithinBudget = limit === undefined && budget.take();
-    this.note(call, 'failure', isWithinBudget ? 'repeat' : 'no-repeat', {
+    const limit =
+      this.retryLimit(call, now) ??
+      (this.hasGate(call, now) ? undefined : 'no-gate') ??
+      (budget.take() ? undefined : 'budget');
+    this.note(call, 'failure', limit === undefined ? 'repeat' : 'no-repeat', {
       ...cause,
-      limit: isWithinBudget ? undefined : (limit ?? 'budget'),
+      limit,
       servers: call.servers,
       attempts: call.route.attempts,
       budget: Number(budget.available.toFixed(1)),
       timeLeftMs: Math.round(call.endMs - now),
     });
-    if (isWithinBudget) return this.sendNext(call, now);
+    if (limit === undefined) return this.sendNext(call, now);
     this.giveUp(call, call.mayHaveRun ? 'server-failed' : 'shed', now);
   }
 
+  private retryLimit(
+    call: entryCall.EntryCall,
+    now: units.MonotonicMs,
+  ): retryLimit.RetryLimit | undefined {
+    const meanMs = this.times.routeMeanMs(call.route.name);
+    return retryLimit.retryLimitOf(call, meanMs, now);
+  }
+
+  /** Whether a call can be sent to a gate now. */
+  private hasGate(call: entryCall.EntryCall, now: units.MonotonicMs): boolean {
+    return call.hops < MAX_HOPS && this.rank(call, call.closed, now).length > 0;
+  }
+
   /** Sends a second attempt beside an unanswered one. */
   private hedge(call: entryCall.EntryCall, now: units.MonotonicMs): void {
     call.hedgeAtMs = Infinity;
@@ -392,11 +381,8 @@
     for (const attempt of attempts.values()) tried.add(attempt.nodeId);
     const ranked = this.rank(call, tried, now);
     const best = ranked.at(0);
-    if (best === undefined) return;
-    const {load, outstanding} = best.estimate;
-    if (!placement.hasFreeSlot(best)) return;
-    if (outstanding + 1 > HEDGE_MAX_UTILISATION * load.limit) return;
-    if (!this.budgets.of(service).take(HEDGE_RETRY_RESERVE)) return;
+    if (best === undefined || !hedging.hasRoom(best)) return;
+    if (!this.budgets.of(service).take(hedging.RETRY_RESERVE)) return;
     this.note(call, 'notable', 'second-run', {
       ageMs: Math.round(now - call.arrivedMs),
     });
@@ -431,7 +417,11 @@
     const hasTimedOut = reason === 'timeout';
     if (call.liveAttempts > 0 && !hasTimedOut) return;
     if (call.failure) return this.respond(call, call.failure, now);
-    if (call.attempts.size > 0 && !hasTimedOut) return;
+    if (call.attempts.size > 0 && !hasTimedOut) {
+      const mayRetry = this.retryLimit(call, now) === undefined;
+      call.hedgeAtMs = mayRetry ? now + RETRY_UNKNOWN_INTERVAL_MS : Infinity;
+      return;
+    }
     const mayHaveRun = call.mayHaveRun || call.attempts.size > 0;
     const retryAfterMs = retryAfter.retryAfterOf(reason, call);
     this.note(call, 'failure', 'gave-up', {
--- a/src/common/serving/link_outage.ts
+++ b/src/common/serving/link_outage.ts
@@ -8,9 +8,9 @@
 /**
  * Time without an answer of the gate's instance to new connections until its requests are lost to
  * the caller, who may repeat them. A paused process does not count: its instance accepts
- * connections for it. A lost packet is sent again within this time.
+ * connections for it. Several lost packets, or a second in the queue of a slow link, fit in.
  */
-const UNREACHABLE_AFTER_MS: units.Millis = 1_000;
+const UNREACHABLE_AFTER_MS: units.Millis = 2_000;
 
 /** Outage of a link, as seen from the entry. */
 export interface LinkOutage {
--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -21,15 +21,15 @@
 /** Age of an unanswered ping at which a new connection is opened beside the silent one. */
 const PING_TIMEOUT_MS: units.Millis = 300;
 
+/** Limit of that age, which doubles with each new connection that brings no reply. */
+const MAX_PING_TIMEOUT_MS: units.Millis = 4_800;
+
 /** Timeout of opening the connection and exchanging greetings. */
 const OPEN_TIMEOUT_MS: units.Millis = 1_000;
 
 /** Timeout of opening the connection while requests are pending, shorter than a resent SYN. */
 const PENDING_CONNECT_TIMEOUT_MS: units.Millis = 500;
 
-/** Time for which withdrawals are sent again over a new connection. */
-const WITHDRAWAL_RESEND_MS: units.Millis = 10_000;
-
 /** Backoff between attempts to open the link; doubled after each failure. */
 const FIRST_BACKOFF_MS: units.Millis = 100;
 const MAX_BACKOFF_MS: units.Millis = 4_000;
@@ -44,6 +44,9 @@
 /** Detail of the loss of a link whose gate did not answer a ping. */
 const SILENT = 'silent';
 
+/** Time without an opened connection after which the node may no longer be at its address. */
+const ABSENT_AFTER_MS: units.Millis = 1_000;
+
 /** Limit of the backoff while requests are pending. */
 const MAX_PENDING_BACKOFF_MS: units.Millis = 50;
 
@@ -81,13 +84,13 @@
   /** The former connection, which was silent when a new one was opened. */
   private silentSocket: LinkSocket | undefined;
   private readonly pending = new pendingRequests.PendingRequests();
-  /** Requests withdrawn lately, of which the gate may not have been told over a lost connection. */
-  private readonly withdrawals = new Map<number, units.MonotonicMs>();
+  private readonly withdrawals = new pendingRequests.RecentWithdrawals();
   private gateStartedMs: number | undefined;
   private receivedMs: units.MonotonicMs = 0;
   private pingedMs: units.MonotonicMs | undefined;
   /** Time of the first request sent since the last bytes received. */
   private unansweredSinceMs: units.MonotonicMs | undefined;
+  private pingTimeoutMs = PING_TIMEOUT_MS;
   private maybeUnreachable = false;
   private isCheckScheduled = false;
   private downSinceMs: units.MonotonicMs | undefined;
@@ -127,12 +130,10 @@
   withdraw(call: number): void {
     if (!this.pending.delete(call)) return;
     const now = this.options.nowMs();
-    this.withdrawals.set(call, now);
-    for (const [oldest, withdrawnMs] of this.withdrawals) {
-      if (now - withdrawnMs <= WITHDRAWAL_RESEND_MS) break;
-      this.withdrawals.delete(oldest);
-    }
-    this.send({$case: 'withdraw', value: {call}});
+    this.withdrawals.add(call, now);
+    const body = {$case: 'withdraw', value: {call}} as const;
+    if (this.isUp) this.send(body);
+    else this.silentSocket?.send({body});
   }
 
   /** Applies a new record of the node; one with another address opens a new connection. */
@@ -140,6 +141,8 @@
     const {ip, port} = this.record;
     this.record = record;
     if (record.ip === ip && record.port === port) return;
+    this.openFailures = undefined;
+    this.backoffMs = FIRST_BACKOFF_MS;
     this.dropSilentSocket();
     if (this.isUp) return this.handleLoss('address changed');
     this.dropSocket();
@@ -203,7 +206,9 @@
         }
         break;
     }
-    this.endHopeless(now);
+    if (this.downSinceMs !== undefined && this.pending.size > 0) {
+      this.checkAfterPoll();
+    }
   }
 
   [Symbol.dispose](): void {
@@ -267,9 +272,11 @@
       case 'greeting':
         return this.onGreeting(body.value);
       case 'answer':
+        this.pingTimeoutMs = PING_TIMEOUT_MS;
         if (!this.pending.delete(body.value.call)) return;
         return listener.onAnswer(nodeId, body.value);
       case 'refusal':
+        this.pingTimeoutMs = PING_TIMEOUT_MS;
         if (!this.pending.delete(body.value.call)) return;
         return listener.onRefusal(nodeId, body.value);
       case 'pulse':
@@ -311,6 +318,11 @@
     for (const value of this.pending.resends(this.options.nowMs())) {
       this.send({$case: 'dispatch', value});
     }
+    // Large requests on a slow link would otherwise be sent again and again.
+    this.pingTimeoutMs =
+      this.pending.size === 0
+        ? PING_TIMEOUT_MS
+        : Math.min(MAX_PING_TIMEOUT_MS, 2 * this.pingTimeoutMs);
   }
 
   /** Goes back to the former connection, whose gate was only paused. */
@@ -330,7 +342,7 @@
     this.openFailures = undefined;
     listener.onUp(nodeId, up);
     if (!up.sameProcess) return this.withdrawals.clear();
-    for (const call of this.withdrawals.keys()) {
+    for (const call of this.withdrawals.calls) {
       this.send({$case: 'withdraw', value: {call}});
     }
     for (const call of this.pending.takeUnknown()) {
@@ -362,7 +374,9 @@
           break;
         case 'process-ended':
         case 'unreachable':
-          if (this.pending.delete(call)) this.reportLost(call, verdict);
+          // A process that is there all the same must not go on with the run.
+          this.withdraw(call);
+          this.reportLost(call, verdict);
           break;
       }
     }
@@ -398,9 +412,13 @@
   private checkAfterPoll(): void {
     if (this.isCheckScheduled) return;
     this.isCheckScheduled = true;
+    // A pause between now and the poll must not count either.
+    const now = this.options.nowMs();
     this.options.afterPoll(() => {
       this.isCheckScheduled = false;
-      if (!this.disposed) this.checkOverdue(this.options.nowMs());
+      if (this.disposed) return;
+      this.checkOverdue(now);
+      this.endHopeless(now);
     });
   }
 
@@ -408,7 +426,7 @@
     if (this.isOpeningOverdue(now)) return this.handleOpenFailed('unanswered');
     if (!this.isUp || this.pingedMs === undefined) return;
     const pingAgeMs = now - this.pingedMs;
-    if (pingAgeMs > PING_TIMEOUT_MS) this.handleLoss(SILENT);
+    if (pingAgeMs > this.pingTimeoutMs) this.handleLoss(SILENT);
     else if (pingAgeMs > MAYBE_UNREACHABLE_MS) this.markMaybeUnreachable();
   }
 
@@ -443,9 +461,14 @@
       this.openFailures = undefined;
       return;
     }
-    if (this.openFailures?.kind !== kind) this.failingSinceMs = sinceMs;
-    this.openFailures = {kind, durationMs: now - this.failingSinceMs};
-    this.options.listener.onUnreachable(this.record.nodeId);
+    if (this.openFailures?.kind !== kind) {
+      // The time for which an accepted connection waited for a greeting shows nothing.
+      this.failingSinceMs = connected ? now : sinceMs;
+    }
+    const durationMs = now - this.failingSinceMs;
+    this.openFailures = {kind, durationMs};
+    if (durationMs < ABSENT_AFTER_MS) return;
+    this.options.listener.onAbsent(this.record.nodeId);
   }
 
   private dropSocket(): void {
--- a/src/node/serving/gate_link_listener.ts
+++ b/src/node/serving/gate_link_listener.ts
@@ -38,8 +38,8 @@
   onDown(nodeId: string, loss: LinkLoss): void;
   /** The gate has not answered a ping in time and may be unreachable. */
   onMaybeUnreachable(nodeId: string): void;
-  /** The gate's address has refused a connection or left it unanswered. */
-  onUnreachable(nodeId: string): void;
+  /** No connection to the gate's address has opened for a second. */
+  onAbsent(nodeId: string): void;
   onAnswer(nodeId: string, answer: serving.Answer): void;
   onRefusal(nodeId: string, refusal: serving.Refusal): void;
   onPulse(nodeId: string, pulse: serving.Pulse): void;
--- a/src/node/serving/gate_links.ts
+++ b/src/node/serving/gate_links.ts
@@ -146,8 +146,8 @@
           this.note('peer-silent', {nodeId});
           listener.onMaybeUnreachable(nodeId);
         },
-        // A silent node is still at its address; one that cannot be reached may not be.
-        onUnreachable: nodeId => directory.setLinked(nodeId, false),
+        // A silent node is still at its address; one whose connections fail may not be.
+        onAbsent: nodeId => directory.setLinked(nodeId, false),
         onMismatch: (nodeId, found) => this.replaceNode(nodeId, found),
       },
     });
--- a/src/node/serving/pending_requests.ts
+++ b/src/node/serving/pending_requests.ts
@@ -2,6 +2,9 @@
 import * as units from '../../common/units.js';
 import * as serving from '../../generated/serving.js';
 
+/** Time for which withdrawals are sent again over a new connection. */
+const WITHDRAWAL_RESEND_MS: units.Millis = 10_000;
+
 class PendingRequest {
   /** Whether the entry was told that the gate is silent. */
   isOutcomeUnknown = false;
@@ -79,3 +82,27 @@
     });
   }
 }
+
+/** Requests withdrawn lately, of which the gate may not have been told over a lost connection. */
+export class RecentWithdrawals {
+  private readonly withdrawnMs = new Map<number, units.MonotonicMs>();
+
+  /** Numbers of the requests, the oldest first. */
+  get calls(): readonly number[] {
+    return [...this.withdrawnMs.keys()];
+  }
+
+  /** Adds a request and removes old ones. */
+  add(call: number, now: units.MonotonicMs): void {
+    this.withdrawnMs.set(call, now);
+    for (const [oldest, withdrawnMs] of this.withdrawnMs) {
+      if (now - withdrawnMs <= WITHDRAWAL_RESEND_MS) return;
+      this.withdrawnMs.delete(oldest);
+    }
+  }
+
+  /** Removes all requests. */
+  clear(): void {
+    this.withdrawnMs.clear();
+  }
+}
