Gate: recognize a request as long as its entry may send it again

What callers saw: an entry that sent a request again more than 5 s after its reply, or after 2,000 later replies, had it run a second time, also one that must not be repeated.

Cause: ReplyCache forgot keys by a fixed time and count, whatever the request's deadline, and a forgotten key looked like a new request. Bodies were bounded by their number, not by their size.

A withdrawal no longer replaces the reply to a run by one that says that it did not run. Replies to the entry of the same node are a function call and not kept.

--- a/src/common/serving/gate_call.ts
+++ b/src/common/serving/gate_call.ts
@@ -7,11 +7,13 @@
 
 /** A request as it arrives at a gate. */
 export interface ArrivingCall {
-  /** Unique in the fleet, also across restarts of the entry. */
+  /** See `callKey.format`. */
   readonly key: string;
   /** Id of the link that the reply goes to; opaque to the gate. */
   readonly linkId: number;
   readonly dispatch: serving.Dispatch;
+  /** Whether the entry is on another node, so that replies may be lost; true by default. */
+  readonly isRemote?: boolean;
   /** Longest time for which the request may have waited unread; 0 by default. */
   readonly waitedMs?: units.Millis;
 }
@@ -32,6 +34,7 @@
 export class GateCall {
   readonly key: string;
   readonly dispatch: serving.Dispatch;
+  readonly isRemote: boolean;
   readonly rank: number;
   readonly deadlineMs: units.MonotonicMs;
   readonly objectiveAtMs: units.MonotonicMs;
@@ -51,6 +54,7 @@
     this.key = key;
     this.linkId = linkId;
     this.dispatch = dispatch;
+    this.isRemote = arriving.isRemote ?? true;
     this.rank = dispatch.rank;
     const sentMs = arrivedMs - (arriving.waitedMs ?? 0);
     this.deadlineMs = sentMs + dispatch.timeLeftMs;
--- a/src/common/serving/gate_options.ts
+++ b/src/common/serving/gate_options.ts
@@ -28,6 +28,8 @@
   readonly output: gateCall.GateOutput;
   readonly log: decision.DecisionLog;
   readonly random: randomSource.RandomSource;
+  /** Most bytes of answers that are held for entries that may not have received them. */
+  readonly replyBytes: number;
   /** Maximum request rate in cold start, as a multiple of the declared rate. */
   readonly coldRateFactor: number;
   /** Start of the process. */
--- a/src/common/serving/gate_replies.ts
+++ b/src/common/serving/gate_replies.ts
@@ -18,16 +18,23 @@
 /** Cap on logged ages; older samples carry no information. */
 const MAX_LOGGED_AGE_MS: units.Millis = 1_000_000;
 
+/** Time for which a withdrawn call that has not arrived is refused if it does. */
+const WITHDRAWAL_TTL_MS: units.Millis = 30_000;
+
 /** Sends replies and caches them for entries that resend calls. */
 export class GateReplies {
-  private readonly cache = new replyCache.ReplyCache();
+  private readonly cache: replyCache.ReplyCache;
 
   constructor(
     private readonly output: gateCall.GateOutput,
     private readonly log: decision.DecisionLog,
-  ) {}
+    /** Most bytes that cached answers take together. */
+    maxBytes: number,
+  ) {
+    this.cache = new replyCache.ReplyCache({maxBytes});
+  }
 
-  /** Replies to a call that has already ended; false if its reply is not cached. */
+  /** Replies to a call that has ended before; false if it has not. */
   resend(arriving: gateCall.ArrivingCall): boolean {
     const reply = this.cache.get(arriving.key);
     if (reply === undefined) return false;
@@ -37,18 +44,27 @@
 
   /** Caches a refusal for a withdrawn call that may still arrive. */
   cacheWithdrawal(key: string, now: units.MonotonicMs): void {
+    // The entry no longer needs the reply to a call that has ended.
+    if (this.cache.get(key) !== undefined) {
+      return this.cache.discardAnswer(key);
+    }
     const reason = serving.Reason.WITHDRAWN;
     const refusal = serving.Refusal.fromPartial({reason});
-    this.cache.add(key, {kind: 'refusal', refusal}, now);
+    this.cache.add(
+      key,
+      {kind: 'refusal', refusal},
+      now + WITHDRAWAL_TTL_MS,
+      now,
+    );
   }
 
-  /** Caches the reply and sends it if the link is up. */
+  /** Caches the reply, unless its delivery is certain, and sends it if the link is up. */
   finish(
     call: gateCall.GateCall,
     reply: replyCache.Reply,
     now: units.MonotonicMs,
   ): void {
-    this.cache.add(call.key, reply, now);
+    if (call.isRemote) this.cache.add(call.key, reply, call.deadlineMs, now);
     if (call.linkId !== undefined) {
       this.send(call.linkId, call.dispatch.call, reply);
     }
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -33,8 +33,8 @@
   private lastClosure = serving.Closure.UNCONFIGURED;
 
   constructor(private readonly options: gateOptions.GateOptions) {
-    const {log, output} = options;
-    this.replies = new gateReplies.GateReplies(output, log);
+    const {log, output, replyBytes} = options;
+    this.replies = new gateReplies.GateReplies(output, log, replyBytes);
     this.server = new serverAvailability.ServerAvailability({
       log,
       checkHealth: () => output.checkHealth(),
--- a/src/common/serving/serving_fixtures.test.ts
+++ b/src/common/serving/serving_fixtures.test.ts
@@ -1,6 +1,7 @@
 /** Fixtures for the tests of entry and gate. */
 import * as serving from '../../generated/serving.js';
 import * as randomSource from '../random_source.js';
+import * as callKey from './call_key.js';
 import * as configuration from './configuration.js';
 import * as crashSuspects from './crash_suspects.js';
 import * as decision from './decision.js';
@@ -17,6 +18,9 @@
 
 export const DATA_CENTRE = 'north';
 
+/** Memory of a gate for answers that may not have been received. */
+export const REPLY_BYTES = 100_000;
+
 export function route(
   overrides: Partial<configuration.Route> = {},
 ): configuration.Route {
@@ -195,6 +199,7 @@
       output: this.output,
       log: this.log,
       random: new randomSource.SeededRandom(7),
+      replyBytes: REPLY_BYTES,
       coldRateFactor: 1.25,
       startedMs,
       soleSenderSinceMs,
@@ -228,8 +233,25 @@
     return key;
   }
 
-  answered(key: string, now: number, status = 200): void {
-    const answer = {status, headers: [], body: Buffer.alloc(0)};
+  /** Sends a request again under its key over another link. */
+  resend(
+    key: string,
+    linkId: number,
+    now: number,
+    overrides: Partial<serving.Dispatch> = {},
+  ): void {
+    const {call} = callKey.parse(key);
+    const gateDispatch = dispatch({call, ...overrides});
+    this.gate.onCall({key, linkId, dispatch: gateDispatch}, now);
+  }
+
+  answered(
+    key: string,
+    now: number,
+    status = 200,
+    body = Buffer.alloc(0),
+  ): void {
+    const answer = {status, headers: [], body};
     this.gate.onRunEnded(key, {kind: 'answered', answer}, now);
   }
 
--- a/src/node/serving/answer_memory.ts
+++ b/src/node/serving/answer_memory.ts
@@ -3,7 +3,8 @@
 /** Share of the process's memory that answers may take. */
 const ANSWER_MEMORY_SHARE = 1 / 8;
 
-const BYTES_PER_MB = 1024 * 1024;
+/** Bytes in the unit of the process's memory. */
+export const BYTES_PER_MB = 1024 * 1024;
 
 /** Memory of one answer; must be released when the answer is complete or has failed. */
 export class AnswerAllocation {
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -1,6 +1,7 @@
 /** Sessions of other nodes' entries with this node's gate. */
 import * as net from 'node:net';
 
+import * as callKey from '../../common/serving/call_key.js';
 import * as units from '../../common/units.js';
 import * as serving from '../../generated/serving.js';
 import * as framedSocket from '../framed_socket.js';
@@ -167,13 +168,13 @@
     const {listener} = this.options;
     switch (body?.$case) {
       case 'dispatch': {
-        const key = `${session.entryProcess}/${body.value.call}`;
+        const key = callKey.format(session.entryProcess, body.value.call);
         session.dispatchedMs = this.options.nowMs();
         return listener.onDispatch(key, session.id, body.value);
       }
       case 'withdraw':
         return listener.onWithdraw(
-          `${session.entryProcess}/${body.value.call}`,
+          callKey.format(session.entryProcess, body.value.call),
         );
       case 'ping':
         return this.sendPulse(
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -19,6 +19,9 @@
 import * as serverPool from './server_pool.js';
 import * as telemetry from './telemetry.js';
 
+/** Share of the process's memory for answers that entries may not have received. */
+const REPLY_MEMORY_SHARE = 1 / 8;
+
 /** Link id of the local entry; sessions of other entries count from 1. */
 const LOCAL_LINK_ID = 0;
 
@@ -77,6 +80,8 @@
       ...options,
       // The monotonic clock counts from the start of the process.
       startedMs: 0,
+      replyBytes:
+        REPLY_MEMORY_SHARE * answerMemory.BYTES_PER_MB * options.memoryMb,
       output: this.gateOutput(),
     });
     this.pool = this.resources.use(this.makePool());
@@ -100,7 +105,7 @@
   dispatchLocal(dispatch: serving.Dispatch): void {
     const key = localKey(dispatch.call);
     this.gate.onCall(
-      {key, linkId: LOCAL_LINK_ID, dispatch},
+      {key, linkId: LOCAL_LINK_ID, dispatch, isRemote: false},
       clock.monotonicMs(),
     );
   }
--- a/test/fakes/serving_fleet_process.ts
+++ b/test/fakes/serving_fleet_process.ts
@@ -26,6 +26,9 @@
 /** Retries of the fleet for each request, beyond its slack. */
 const RETRY_RATIO = 0.2;
 
+/** Bytes of answers that a gate holds for resends. */
+const REPLY_BYTES = 1_000_000;
+
 /** Maximum age of the first pulses, so that gates do not send theirs at the same time. */
 const FIRST_PULSE_AGE_MS = 4_000;
 
@@ -224,6 +227,7 @@
       suspects: new crashSuspects.CrashSuspects(),
       log: {write: () => undefined},
       random: this.random,
+      replyBytes: REPLY_BYTES,
       coldRateFactor: 1.25,
       startedMs: this.startedMs - 10_000,
       soleSenderSinceMs: this.startedMs,
