Gate: a broken run that is cancelled may have run

What callers saw: after its connection to the server had broken and its link to the entry was lost, a request that must not be repeated was refused as not run when the entry came back; the entry then sent it to another gate.

Cause: cancel() took only the stage 'running' for a run. The stage 'broken', in which a health check is awaited, was refused as WITHDRAWN, not run.

Evidence: the new test fails on the former code (mayHaveRun false) and passes now.

--- a/src/common/serving/server_gate.test.ts
+++ b/src/common/serving/server_gate.test.ts
@@ -270,6 +270,16 @@
   assert.deepEqual(harness.output.aborted, [key]);
 });
 
+test('a broken run whose link is lost is not refused as not run', () => {
+  const harness = new fixtures.GateHarness().open();
+  const key = harness.call({repeatable: false, timeLeftMs: 5_000});
+  harness.gate.onLinkLost(1, 10);
+  harness.gate.onRunEnded(key, {kind: 'broken'}, 1_000);
+  harness.gate.tick(1_200);
+  harness.resend(key, 2, 1_300, {repeatable: false});
+  assert.equal(harness.output.refusals[0].mayHaveRun, true);
+});
+
 test('a misdirected request closes the gate and is refused as not run', () => {
   const harness = new fixtures.GateHarness().open();
   const key = harness.call();
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -442,7 +442,8 @@
       this.abort(call);
     }
     const reason = serving.Reason.WITHDRAWN;
-    this.refuse(call, {reason, mayHaveRun: isRunning}, now);
+    const mayHaveRun = call.stage.kind !== 'waiting';
+    this.refuse(call, {reason, mayHaveRun}, now);
   }
 
   private abort(call: gateCall.GateCall): void {
