Gate: a request read late from a replaced link keeps its later link

What callers saw: no answer until the deadline, although the server had answered in time.

Cause: a gate that reads the sockets of two links of one entry after a pause may read the request from the former link last. It then sent the answer to that link, which ends next; the entry holds the later link open and has no reason to send the request again.

Change: a resend counts only if it comes over the current link or a later one; ids of sessions grow.

Evidence: the new test fails on the former code (no answer over link 3) and passes now.

--- a/src/common/serving/gate_call.ts
+++ b/src/common/serving/gate_call.ts
@@ -9,7 +9,7 @@
 export interface ArrivingCall {
   /** See `callKey.format`. */
   readonly key: string;
-  /** Id of the link that the reply goes to; opaque to the gate. */
+  /** Id of the link that the reply goes to; later links have greater ids. */
   readonly linkId: number;
   readonly dispatch: serving.Dispatch;
   /** Whether the entry is on another node, so that replies may be lost; true by default. */
@@ -61,6 +61,20 @@
     this.objectiveAtMs = sentMs + dispatch.objectiveLeftMs;
   }
 
+  /** Handles a resend, which may have been read late from a link that was replaced since. */
+  onResent(linkId: number): void {
+    if (this.linkId !== undefined && linkId < this.linkId) return;
+    this.linkId = linkId;
+    this.linkLostMs = undefined;
+  }
+
+  /** Handles the loss of a link, which is ignored if the call has another one. */
+  onLinkLost(linkId: number, now: units.MonotonicMs): void {
+    if (linkId !== this.linkId) return;
+    this.linkId = undefined;
+    this.linkLostMs = now;
+  }
+
   /** Time at which the request ends because its link is lost, infinity if the link is up. */
   get linkExpiryMs(): units.MonotonicMs {
     const {linkLostMs} = this;
--- a/src/common/serving/server_gate.test.ts
+++ b/src/common/serving/server_gate.test.ts
@@ -260,6 +260,16 @@
   assert.equal(harness.output.answers.length, 2);
 });
 
+test('a request read late from a replaced link is answered over the later one', () => {
+  const harness = new fixtures.GateHarness().open();
+  const key = harness.call();
+  harness.resend(key, 3, 20);
+  harness.resend(key, 2, 30);
+  harness.gate.onLinkLost(2, 40);
+  harness.answered(key, 50);
+  assert.deepEqual(harness.output.answerLinks, [3]);
+});
+
 test('a repeatable run is aborted if its entry does not reconnect', () => {
   const harness = new fixtures.GateHarness().open();
   const key = harness.call();
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -75,11 +75,7 @@
   onCall(arriving: gateCall.ArrivingCall, now: units.MonotonicMs): void {
     const {key, linkId} = arriving;
     const known = this.calls.get(key);
-    if (known) {
-      known.linkId = linkId;
-      known.linkLostMs = undefined;
-      return;
-    }
+    if (known) return known.onResent(linkId);
     if (this.replies.resend(arriving)) return;
     const call = new gateCall.GateCall(arriving, now);
     this.applyNotices([call]);
@@ -107,11 +103,7 @@
 
   /** Handles the loss of a link; its calls are kept for a while for the entry to resend. */
   onLinkLost(linkId: number, now: units.MonotonicMs): void {
-    for (const call of this.calls.values()) {
-      if (call.linkId !== linkId) continue;
-      call.linkId = undefined;
-      call.linkLostMs = now;
-    }
+    for (const call of this.calls.values()) call.onLinkLost(linkId, now);
   }
 
   /** Handles what the head of an answer states; ignored if the call is not running. */
--- a/src/common/serving/serving_fixtures.test.ts
+++ b/src/common/serving/serving_fixtures.test.ts
@@ -133,6 +133,8 @@
   readonly runs: Run[] = [];
   readonly aborted: string[] = [];
   readonly answers: serving.Answer[] = [];
+  /** Links that the answers were sent over. */
+  readonly answerLinks: number[] = [];
   readonly refusals: serving.Refusal[] = [];
   readonly suspects: string[] = [];
   readonly closures: serving.Closure[] = [];
@@ -148,7 +150,8 @@
     this.aborted.push(key);
   }
 
-  answer(unusedLinkId: number, answer: serving.Answer): void {
+  answer(linkId: number, answer: serving.Answer): void {
+    this.answerLinks.push(linkId);
     this.answers.push(answer);
   }
 
