Gate: keep the calls of an entry that another link shows to run

What callers saw: a failed request, or one run twice as often, while their entry was paused, slow or cut off from the gate for over a second and the backend server was at work on the request.

Cause: the gate took the loss of a link for the end of the entry. After a grace of a second it aborted runs of repeatable requests and refused waiting ones, whatever it knew otherwise. On the other hand, the runs of an entry that had ended and started again went on for the rest of that second.

Change: src/common/serving/lost_link.ts states the rule. Calls of a lost link are kept, until their deadlines, as long as the gate's own link to the entry's node is up to the same process; without that sign they end after a second as before. A greeting of a later process of the same node ends the calls of its former ones at once. A process that seems to have started earlier shows nothing (late reads, clocks set back).

--- a/src/common/serving/gate_call.ts
+++ b/src/common/serving/gate_call.ts
@@ -1,9 +1,7 @@
 /** Types of requests at a gate and of the results of their runs. */
 import * as serving from '../../generated/serving.js';
 import * as units from '../units.js';
-
-/** Time that a call is kept after its link is lost, so that the entry can send it again. */
-const LINK_GRACE_MS: units.Millis = 1_000;
+import * as lostLink from './lost_link.js';
 
 /** A request as it arrives at a gate. */
 export interface ArrivingCall {
@@ -43,8 +41,8 @@
   /** Undefined while no link is known that the reply could go to. */
   linkId: number | undefined;
 
-  /** Time at which the link to the entry was lost, while a resend is awaited. */
-  linkLostMs: units.MonotonicMs | undefined;
+  /** The lost link to the entry, while a resend is awaited. */
+  lostLink: lostLink.LostLink | undefined;
 
   constructor(
     arriving: ArrivingCall,
@@ -65,20 +63,24 @@
   onResent(linkId: number): void {
     if (this.linkId !== undefined && linkId < this.linkId) return;
     this.linkId = linkId;
-    this.linkLostMs = undefined;
+    this.lostLink = undefined;
   }
 
   /** Handles the loss of a link, which is ignored if the call has another one. */
   onLinkLost(linkId: number, now: units.MonotonicMs): void {
     if (linkId !== this.linkId) return;
     this.linkId = undefined;
-    this.linkLostMs = now;
+    this.lostLink = {lostMs: now};
+  }
+
+  /** Handles a sign that the entry's process runs. */
+  onEntrySeen(now: units.MonotonicMs): void {
+    if (this.lostLink) this.lostLink = {...this.lostLink, entrySeenMs: now};
   }
 
   /** Time at which the request ends because its link is lost, infinity if the link is up. */
   get linkExpiryMs(): units.MonotonicMs {
-    const {linkLostMs} = this;
-    return linkLostMs === undefined ? Infinity : linkLostMs + LINK_GRACE_MS;
+    return this.lostLink ? lostLink.expiryMs(this.lostLink) : Infinity;
   }
 }
 
--- a/src/common/serving/gate_options.ts
+++ b/src/common/serving/gate_options.ts
@@ -26,6 +26,8 @@
   /** Limits of roll-outs; none if undefined. */
   readonly rollouts?: GateRollouts;
   readonly output: gateCall.GateOutput;
+  /** Whether another link than that of the calls shows that a process of an entry runs. */
+  isEntryUp(entryProcess: string): boolean;
   readonly log: decision.DecisionLog;
   readonly random: randomSource.RandomSource;
   /** Most bytes of answers that are held for entries that may not have received them. */
--- a/src/common/serving/gate_replies.ts
+++ b/src/common/serving/gate_replies.ts
@@ -1,6 +1,7 @@
 /** Replies of a gate to entries, and the log of its decisions. */
 import * as serving from '../../generated/serving.js';
 import * as units from '../units.js';
+import * as callKey from './call_key.js';
 import * as decision from './decision.js';
 import * as replyCache from './reply_cache.js';
 import * as gateCall from './gate_call.js';
@@ -58,6 +59,14 @@
     );
   }
 
+  /** Frees the memory of answers to former processes of a node that has started again. */
+  discardAnswers(nodeId: string, startedMs: units.EpochMs): void {
+    this.cache.discardAnswers(key => {
+      const {entryProcess} = callKey.parse(key);
+      return callKey.isSucceeded(entryProcess, nodeId, startedMs);
+    });
+  }
+
   /** Caches the reply, unless its delivery is certain, and sends it if the link is up. */
   finish(
     call: gateCall.GateCall,
@@ -109,16 +118,18 @@
   /** Logs a refusal and the load that it depended on; its importance depends on the reason. */
   noteRefusal(
     call: gateCall.GateCall,
-    reason: serving.Reason,
+    {reason, mayHaveRun, serverDied = false}: gateCall.RefusalDetail,
     load: serving.Load,
-    facts: decision.Facts,
+    now: units.MonotonicMs,
   ): void {
     const importance = NOTABLE_REASONS.has(reason) ? 'notable' : 'failure';
     const {closure, running, waiting, limit, notice} = load;
     const limitPerSecond = notice?.limitPerSecond;
     this.note(call, importance, 'refused', {
       reason,
-      ...facts,
+      mayHaveRun,
+      serverDied,
+      timeLeftMs: Math.round(call.deadlineMs - now),
       closure,
       running,
       waiting,
--- a/src/common/serving/reply_cache.ts
+++ b/src/common/serving/reply_cache.ts
@@ -98,6 +98,13 @@
     this.dropAnswer(key);
   }
 
+  /** Removes the answers to calls that are no longer needed. */
+  discardAnswers(isUnneeded: (key: string) => boolean): void {
+    for (const key of [...this.answerBytes.keys()]) {
+      if (isUnneeded(key)) this.discardAnswer(key);
+    }
+  }
+
   private countAnswer(key: string, answer: serving.Answer): void {
     const bytes = bytesOf(answer);
     this.answerBytes.set(key, bytes);
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -2,6 +2,7 @@
 import * as serving from '../../generated/serving.js';
 import * as invariants from '../invariants.js';
 import * as units from '../units.js';
+import * as barredCall from './barred_call.js';
 import * as rateLimitReports from './rate_limit_reports.js';
 import * as replyCache from './reply_cache.js';
 import * as gateCall from './gate_call.js';
@@ -10,6 +11,7 @@
 import * as gateClosure from './gate_closure.js';
 import * as gateLoad from './gate_load.js';
 import * as gateOptions from './gate_options.js';
+import * as openCalls from './open_calls.js';
 import * as gateTimeouts from './gate_timeouts.js';
 import * as incarnations from './incarnations.js';
 import * as runReports from './run_reports.js';
@@ -24,7 +26,7 @@
 export class ServerGate {
   private readonly server: serverAvailability.ServerAvailability;
   private readonly capacity: gateCapacity.GateCapacity;
-  private readonly calls = new Map<string, gateCall.GateCall>();
+  private readonly calls: openCalls.OpenCalls;
   private readonly replies: gateReplies.GateReplies;
   private readonly runReports: runReports.RunReports;
   private readonly limitReports = new rateLimitReports.RateLimitReports();
@@ -34,6 +36,7 @@
 
   constructor(private readonly options: gateOptions.GateOptions) {
     const {log, output, replyBytes} = options;
+    this.calls = new openCalls.OpenCalls(options.isEntryUp);
     this.replies = new gateReplies.GateReplies(output, log, replyBytes);
     this.server = new serverAvailability.ServerAvailability({
       log,
@@ -85,7 +88,7 @@
     if (reason !== undefined) {
       return this.refuse(call, {reason, mayHaveRun: false}, now);
     }
-    this.calls.set(key, call);
+    this.calls.add(call);
     this.capacity.queue.add(call);
     this.processQueue(now);
   }
@@ -96,14 +99,26 @@
     if (call === undefined) {
       return this.replies.cacheWithdrawal(key, now);
     }
-    call.linkId = undefined;
-    this.cancel(call, now);
+    this.withdraw(call, now);
     this.processQueue(now);
   }
 
   /** Handles the loss of a link; its calls are kept for a while for the entry to resend. */
   onLinkLost(linkId: number, now: units.MonotonicMs): void {
-    for (const call of this.calls.values()) call.onLinkLost(linkId, now);
+    this.calls.onLinkLost(linkId, now);
+  }
+
+  /** Handles the start of a node's process: the callers of its former ones are gone. */
+  onEntryStarted(
+    nodeId: string,
+    startedMs: units.EpochMs,
+    now: units.MonotonicMs,
+  ): void {
+    this.replies.discardAnswers(nodeId, startedMs);
+    for (const call of this.calls.succeededBy(nodeId, startedMs)) {
+      this.withdraw(call, now);
+    }
+    this.processQueue(now);
   }
 
   /** Handles what the head of an answer states; ignored if the call is not running. */
@@ -200,17 +215,14 @@
 
   /** Handles expired timers. */
   tick(now: units.MonotonicMs): void {
-    for (const call of [...this.calls.values()]) this.expireIfDue(call, now);
+    for (const call of this.calls.all) this.expireIfDue(call, now);
     this.processQueue(now);
   }
 
   /** Returns the next time at which `tick` is due, infinity if there is none. */
   nextWakeMs(now: units.MonotonicMs): units.MonotonicMs {
-    let next = this.capacity.nextWakeMs(now);
-    for (const call of this.calls.values()) {
-      next = Math.min(next, gateTimeouts.dueMs(call, this.capacity));
-    }
-    return next;
+    const dueMs = this.calls.nextDueMs(this.capacity);
+    return Math.min(dueMs, this.capacity.nextWakeMs(now));
   }
 
   /** Returns why an arriving request is refused, undefined if it is accepted. */
@@ -222,25 +234,13 @@
     const {service} = this.options;
     if (dispatch.service !== service()) return serving.Reason.WRONG_SERVICE;
     if (this.closure() !== serving.Closure.OPEN) return serving.Reason.CLOSED;
-    const barred = this.barredReason(call, now);
+    const barred = barredCall.barredReason(call, this.options, now);
     if (barred) return barred;
     const reason = this.capacity.refusalReason(call, now);
     if (!dispatch.redirectable) this.capacity.onAdmission(reason !== undefined);
     return reason;
   }
 
-  /** Returns why a request must not start whatever the capacity, undefined if it may. */
-  private barredReason(
-    call: gateCall.GateCall,
-    now: units.MonotonicMs,
-  ): serving.Reason | undefined {
-    if (call.deadlineMs <= now) return serving.Reason.NO_TIME;
-    const {suspects, rollouts} = this.options;
-    if (rollouts?.mayStart(now) === false) return serving.Reason.CLOSED;
-    const isBarred = suspects.isQuarantined(call.dispatch.fingerprint, now);
-    return isBarred ? serving.Reason.QUARANTINED : undefined;
-  }
-
   /** Starts queued requests while there is capacity; refuses them all if the gate is closed. */
   private processQueue(now: units.MonotonicMs): void {
     this.applyRateLimit(now);
@@ -303,7 +303,7 @@
   private start(call: gateCall.GateCall, now: units.MonotonicMs): void {
     const {instanceId, serial, limitPerSecond} = this.server.tracker;
     const {intent, output} = this.options;
-    const barred = this.barredReason(call, now);
+    const barred = barredCall.barredReason(call, this.options, now);
     if (instanceId === undefined || barred !== undefined) {
       return this.refuseUnrun([call], barred ?? serving.Reason.CLOSED, now);
     }
@@ -355,7 +355,7 @@
 
   /** Refuses the calls whose connection broke, once it is known whether the server died. */
   private refuseBroken(serverDied: boolean, now: units.MonotonicMs): void {
-    for (const call of [...this.calls.values()]) {
+    for (const call of this.calls.all) {
       if (call.stage.kind !== 'broken') continue;
       if (serverDied) this.recordDeath(call, now);
       const reason = serving.Reason.BROKEN;
@@ -397,13 +397,12 @@
 
   private refuse(
     call: gateCall.GateCall,
-    {reason, mayHaveRun, serverDied = false}: gateCall.RefusalDetail,
+    detail: gateCall.RefusalDetail,
     now: units.MonotonicMs,
   ): void {
     const load = this.load(now);
-    const timeLeftMs = Math.round(call.deadlineMs - now);
-    const facts = {mayHaveRun, serverDied, timeLeftMs};
-    this.replies.noteRefusal(call, reason, load, facts);
+    this.replies.noteRefusal(call, detail, load, now);
+    const {reason, mayHaveRun, serverDied = false} = detail;
     const refusal = {
       call: call.dispatch.call,
       reason,
@@ -425,6 +424,13 @@
     this.replies.finish(call, reply, now);
   }
 
+  /** Ends a call whose reply nobody awaits. */
+  private withdraw(call: gateCall.GateCall, now: units.MonotonicMs): void {
+    call.linkId = undefined;
+    call.lostLink = undefined;
+    this.cancel(call, now);
+  }
+
   /** Ends a call without a recipient; a run that must not be repeated is left to finish. */
   private cancel(call: gateCall.GateCall, now: units.MonotonicMs): void {
     const isRunning = call.stage.kind === 'running';
@@ -445,10 +451,11 @@
 
   private expireIfDue(call: gateCall.GateCall, now: units.MonotonicMs): void {
     if (gateTimeouts.dueMs(call, this.capacity) > now) return;
-    if (call.linkExpiryMs <= now) {
-      call.linkLostMs = undefined;
+    if (this.calls.isLinkExpired(call, now)) {
+      call.lostLink = undefined;
       return this.cancel(call, now);
     }
+    if (gateTimeouts.dueMs(call, this.capacity) > now) return;
     const broken = {reason: serving.Reason.BROKEN, mayHaveRun: true};
     switch (call.stage.kind) {
       case 'waiting': {
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -17,8 +17,8 @@
 
 /** Receives the events of sessions. */
 export interface EntrySessionsListener {
-  /** A node has connected and sent its greeting. */
-  onGreeting(sender: serving.NodeRecord): void;
+  /** A process of a node has connected and sent its greeting. */
+  onGreeting(sender: serving.NodeRecord, startedMs: units.EpochMs): void;
   onDispatch(key: string, linkId: number, dispatch: serving.Dispatch): void;
   onWithdraw(key: string): void;
   /** An entry asks for tokens; the answer is sent at once. */
@@ -43,7 +43,7 @@
 
 class Session {
   readonly socket: framedSocket.FramedSocket<serving.NodeFrame>;
-  /** Id of the entry's process, `node id@start time`; undefined before its greeting. */
+  /** Id of the entry's process, see `callKey.processOf`; undefined before its greeting. */
   entryProcess: string | undefined;
   pulsedMs: units.MonotonicMs = 0;
   dispatchedMs: units.MonotonicMs = -Infinity;
@@ -226,8 +226,15 @@
       return;
     }
     connection.setTimeout(IDLE_TIMEOUT_MS, () => connection.destroy());
-    session.entryProcess = `${sender.nodeId}@${processStartedMs}`;
+    const {nodeId} = sender;
+    session.entryProcess = callKey.processOf(nodeId, processStartedMs);
     this.sendPulse(session, this.options.pulse(), this.options.nowMs());
-    this.options.listener.onGreeting(sender);
+    this.options.listener.onGreeting(sender, processStartedMs);
+    for (const {entryProcess = '', socket} of this.sessions.values()) {
+      if (callKey.isSucceeded(entryProcess, nodeId, processStartedMs)) {
+        // Its unread requests have no callers any more.
+        socket[Symbol.dispose]();
+      }
+    }
   }
 }
--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -98,6 +98,11 @@
     return this.state.kind === 'up';
   }
 
+  /** Start of the gate's process, undefined while the link is not up. */
+  get processStartedMs(): units.EpochMs | undefined {
+    return this.isUp ? this.gateStartedMs : undefined;
+  }
+
   /** Whether the gate has not answered a ping in time and may be unreachable. */
   get isMaybeUnreachable(): boolean {
     return this.maybeUnreachable;
--- a/src/node/serving/gate_links.ts
+++ b/src/node/serving/gate_links.ts
@@ -1,4 +1,5 @@
 /** Links to the gates of all other nodes. */
+import * as callKey from '../../common/serving/call_key.js';
 import * as decision from '../../common/serving/decision.js';
 import * as units from '../../common/units.js';
 import * as serving from '../../generated/serving.js';
@@ -51,6 +52,14 @@
     return this.links.get(nodeId)?.isUp ?? false;
   }
 
+  /** Whether the link to a process is open, see `callKey.processOf`. */
+  isProcessUp(process: string): boolean {
+    const nodeId = callKey.nodeOf(process);
+    const startedMs = this.links.get(nodeId)?.processStartedMs;
+    if (startedMs === undefined) return false;
+    return callKey.processOf(nodeId, startedMs) === process;
+  }
+
   /** Whether a node has not answered a ping in time and may be unreachable. */
   isMaybeUnreachable(nodeId: string): boolean {
     return this.links.get(nodeId)?.isMaybeUnreachable ?? false;
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -55,6 +55,8 @@
   /** Answers an entry that asks for tokens. */
   onTokenRequest(request: serving.TokenRequest): serving.TokenGrant;
   greeting(toNodeId: string): serving.Greeting;
+  /** Whether this node's own link to an entry's node shows that the entry's process runs. */
+  isEntryUp(entryProcess: string): boolean;
   /** Whether this node reads the operators' records successfully. */
   readsStore(): boolean;
   /** Returns the answer to a peer's question for this node's freshness proof. */
@@ -238,9 +240,12 @@
         this.options.rollouts.isActive ? ROLLOUT_PULSE_MS : Infinity,
       nodeCount: () => directory.size,
       listener: {
-        onGreeting: sender => {
+        onGreeting: (sender, startedMs) => {
+          const {nodeId} = sender;
           directory.put(sender);
-          this.options.onPeerGreeting(sender.nodeId);
+          this.options.onPeerGreeting(nodeId);
+          this.gate.onEntryStarted(nodeId, startedMs, clock.monotonicMs());
+          afterEvent();
         },
         onDispatch: (key, linkId, dispatch) => {
           const waitedMs = this.options.waitedMs();
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -323,6 +323,8 @@
       soleSenderSinceMs: processStartedMs - platform.bounds.restartGapMs,
       readsStore: () => this.storeReaders.readsStore,
       freshness: question => this.keys.answer(question),
+      isEntryUp: entryProcess =>
+        this.entryRuntime.links.isProcessUp(entryProcess),
       onPeerGreeting: nodeId => this.entryRuntime.links.reconnectNow(nodeId),
       onTokenRequest: request =>
         this.entryRuntime.quotas.onTokenRequest(request),
--- a/test/fakes/serving_fleet_process.ts
+++ b/test/fakes/serving_fleet_process.ts
@@ -228,6 +228,7 @@
       log: {write: () => undefined},
       random: this.random,
       replyBytes: REPLY_BYTES,
+      isEntryUp: () => false,
       coldRateFactor: 1.25,
       startedMs: this.startedMs - 10_000,
       soleSenderSinceMs: this.startedMs,
