Planned stop: wait for answers that entries have not read

What callers saw: a 502 for a request that the backend server beside a stopping node had answered in time. The answer was still under way to its entry when the process ended, or its link was lost just then.

Cause: a reply counted as finished when it was written to a socket. The stop ended once no request was without a reply, and disposal destroyed the sockets with their queued bytes; an entry that reconnected found the node gone.

Change: SentReplies follows each reply until its deadline. A stop waits for replies whose link was lost while their entry may still ask for them, then ends the links with unconfirmed replies by a FIN after the queued frames, and goes on listening. A request read from an ended link is left to be sent again. The stop still ends at its share of the grace at the latest.

The relay of the tests can limit the rate, and passes on what it holds when one side closes.

--- a/src/common/serving/gate_call.ts
+++ b/src/common/serving/gate_call.ts
@@ -41,6 +41,9 @@
   /** Undefined while no link is known that the reply could go to. */
   linkId: number | undefined;
 
+  /** Whether the entry has withdrawn the request. */
+  withdrawn = false;
+
   /** The lost link to the entry, while a resend is awaited. */
   lostLink: lostLink.LostLink | undefined;
 
--- a/src/common/serving/gate_replies.ts
+++ b/src/common/serving/gate_replies.ts
@@ -6,6 +6,8 @@
 import * as replyCache from './reply_cache.js';
 import * as gateCall from './gate_call.js';
 import * as gateCapacity from './gate_capacity.js';
+import * as gateOptions from './gate_options.js';
+import * as sentReplies from './sent_replies.js';
 
 /** Refusals logged as notable: the request is redirected or no longer needed. */
 const NOTABLE_REASONS: ReadonlySet<serving.Reason> = new Set([
@@ -26,25 +28,30 @@
 export class GateReplies {
   private readonly cache: replyCache.ReplyCache;
 
+  private readonly output: gateCall.GateOutput;
+  private readonly log: decision.DecisionLog;
+
   constructor(
-    private readonly output: gateCall.GateOutput,
-    private readonly log: decision.DecisionLog,
-    /** Most bytes that cached answers take together. */
-    maxBytes: number,
+    options: Pick<gateOptions.GateOptions, 'output' | 'log' | 'replyBytes'>,
+    private readonly sent: sentReplies.SentReplies,
   ) {
-    this.cache = new replyCache.ReplyCache({maxBytes});
+    this.output = options.output;
+    this.log = options.log;
+    this.cache = new replyCache.ReplyCache({maxBytes: options.replyBytes});
   }
 
   /** Replies to a call that has ended before; false if it has not. */
   resend(arriving: gateCall.ArrivingCall): boolean {
     const reply = this.cache.get(arriving.key);
     if (reply === undefined) return false;
+    this.sent.onRepeated(arriving.key, arriving.linkId);
     this.send(arriving.linkId, arriving.dispatch.call, reply);
     return true;
   }
 
   /** Caches a refusal for a withdrawn call that may still arrive. */
   cacheWithdrawal(key: string, now: units.MonotonicMs): void {
+    this.sent.delete(key);
     // The entry no longer needs the reply to a call that has ended.
     if (this.cache.get(key) !== undefined) {
       return this.cache.discardAnswer(key);
@@ -59,12 +66,14 @@
     );
   }
 
-  /** Frees the memory of answers to former processes of a node that has started again. */
+  /** Forgets answers to former processes of a node that has started again. */
   discardAnswers(nodeId: string, startedMs: units.EpochMs): void {
-    this.cache.discardAnswers(key => {
+    const isUnneeded = (key: string): boolean => {
       const {entryProcess} = callKey.parse(key);
       return callKey.isSucceeded(entryProcess, nodeId, startedMs);
-    });
+    };
+    this.cache.discardAnswers(isUnneeded);
+    this.sent.deleteAll(isUnneeded);
   }
 
   /** Caches the reply, unless its delivery is certain, and sends it if the link is up. */
@@ -73,10 +82,12 @@
     reply: replyCache.Reply,
     now: units.MonotonicMs,
   ): void {
-    if (call.isRemote) this.cache.add(call.key, reply, call.deadlineMs, now);
-    if (call.linkId !== undefined) {
-      this.send(call.linkId, call.dispatch.call, reply);
+    const {key, linkId, deadlineMs} = call;
+    if (call.isRemote) {
+      this.cache.add(key, reply, deadlineMs, now);
+      if (!call.withdrawn) this.sent.onReply(key, linkId, deadlineMs, now);
     }
+    if (linkId !== undefined) this.send(linkId, call.dispatch.call, reply);
   }
 
   /** Logs a decision on a call, with its route. */
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -15,6 +15,7 @@
 import * as gateTimeouts from './gate_timeouts.js';
 import * as incarnations from './incarnations.js';
 import * as runReports from './run_reports.js';
+import * as sentReplies from './sent_replies.js';
 import * as serverPace from './server_pace.js';
 import * as serverStatement from './server_statement.js';
 import * as serverAvailability from './server_availability.js';
@@ -24,6 +25,8 @@
 
 /** Gate of one backend server; no other component sends requests to that server. */
 export class ServerGate {
+  /** Replies that entries may not have received. */
+  readonly sentReplies: sentReplies.SentReplies;
   private readonly server: serverAvailability.ServerAvailability;
   private readonly capacity: gateCapacity.GateCapacity;
   private readonly calls: openCalls.OpenCalls;
@@ -35,9 +38,10 @@
   private lastClosure = serving.Closure.UNCONFIGURED;
 
   constructor(private readonly options: gateOptions.GateOptions) {
-    const {log, output, replyBytes} = options;
-    this.calls = new openCalls.OpenCalls(options.isEntryUp);
-    this.replies = new gateReplies.GateReplies(output, log, replyBytes);
+    const {log, output, isEntryUp} = options;
+    this.calls = new openCalls.OpenCalls(isEntryUp);
+    this.sentReplies = new sentReplies.SentReplies(isEntryUp);
+    this.replies = new gateReplies.GateReplies(options, this.sentReplies);
     this.server = new serverAvailability.ServerAvailability({
       log,
       checkHealth: () => output.checkHealth(),
@@ -106,6 +110,7 @@
   /** Handles the loss of a link; its calls are kept for a while for the entry to resend. */
   onLinkLost(linkId: number, now: units.MonotonicMs): void {
     this.calls.onLinkLost(linkId, now);
+    this.sentReplies.onLinkLost(linkId, now);
   }
 
   /** Handles the start of a node's process: the callers of its former ones are gone. */
@@ -274,7 +279,9 @@
     if (this.limitReports.take(limitPerSecond, now)) {
       this.options.output.rateLimitChanged();
     }
-    this.refuseBeyondRate(now);
+    // Other gates may start these sooner.
+    const late = this.capacity.waitingBeyondRate(now);
+    this.refuseUnrun(late, serving.Reason.RATE_LIMITED, now);
   }
 
   /** Applies what entries were told to the incarnation that is now known. */
@@ -284,12 +291,6 @@
     }
   }
 
-  /** Refuses waiting requests at once that other gates may start sooner. */
-  private refuseBeyondRate(now: units.MonotonicMs): void {
-    const calls = this.capacity.waitingBeyondRate(now);
-    this.refuseUnrun(calls, serving.Reason.RATE_LIMITED, now);
-  }
-
   private refuseUnrun(
     calls: readonly gateCall.GateCall[],
     reason: serving.Reason,
@@ -426,6 +427,7 @@
 
   /** Ends a call whose reply nobody awaits. */
   private withdraw(call: gateCall.GateCall, now: units.MonotonicMs): void {
+    call.withdrawn = true;
     call.linkId = undefined;
     call.lostLink = undefined;
     this.cancel(call, now);
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -23,7 +23,12 @@
   onWithdraw(key: string): void;
   /** An entry asks for tokens; the answer is sent at once. */
   onTokenRequest(request: serving.TokenRequest): serving.TokenGrant;
-  onLinkLost(linkId: number): void;
+  /**
+   * A session has closed.
+   *
+   * @param isEnded whether it was ended here, and then by its peer, without an error.
+   */
+  onLinkLost(linkId: number, isEnded: boolean): void;
 }
 
 /** Dependencies of `EntrySessions`. */
@@ -45,6 +50,8 @@
   readonly socket: framedSocket.FramedSocket<serving.NodeFrame>;
   /** Id of the entry's process, see `callKey.processOf`; undefined before its greeting. */
   entryProcess: string | undefined;
+  /** Whether this side is ended; what is sent from now on is lost. */
+  ending = false;
   pulsedMs: units.MonotonicMs = 0;
   dispatchedMs: units.MonotonicMs = -Infinity;
 
@@ -121,6 +128,14 @@
     }
   }
 
+  /** Ends a session after its queued frames; the listener is told once its peer has ended it. */
+  end(linkId: number): void {
+    const session = this.sessions.get(linkId);
+    if (session === undefined || session.ending) return;
+    session.ending = true;
+    session.socket.end();
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     const closed = new Promise<void>(resolve =>
       this.server.close(() => resolve()),
@@ -142,15 +157,17 @@
   private accept(connection: net.Socket): void {
     const session = new Session(++this.lastId, connection, {
       onFrame: frame => this.receive(session, connection, frame),
-      onClose: () => this.onClosed(session),
+      onClose: () => this.onClosed(session, connection),
     });
     this.sessions.set(session.id, session);
     connection.setTimeout(GREETING_TIMEOUT_MS, () => connection.destroy());
   }
 
-  private onClosed(session: Session): void {
+  private onClosed(session: Session, connection: net.Socket): void {
     this.sessions.delete(session.id);
-    this.options.listener.onLinkLost(session.id);
+    const {writableFinished, readableEnded, errored} = connection;
+    const isWhole = writableFinished && readableEnded && errored === null;
+    this.options.listener.onLinkLost(session.id, session.ending && isWhole);
   }
 
   private receive(
@@ -168,6 +185,8 @@
     const {listener} = this.options;
     switch (body?.$case) {
       case 'dispatch': {
+        // The entry sends it again over another link.
+        if (session.ending) return;
         const key = callKey.format(session.entryProcess, body.value.call);
         session.dispatchedMs = this.options.nowMs();
         return listener.onDispatch(key, session.id, body.value);
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -123,6 +123,20 @@
     this.gate.recheck();
   }
 
+  /** Number of requests without a reply that its entry has or no longer awaits. */
+  get unfinished(): number {
+    const {unanswered, sentReplies} = this.gate;
+    return unanswered + sentReplies.lostCount(clock.monotonicMs());
+  }
+
+  /** Ends the links with replies that may be unread and returns their number. */
+  endUnconfirmedLinks(): number {
+    const now = clock.monotonicMs();
+    const links = this.gate.sentReplies.unconfirmedLinks(now);
+    for (const linkId of links) this.sessions.end(linkId);
+    return links.size;
+  }
+
   /** Sends a pulse to all entries now. */
   pulseAll(): void {
     this.sessions.pulseAll();
@@ -258,7 +272,11 @@
           afterEvent();
         },
         onTokenRequest: request => this.options.onTokenRequest(request),
-        onLinkLost: linkId => this.gate.onLinkLost(linkId, clock.monotonicMs()),
+        onLinkLost: (linkId, isEnded) => {
+          const now = clock.monotonicMs();
+          if (isEnded) this.gate.sentReplies.onLinkEnded(linkId, now);
+          else this.gate.onLinkLost(linkId, now);
+        },
       },
     });
   }
--- a/src/node/serving/node_stop.ts
+++ b/src/node/serving/node_stop.ts
@@ -25,8 +25,10 @@
   announceClosing(): void;
   /** Refuses new requests from callers. */
   refuseNew(): void;
-  /** Returns the number of requests without an answer. */
+  /** Returns the number of requests without an answer, or whose answer is known to be lost. */
   unfinished(): number;
+  /** Ends links to entries that may have unread answers and returns their number. */
+  endUnconfirmedLinks(): number;
 }
 
 /** Runs a planned stop from its creation on. */
@@ -52,7 +54,9 @@
         refusing = true;
         this.steps.refuseNew();
       }
-      if (refusing && this.steps.unfinished() === 0) return;
+      if (refusing && this.steps.unfinished() === 0) {
+        if (this.steps.endUnconfirmedLinks() === 0) return;
+      }
       await timers.setTimeout(POLL_MS);
     }
   }
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -124,16 +124,17 @@
   /** Runs a planned stop; resolves when all requests are finished or its time limit has passed. */
   stop(): Promise<void> {
     const {callers} = this.entryRuntime;
-    const {gate} = this.gateRuntime;
+    const {gateRuntime: gates} = this;
     this.stopping ??= new nodeStop.NodeStop({
       stopMs: this.options.platform.bounds.stopMs,
       begin: () => {
-        gate.stop(clock.monotonicMs());
+        gates.gate.stop(clock.monotonicMs());
         this.afterEvent();
       },
       announceClosing: () => callers.announceClosing(),
       refuseNew: () => callers.refuseNew(),
-      unfinished: () => callers.inProgress + gate.unanswered,
+      unfinished: () => callers.inProgress + gates.unfinished,
+      endUnconfirmedLinks: () => gates.endUnconfirmedLinks(),
     });
     return this.stopping.finished;
   }
--- a/test/paths/fault_relay.ts
+++ b/test/paths/fault_relay.ts
@@ -5,6 +5,8 @@
 export type RelayMode =
   | {readonly kind: 'pass'}
   | {readonly kind: 'delay'; readonly delayMs: number}
+  /** Passes at most so many bytes on in each direction, and reads no faster. */
+  | {readonly kind: 'rate'; readonly bytesPerMs: number}
   /** Drops bytes to the target (`forward`), from it (`reverse`) or both, on new connections too. */
   | {readonly kind: 'drop'; readonly direction: 'forward' | 'reverse' | 'both'}
   /** Resets new connections. */
@@ -69,15 +71,15 @@
     const connection = new RelayedConnection(incoming, outgoing);
     this.connections.add(connection);
     incoming.on('data', chunk =>
-      this.relay(connection, chunk, outgoing, 'forward'),
+      this.relay(connection, chunk, incoming, outgoing, 'forward'),
     );
     outgoing.on('data', chunk =>
-      this.relay(connection, chunk, incoming, 'reverse'),
+      this.relay(connection, chunk, outgoing, incoming, 'reverse'),
     );
     const closeBoth = (): void => {
       this.connections.delete(connection);
-      incoming.destroy();
-      outgoing.destroy();
+      incoming.destroySoon();
+      outgoing.destroySoon();
     };
     incoming.on('close', closeBoth);
     outgoing.on('close', closeBoth);
@@ -86,6 +88,7 @@
   private relay(
     connection: RelayedConnection,
     chunk: Buffer,
+    from: net.Socket,
     to: net.Socket,
     direction: 'forward' | 'reverse',
   ): void {
@@ -101,6 +104,10 @@
       case 'delay':
         setTimeout(() => to.write(chunk), mode.delayMs);
         return;
+      case 'rate':
+        from.pause();
+        setTimeout(() => from.resume(), chunk.length / mode.bytesPerMs);
+        break;
       case 'pass':
       case 'refuse':
         break;
--- a/test/stand_ins/platform/server_stand_in.ts
+++ b/test/stand_ins/platform/server_stand_in.ts
@@ -4,7 +4,7 @@
 
 /** How the stand-in answers requests; health checks are answered in every mode. */
 export type ServerMode =
-  | {readonly kind: 'ok'; readonly workMs: number}
+  | {readonly kind: 'ok'; readonly workMs: number; readonly bodyBytes?: number}
   /** Answers as `ok`, then sends a copy of the answer `delayMs` later on the same connection. */
   | {readonly kind: 'twice'; readonly workMs: number; readonly delayMs: number}
   /** Refuses the request unrun with status 503. */
@@ -194,7 +194,10 @@
     const text = `${this.instanceId}:${requestId}`;
     switch (mode.kind) {
       case 'ok':
-        setTimeout(() => res.end(text), mode.workMs);
+        setTimeout(
+          () => res.end(text.padEnd(mode.bodyBytes ?? 0, '.')),
+          mode.workMs,
+        );
         return;
       case 'twice':
         setTimeout(() => res.end(text), mode.workMs);
