Planned stop: wait until responses to callers are flushed

What callers saw: a response cut off in its body (ECONNRESET) when its caller read slowly and the node was stopping.

Cause: the callers' port forgot a request when it called res.end(); the stop then ended, and closing all connections dropped the bytes that were queued.

Change: a response counts as in progress until 'close', which Node.js emits once its last bytes were passed to the operating system or the connection has ended.

Evidence: the new test in stop_with_answers.test.ts fails on the former code ('aborted') and passes now.

--- a/src/node/serving/caller_port.ts
+++ b/src/node/serving/caller_port.ts
@@ -93,6 +93,8 @@
 export class CallerPort implements AsyncDisposable {
   private readonly server: http.Server;
   private readonly exchanges = new Map<number, Exchange>();
+  /** Responses that have not been passed to the operating system whole. */
+  private readonly unflushed = new Set<http.ServerResponse>();
   private lastId = 0;
   private bodiesInProgress = 0;
   private phase: 'open' | 'closing' | 'closed' = 'open';
@@ -118,9 +120,13 @@
     return tcpListener.listen(this.server, address);
   }
 
-  /** Number of requests without an answer, those included whose body is still being read. */
+  /**
+   * Number of requests without an answer, or with one that is still being written; those included
+   * whose body is still being read.
+   */
   get inProgress(): number {
-    return this.exchanges.size + this.bodiesInProgress;
+    const {exchanges, unflushed, bodiesInProgress} = this;
+    return exchanges.size + unflushed.size + bodiesInProgress;
   }
 
   /** Applies the timeouts of the current configuration. */
@@ -366,6 +372,8 @@
         ? []
         : ['Connection', 'close'];
     res.writeHead(status, [...headers, ...closing]);
+    this.unflushed.add(res);
+    res.once('close', () => this.unflushed.delete(res));
     res.end(body);
   }
 }
--- a/test/paths/stop_with_answers.test.ts
+++ b/test/paths/stop_with_answers.test.ts
@@ -1,4 +1,5 @@
 import * as assert from 'node:assert/strict';
+import * as http from 'node:http';
 import * as nodeTest from 'node:test';
 import * as timers from 'node:timers/promises';
 
@@ -66,3 +67,37 @@
   assert.equal(fleet.runsOf('large'), 1);
   assert.equal(await stopping.process.exitStatus(), 0);
 });
+
+test('an entry that stops sends its answer to a caller that reads slowly', async () => {
+  await using fleet = await startFleet(1);
+  const [node] = fleet.nodes;
+  node.server.mode = {kind: 'ok', workMs: WORK_MS, bodyBytes: BODY_BYTES};
+  const runs = new Promise<void>(resolve => {
+    node.server.onRun = () => resolve();
+  });
+  const [host, port] = node.callers.split(':');
+  const req = http.request({
+    host,
+    port,
+    method: 'POST',
+    path: '/place/1',
+    headers: {
+      Host: documents.HOST,
+      'Request-Id': 'slow',
+      'Deadline-Ms': DEADLINE_MS,
+    },
+  });
+  const response = new Promise<http.IncomingMessage>((resolve, reject) => {
+    req.on('response', resolve);
+    req.on('error', reject);
+  });
+  req.end();
+  await runs;
+  node.process.signal('SIGTERM');
+  const res = await response;
+  await timers.setTimeout(500);
+  let bytes = 0;
+  for await (const chunk of res) bytes += (chunk as Buffer).length;
+  assert.equal(bytes, BODY_BYTES);
+  assert.equal(await node.process.exitStatus(), 0);
+});
