Test relay: hold back the end of a connection at a limited rate only

Files of tests did not end: a connection whose peer read no more was taken off the relay's list while bytes for it were held, and disposal waited for its end (late_and_restarted.test.ts and platform_path.test.ts were still there after 10 minutes). Outside the rate limit both sides are closed at once as before, and a connection stays listed until both have closed.

--- a/test/paths/fault_relay.ts
+++ b/test/paths/fault_relay.ts
@@ -76,13 +76,18 @@
     outgoing.on('data', chunk =>
       this.relay(connection, chunk, outgoing, incoming, 'reverse'),
     );
-    const closeBoth = (): void => {
-      this.connections.delete(connection);
-      incoming.destroySoon();
-      outgoing.destroySoon();
-    };
-    incoming.on('close', closeBoth);
-    outgoing.on('close', closeBoth);
+    incoming.on('close', () => this.closeOther(connection, outgoing));
+    outgoing.on('close', () => this.closeOther(connection, incoming));
+  }
+
+  /** Closes the other side of a connection; at a limited rate, once it has got what is held. */
+  private closeOther(connection: RelayedConnection, other: net.Socket): void {
+    if (this.mode.kind === 'rate' && !other.destroyed) {
+      other.destroySoon();
+      return;
+    }
+    this.connections.delete(connection);
+    other.destroy();
   }
 
   private relay(
