Gate: a pause of its own ends no calls whose link is merely unread

What callers saw: a run aborted, or a request refused, at the end of a pause of the gate's process, though the entry had reconnected and sent the request again meanwhile; a crash of the server taken for a lost connection.

Cause: timers run before the sockets are read. After a pause, the grace of a lost link and the wait for the health check of a broken run had passed.

Change: both waits are extended by the length of the pause, before the timers run (PauseMeter reports it first).

--- a/src/common/serving/gate_call.ts
+++ b/src/common/serving/gate_call.ts
@@ -76,6 +76,15 @@
     this.lostLink = {lostMs: now};
   }
 
+  /** Handles a pause of the process: a resend or the answer to a health check may be unread. */
+  onResumed(pausedMs: units.Millis): void {
+    const {lostLink: lost, stage} = this;
+    if (lost) this.lostLink = {...lost, lostMs: lost.lostMs + pausedMs};
+    if (stage.kind === 'broken') {
+      this.stage = {...stage, untilMs: stage.untilMs + pausedMs};
+    }
+  }
+
   /** Handles a sign that the entry's process runs. */
   onEntrySeen(now: units.MonotonicMs): void {
     if (this.lostLink) this.lostLink = {...this.lostLink, entrySeenMs: now};
--- a/src/common/serving/lost_link.test.ts
+++ b/src/common/serving/lost_link.test.ts
@@ -95,6 +95,29 @@
   assert.deepEqual(harness.output.aborted, []);
 });
 
+test('a pause of the gate does not end a run whose entry has asked for it meanwhile', () => {
+  const harness = new fixtures.GateHarness().open();
+  const key = harness.call({timeLeftMs: 10_000});
+  harness.gate.onLinkLost(1, 10);
+  harness.gate.onResumed(4_000);
+  // The timers come before the sockets are read.
+  harness.gate.tick(4_100);
+  harness.resend(key, 2, 4_110);
+  harness.answered(key, 4_120);
+  assert.deepEqual(harness.output.aborted, []);
+  assert.deepEqual(harness.output.answerLinks, [2]);
+});
+
+test('a pause of the gate does not end the wait for the health check of a broken run', () => {
+  const harness = new fixtures.GateHarness().open();
+  const key = harness.call({timeLeftMs: 10_000});
+  harness.gate.onRunEnded(key, {kind: 'broken'}, 10);
+  harness.gate.onResumed(4_000);
+  harness.gate.tick(4_020);
+  harness.gate.onHealthFailed('refused', 4_030);
+  assert.deepEqual(harness.output.suspects, ['f1']);
+});
+
 test('a broken run whose link is lost is not refused as not run', () => {
   const harness = new fixtures.GateHarness().open();
   const key = harness.call({repeatable: false, timeLeftMs: 5_000});
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -23,6 +23,9 @@
 /** Maximum wait for a health check after a connection broke during a run. */
 const HEALTH_CHECK_WAIT_MS: units.Millis = 150;
 
+/** Refusal of a run that ended without a result. */
+const BROKEN = {reason: serving.Reason.BROKEN, mayHaveRun: true};
+
 /** Gate of one backend server; no other component sends requests to that server. */
 export class ServerGate {
   /** Replies that entries may not have received. */
@@ -202,6 +205,12 @@
     this.server.recheck();
   }
 
+  /** Handles the end of a pause of the process, before any message that came meanwhile. */
+  onResumed(pausedMs: units.Millis): void {
+    for (const call of this.calls.all) call.onResumed(pausedMs);
+    this.recheck();
+  }
+
   /** Handles a change of the operators' intent. */
   onIntent(now: units.MonotonicMs): void {
     const {intent, dataCentre} = this.options;
@@ -226,8 +235,8 @@
 
   /** Returns the next time at which `tick` is due, infinity if there is none. */
   nextWakeMs(now: units.MonotonicMs): units.MonotonicMs {
-    const dueMs = this.calls.nextDueMs(this.capacity);
-    return Math.min(dueMs, this.capacity.nextWakeMs(now));
+    const {calls, capacity} = this;
+    return Math.min(calls.nextDueMs(capacity), capacity.nextWakeMs(now));
   }
 
   /** Returns why an arriving request is refused, undefined if it is accepted. */
@@ -359,18 +368,16 @@
     for (const call of this.calls.all) {
       if (call.stage.kind !== 'broken') continue;
       if (serverDied) this.recordDeath(call, now);
-      const reason = serving.Reason.BROKEN;
-      this.refuse(call, {reason, mayHaveRun: true, serverDied}, now);
+      this.refuse(call, {...BROKEN, serverDied}, now);
     }
   }
 
   private recordDeath(call: gateCall.GateCall, now: units.MonotonicMs): void {
     const {suspects, output} = this.options;
-    const suspicion = suspects.onDeath(call.dispatch.fingerprint, now);
-    this.replies.note(call, 'failure', 'server-died', {
-      deaths: suspicion.deaths,
-    });
-    output.reportSuspect(suspicion.fingerprint, suspicion.deaths);
+    const {fingerprint} = call.dispatch;
+    const {deaths} = suspects.onDeath(fingerprint, now);
+    this.replies.note(call, 'failure', 'server-died', {deaths});
+    output.reportSuspect(fingerprint, deaths);
   }
 
   private answer(
@@ -387,10 +394,8 @@
       this.capacity.times.onAnswered(route, durationMs, now);
       this.options.suspects.onAnswered(fingerprint, now);
     }
-    this.replies.note(call, 'routine', 'answered', {
-      status,
-      durationMs: Math.round(durationMs),
-    });
+    const facts = {status, durationMs: Math.round(durationMs)};
+    this.replies.note(call, 'routine', 'answered', facts);
     const load = this.load(now);
     const answer = {call: number, status, headers, body, load};
     this.finish(call, {kind: 'answer', answer}, now);
@@ -458,7 +463,6 @@
       return this.cancel(call, now);
     }
     if (gateTimeouts.dueMs(call, this.capacity) > now) return;
-    const broken = {reason: serving.Reason.BROKEN, mayHaveRun: true};
     switch (call.stage.kind) {
       case 'waiting': {
         const reason = this.capacity.expiryReason(call, now);
@@ -468,9 +472,9 @@
         this.capacity.times.onFailed(now);
         this.runReports.onEnded(call, {kind: 'broken'}, now);
         this.abort(call);
-        return this.refuse(call, broken, now);
+        return this.refuse(call, BROKEN, now);
       case 'broken':
-        return this.refuse(call, broken, now);
+        return this.refuse(call, BROKEN, now);
       default:
         return invariants.assertNever(call.stage);
     }
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -118,9 +118,9 @@
   }
 
   /** Handles the end of a pause of the process. */
-  onResumed(): void {
+  onResumed(pausedMs: units.Millis): void {
     this.health.abandon();
-    this.gate.recheck();
+    this.gate.onResumed(pausedMs);
   }
 
   /** Number of requests without a reply that its entry has or no longer awaits. */
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -417,7 +417,7 @@
   private onResumed(pausedMs: units.Millis): void {
     this.note('resumed', {pausedMs: Math.round(pausedMs)});
     this.entryRuntime.quotas.onResumed();
-    this.gateRuntime.onResumed();
+    this.gateRuntime.onResumed(pausedMs);
   }
 
   private tick(): void {
