--- a/src/common/serving/gate_call.ts
+++ b/src/common/serving/gate_call.ts
@@ -1,17 +1,17 @@
 /** Types of requests at a gate and of the results of their runs. */
 import * as serving from '../../generated/serving.js';
 import * as units from '../units.js';
-
-/** Time that a call is kept after its link is lost, so that the entry can send it again. */
-const LINK_GRACE_MS: units.Millis = 1_000;
+import * as lostLink from './lost_link.js';
 
 /** A request as it arrives at a gate. */
 export interface ArrivingCall {
-  /** Unique in the fleet, also across restarts of the entry. */
+  /** See `callKey.format`. */
   readonly key: string;
-  /** Id of the link that the reply goes to; opaque to the gate. */
+  /** Id of the link that the reply goes to; later links have greater ids. */
   readonly linkId: number;
   readonly dispatch: serving.Dispatch;
+  /** Whether the entry is on another node, so that replies may be lost; true by default. */
+  readonly isRemote?: boolean;
   /** Longest time for which the request may have waited unread; 0 by default. */
   readonly waitedMs?: units.Millis;
 }
@@ -32,6 +32,7 @@
 export class GateCall {
   readonly key: string;
   readonly dispatch: serving.Dispatch;
+  readonly isRemote: boolean;
   readonly rank: number;
   readonly deadlineMs: units.MonotonicMs;
   readonly objectiveAtMs: units.MonotonicMs;
@@ -40,8 +41,11 @@
   /** Undefined while no link is known that the reply could go to. */
   linkId: number | undefined;
 
-  /** Time at which the link to the entry was lost, while a resend is awaited. */
-  linkLostMs: units.MonotonicMs | undefined;
+  /** Whether the entry has withdrawn the request. */
+  withdrawn = false;
+
+  /** The lost link to the entry, while a resend is awaited. */
+  lostLink: lostLink.LostLink | undefined;
 
   constructor(
     arriving: ArrivingCall,
@@ -51,16 +55,44 @@
     this.key = key;
     this.linkId = linkId;
     this.dispatch = dispatch;
+    this.isRemote = arriving.isRemote ?? true;
     this.rank = dispatch.rank;
     const sentMs = arrivedMs - (arriving.waitedMs ?? 0);
     this.deadlineMs = sentMs + dispatch.timeLeftMs;
     this.objectiveAtMs = sentMs + dispatch.objectiveLeftMs;
   }
 
+  /** Handles a resend, which may have been read late from a link that was replaced since. */
+  onResent(linkId: number): void {
+    if (this.linkId !== undefined && linkId < this.linkId) return;
+    this.linkId = linkId;
+    this.lostLink = undefined;
+  }
+
+  /** Handles the loss of a link, which is ignored if the call has another one. */
+  onLinkLost(linkId: number, now: units.MonotonicMs): void {
+    if (linkId !== this.linkId) return;
+    this.linkId = undefined;
+    this.lostLink = {lostMs: now};
+  }
+
+  /** Handles a pause of the process: a resend or the answer to a health check may be unread. */
+  onResumed(pausedMs: units.Millis): void {
+    const {lostLink: lost, stage} = this;
+    if (lost) this.lostLink = {...lost, lostMs: lost.lostMs + pausedMs};
+    if (stage.kind === 'broken') {
+      this.stage = {...stage, untilMs: stage.untilMs + pausedMs};
+    }
+  }
+
+  /** Handles a sign that the entry's process runs. */
+  onEntrySeen(now: units.MonotonicMs): void {
+    if (this.lostLink) this.lostLink = {...this.lostLink, entrySeenMs: now};
+  }
+
   /** Time at which the request ends because its link is lost, infinity if the link is up. */
   get linkExpiryMs(): units.MonotonicMs {
-    const {linkLostMs} = this;
-    return linkLostMs === undefined ? Infinity : linkLostMs + LINK_GRACE_MS;
+    return this.lostLink ? lostLink.expiryMs(this.lostLink) : Infinity;
   }
 }
 
--- a/src/common/serving/gate_replies.ts
+++ b/src/common/serving/gate_replies.ts
@@ -1,10 +1,13 @@
 /** Replies of a gate to entries, and the log of its decisions. */
 import * as serving from '../../generated/serving.js';
 import * as units from '../units.js';
+import * as callKey from './call_key.js';
 import * as decision from './decision.js';
 import * as replyCache from './reply_cache.js';
 import * as gateCall from './gate_call.js';
 import * as gateCapacity from './gate_capacity.js';
+import * as gateOptions from './gate_options.js';
+import * as sentReplies from './sent_replies.js';
 
 /** Refusals logged as notable: the request is redirected or no longer needed. */
 const NOTABLE_REASONS: ReadonlySet<serving.Reason> = new Set([
@@ -18,40 +21,73 @@
 /** Cap on logged ages; older samples carry no information. */
 const MAX_LOGGED_AGE_MS: units.Millis = 1_000_000;
 
+/** Time for which a withdrawn call that has not arrived is refused if it does. */
+const WITHDRAWAL_TTL_MS: units.Millis = 30_000;
+
 /** Sends replies and caches them for entries that resend calls. */
 export class GateReplies {
-  private readonly cache = new replyCache.ReplyCache();
+  private readonly cache: replyCache.ReplyCache;
+
+  private readonly output: gateCall.GateOutput;
+  private readonly log: decision.DecisionLog;
 
   constructor(
-    private readonly output: gateCall.GateOutput,
-    private readonly log: decision.DecisionLog,
-  ) {}
+    options: Pick<gateOptions.GateOptions, 'output' | 'log' | 'replyBytes'>,
+    private readonly sent: sentReplies.SentReplies,
+  ) {
+    this.output = options.output;
+    this.log = options.log;
+    this.cache = new replyCache.ReplyCache({maxBytes: options.replyBytes});
+  }
 
-  /** Replies to a call that has already ended; false if its reply is not cached. */
+  /** Replies to a call that has ended before; false if it has not. */
   resend(arriving: gateCall.ArrivingCall): boolean {
     const reply = this.cache.get(arriving.key);
     if (reply === undefined) return false;
+    this.sent.onRepeated(arriving.key, arriving.linkId);
     this.send(arriving.linkId, arriving.dispatch.call, reply);
     return true;
   }
 
   /** Caches a refusal for a withdrawn call that may still arrive. */
   cacheWithdrawal(key: string, now: units.MonotonicMs): void {
+    this.sent.delete(key);
+    // The entry no longer needs the reply to a call that has ended.
+    if (this.cache.get(key) !== undefined) {
+      return this.cache.discardAnswer(key);
+    }
     const reason = serving.Reason.WITHDRAWN;
     const refusal = serving.Refusal.fromPartial({reason});
-    this.cache.add(key, {kind: 'refusal', refusal}, now);
+    this.cache.add(
+      key,
+      {kind: 'refusal', refusal},
+      now + WITHDRAWAL_TTL_MS,
+      now,
+    );
   }
 
-  /** Caches the reply and sends it if the link is up. */
+  /** Forgets answers to former processes of a node that has started again. */
+  discardAnswers(nodeId: string, startedMs: units.EpochMs): void {
+    const isUnneeded = (key: string): boolean => {
+      const {entryProcess} = callKey.parse(key);
+      return callKey.isSucceeded(entryProcess, nodeId, startedMs);
+    };
+    this.cache.discardAnswers(isUnneeded);
+    this.sent.deleteAll(isUnneeded);
+  }
+
+  /** Caches the reply, unless its delivery is certain, and sends it if the link is up. */
   finish(
     call: gateCall.GateCall,
     reply: replyCache.Reply,
     now: units.MonotonicMs,
   ): void {
-    this.cache.add(call.key, reply, now);
-    if (call.linkId !== undefined) {
-      this.send(call.linkId, call.dispatch.call, reply);
+    const {key, linkId, deadlineMs} = call;
+    if (call.isRemote) {
+      this.cache.add(key, reply, deadlineMs, now);
+      if (!call.withdrawn) this.sent.onReply(key, linkId, deadlineMs, now);
     }
+    if (linkId !== undefined) this.send(linkId, call.dispatch.call, reply);
   }
 
   /** Logs a decision on a call, with its route. */
@@ -93,16 +129,18 @@
   /** Logs a refusal and the load that it depended on; its importance depends on the reason. */
   noteRefusal(
     call: gateCall.GateCall,
-    reason: serving.Reason,
+    {reason, mayHaveRun, serverDied = false}: gateCall.RefusalDetail,
     load: serving.Load,
-    facts: decision.Facts,
+    now: units.MonotonicMs,
   ): void {
     const importance = NOTABLE_REASONS.has(reason) ? 'notable' : 'failure';
     const {closure, running, waiting, limit, notice} = load;
     const limitPerSecond = notice?.limitPerSecond;
     this.note(call, importance, 'refused', {
       reason,
-      ...facts,
+      mayHaveRun,
+      serverDied,
+      timeLeftMs: Math.round(call.deadlineMs - now),
       closure,
       running,
       waiting,
--- a/src/common/serving/link_outage.ts
+++ b/src/common/serving/link_outage.ts
@@ -12,6 +12,13 @@
  */
 const UNREACHABLE_AFTER_MS: units.Millis = 2_000;
 
+/** Codes of errors by which an instance is known not to answer; a process causes the others. */
+const UNANSWERED_CODES: ReadonlySet<string> = new Set([
+  'ETIMEDOUT',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+]);
+
 /** Outage of a link, as seen from the entry. */
 export interface LinkOutage {
   /** Time since the link was lost. */
@@ -27,6 +34,11 @@
   readonly durationMs: units.Millis;
 }
 
+/** Returns how a connection failed that ended with an error code before it was open. */
+export function failureKindOf(code: string): OpenFailures['kind'] {
+  return UNANSWERED_CODES.has(code) ? 'unanswered' : 'refused';
+}
+
 /** State of a request whose link is down. */
 export type OutageVerdict =
   /** The link may be restored before anyone notices. */
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -2,6 +2,7 @@
 import * as serving from '../../generated/serving.js';
 import * as invariants from '../invariants.js';
 import * as units from '../units.js';
+import * as barredCall from './barred_call.js';
 import * as rateLimitReports from './rate_limit_reports.js';
 import * as replyCache from './reply_cache.js';
 import * as gateCall from './gate_call.js';
@@ -10,9 +11,11 @@
 import * as gateClosure from './gate_closure.js';
 import * as gateLoad from './gate_load.js';
 import * as gateOptions from './gate_options.js';
+import * as openCalls from './open_calls.js';
 import * as gateTimeouts from './gate_timeouts.js';
 import * as incarnations from './incarnations.js';
 import * as runReports from './run_reports.js';
+import * as sentReplies from './sent_replies.js';
 import * as serverPace from './server_pace.js';
 import * as serverStatement from './server_statement.js';
 import * as serverAvailability from './server_availability.js';
@@ -20,11 +23,16 @@
 /** Maximum wait for a health check after a connection broke during a run. */
 const HEALTH_CHECK_WAIT_MS: units.Millis = 150;
 
+/** Refusal of a run that ended without a result. */
+const BROKEN = {reason: serving.Reason.BROKEN, mayHaveRun: true};
+
 /** Gate of one backend server; no other component sends requests to that server. */
 export class ServerGate {
+  /** Replies that entries may not have received. */
+  readonly sentReplies: sentReplies.SentReplies;
   private readonly server: serverAvailability.ServerAvailability;
   private readonly capacity: gateCapacity.GateCapacity;
-  private readonly calls = new Map<string, gateCall.GateCall>();
+  private readonly calls: openCalls.OpenCalls;
   private readonly replies: gateReplies.GateReplies;
   private readonly runReports: runReports.RunReports;
   private readonly limitReports = new rateLimitReports.RateLimitReports();
@@ -33,8 +41,10 @@
   private lastClosure = serving.Closure.UNCONFIGURED;
 
   constructor(private readonly options: gateOptions.GateOptions) {
-    const {log, output} = options;
-    this.replies = new gateReplies.GateReplies(output, log);
+    const {log, output, isEntryUp} = options;
+    this.calls = new openCalls.OpenCalls(isEntryUp);
+    this.sentReplies = new sentReplies.SentReplies(isEntryUp);
+    this.replies = new gateReplies.GateReplies(options, this.sentReplies);
     this.server = new serverAvailability.ServerAvailability({
       log,
       checkHealth: () => output.checkHealth(),
@@ -75,11 +85,7 @@
   onCall(arriving: gateCall.ArrivingCall, now: units.MonotonicMs): void {
     const {key, linkId} = arriving;
     const known = this.calls.get(key);
-    if (known) {
-      known.linkId = linkId;
-      known.linkLostMs = undefined;
-      return;
-    }
+    if (known) return known.onResent(linkId);
     if (this.replies.resend(arriving)) return;
     const call = new gateCall.GateCall(arriving, now);
     this.applyNotices([call]);
@@ -89,7 +95,7 @@
     if (reason !== undefined) {
       return this.refuse(call, {reason, mayHaveRun: false}, now);
     }
-    this.calls.set(key, call);
+    this.calls.add(call);
     this.capacity.queue.add(call);
     this.processQueue(now);
   }
@@ -100,18 +106,27 @@
     if (call === undefined) {
       return this.replies.cacheWithdrawal(key, now);
     }
-    call.linkId = undefined;
-    this.cancel(call, now);
+    this.withdraw(call, now);
     this.processQueue(now);
   }
 
   /** Handles the loss of a link; its calls are kept for a while for the entry to resend. */
   onLinkLost(linkId: number, now: units.MonotonicMs): void {
-    for (const call of this.calls.values()) {
-      if (call.linkId !== linkId) continue;
-      call.linkId = undefined;
-      call.linkLostMs = now;
+    this.calls.onLinkLost(linkId, now);
+    this.sentReplies.onLinkLost(linkId, now);
+  }
+
+  /** Handles the start of a node's process: the callers of its former ones are gone. */
+  onEntryStarted(
+    nodeId: string,
+    startedMs: units.EpochMs,
+    now: units.MonotonicMs,
+  ): void {
+    this.replies.discardAnswers(nodeId, startedMs);
+    for (const call of this.calls.succeededBy(nodeId, startedMs)) {
+      this.withdraw(call, now);
     }
+    this.processQueue(now);
   }
 
   /** Handles what the head of an answer states; ignored if the call is not running. */
@@ -190,6 +205,12 @@
     this.server.recheck();
   }
 
+  /** Handles the end of a pause of the process, before any message that came meanwhile. */
+  onResumed(pausedMs: units.Millis): void {
+    for (const call of this.calls.all) call.onResumed(pausedMs);
+    this.recheck();
+  }
+
   /** Handles a change of the operators' intent. */
   onIntent(now: units.MonotonicMs): void {
     const {intent, dataCentre} = this.options;
@@ -208,17 +229,14 @@
 
   /** Handles expired timers. */
   tick(now: units.MonotonicMs): void {
-    for (const call of [...this.calls.values()]) this.expireIfDue(call, now);
+    for (const call of this.calls.all) this.expireIfDue(call, now);
     this.processQueue(now);
   }
 
   /** Returns the next time at which `tick` is due, infinity if there is none. */
   nextWakeMs(now: units.MonotonicMs): units.MonotonicMs {
-    let next = this.capacity.nextWakeMs(now);
-    for (const call of this.calls.values()) {
-      next = Math.min(next, gateTimeouts.dueMs(call, this.capacity));
-    }
-    return next;
+    const {calls, capacity} = this;
+    return Math.min(calls.nextDueMs(capacity), capacity.nextWakeMs(now));
   }
 
   /** Returns why an arriving request is refused, undefined if it is accepted. */
@@ -230,25 +248,13 @@
     const {service} = this.options;
     if (dispatch.service !== service()) return serving.Reason.WRONG_SERVICE;
     if (this.closure() !== serving.Closure.OPEN) return serving.Reason.CLOSED;
-    const barred = this.barredReason(call, now);
+    const barred = barredCall.barredReason(call, this.options, now);
     if (barred) return barred;
     const reason = this.capacity.refusalReason(call, now);
     if (!dispatch.redirectable) this.capacity.onAdmission(reason !== undefined);
     return reason;
   }
 
-  /** Returns why a request must not start whatever the capacity, undefined if it may. */
-  private barredReason(
-    call: gateCall.GateCall,
-    now: units.MonotonicMs,
-  ): serving.Reason | undefined {
-    if (call.deadlineMs <= now) return serving.Reason.NO_TIME;
-    const {suspects, rollouts} = this.options;
-    if (rollouts?.mayStart(now) === false) return serving.Reason.CLOSED;
-    const isBarred = suspects.isQuarantined(call.dispatch.fingerprint, now);
-    return isBarred ? serving.Reason.QUARANTINED : undefined;
-  }
-
   /** Starts queued requests while there is capacity; refuses them all if the gate is closed. */
   private processQueue(now: units.MonotonicMs): void {
     this.applyRateLimit(now);
@@ -282,7 +288,9 @@
     if (this.limitReports.take(limitPerSecond, now)) {
       this.options.output.rateLimitChanged();
     }
-    this.refuseBeyondRate(now);
+    // Other gates may start these sooner.
+    const late = this.capacity.waitingBeyondRate(now);
+    this.refuseUnrun(late, serving.Reason.RATE_LIMITED, now);
   }
 
   /** Applies what entries were told to the incarnation that is now known. */
@@ -292,12 +300,6 @@
     }
   }
 
-  /** Refuses waiting requests at once that other gates may start sooner. */
-  private refuseBeyondRate(now: units.MonotonicMs): void {
-    const calls = this.capacity.waitingBeyondRate(now);
-    this.refuseUnrun(calls, serving.Reason.RATE_LIMITED, now);
-  }
-
   private refuseUnrun(
     calls: readonly gateCall.GateCall[],
     reason: serving.Reason,
@@ -311,7 +313,7 @@
   private start(call: gateCall.GateCall, now: units.MonotonicMs): void {
     const {instanceId, serial, limitPerSecond} = this.server.tracker;
     const {intent, output} = this.options;
-    const barred = this.barredReason(call, now);
+    const barred = barredCall.barredReason(call, this.options, now);
     if (instanceId === undefined || barred !== undefined) {
       return this.refuseUnrun([call], barred ?? serving.Reason.CLOSED, now);
     }
@@ -363,21 +365,19 @@
 
   /** Refuses the calls whose connection broke, once it is known whether the server died. */
   private refuseBroken(serverDied: boolean, now: units.MonotonicMs): void {
-    for (const call of [...this.calls.values()]) {
+    for (const call of this.calls.all) {
       if (call.stage.kind !== 'broken') continue;
       if (serverDied) this.recordDeath(call, now);
-      const reason = serving.Reason.BROKEN;
-      this.refuse(call, {reason, mayHaveRun: true, serverDied}, now);
+      this.refuse(call, {...BROKEN, serverDied}, now);
     }
   }
 
   private recordDeath(call: gateCall.GateCall, now: units.MonotonicMs): void {
     const {suspects, output} = this.options;
-    const suspicion = suspects.onDeath(call.dispatch.fingerprint, now);
-    this.replies.note(call, 'failure', 'server-died', {
-      deaths: suspicion.deaths,
-    });
-    output.reportSuspect(suspicion.fingerprint, suspicion.deaths);
+    const {fingerprint} = call.dispatch;
+    const {deaths} = suspects.onDeath(fingerprint, now);
+    this.replies.note(call, 'failure', 'server-died', {deaths});
+    output.reportSuspect(fingerprint, deaths);
   }
 
   private answer(
@@ -394,10 +394,8 @@
       this.capacity.times.onAnswered(route, durationMs, now);
       this.options.suspects.onAnswered(fingerprint, now);
     }
-    this.replies.note(call, 'routine', 'answered', {
-      status,
-      durationMs: Math.round(durationMs),
-    });
+    const facts = {status, durationMs: Math.round(durationMs)};
+    this.replies.note(call, 'routine', 'answered', facts);
     const load = this.load(now);
     const answer = {call: number, status, headers, body, load};
     this.finish(call, {kind: 'answer', answer}, now);
@@ -405,13 +403,12 @@
 
   private refuse(
     call: gateCall.GateCall,
-    {reason, mayHaveRun, serverDied = false}: gateCall.RefusalDetail,
+    detail: gateCall.RefusalDetail,
     now: units.MonotonicMs,
   ): void {
     const load = this.load(now);
-    const timeLeftMs = Math.round(call.deadlineMs - now);
-    const facts = {mayHaveRun, serverDied, timeLeftMs};
-    this.replies.noteRefusal(call, reason, load, facts);
+    this.replies.noteRefusal(call, detail, load, now);
+    const {reason, mayHaveRun, serverDied = false} = detail;
     const refusal = {
       call: call.dispatch.call,
       reason,
@@ -433,6 +430,14 @@
     this.replies.finish(call, reply, now);
   }
 
+  /** Ends a call whose reply nobody awaits. */
+  private withdraw(call: gateCall.GateCall, now: units.MonotonicMs): void {
+    call.withdrawn = true;
+    call.linkId = undefined;
+    call.lostLink = undefined;
+    this.cancel(call, now);
+  }
+
   /** Ends a call without a recipient; a run that must not be repeated is left to finish. */
   private cancel(call: gateCall.GateCall, now: units.MonotonicMs): void {
     const isRunning = call.stage.kind === 'running';
@@ -442,7 +447,8 @@
       this.abort(call);
     }
     const reason = serving.Reason.WITHDRAWN;
-    this.refuse(call, {reason, mayHaveRun: isRunning}, now);
+    const mayHaveRun = call.stage.kind !== 'waiting';
+    this.refuse(call, {reason, mayHaveRun}, now);
   }
 
   private abort(call: gateCall.GateCall): void {
@@ -452,11 +458,11 @@
 
   private expireIfDue(call: gateCall.GateCall, now: units.MonotonicMs): void {
     if (gateTimeouts.dueMs(call, this.capacity) > now) return;
-    if (call.linkExpiryMs <= now) {
-      call.linkLostMs = undefined;
+    if (this.calls.isLinkExpired(call, now)) {
+      call.lostLink = undefined;
       return this.cancel(call, now);
     }
-    const broken = {reason: serving.Reason.BROKEN, mayHaveRun: true};
+    if (gateTimeouts.dueMs(call, this.capacity) > now) return;
     switch (call.stage.kind) {
       case 'waiting': {
         const reason = this.capacity.expiryReason(call, now);
@@ -466,9 +472,9 @@
         this.capacity.times.onFailed(now);
         this.runReports.onEnded(call, {kind: 'broken'}, now);
         this.abort(call);
-        return this.refuse(call, broken, now);
+        return this.refuse(call, BROKEN, now);
       case 'broken':
-        return this.refuse(call, broken, now);
+        return this.refuse(call, BROKEN, now);
       default:
         return invariants.assertNever(call.stage);
     }
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -1,6 +1,7 @@
 /** Sessions of other nodes' entries with this node's gate. */
 import * as net from 'node:net';
 
+import * as callKey from '../../common/serving/call_key.js';
 import * as units from '../../common/units.js';
 import * as serving from '../../generated/serving.js';
 import * as frameParts from '../frame_parts.js';
@@ -17,13 +18,18 @@
 
 /** Receives the events of sessions. */
 export interface EntrySessionsListener {
-  /** A node has connected and sent its greeting. */
-  onGreeting(sender: serving.NodeRecord): void;
+  /** A process of a node has connected and sent its greeting. */
+  onGreeting(sender: serving.NodeRecord, startedMs: units.EpochMs): void;
   onDispatch(key: string, linkId: number, dispatch: serving.Dispatch): void;
   onWithdraw(key: string): void;
   /** An entry asks for tokens; the answer is sent at once. */
   onTokenRequest(request: serving.TokenRequest): serving.TokenGrant;
-  onLinkLost(linkId: number): void;
+  /**
+   * A session has closed.
+   *
+   * @param isEnded whether it was ended here, and then by its peer, without an error.
+   */
+  onLinkLost(linkId: number, isEnded: boolean): void;
 }
 
 /** Dependencies of `EntrySessions`. */
@@ -43,8 +49,10 @@
 
 class Session {
   readonly socket: framedSocket.FramedSocket<serving.NodeFrame>;
-  /** Id of the entry's process, `node id@start time`; undefined before its greeting. */
+  /** Id of the entry's process, see `callKey.processOf`; undefined before its greeting. */
   entryProcess: string | undefined;
+  /** Whether this side is ended; what is sent from now on is lost. */
+  ending = false;
   pulsedMs: units.MonotonicMs = 0;
   dispatchedMs: units.MonotonicMs = -Infinity;
 
@@ -124,6 +132,14 @@
     }
   }
 
+  /** Ends a session after its queued frames; the listener is told once its peer has ended it. */
+  end(linkId: number): void {
+    const session = this.sessions.get(linkId);
+    if (session === undefined || session.ending) return;
+    session.ending = true;
+    session.socket.end();
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     const closed = new Promise<void>(resolve =>
       this.server.close(() => resolve()),
@@ -155,15 +171,17 @@
   private accept(connection: net.Socket): void {
     const session = new Session(++this.lastId, connection, {
       onFrame: frame => this.receive(session, connection, frame),
-      onClose: () => this.onClosed(session),
+      onClose: () => this.onClosed(session, connection),
     });
     this.sessions.set(session.id, session);
     connection.setTimeout(GREETING_TIMEOUT_MS, () => connection.destroy());
   }
 
-  private onClosed(session: Session): void {
+  private onClosed(session: Session, connection: net.Socket): void {
     this.sessions.delete(session.id);
-    this.options.listener.onLinkLost(session.id);
+    const {writableFinished, readableEnded, errored} = connection;
+    const isWhole = writableFinished && readableEnded && errored === null;
+    this.options.listener.onLinkLost(session.id, session.ending && isWhole);
   }
 
   private receive(
@@ -181,13 +199,15 @@
     const {listener} = this.options;
     switch (body?.$case) {
       case 'dispatch': {
-        const key = `${session.entryProcess}/${body.value.call}`;
+        // The entry sends it again over another link.
+        if (session.ending) return;
+        const key = callKey.format(session.entryProcess, body.value.call);
         session.dispatchedMs = this.options.nowMs();
         return listener.onDispatch(key, session.id, body.value);
       }
       case 'withdraw':
         return listener.onWithdraw(
-          `${session.entryProcess}/${body.value.call}`,
+          callKey.format(session.entryProcess, body.value.call),
         );
       case 'ping':
         return this.sendPulse(
@@ -240,10 +260,17 @@
       return;
     }
     connection.setTimeout(IDLE_TIMEOUT_MS, () => connection.destroy());
-    session.entryProcess = `${sender.nodeId}@${processStartedMs}`;
+    const {nodeId} = sender;
+    session.entryProcess = callKey.processOf(nodeId, processStartedMs);
     if (greeting.acceptsParts) session.socket.allowParts();
     this.sendPulse(session, this.options.pulse(), this.options.nowMs());
-    this.options.listener.onGreeting(sender);
+    this.options.listener.onGreeting(sender, processStartedMs);
+    for (const {entryProcess = '', socket} of this.sessions.values()) {
+      if (callKey.isSucceeded(entryProcess, nodeId, processStartedMs)) {
+        // Its unread requests have no callers any more.
+        socket[Symbol.dispose]();
+      }
+    }
   }
 }
 
--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -34,13 +34,6 @@
 const FIRST_BACKOFF_MS: units.Millis = 100;
 const MAX_BACKOFF_MS: units.Millis = 4_000;
 
-/** Codes of errors by which an instance is known not to answer; a process causes the others. */
-const UNANSWERED_CODES: ReadonlySet<string> = new Set([
-  'ETIMEDOUT',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-]);
-
 /** Detail of the loss of a link whose gate did not answer a ping. */
 const SILENT = 'silent';
 
@@ -112,6 +105,11 @@
     return this.state.kind === 'up';
   }
 
+  /** Start of the gate's process, undefined while the link is not up. */
+  get processStartedMs(): units.EpochMs | undefined {
+    return this.isUp ? this.gateStartedMs : undefined;
+  }
+
   /** Whether the gate has not answered a ping in time and may be unreachable. */
   get isMaybeUnreachable(): boolean {
     return this.maybeUnreachable;
@@ -252,8 +250,7 @@
     if (this.silentSocket === socket) this.silentSocket = undefined;
     if (this.socket !== socket) return;
     if (this.isUp) return this.handleLoss(detail);
-    const isUnanswered = UNANSWERED_CODES.has(detail);
-    this.handleOpenFailed(isUnanswered ? 'unanswered' : 'refused');
+    this.handleOpenFailed(linkOutage.failureKindOf(detail));
   }
 
   private onBytes(socket: LinkSocket): void {
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -19,6 +19,9 @@
 import * as serverPool from './server_pool.js';
 import * as telemetry from './telemetry.js';
 
+/** Share of the process's memory for answers that entries may not have received. */
+const REPLY_MEMORY_SHARE = 1 / 8;
+
 /** Link id of the local entry; sessions of other entries count from 1. */
 const LOCAL_LINK_ID = 0;
 
@@ -52,6 +55,8 @@
   /** Answers an entry that asks for tokens. */
   onTokenRequest(request: serving.TokenRequest): serving.TokenGrant;
   greeting(toNodeId: string): serving.Greeting;
+  /** Whether this node's own link to an entry's node shows that the entry's process runs. */
+  isEntryUp(entryProcess: string): boolean;
   /** Whether this node reads the operators' records successfully. */
   readsStore(): boolean;
   /** Returns the answer to a peer's question for this node's freshness proof. */
@@ -77,6 +82,8 @@
       ...options,
       // The monotonic clock counts from the start of the process.
       startedMs: 0,
+      replyBytes:
+        REPLY_MEMORY_SHARE * answerMemory.BYTES_PER_MB * options.memoryMb,
       output: this.gateOutput(),
     });
     this.pool = this.resources.use(this.makePool());
@@ -100,7 +107,7 @@
   dispatchLocal(dispatch: serving.Dispatch): void {
     const key = localKey(dispatch.call);
     this.gate.onCall(
-      {key, linkId: LOCAL_LINK_ID, dispatch},
+      {key, linkId: LOCAL_LINK_ID, dispatch, isRemote: false},
       clock.monotonicMs(),
     );
   }
@@ -111,9 +118,23 @@
   }
 
   /** Handles the end of a pause of the process. */
-  onResumed(): void {
+  onResumed(pausedMs: units.Millis): void {
     this.health.abandon();
-    this.gate.recheck();
+    this.gate.onResumed(pausedMs);
+  }
+
+  /** Number of requests without a reply that its entry has or no longer awaits. */
+  get unfinished(): number {
+    const {unanswered, sentReplies} = this.gate;
+    return unanswered + sentReplies.lostCount(clock.monotonicMs());
+  }
+
+  /** Ends the links with replies that may be unread and returns their number. */
+  endUnconfirmedLinks(): number {
+    const now = clock.monotonicMs();
+    const links = this.gate.sentReplies.unconfirmedLinks(now);
+    for (const linkId of links) this.sessions.end(linkId);
+    return links.size;
   }
 
   /** Sends a pulse to all entries now. */
@@ -233,9 +254,12 @@
         this.options.rollouts.isActive ? ROLLOUT_PULSE_MS : Infinity,
       nodeCount: () => directory.size,
       listener: {
-        onGreeting: sender => {
+        onGreeting: (sender, startedMs) => {
+          const {nodeId} = sender;
           directory.put(sender);
-          this.options.onPeerGreeting(sender.nodeId);
+          this.options.onPeerGreeting(nodeId);
+          this.gate.onEntryStarted(nodeId, startedMs, clock.monotonicMs());
+          afterEvent();
         },
         onDispatch: (key, linkId, dispatch) => {
           const waitedMs = this.options.waitedMs();
@@ -248,7 +272,11 @@
           afterEvent();
         },
         onTokenRequest: request => this.options.onTokenRequest(request),
-        onLinkLost: linkId => this.gate.onLinkLost(linkId, clock.monotonicMs()),
+        onLinkLost: (linkId, isEnded) => {
+          const now = clock.monotonicMs();
+          if (isEnded) this.gate.sentReplies.onLinkEnded(linkId, now);
+          else this.gate.onLinkLost(linkId, now);
+        },
       },
     });
   }
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -124,16 +124,17 @@
   /** Runs a planned stop; resolves when all requests are finished or its time limit has passed. */
   stop(): Promise<void> {
     const {callers} = this.entryRuntime;
-    const {gate} = this.gateRuntime;
+    const {gateRuntime: gates} = this;
     this.stopping ??= new nodeStop.NodeStop({
       stopMs: this.options.platform.bounds.stopMs,
       begin: () => {
-        gate.stop(clock.monotonicMs());
+        gates.gate.stop(clock.monotonicMs());
         this.afterEvent();
       },
       announceClosing: () => callers.announceClosing(),
       refuseNew: () => callers.refuseNew(),
-      unfinished: () => callers.inProgress + gate.unanswered,
+      unfinished: () => callers.inProgress + gates.unfinished,
+      endUnconfirmedLinks: () => gates.endUnconfirmedLinks(),
     });
     return this.stopping.finished;
   }
@@ -323,6 +324,8 @@
       soleSenderSinceMs: processStartedMs - platform.bounds.restartGapMs,
       readsStore: () => this.storeReaders.readsStore,
       freshness: question => this.keys.answer(question),
+      isEntryUp: entryProcess =>
+        this.entryRuntime.links.isProcessUp(entryProcess),
       onPeerGreeting: nodeId => this.entryRuntime.links.reconnectNow(nodeId),
       onTokenRequest: request =>
         this.entryRuntime.quotas.onTokenRequest(request),
@@ -415,7 +418,7 @@
   private onResumed(pausedMs: units.Millis): void {
     this.note('resumed', {pausedMs: Math.round(pausedMs)});
     this.entryRuntime.quotas.onResumed();
-    this.gateRuntime.onResumed();
+    this.gateRuntime.onResumed(pausedMs);
   }
 
   private tick(): void {
