An answer in another transfer coding than chunks is not relayed

Callers saw a 200 with a short or empty body, framed as whole, when a server answered with Transfer-Encoding: gzip, or with a coding after chunked, and closed the connection early: such a body ends with its connection, but any transfer coding counted as a delimiter. A coding before chunked was relayed without being undone, as the header is dropped.

A body now counts as delimited by a length or by chunks alone.

--- a/src/node/http_headers.ts
+++ b/src/node/http_headers.ts
@@ -6,6 +6,8 @@
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
 
+const CHUNKED = 'chunked';
+
 /** Time left for a request, in milliseconds. */
 export const DEADLINE_HEADER = 'Geraniumloft-Deadline-Ms';
 
@@ -118,15 +120,17 @@
 
 /**
  * Whether the headers of an answer delimit its body. Without a length or chunked coding, a
- * truncated body looks complete.
+ * truncated body looks complete. Other transfer codings end with the connection, or would have to
+ * be decoded.
  */
 export function isDelimited(
   status: number,
   headers: http.IncomingHttpHeaders,
 ): boolean {
+  const coding = headers['transfer-encoding'];
+  if (coding !== undefined) return coding.toLowerCase() === CHUNKED;
   return (
     headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined ||
     status === NO_CONTENT ||
     status === NOT_MODIFIED
   );
