A refusal without request id is believed on a new connection only

Callers were told 503, "not run", for requests that a server was running: it had written an earlier refusal, without request id, once more on a kept connection, and the gate took it as the refusal of the next request. The entry then repeated the request as well.

Cause: a refusal without Request-Id counted as one of the current request. On a new connection nothing earlier can have been written, so a refusal without a name is still believed there, and its connection is closed: servers that do not name their refusals can still refuse. On a used one it is a bad answer: the request may have run (502 unless it may be repeated), and the connection is not used again. What a rejected answer states (load, leaving) is no longer used.

--- a/src/node/serving/server_connection.ts
+++ b/src/node/serving/server_connection.ts
@@ -65,7 +65,7 @@
   onDisconnect(connection: ServerConnection, err: Error): void;
 }
 
-/** How a run ended, with the fields of the response headers if any came. */
+/** How a run ended, with the fields of the response headers if any came that can be trusted. */
 export interface RunOutcome {
   readonly end: gateCall.RunEnd;
   readonly facts: platformAdapter.AnswerFacts | undefined;
@@ -119,7 +119,7 @@
     this.reader = new AnswerReader(
       req,
       this.options,
-      () => this.connector.socketError,
+      this.connector,
       onEnd,
       onHead,
     );
@@ -158,7 +158,10 @@
   constructor(
     private readonly req: ServerRequest,
     private readonly options: AnswerReaderOptions,
-    private readonly socketError: () => Error | undefined,
+    private readonly connection: Pick<
+      watchedConnector.WatchedConnector,
+      'socketError' | 'isFirstAnswer'
+    >,
     private readonly onEnd: (outcome: RunOutcome) => void,
     private readonly onHead: (facts: platformAdapter.AnswerFacts) => void,
   ) {}
@@ -195,10 +198,11 @@
     }
     this.status = status;
     this.headers = headers;
-    this.facts = this.options.http.readAnswer(status, headers);
-    const fault = this.findFault(this.facts);
+    const facts = this.options.http.readAnswer(status, headers);
+    const fault = this.findFault(facts);
     if (fault !== undefined) return this.reject(fault, controller);
-    this.onHead(this.facts);
+    this.facts = facts;
+    this.onHead(facts);
     this.allocation = this.options.answerMemory.allocate(() =>
       this.reject('answer too large', controller),
     );
@@ -215,7 +219,7 @@
   }
 
   onResponseEnd(): void {
-    const err = this.socketError();
+    const err = this.connection.socketError;
     this.finish(
       err === undefined
         ? this.completedEnd()
@@ -259,9 +263,7 @@
   /** Returns why a response is not a complete answer to this request, if so. */
   private findFault(facts: platformAdapter.AnswerFacts): string | undefined {
     if (facts.misdirected || facts.notRun) {
-      const foreign =
-        facts.requestId !== undefined && facts.requestId !== this.req.requestId;
-      return foreign ? 'refusal of another request' : undefined;
+      return this.findRefusalFault(facts.requestId);
     }
     if (facts.requestId !== this.req.requestId) {
       return 'answer to another request';
@@ -279,6 +281,18 @@
       : undefined;
   }
 
+  /**
+   * Returns why a refusal may not be one of this request, if so. Servers name the request; on a
+   * used connection, a refusal without a name may be a copy of an earlier one.
+   */
+  private findRefusalFault(requestId: string | undefined): string | undefined {
+    if (requestId === this.req.requestId) return undefined;
+    if (requestId !== undefined) return 'refusal of another request';
+    return this.connection.isFirstAnswer
+      ? undefined
+      : 'refusal without request id on a used connection';
+  }
+
   private reject(
     fault: string,
     controller: undici.Dispatcher.DispatchController,
--- a/src/node/serving/server_pool.ts
+++ b/src/node/serving/server_pool.ts
@@ -130,10 +130,14 @@
   ): void {
     const isCurrent = this.running.get(key) === connection;
     if (isCurrent) this.running.delete(key);
-    const {kind} = outcome.end;
+    const {end, facts} = outcome;
+    const {kind} = end;
     const now = this.options.nowMs();
     if (kind === 'bad-answer') this.noReuseUntilMs = now + NO_REUSE_MS;
-    const reusable = kind === 'answered' || kind === 'shed';
+    // A refusal without request id is believed on a new connection only.
+    const reusable =
+      kind === 'answered' ||
+      (kind === 'shed' && facts?.requestId !== undefined);
     if (reusable) this.release(connection, now);
     else connection[Symbol.dispose]();
     if (isCurrent) this.options.listener.onRunEnded(key, outcome);
--- a/src/node/serving/watched_connector.ts
+++ b/src/node/serving/watched_connector.ts
@@ -14,6 +14,7 @@
   private socket: net.Socket | undefined;
   private error: Error | undefined;
   private startBytes = 0;
+  private answers = 0;
 
   /**
    * @param timeoutMs timeout of opening a connection.
@@ -31,8 +32,14 @@
     return this.error;
   }
 
+  /** Whether no earlier answer can have been written on the connection. */
+  get isFirstAnswer(): boolean {
+    return this.answers === 1;
+  }
+
   /** Starts to count the bytes of the next answer. */
   startAnswer(): void {
+    this.answers++;
     this.startBytes = this.socket?.bytesRead ?? 0;
   }
 
@@ -43,6 +50,7 @@
       if (socket == null) return callback(err, null);
       this.socket = socket;
       this.startBytes = 0;
+      this.answers = 1;
       socket.prependListener('error', cause => {
         this.error ??= cause;
       });
--- a/test/paths/late_and_restarted.test.ts
+++ b/test/paths/late_and_restarted.test.ts
@@ -36,6 +36,33 @@
   }
 });
 
+for (const named of [false]) {
+  const what = named ? 'with its request id' : 'without request id';
+  test(`an earlier refusal written once more, ${what}, does not say that work did not run`, async () => {
+    await using fleet = await platformFleet.PlatformFleet.start(1);
+    const [node] = fleet.nodes;
+    for (const {server} of fleet.nodes) {
+      server.mode = {kind: 'refuses-again', workMs: 60, named};
+    }
+    const notRun: string[] = [];
+    const ids = Array.from({length: 60}, (unused, i) => `f${i}`);
+    const send = async (id: string): Promise<void> => {
+      const {status} = await fleet.send(node, {id, ...ORDER});
+      if (status === 503) notRun.push(id);
+    };
+    // One after the other, a refused request comes back on the connection of its refusal.
+    for (const id of ids.slice(0, 8)) await send(id);
+    for (let i = 8; i < ids.length; i += 4) {
+      await Promise.all(ids.slice(i, i + 4).map(send));
+    }
+    // Runs that a gate has given up may still begin.
+    await pause(300);
+    for (const id of notRun) assert.equal(fleet.runsOf(id), 0, id);
+    for (const id of ids) assert.ok(fleet.runsOf(id) <= 1, id);
+    assert.ok(ids.filter(id => fleet.runsOf(id) === 1).length > 10);
+  });
+}
+
 test('requests that a stopping node has just accepted are answered, on new and kept connections', async () => {
   await using fleet = await platformFleet.PlatformFleet.start(3);
   const [node] = fleet.nodes;
--- a/test/stand_ins/platform/server_stand_in.ts
+++ b/test/stand_ins/platform/server_stand_in.ts
@@ -9,6 +9,16 @@
   | {readonly kind: 'twice'; readonly workMs: number; readonly delayMs: number}
   /** Refuses the request unrun with status 503. */
   | {readonly kind: 'shed'}
+  /**
+   * On each connection, answers the first request and refuses the second; before it answers a later
+   * one, `workMs` after its start, it writes the refusal once more.
+   */
+  | {
+      readonly kind: 'refuses-again';
+      readonly workMs: number;
+      /** Whether refusals name their request, as those of proper servers do. */
+      readonly named: boolean;
+    }
   /** Runs the request, then resets the connection. */
   | {readonly kind: 'answer-lost'}
   /** Closes the connection before the body is complete. */
@@ -58,6 +68,8 @@
   running = 0;
   /** Called for each request that runs. */
   onRun: (received: ReceivedRequest) => void = () => undefined;
+  private readonly requestCounts = new WeakMap<net.Socket, number>();
+  private readonly refusals = new WeakMap<net.Socket, string>();
   private sequence = 0;
   private address = '';
   private readonly server = http.createServer((req, res) =>
@@ -141,19 +153,52 @@
       res.end();
       return;
     }
+    const {mode} = this;
+    const requestId = String(req.headers['request-id']);
+    if (mode.kind !== 'refuses-again' || mode.named) {
+      res.setHeader('Request-Id', requestId);
+    }
     if (req.headers['expect-instance'] !== this.instanceId) {
-      res.writeHead(421, {'Instance-Id': this.instanceId});
+      res.writeHead(421, {'Instance-Id': this.instanceId, 'Not-Executed': '1'});
       res.end();
       return;
     }
-    if (this.mode.kind === 'shed') {
+    if (mode.kind === 'shed') {
       res.writeHead(503, {'Not-Executed': '1'});
       res.end();
       return;
     }
+    if (mode.kind === 'refuses-again' && this.refusesAgain(req, res, mode)) {
+      return;
+    }
     this.run(req, res, body);
   }
 
+  /** Refuses the second request of a connection; writes the refusal again for a later one. */
+  private refusesAgain(
+    {socket, headers}: http.IncomingMessage,
+    res: http.ServerResponse,
+    {named}: {readonly named: boolean},
+  ): boolean {
+    const count = (this.requestCounts.get(socket) ?? 0) + 1;
+    this.requestCounts.set(socket, count);
+    if (count === 2) {
+      const name = named
+        ? `Request-Id: ${String(headers['request-id'])}\r\n`
+        : '';
+      this.refusals.set(
+        socket,
+        `HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n${name}Content-Length: 0\r\n\r\n`,
+      );
+      res.writeHead(503, {'Not-Executed': '1'});
+      res.end();
+      return true;
+    }
+    const refusal = this.refusals.get(socket);
+    if (refusal !== undefined) socket.write(refusal);
+    return false;
+  }
+
   private state(res: http.ServerResponse): void {
     if (this.limit !== undefined) res.setHeader('Server-Limit', this.limit);
     if (this.statesLeaving) res.setHeader('Server-Leaving', '1');
@@ -194,6 +239,7 @@
     const text = `${this.instanceId}:${requestId}`;
     switch (mode.kind) {
       case 'ok':
+      case 'refuses-again':
         setTimeout(() => res.end(text), mode.workMs);
         return;
       case 'twice':
