A refused request that comes back goes over a new connection

A caller was told 503, "not run", for a POST that had run seven times: the server refused it, with its request id; the entry sent it again, to the same server as there was no other; it went over the same kept connection, where the server wrote the first refusal once more before it ran the request. The request id is the same, so the copy was taken for a second refusal.

The pool now keeps the ids of refused requests until their deadlines and opens a new connection for one that comes back.

--- a/src/node/serving/server_pool.ts
+++ b/src/node/serving/server_pool.ts
@@ -38,6 +38,8 @@
     string,
     serverConnection.ServerConnection
   >();
+  /** Requests that the backend server refused, with their deadlines. */
+  private readonly refused = new Map<string, units.MonotonicMs>();
   private noReuseUntilMs: units.MonotonicMs = 0;
   private origin = '';
 
@@ -63,7 +65,10 @@
     timeLeftMs: units.Millis,
   ): void {
     const {key, dispatch} = call;
-    const connection = this.takeConnection(dispatch.repeatable);
+    const connection = this.takeConnection(
+      dispatch.repeatable,
+      this.refused.has(dispatch.requestId),
+    );
     this.running.set(key, connection);
     const fields = {
       instanceId,
@@ -79,7 +84,10 @@
     };
     connection.send(
       request,
-      outcome => this.onEnded(key, connection, outcome),
+      outcome => {
+        if (outcome.end.kind === 'shed') this.noteRefused(request);
+        this.onEnded(key, connection, outcome);
+      },
       facts => {
         if (this.running.get(key) !== connection) return;
         this.options.listener.onHead(key, facts);
@@ -99,13 +107,29 @@
     for (const key of [...this.running.keys()]) this.abort(key);
   }
 
+  /** Notes a refused request, which may come back before its deadline. */
+  private noteRefused(request: serverConnection.ServerRequest): void {
+    const now = this.options.nowMs();
+    for (const [requestId, deadlineMs] of this.refused) {
+      if (deadlineMs > now) break;
+      this.refused.delete(requestId);
+    }
+    this.refused.set(request.requestId, request.deadlineMs);
+  }
+
+  /**
+   * @param wasRefused whether the request may meet a copy of its own refusal on a connection that
+   *     was used.
+   */
   private takeConnection(
     repeatable: boolean,
+    wasRefused: boolean,
   ): serverConnection.ServerConnection {
     const now = this.options.nowMs();
     const last = this.idle.at(-1);
     const mayReuse =
       last !== undefined &&
+      !wasRefused &&
       (repeatable ||
         (now - last.lastUsedMs <= MAX_REUSE_IDLE_MS &&
           now >= this.noReuseUntilMs));
--- a/test/paths/late_and_restarted.test.ts
+++ b/test/paths/late_and_restarted.test.ts
@@ -36,7 +36,7 @@
   }
 });
 
-for (const named of [false]) {
+for (const named of [true, false]) {
   const what = named ? 'with its request id' : 'without request id';
   test(`an earlier refusal written once more, ${what}, does not say that work did not run`, async () => {
     await using fleet = await platformFleet.PlatformFleet.start(1);
