The head of an answer that was broken off is not joined with the next one

Callers saw a 200 with the body of a failure: a server broke off within the status line or a header of one answer and wrote another one on the connection. The parser reads the second status line as the rest of the reason phrase or of the header, so the first status counts with the headers and the id of the second answer. In the same way the start of a refusal made an answer a refusal, "not run".

An answer with a status line inside its head is now a bad answer. A parser error after a Content-Length header is one too; it counted as a broken connection.

The other daemon's connections (src/node/server_connection.ts) get the same check, without a test of their own.

--- a/src/node/http_headers.ts
+++ b/src/node/http_headers.ts
@@ -8,6 +8,9 @@
 
 const CHUNKED = 'chunked';
 
+/** Start of a status line, up to the status. */
+const STATUS_LINE = /HTTP\/\d\.\d \d{3}/;
+
 /** Time left for a request, in milliseconds. */
 export const DEADLINE_HEADER = 'Geraniumloft-Deadline-Ms';
 
@@ -136,6 +139,24 @@
   );
 }
 
+/**
+ * Whether the head of an answer contains the status line of another one: a server broke off within
+ * its head and then wrote another answer, whose head was read as the rest of the first.
+ *
+ * @param reason reason phrase of the status line.
+ */
+export function isJoinedHead(
+  reason: string,
+  headers: http.IncomingHttpHeaders,
+): boolean {
+  if (STATUS_LINE.test(reason)) return true;
+  return Object.values(headers).some(value =>
+    Array.isArray(value)
+      ? value.some(one => STATUS_LINE.test(one))
+      : value !== undefined && STATUS_LINE.test(value),
+  );
+}
+
 /** Returns the value of the header `name`, undefined if absent. */
 export function findHeader(
   headers: readonly peer.Header[],
--- a/src/node/server_connection.ts
+++ b/src/node/server_connection.ts
@@ -123,6 +123,7 @@
     controller: undici.Dispatcher.DispatchController,
     status: number,
     headers: http.IncomingHttpHeaders,
+    reason = '',
   ): void {
     if (status < 200) return;
     this.responseStarted = true;
@@ -131,7 +132,8 @@
     const isDelimited =
       this.request.method === 'HEAD' ||
       httpHeaders.isDelimited(status, headers);
-    if (!this.matchesRequestId(headers) || !isDelimited) {
+    const isJoined = httpHeaders.isJoinedHead(reason, headers);
+    if (!this.matchesRequestId(headers) || !isDelimited || isJoined) {
       controller.abort(new Error('answer cannot be relayed'));
     }
   }
--- a/src/node/serving/server_connection.ts
+++ b/src/node/serving/server_connection.ts
@@ -188,6 +188,7 @@
     controller: undici.Dispatcher.DispatchController,
     status: number,
     headers: http.IncomingHttpHeaders,
+    reason = '',
   ): void {
     if (status < FIRST_FINAL_STATUS) {
       this.informationalCount++;
@@ -199,7 +200,9 @@
     this.status = status;
     this.headers = headers;
     const facts = this.options.http.readAnswer(status, headers);
-    const fault = this.findFault(facts);
+    const fault = httpHeaders.isJoinedHead(reason, headers)
+      ? 'heads of two answers'
+      : this.findFault(facts);
     if (fault !== undefined) return this.reject(fault, controller);
     this.facts = facts;
     this.onHead(facts);
@@ -238,7 +241,8 @@
     const cutShort = this.facts !== undefined;
     const malformed =
       err instanceof undici.errors.HTTPParserError ||
-      err instanceof undici.errors.HeadersOverflowError;
+      err instanceof undici.errors.HeadersOverflowError ||
+      err instanceof undici.errors.ResponseContentLengthMismatchError;
     this.finish(
       cutShort || malformed
         ? {kind: 'bad-answer', detail: err.message}
--- a/test/paths/platform_path.test.ts
+++ b/test/paths/platform_path.test.ts
@@ -51,7 +51,15 @@
 test('answers that cannot be trusted reach no caller as success', async () => {
   await using fleet = await platformFleet.PlatformFleet.start(1);
   const [node] = fleet.nodes;
-  const kinds = ['cut', 'unframed', 'foreign', 'unsealed', 'answer-lost'];
+  const kinds = [
+    'cut',
+    'cut-head',
+    'joined-heads',
+    'unframed',
+    'foreign',
+    'unsealed',
+    'answer-lost',
+  ];
   for (const kind of kinds) {
     node.server.mode = {kind} as typeof node.server.mode;
     const req = {path: '/place/1', method: 'POST', body: 'order'};
--- a/test/stand_ins/platform/server_stand_in.ts
+++ b/test/stand_ins/platform/server_stand_in.ts
@@ -23,6 +23,10 @@
   | {readonly kind: 'answer-lost'}
   /** Closes the connection before the body is complete. */
   | {readonly kind: 'cut'}
+  /** Closes the connection before the head is complete. */
+  | {readonly kind: 'cut-head'}
+  /** Writes the start of a success, then the whole answer of a failure. */
+  | {readonly kind: 'joined-heads'}
   /** Answers without a length, then closes the connection. */
   | {readonly kind: 'unframed'}
   /** Answers with the id of another request. */
@@ -260,6 +264,14 @@
         res.write(text);
         setTimeout(() => req.socket.destroy(), 5);
         return;
+      case 'cut-head':
+        req.socket.end(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nSer`);
+        return;
+      case 'joined-heads':
+        req.socket.write('HTTP/1.1 200 ');
+        res.writeHead(500);
+        res.end(text);
+        return;
       case 'unframed':
         res.removeHeader('Server-Load');
         req.socket.end(
