A health check does not read the answer to another request

Health checks have no request id; an answer with one, on a used connection, is now discarded with the connection, as is a joined head, and the check is made again on a new connection, where any answer is read. So servers that name all their answers stay healthy.

Before the change the three tests of such answers failed.

--- a/src/node/serving/health_checker.test.ts
+++ b/src/node/serving/health_checker.test.ts
@@ -8,7 +8,7 @@
 
 const {test} = nodeTest;
 
-/** Reads nothing from headers. */
+/** Reads nothing but the request id from headers. */
 const CODEC: platformAdapter.HeaderCodec = {
   readCaller: () => ({
     requestId: undefined,
@@ -18,8 +18,8 @@
   originHeaders: () => [],
   isReserved: () => false,
   runHeaders: () => [],
-  readAnswer: () => ({
-    requestId: undefined,
+  readAnswer: (unusedStatus, headers) => ({
+    requestId: headers.id as string | undefined,
     sealed: false,
     notRun: false,
     misdirected: false,
@@ -42,9 +42,13 @@
   now = 1_000;
   hasWaiting = false;
   checks = 0;
+  /** Results of the checks. */
+  readonly healthy: boolean[] = [];
+  /** Writes the answer to a check. */
+  reply: (res: http.ServerResponse) => void = res => res.end();
   private readonly server = http.createServer((unusedReq, res) => {
     this.checks++;
-    res.end();
+    this.reply(res);
   });
   private checked: () => void = () => undefined;
   private readonly checker = new healthChecker.HealthChecker({
@@ -54,7 +58,10 @@
     hasWaiting: () => this.hasWaiting,
     nowMs: () => this.now,
     listener: {
-      onHealth: () => this.checked(),
+      onHealth: ({healthy}) => {
+        this.healthy.push(healthy);
+        this.checked();
+      },
       onHealthFailed: failure => assert.fail(failure),
     },
   });
@@ -106,3 +113,49 @@
   await new Promise(resolve => setTimeout(resolve, SETTLE_MS));
   assert.equal(harness.checks, 2);
 });
+
+/** Answers to other requests that a server writes where the answer to a check is due. */
+const FOREIGN: Readonly<Record<string, (res: http.ServerResponse) => void>> = {
+  'the answer to a request': res => {
+    res.writeHead(200, {Id: 'r1'});
+    res.end();
+  },
+  'the refusal of a request': res => {
+    res.writeHead(503, {Id: 'r1'});
+    res.end();
+  },
+  'the start of an answer and another answer': res => {
+    res.socket?.write(
+      'HTTP/1.1 200 HTTP/1.1 503 Draining\r\nContent-Length: 0\r\n\r\n',
+    );
+  },
+};
+
+for (const [what, reply] of Object.entries(FOREIGN)) {
+  test(`a check that reads ${what} is made again on a new connection`, async () => {
+    await using harness = await new Harness().open();
+    await harness.answered(checker => checker.checkNow());
+    harness.reply = res => {
+      harness.reply = again => {
+        again.writeHead(503);
+        again.end();
+      };
+      reply(res);
+    };
+    await harness.answered(checker => checker.checkNow());
+    assert.equal(harness.checks, 3);
+    assert.deepEqual(harness.healthy, [true, false]);
+  });
+}
+
+test('the answers of a server that names each of them are read', async () => {
+  await using harness = await new Harness().open();
+  harness.reply = res => {
+    res.writeHead(200, {Id: 'generated'});
+    res.end();
+  };
+  for (let i = 0; i < 4; i++) {
+    await harness.answered(checker => checker.checkNow());
+  }
+  assert.deepEqual(harness.healthy, [true, true, true, true]);
+});
--- a/src/node/serving/health_checker.ts
+++ b/src/node/serving/health_checker.ts
@@ -6,6 +6,7 @@
 import * as incarnations from '../../common/serving/incarnations.js';
 import * as serverPace from '../../common/serving/server_pace.js';
 import * as units from '../../common/units.js';
+import * as httpHeaders from '../http_headers.js';
 import * as platformAdapter from './platform_adapter.js';
 import * as watchedConnector from './watched_connector.js';
 
@@ -123,7 +124,8 @@
     this.checkedMs = this.options.nowMs();
     this.client ??= this.openClient();
     const {client} = this;
-    this.connector?.startAnswer();
+    const {connector} = this;
+    connector?.startAnswer();
     const checkNumber = ++this.checkNumber;
     const timer = setTimeout(() => {
       if (this.checkNumber !== checkNumber) return;
@@ -137,12 +139,24 @@
     client.dispatch(
       {method: 'GET', path},
       new HealthReader(
+        (reason, headers) =>
+          httpHeaders.isJoinedHead(reason, headers) ||
+          (connector?.isFirstAnswer === false && this.isNamed(headers)),
         (status, headers) => settle(() => this.report(status, headers)),
         err => settle(() => this.fail(err)),
       ),
     );
   }
 
+  /**
+   * Whether an answer names a request. Checks have no request id, so on a used connection such an
+   * answer may belong to a request.
+   */
+  private isNamed(headers: http.IncomingHttpHeaders): boolean {
+    const {requestId} = this.options.http.readAnswer(OK_STATUS, headers);
+    return requestId !== undefined;
+  }
+
   private openClient(): undici.Client {
     this.connector = new watchedConnector.WatchedConnector(
       TIMEOUT_MS,
@@ -207,6 +221,10 @@
   private headers: http.IncomingHttpHeaders = {};
 
   constructor(
+    private readonly isForeign: (
+      reason: string,
+      headers: http.IncomingHttpHeaders,
+    ) => boolean,
     private readonly onAnswered: (
       status: number,
       headers: http.IncomingHttpHeaders,
@@ -217,10 +235,14 @@
   onRequestStart(): void {}
 
   onResponseStart(
-    unusedController: undici.Dispatcher.DispatchController,
+    controller: undici.Dispatcher.DispatchController,
     status: number,
     headers: http.IncomingHttpHeaders,
+    reason = '',
   ): void {
+    if (this.isForeign(reason, headers)) {
+      return controller.abort(new Error('answer to another request'));
+    }
     this.status = status;
     this.headers = headers;
   }
