--- a/src/node/http_headers.ts
+++ b/src/node/http_headers.ts
@@ -6,6 +6,11 @@
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
 
+const CHUNKED = 'chunked';
+
+/** Start of a status line, up to the status. */
+const STATUS_LINE = /HTTP\/\d\.\d \d{3}/;
+
 /** Time left for a request, in milliseconds. */
 export const DEADLINE_HEADER = 'Geraniumloft-Deadline-Ms';
 
@@ -118,20 +123,40 @@
 
 /**
  * Whether the headers of an answer delimit its body. Without a length or chunked coding, a
- * truncated body looks complete.
+ * truncated body looks complete. Other transfer codings end with the connection, or would have to
+ * be decoded.
  */
 export function isDelimited(
   status: number,
   headers: http.IncomingHttpHeaders,
 ): boolean {
+  const coding = headers['transfer-encoding'];
+  if (coding !== undefined) return coding.toLowerCase() === CHUNKED;
   return (
     headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined ||
     status === NO_CONTENT ||
     status === NOT_MODIFIED
   );
 }
 
+/**
+ * Whether the head of an answer contains the status line of another one: a server broke off within
+ * its head and then wrote another answer, whose head was read as the rest of the first.
+ *
+ * @param reason reason phrase of the status line.
+ */
+export function isJoinedHead(
+  reason: string,
+  headers: http.IncomingHttpHeaders,
+): boolean {
+  if (STATUS_LINE.test(reason)) return true;
+  return Object.values(headers).some(value =>
+    Array.isArray(value)
+      ? value.some(one => STATUS_LINE.test(one))
+      : value !== undefined && STATUS_LINE.test(value),
+  );
+}
+
 /** Returns the value of the header `name`, undefined if absent. */
 export function findHeader(
   headers: readonly peer.Header[],
