Test: fleets whose backend servers belong to several services

PlatformFleet.start takes the service of each node's server, documents.service and documents.addedRoute make services and routes with other values. Needed for routes whose callers' nodes do not serve them.

--- a/test/paths/platform_fleet.ts
+++ b/test/paths/platform_fleet.ts
@@ -61,6 +61,8 @@
   readonly configuration?: object;
   /** Versions of the backend servers by node; `v1` by default. */
   readonly versions?: readonly string[];
+  /** Services of the backend servers by node; `orders` by default. */
+  readonly services?: readonly string[];
 }
 
 /** Owns daemons, backend servers and the store; disposing it ends them. */
@@ -89,6 +91,7 @@
       settings: {},
       configuration: {},
       versions: [],
+      services: [],
       ...options,
     });
     const document = documents.configuration(1, fleet.options.configuration);
@@ -105,8 +108,9 @@
   async addNode(): Promise<FleetNode> {
     const i = this.nodes.length;
     const dataCentre = DATA_CENTRES[i % DATA_CENTRES.length];
+    const service = this.options.services[i] ?? 'orders';
     const server = new serverStandIn.ServerStandIn(
-      'orders',
+      service,
       dataCentre,
       `i${i}`,
     );
@@ -125,7 +129,7 @@
       JSON.stringify({
         nodeId: `node-${i}`,
         dataCentre,
-        service: 'orders',
+        service,
         server: address,
         listen: {
           callers,
--- a/test/stand_ins/platform/documents.ts
+++ b/test/stand_ins/platform/documents.ts
@@ -18,6 +18,19 @@
   };
 }
 
+/** A backend service with the given name. */
+export function service(name: string): object {
+  return {
+    name,
+    health_path: '/healthz',
+    max_conns: 200,
+    protocol: 'h1',
+    tls_mode: false,
+    cold_start_s: 3,
+    cold_per_s: 10,
+  };
+}
+
 /** Configuration with a safe and an unsafe route; `overrides` replaces top-level fields. */
 export function configuration(version: number, overrides: object = {}): object {
   return {
@@ -26,17 +39,7 @@
       route('history', {}),
       route('place', {route_kind: 'unsafe', priority: 1, timeout_s: 1.2}),
     ],
-    services: [
-      {
-        name: 'orders',
-        health_path: '/healthz',
-        max_conns: 200,
-        protocol: 'h1',
-        tls_mode: false,
-        cold_start_s: 3,
-        cold_per_s: 10,
-      },
-    ],
+    services: [service('orders')],
     limits: {
       max_header_bytes: 16_384,
       max_body_bytes: 100_000,
@@ -47,7 +50,7 @@
   };
 }
 
-/** Safe route with path prefix `/NAME/`. */
-export function addedRoute(name: string): object {
-  return route(name, {});
+/** Safe route with path prefix `/NAME/`; `overrides` replaces its fields. */
+export function addedRoute(name: string, overrides: object = {}): object {
+  return route(name, overrides);
 }
