--- a/test/paths/child.ts
+++ b/test/paths/child.ts
@@ -11,6 +11,13 @@
 
 const BUILD_ROOT = path.resolve(import.meta.dirname, '../..');
 
+/** Processes that have not exited; none outlives this process. */
+const living = new Set<childProcess.ChildProcess>();
+
+process.once('exit', () => {
+  for (const started of living) started.kill('SIGKILL');
+});
+
 /** A child process; disposing it kills the process. */
 export class Child implements AsyncDisposable {
   private readonly exited: Promise<number | null>;
@@ -97,6 +104,8 @@
   const started = childProcess.spawn(process.execPath, command, {
     stdio: ['ignore', 'pipe', 'pipe'],
   });
+  living.add(started);
+  started.once('exit', () => living.delete(started));
   return new Child(started, name);
 }
 
