Test: links with a limited rate

FaultRelay.limitRate passes bytes on at a rate, for each direction over all connections together, and its senders wait meanwhile. At the end of a connection the relay used to drop what it still held; it now closes the other side after these bytes.

--- a/test/paths/fault_relay.ts
+++ b/test/paths/fault_relay.ts
@@ -1,5 +1,6 @@
 /** TCP relay on loopback that injects network faults. */
 import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 
 /** Fault that the relay injects. */
 export type RelayMode =
@@ -13,6 +14,8 @@
 class RelayedConnection {
   /** Bytes are dropped for the rest of the connection, whatever the mode. */
   silenced = false;
+  /** Resolves when the bytes that a limited rate holds back have been written. */
+  readonly written = {forward: Promise.resolve(), reverse: Promise.resolve()};
 
   constructor(
     readonly incoming: net.Socket,
@@ -25,6 +28,9 @@
   mode: RelayMode = {kind: 'pass'};
   private readonly connections = new Set<RelayedConnection>();
   private readonly server = net.createServer(incoming => this.accept(incoming));
+  private bytesPerSecond = Infinity;
+  /** Time at which each direction has passed on what it holds. */
+  private readonly freeMs = {forward: 0, reverse: 0};
 
   constructor(private readonly toPort: number) {}
 
@@ -47,6 +53,11 @@
     for (const connection of this.connections) connection.silenced = true;
   }
 
+  /** Limits the rate of each direction, over all connections; Infinity for no limit. */
+  limitRate(bytesPerSecond: number): void {
+    this.bytesPerSecond = bytesPerSecond;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     const closed = new Promise<void>(resolve =>
       this.server.close(() => resolve()),
@@ -74,13 +85,25 @@
     outgoing.on('data', chunk =>
       this.relay(connection, chunk, incoming, 'reverse'),
     );
-    const closeBoth = (): void => {
-      this.connections.delete(connection);
-      incoming.destroy();
-      outgoing.destroy();
-    };
-    incoming.on('close', closeBoth);
-    outgoing.on('close', closeBoth);
+    incoming.on('close', hadError =>
+      this.close(connection, 'forward', hadError),
+    );
+    outgoing.on('close', hadError =>
+      this.close(connection, 'reverse', hadError),
+    );
+  }
+
+  /** Closes the receiving side of a direction, after the bytes that are on their way to it. */
+  private close(
+    connection: RelayedConnection,
+    direction: 'forward' | 'reverse',
+    hadError: boolean,
+  ): void {
+    const {incoming, outgoing, written} = connection;
+    const to = direction === 'forward' ? outgoing : incoming;
+    if (to.destroyed) this.connections.delete(connection);
+    else if (hadError) to.destroy();
+    else void written[direction].then(() => to.destroySoon());
   }
 
   private relay(
@@ -105,6 +128,26 @@
       case 'refuse':
         break;
     }
-    to.write(chunk);
+    if (this.bytesPerSecond === Infinity) to.write(chunk);
+    else this.writeAtRate(connection, chunk, to, direction);
+  }
+
+  /** Passes a chunk on when the link has room; its sender waits meanwhile. */
+  private writeAtRate(
+    {incoming, outgoing, written}: RelayedConnection,
+    chunk: Buffer,
+    to: net.Socket,
+    direction: 'forward' | 'reverse',
+  ): void {
+    const from = direction === 'forward' ? incoming : outgoing;
+    const nowMs = performance.now();
+    const startMs = Math.max(nowMs, this.freeMs[direction]);
+    const endMs = startMs + (chunk.length / this.bytesPerSecond) * 1_000;
+    this.freeMs[direction] = endMs;
+    from.pause();
+    written[direction] = timers.setTimeout(endMs - nowMs).then(() => {
+      if (to.write(chunk)) from.resume();
+      else to.once('drain', () => from.resume());
+    });
   }
 }
