--- a/test/paths/platform_fleet.ts
+++ b/test/paths/platform_fleet.ts
@@ -207,6 +207,11 @@
       );
   }
 
+  /** Output of all daemons, those included that have ended. */
+  get logs(): string {
+    return this.daemons.map(daemon => daemon.printed).join('\n');
+  }
+
   /** @throws Error if a daemon was ended by a signal that no test sent. */
   async [Symbol.asyncDispose](): Promise<void> {
     clearInterval(this.announceTimer);
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,10 +1,15 @@
 /**
  * Runs soak tests with consecutive seeds:
- * `node build/test/soak/main.js --seed 1 --runs 50 --nodes 5`.
+ * `node build/test/soak/main.js --seed 1 --runs 50 --nodes 5`. With
+ * `--class silent` they have long requests and large answers on slow links, beside slow and paused
+ * processes and planned stops; with `--class links` no process is slow.
  */
+import * as assert from 'node:assert/strict';
 import * as fs from 'node:fs';
 import * as util from 'node:util';
 
+import * as silenceRun from './silence_run.js';
+import * as soakRequests from './soak_requests.js';
 import * as soakRun from './soak_run.js';
 
 const {values} = util.parseArgs({
@@ -12,23 +17,54 @@
     seed: {type: 'string', default: '1'},
     runs: {type: 'string', default: '10'},
     parallel: {type: 'string', default: '2'},
-    nodes: {type: 'string', default: '5'},
+    nodes: {type: 'string'},
+    class: {type: 'string', default: 'all'},
     logs: {type: 'string', default: 'build/soak'},
   },
 });
 
+// Exits as usual, so that the processes of the run end too.
+process.once('SIGTERM', () => process.exit(143));
+process.once('SIGINT', () => process.exit(130));
+
 const first = Number(values.seed);
 const last = first + Number(values.runs) - 1;
 let next = first;
 let failed = 0;
 
+type Run = (
+  seed: number,
+  nodes: number | undefined,
+) => Promise<soakRequests.SoakOutcome>;
+
+/** Runs by class of faults. */
+const RUNS = new Map<string, Run>([
+  ['all', soakRun.run],
+  ['silent', silenceRun.run],
+  ['links', (seed, nodes) => silenceRun.run(seed, nodes, 'answers')],
+]);
+
+const run =
+  RUNS.get(values.class) ?? assert.fail(`unknown class ${values.class}`);
+const nodeCount = values.nodes === undefined ? undefined : Number(values.nodes);
+
+function summaryOf(outcome: soakRequests.SoakOutcome): string {
+  const {requests, served, brokenOff} = outcome;
+  const {lost, undisrupted, disrupted, replaced} = brokenOff;
+  return (
+    `${served} of ${requests} served, ${lost} lost, ` +
+    `${undisrupted} broken off (${disrupted} beside disruptions), ` +
+    `${replaced} answers replaced`
+  );
+}
+
 async function runSeeds(): Promise<void> {
   while (next <= last) {
     const seed = next++;
-    const outcome = await soakRun.run(seed, Number(values.nodes));
-    const {requests, served, faults, breaches, logs} = outcome;
+    const outcome = await run(seed, nodeCount);
+    const {faults, breaches, logs} = outcome;
     const verdict = breaches.length === 0 ? 'ok' : 'FAILED';
-    console.log(`seed ${seed}: ${verdict}, ${served} of ${requests} served`);
+    console.log(`seed ${seed}: ${verdict}, ${summaryOf(outcome)}`);
     if (breaches.length === 0) continue;
     failed++;
     for (const line of [...faults, ...breaches]) console.log(`  ${line}`);
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,11 +1,15 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 
+import * as silenceRun from './silence_run.js';
 import * as soakRun from './soak_run.js';
 
 /** Seeds that every CI run tests. */
 const CI_SEEDS = [1, 2];
 
+/** Seeds of the class `silent` that every CI run tests. */
+const SILENT_CI_SEEDS = [1];
+
 /** Seeds that failed before, each with the cause. */
 const REGRESSION_SEEDS: readonly number[] = [];
 
@@ -19,3 +23,14 @@
     },
   );
 }
+
+for (const seed of SILENT_CI_SEEDS) {
+  nodeTest.test(
+    `no request is broken off beside silent processes, seed ${seed}`,
+    async () => {
+      const outcome = await silenceRun.run(seed);
+      assert.deepEqual(outcome.breaches, [], outcome.faults.join('\n'));
+      assert.ok(outcome.served > 0);
+    },
+  );
+}
--- a/test/soak/soak_faults.ts
+++ b/test/soak/soak_faults.ts
@@ -2,6 +2,8 @@
 import * as randomSource from '../../src/common/random_source.js';
 import * as platformFleet from '../paths/platform_fleet.js';
 import * as documents from '../stand_ins/platform/documents.js';
+import * as serverStandIn from '../stand_ins/platform/server_stand_in.js';
+import * as brokenOffAudit from './broken_off_audit.js';
 import * as soakStatements from './soak_statements.js';
 
 /** Range of the duration of a fault. */
@@ -67,13 +69,24 @@
     ['store silent', (unusedNode, forMs) => this.failStore(forMs, 'silent')],
     [
       'answers lost',
-      (node, forMs) => this.failServer(node, forMs, 'answer-lost'),
+      (node, forMs) => this.failServer(node, forMs, {kind: 'answer-lost'}),
+    ],
+    [
+      'answers cut',
+      (node, forMs) => this.failServer(node, forMs, {kind: 'cut'}),
+    ],
+    ['errors', (node, forMs) => this.failServer(node, forMs, {kind: 'error'})],
+    ['hang', (node, forMs) => this.failServer(node, forMs, {kind: 'hang'})],
+    [
+      'endless head',
+      (node, forMs) =>
+        this.failServer(node, forMs, {kind: 'endless', part: 'head'}),
+    ],
+    [
+      'endless body',
+      (node, forMs) =>
+        this.failServer(node, forMs, {kind: 'endless', part: 'body'}),
     ],
-    ['answers cut', (node, forMs) => this.failServer(node, forMs, 'cut')],
-    ['errors', (node, forMs) => this.failServer(node, forMs, 'error')],
-    ['hang', (node, forMs) => this.failServer(node, forMs, 'hang')],
-    ['endless head', (node, forMs) => this.sendEndlessly(node, forMs, 'head')],
-    ['endless body', (node, forMs) => this.sendEndlessly(node, forMs, 'body')],
     ['store returns', (unusedNode, forMs) => this.returnStore(forMs)],
   ];
 
@@ -81,6 +94,7 @@
     private readonly fleet: platformFleet.PlatformFleet,
     private readonly random: randomSource.RandomSource,
     private readonly statements: soakStatements.SoakStatements,
+    private readonly audit: brokenOffAudit.BrokenOffAudit,
   ) {}
 
   /** Injects faults for `lengthMs`; resolves when all have been reverted. */
@@ -150,6 +164,7 @@
 
   private async reload(node: platformFleet.FleetNode): Promise<void> {
     for (let i = 0; i < MAX_SERIES; i++) {
+      this.audit.note('reload', node.name);
       node.process.signal('SIGHUP');
       await this.pauseInSeries();
     }
@@ -159,6 +174,7 @@
   private async changeConfiguration(): Promise<void> {
     for (let i = 0; i < MAX_SERIES; i++) {
       this.version++;
+      this.audit.note('configuration');
       this.fleet.store.put('keyed.op', 'config', this.configuration());
       await this.pauseInSeries();
     }
@@ -185,14 +201,18 @@
     forMs: number,
   ): Promise<void> {
     this.statements.audit.onDisrupted(node.name, 'restart');
+    const kind = signal === 'SIGKILL' ? 'kill' : 'stop';
+    const disturbance = this.audit.begin(kind, node.name);
     node.process.signal(signal);
     const status = await node.process.exitStatus();
+    if (kind === 'stop') this.audit.end(disturbance);
     if (signal === 'SIGTERM' && status !== 0) {
       this.breaches.push(`${node.name}: ended with ${status} after a stop`);
     }
     await wait(forMs);
     this.statements.audit.onDisrupted(node.name, 'restart');
     await this.fleet.restart(node);
+    if (kind === 'kill') this.audit.end(disturbance);
   }
 
   private async pause(
@@ -201,9 +221,11 @@
   ): Promise<void> {
     const {audit} = this.statements;
     audit.onDisrupted(node.name, 'freeze');
+    const disturbance = this.audit.begin('pause', node.name);
     node.process.signal('SIGSTOP');
     await wait(forMs);
     node.process.signal('SIGCONT');
+    this.audit.end(disturbance);
     audit.onDisrupted(node.name, 'freeze');
   }
 
@@ -224,6 +246,7 @@
     how: 'reset' | 'silence',
   ): void {
     this.statements.audit.onDisrupted(name, 'cut');
+    this.audit.note('links', name);
     relay[how]();
   }
 
@@ -252,6 +275,8 @@
     await wait(forMs);
     const late = server.runs.length - before;
     if (late > 0) this.breaches.push(`${name}: ${late} runs after leaving`);
+    // Runs of the incarnation that ends are its own concern.
+    this.audit.note('server', name);
     this.statements.replace(server);
   }
 
@@ -291,10 +316,12 @@
       refuse: {kind: 'refuse'},
     } as const;
     this.statements.audit.onDisrupted(node.name, 'cut');
+    const disturbance = this.audit.begin('links', node.name);
     relay.mode = modes[kind];
     if (kind === 'refuse') relay.reset();
     await wait(forMs);
     relay.mode = {kind: 'pass'};
+    this.audit.end(disturbance);
     this.statements.audit.onDisrupted(node.name, 'cut');
   }
 
@@ -321,28 +348,17 @@
     store.put('keyed.op', 'config', this.configuration());
   }
 
-  private async sendEndlessly(
-    node: platformFleet.FleetNode,
-    forMs: number,
-    part: 'head' | 'body',
-  ): Promise<void> {
-    const {server} = node;
-    const before = server.mode;
-    server.mode = {kind: 'endless', part};
-    await wait(forMs);
-    server.mode = before;
-  }
-
   private async failServer(
-    node: platformFleet.FleetNode,
+    {name, server}: platformFleet.FleetNode,
     forMs: number,
-    kind: 'answer-lost' | 'cut' | 'error' | 'hang',
+    mode: serverStandIn.ServerMode,
   ): Promise<void> {
-    const {server} = node;
     const before = server.mode;
-    server.mode = {kind};
+    const disturbance = this.audit.begin('server', name);
+    server.mode = mode;
     await wait(forMs);
     server.mode = before;
+    this.audit.end(disturbance);
   }
 }
 
--- a/test/stand_ins/platform/server_stand_in.ts
+++ b/test/stand_ins/platform/server_stand_in.ts
@@ -5,6 +5,11 @@
 /** How the stand-in answers requests; health checks are answered in every mode. */
 export type ServerMode =
   | {readonly kind: 'ok'; readonly workMs: number}
+  /** Answers as `ok`, with work that depends on the request. */
+  | {
+      readonly kind: 'varied';
+      readonly workOf: (received: ReceivedRequest) => ServerWork;
+    }
   /** Answers as `ok`, then sends a copy of the answer `delayMs` later on the same connection. */
   | {readonly kind: 'twice'; readonly workMs: number; readonly delayMs: number}
   /** Refuses the request unrun with status 503. */
@@ -28,6 +33,13 @@
   /** Runs the request and answers with status 500. */
   | {readonly kind: 'error'};
 
+/** Work of a request. */
+export interface ServerWork {
+  readonly workMs: number;
+  /** Bytes before the text of the answer. */
+  readonly paddingBytes: number;
+}
+
 /** A request as the backend server received it. */
 export interface ReceivedRequest {
   readonly requestId: string;
@@ -58,6 +70,9 @@
   running = 0;
   /** Called for each request that runs. */
   onRun: (received: ReceivedRequest) => void = () => undefined;
+  /** Called when the server answers a request, and when a connection closes. */
+  onRunEnd: (received: ReceivedRequest, how: 'answered' | 'cut') => void = () =>
+    undefined;
   private sequence = 0;
   private address = '';
   private readonly server = http.createServer((req, res) =>
@@ -178,24 +193,33 @@
     this.running++;
     res.on('close', () => {
       this.running--;
-      if (!res.writableEnded) this.cancelled.push(requestId);
+      if (res.writableEnded) return;
+      this.cancelled.push(requestId);
+      this.onRunEnd(received, 'cut');
     });
     res.setHeader('Request-Id', requestId);
     res.setHeader('Server-Seal', `seal-${this.instanceId}`);
-    this.reply(req, res, requestId);
+    this.reply(req, res, received);
   }
 
   private reply(
     req: http.IncomingMessage,
     res: http.ServerResponse,
-    requestId: string,
+    received: ReceivedRequest,
   ): void {
     const {mode} = this;
+    const {requestId} = received;
     const text = `${this.instanceId}:${requestId}`;
     switch (mode.kind) {
       case 'ok':
-        setTimeout(() => res.end(text), mode.workMs);
+        this.answerAfter(res, received, mode.workMs, text);
+        return;
+      case 'varied': {
+        const {workMs, paddingBytes} = mode.workOf(received);
+        const padding = 'x'.repeat(paddingBytes);
+        this.answerAfter(res, received, workMs, padding + text);
         return;
+      }
       case 'twice':
         setTimeout(() => res.end(text), mode.workMs);
         setTimeout(
@@ -243,6 +267,18 @@
         return;
     }
   }
+
+  private answerAfter(
+    res: http.ServerResponse,
+    received: ReceivedRequest,
+    workMs: number,
+    text: string,
+  ): void {
+    setTimeout(() => {
+      this.onRunEnd(received, 'answered');
+      res.end(text);
+    }, workMs);
+  }
 }
 
 function writeCopy(socket: net.Socket, requestId: string, text: string): void {
