--- a/test/paths/fault_relay.ts
+++ b/test/paths/fault_relay.ts
@@ -1,12 +1,11 @@
 /** TCP relay on loopback that injects network faults. */
 import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 
 /** Fault that the relay injects. */
 export type RelayMode =
   | {readonly kind: 'pass'}
   | {readonly kind: 'delay'; readonly delayMs: number}
-  /** Passes at most so many bytes on in each direction, and reads no faster. */
-  | {readonly kind: 'rate'; readonly bytesPerMs: number}
   /** Drops bytes to the target (`forward`), from it (`reverse`) or both, on new connections too. */
   | {readonly kind: 'drop'; readonly direction: 'forward' | 'reverse' | 'both'}
   /** Resets new connections. */
@@ -15,6 +14,8 @@
 class RelayedConnection {
   /** Bytes are dropped for the rest of the connection, whatever the mode. */
   silenced = false;
+  /** Resolves when the bytes that a limited rate holds back have been written. */
+  readonly written = {forward: Promise.resolve(), reverse: Promise.resolve()};
 
   constructor(
     readonly incoming: net.Socket,
@@ -36,8 +37,11 @@
 export class FaultRelay implements AsyncDisposable {
   mode: RelayMode = {kind: 'pass'};
   private readonly connections = new Set<RelayedConnection>();
-  private isHeld = false;
   private readonly server = net.createServer(incoming => this.accept(incoming));
+  private isHeld = false;
+  private bytesPerSecond = Infinity;
+  /** Time at which each direction has passed on what it holds. */
+  private readonly freeMs = {forward: 0, reverse: 0};
 
   constructor(private readonly toPort: number) {}
 
@@ -77,6 +81,11 @@
     for (const connection of this.connections) connection.silenced = true;
   }
 
+  /** Limits the rate of each direction, over all connections; Infinity for no limit. */
+  limitRate(bytesPerSecond: number): void {
+    this.bytesPerSecond = bytesPerSecond;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     const closed = new Promise<void>(resolve =>
       this.server.close(() => resolve()),
@@ -99,30 +108,36 @@
     const connection = new RelayedConnection(incoming, outgoing);
     this.connections.add(connection);
     incoming.on('data', chunk =>
-      this.relay(connection, chunk, incoming, outgoing, 'forward'),
+      this.relay(connection, chunk, outgoing, 'forward'),
     );
     outgoing.on('data', chunk =>
-      this.relay(connection, chunk, outgoing, incoming, 'reverse'),
+      this.relay(connection, chunk, incoming, 'reverse'),
+    );
+    incoming.on('close', hadError =>
+      this.close(connection, 'forward', hadError),
+    );
+    outgoing.on('close', hadError =>
+      this.close(connection, 'reverse', hadError),
     );
-    incoming.on('close', () => this.closeOther(connection, outgoing));
-    outgoing.on('close', () => this.closeOther(connection, incoming));
     if (this.isHeld) connection.pause();
   }
 
-  /** Closes the other side of a connection; at a limited rate, once it has got what is held. */
-  private closeOther(connection: RelayedConnection, other: net.Socket): void {
-    if (this.mode.kind === 'rate' && !other.destroyed) {
-      other.destroySoon();
-      return;
-    }
-    this.connections.delete(connection);
-    other.destroy();
+  /** Closes the receiving side of a direction, after the bytes that are on their way to it. */
+  private close(
+    connection: RelayedConnection,
+    direction: 'forward' | 'reverse',
+    hadError: boolean,
+  ): void {
+    const {incoming, outgoing, written} = connection;
+    const to = direction === 'forward' ? outgoing : incoming;
+    if (to.destroyed) this.connections.delete(connection);
+    else if (hadError) to.destroy();
+    else void written[direction].then(() => to.destroySoon());
   }
 
   private relay(
     connection: RelayedConnection,
     chunk: Buffer,
-    from: net.Socket,
     to: net.Socket,
     direction: 'forward' | 'reverse',
   ): void {
@@ -138,14 +153,30 @@
       case 'delay':
         setTimeout(() => to.write(chunk), mode.delayMs);
         return;
-      case 'rate':
-        from.pause();
-        setTimeout(() => from.resume(), chunk.length / mode.bytesPerMs);
-        break;
       case 'pass':
       case 'refuse':
         break;
     }
-    to.write(chunk);
+    if (this.bytesPerSecond === Infinity) to.write(chunk);
+    else this.writeAtRate(connection, chunk, to, direction);
+  }
+
+  /** Passes a chunk on when the link has room; its sender waits meanwhile. */
+  private writeAtRate(
+    {incoming, outgoing, written}: RelayedConnection,
+    chunk: Buffer,
+    to: net.Socket,
+    direction: 'forward' | 'reverse',
+  ): void {
+    const from = direction === 'forward' ? incoming : outgoing;
+    const nowMs = performance.now();
+    const startMs = Math.max(nowMs, this.freeMs[direction]);
+    const endMs = startMs + (chunk.length / this.bytesPerSecond) * 1_000;
+    this.freeMs[direction] = endMs;
+    from.pause();
+    written[direction] = timers.setTimeout(endMs - nowMs).then(() => {
+      if (to.write(chunk)) from.resume();
+      else to.once('drain', () => from.resume());
+    });
   }
 }
--- a/test/paths/stop_with_answers.test.ts
+++ b/test/paths/stop_with_answers.test.ts
@@ -44,7 +44,7 @@
     deadlineMs: DEADLINE_MS,
   });
   await runs;
-  stopping.relay.mode = {kind: 'rate', bytesPerMs: 60_000};
+  stopping.relay.limitRate(60_000_000);
   stopping.process.signal('SIGTERM');
   return {answer, stopping};
 }
