--- a/test/stand_ins/platform/store_stand_in.ts
+++ b/test/stand_ins/platform/store_stand_in.ts
@@ -12,12 +12,24 @@
   /** Appends take effect, but their answers are lost. */
   | {readonly kind: 'answers-lost'};
 
+/** Largest page of newest records, in records and in bytes of their values. */
+const PAGE_RECORDS = 500;
+const PAGE_BYTES = 1_000_000;
+
 interface StoredRecord {
+  /** Keys that are not UTF-8 differ in their bytes only. */
+  readonly keyBytes: Buffer;
   readonly key: string;
   readonly value: Buffer;
   readonly content: Buffer;
 }
 
+interface NewestItem {
+  readonly keyBytes: Buffer;
+  readonly value: Buffer;
+  readonly offset: number;
+}
+
 class Topic {
   firstOffset = 0;
 
@@ -34,9 +46,10 @@
 
   append(content: Buffer): void {
     const keyLength = content[0];
-    const key = content.subarray(1, 1 + keyLength).toString('utf8');
+    const keyBytes = content.subarray(1, 1 + keyLength);
+    const key = keyBytes.toString('utf8');
     const value = content.subarray(1 + keyLength);
-    this.records.push({key, value, content});
+    this.records.push({keyBytes, key, value, content});
     for (const wake of this.waiters.splice(0)) wake();
   }
 
@@ -52,14 +65,36 @@
     });
   }
 
-  newestByKey(): readonly object[] {
-    const items = new Map<string, object>();
-    this.records.forEach(({key, value}, offset) => {
-      items.delete(key);
-      if (value.length === 0) return;
-      items.set(key, {key, value: value.toString('base64'), offset});
+  /** Returns the page of the newest records, ordered by key, that follows a key. */
+  newestPage(after: string | null): object {
+    const afterBytes = after === null ? undefined : Buffer.from(after);
+    const rest = this.newestByKey().filter(
+      ({keyBytes}) => !afterBytes || keyBytes.compare(afterBytes) > 0,
+    );
+    let bytes = 0;
+    let count = 0;
+    for (const {value} of rest.slice(0, PAGE_RECORDS)) {
+      bytes += value.length;
+      if (count > 0 && bytes > PAGE_BYTES) break;
+      count++;
+    }
+    const items = rest.slice(0, count).map(({keyBytes, value, offset}) => ({
+      key: keyBytes.toString('utf8'),
+      value: value.toString('base64'),
+      offset,
+    }));
+    const end_offset = this.records.length;
+    return {items, has_more: count < rest.length, end_offset};
+  }
+
+  private newestByKey(): readonly NewestItem[] {
+    const items = new Map<string, NewestItem>();
+    this.records.forEach(({keyBytes, value}, offset) => {
+      const id = keyBytes.toString('latin1');
+      if (value.length === 0) items.delete(id);
+      else items.set(id, {keyBytes, value, offset});
     });
-    return [...items.values()];
+    return [...items.values()].sort((a, b) => a.keyBytes.compare(b.keyBytes));
   }
 }
 
@@ -93,7 +128,7 @@
   }
 
   /** Appends a value under a key. */
-  putBytes(topic: string, key: string, value: Buffer): void {
+  putBytes(topic: string, key: string | Buffer, value: Buffer): void {
     const name = Buffer.from(key);
     const content = [Buffer.from([name.length]), name, value];
     this.topic(topic).append(Buffer.concat(content));
@@ -106,6 +141,14 @@
       .map(({value}) => JSON.parse(value.toString('utf8')) as unknown);
   }
 
+  /** Returns the newest value of a key, undefined if it has none. */
+  newestOf(topic: string, key: string): Buffer | undefined {
+    const newest = this.topic(topic).records.findLast(
+      record => record.key === key,
+    );
+    return newest && newest.value.length > 0 ? newest.value : undefined;
+  }
+
   /** Truncates the history of a topic; `/log-newest` still returns the newest records. */
   truncate(topic: string): void {
     const dropped = this.topic(topic);
@@ -153,13 +196,8 @@
     const topic = this.topic(url.searchParams.get('topic') ?? '');
     switch (url.pathname) {
       case '/log-newest': {
-        const items = topic.newestByKey();
-        const end_offset = topic.records.length;
-        return respond(
-          res,
-          200,
-          JSON.stringify({items, has_more: false, end_offset}),
-        );
+        const page = topic.newestPage(url.searchParams.get('after'));
+        return respond(res, 200, JSON.stringify(page));
       }
       case '/log-read':
         return this.read(url, topic, res);
