Odd records of nodes no longer end the processes that read them

Callers saw: one record with a port over 65535 among those of the nodes ended processes. Node.js throws at a connection to such a port. In the read of the store's records this stopped the read at that record; the next read found it known and went on, and the node passed it on with its fleet state. Each node that got it so, or by a greeting, ended with ERR_SOCKET_BAD_PORT, and again after its restart as soon as it asked for the state. A record whose address is a name was looked up by DNS for each attempt to connect. An own record that another writer had replaced was written again only after the next read, 30 s later or more; nodes that started meanwhile had the odd one.

Cause: records were checked for empty fields only, and the store, greetings and peers' states led to connections without a further check.

Change: the directory admits records as `NodeRecord`, a type that one check makes: IPv4 address of a host, port from 1 to 65535, names that the settings allow. A `GateLink` takes nothing else. A replaced own record is written again after the backoff of a failed call.

--- a/bench/processor_time.ts
+++ b/bench/processor_time.ts
@@ -11,6 +11,7 @@
 import * as clock from '../src/node/clock.js';
 import * as entrySessions from '../src/node/serving/entry_sessions.js';
 import * as gateLink from '../src/node/serving/gate_link.js';
+import * as nodeRecord from '../src/node/serving/node_record.js';
 import * as resourceStack from '../src/node/resource_stack.js';
 import * as bundle from '../test/paths/bundle.js';
 import * as child from '../test/paths/child.js';
@@ -88,7 +89,7 @@
 
   private dial(record: serving.NodeRecord): void {
     const ignore = (): void => undefined;
-    this.link ??= new gateLink.GateLink(record, {
+    this.link ??= new gateLink.GateLink(nodeRecord.check(record), {
       greeting: toNodeId => this.greeting(toNodeId),
       idlePingAfterMs: () => Infinity,
       nowMs: clock.monotonicMs,
--- a/src/node/serving/fleet_directory.ts
+++ b/src/node/serving/fleet_directory.ts
@@ -1,14 +1,24 @@
 /** Addresses of the nodes of the fleet. */
 import * as emitter from '../../common/emitter.js';
+import * as errors from '../../common/errors.js';
 import * as serving from '../../generated/serving.js';
+import * as nodeRecord from './node_record.js';
+
+/** A record that has no effect. */
+export interface IgnoredRecord {
+  /** Key of the record, or id of the node that it is about. */
+  readonly key: string;
+  readonly err: errors.MalformedInputError;
+}
 
 /** The records of this node and of all other nodes known to it. */
 export class FleetDirectory implements Disposable {
-  private readonly records = new Map<string, serving.NodeRecord>();
+  private readonly records = new Map<string, nodeRecord.NodeRecord>();
   /** Nodes to which a link is open, so that their records are known to be true. */
   private readonly linked = new Set<string>();
-  private readonly changes = new emitter.Emitter<serving.NodeRecord>();
+  private readonly changes = new emitter.Emitter<nodeRecord.NodeRecord>();
   private readonly removals = new emitter.Emitter<string>();
+  private readonly ignored = new emitter.Emitter<IgnoredRecord>();
 
   /** A record is new or has changed. */
   readonly onChanged = this.changes.event;
@@ -16,6 +26,9 @@
   /** A record was removed; fires with the node id. */
   readonly onRemoved = this.removals.event;
 
+  /** A record was ignored, as it names no node. */
+  readonly onIgnored = this.ignored.event;
+
   constructor(private own: serving.NodeRecord) {}
 
   /** Record of this node. */
@@ -34,7 +47,7 @@
   }
 
   /** The other nodes. */
-  get others(): readonly serving.NodeRecord[] {
+  get others(): readonly nodeRecord.NodeRecord[] {
     return [...this.records.values()];
   }
 
@@ -48,7 +61,7 @@
   }
 
   /** Returns another node's record, undefined if not known. */
-  get(nodeId: string): serving.NodeRecord | undefined {
+  get(nodeId: string): nodeRecord.NodeRecord | undefined {
     return this.records.get(nodeId);
   }
 
@@ -63,12 +76,8 @@
    * address.
    */
   put(record: serving.NodeRecord): void {
-    if (!this.isNews(record)) return;
-    for (const {nodeId} of this.displacedBy(record)) {
-      if (nodeId !== record.nodeId) this.remove(nodeId);
-    }
-    this.records.set(record.nodeId, record);
-    this.changes.fire(record);
+    const checked = this.checkedNews(record);
+    if (checked !== undefined) this.set(checked);
   }
 
   /**
@@ -77,9 +86,16 @@
    * may have got.
    */
   putReported(record: serving.NodeRecord): void {
-    const displaced = this.displacedBy(record);
+    const checked = this.checkedNews(record);
+    if (checked === undefined) return;
+    const displaced = this.displacedBy(checked);
     if (displaced.some(({nodeId}) => this.linked.has(nodeId))) return;
-    this.put(record);
+    this.set(checked);
+  }
+
+  /** Reports a record that names no node and is not to be added. */
+  ignore(key: string, err: errors.MalformedInputError): void {
+    this.ignored.fire({key, err});
   }
 
   /** Removes a node. */
@@ -90,15 +106,33 @@
   [Symbol.dispose](): void {
     this.changes[Symbol.dispose]();
     this.removals[Symbol.dispose]();
+    this.ignored[Symbol.dispose]();
   }
 
-  /** Whether a record is complete, of another node, and not yet known. */
-  private isNews(record: serving.NodeRecord): boolean {
+  /** Returns a record that names another node and is not yet known. */
+  private checkedNews(
+    record: serving.NodeRecord,
+  ): nodeRecord.NodeRecord | undefined {
     const {own} = this;
-    if (record.nodeId === own.nodeId || !isComplete(record)) return false;
-    if (hasSameAddress(record, own)) return false;
+    if (record.nodeId === own.nodeId) return undefined;
+    if (hasSameAddress(record, own)) return undefined;
     const known = this.records.get(record.nodeId);
-    return known === undefined || !isSame(known, record);
+    if (known !== undefined && isSame(known, record)) return undefined;
+    try {
+      return nodeRecord.check(record);
+    } catch (err) {
+      if (!(err instanceof errors.MalformedInputError)) throw err;
+      this.ignore(record.nodeId, err);
+      return undefined;
+    }
+  }
+
+  private set(record: nodeRecord.NodeRecord): void {
+    for (const {nodeId} of this.displacedBy(record)) {
+      if (nodeId !== record.nodeId) this.remove(nodeId);
+    }
+    this.records.set(record.nodeId, record);
+    this.changes.fire(record);
   }
 
   /** Returns the known records that cannot be true beside a record. */
@@ -127,8 +161,3 @@
 function hasSameAddress(a: serving.NodeRecord, b: serving.NodeRecord): boolean {
   return a.ip === b.ip && a.port === b.port;
 }
-
-function isComplete(record: serving.NodeRecord): boolean {
-  const {nodeId, ip, port, service} = record;
-  return nodeId !== '' && ip !== '' && port > 0 && service !== '';
-}
--- a/src/node/serving/fleet_registry.test.ts
+++ b/src/node/serving/fleet_registry.test.ts
@@ -10,6 +10,10 @@
 
 const {test} = nodeTest;
 
+function bytesOf(value: serving.NodeRecord): Buffer {
+  return Buffer.from(serving.NodeRecord.encode(value).finish());
+}
+
 function record(nodeId: string, port: number): serving.NodeRecord {
   return {nodeId, dataCentre: 'north', service: 's', ip: '10.0.0.1', port};
 }
@@ -24,7 +28,7 @@
       const stored = records.map((value, offset) => ({
         position: {era: 1, offset},
         key: `node/${value.nodeId}`,
-        value: Buffer.from(serving.NodeRecord.encode(value).finish()),
+        value: bytesOf(value),
       }));
       return {records: stored, era: 1, endOffset: stored.length};
     },
@@ -98,15 +102,18 @@
   reads = 0;
   losesWrites = false;
   records: serving.NodeRecord[] = [];
+  /** Further keys with their values, read before `records`. */
+  entries: ReadonlyArray<readonly [string, Buffer]> = [];
 
   async newest(): Promise<platformAdapter.NewestRecords> {
     this.reads++;
     const {era} = this;
-    const records = this.records.map((value, offset) => ({
-      position: {era, offset},
-      key: `node/${value.nodeId}`,
-      value: Buffer.from(serving.NodeRecord.encode(value).finish()),
-    }));
+    const written = this.records.map(
+      value => [`node/${value.nodeId}`, bytesOf(value)] as const,
+    );
+    const records = [...this.entries, ...written].map(
+      ([key, value], offset) => ({position: {era, offset}, key, value}),
+    );
     return {records, era, endOffset: records.length};
   }
 
@@ -134,7 +141,7 @@
 }
 
 function registryOf(
-  store: ReturningStore,
+  store: platformAdapter.SharedStore,
   directory: fleetDirectory.FleetDirectory,
 ): fleetRegistry.FleetRegistry {
   return new fleetRegistry.FleetRegistry({
@@ -190,3 +197,42 @@
   // Backoff of 200 ms, doubled after each failure.
   assert.ok(store.writes <= 4, `${store.writes} writes`);
 });
+
+test('odd entries among those of the nodes hide no other one, wherever they stand', async () => {
+  const odd: ReadonlyArray<readonly [string, Buffer]> = [
+    ['node/a', bytesOf(record('a', 70_000))],
+    ['node/b', Buffer.alloc(300_000, 0x7b)],
+    ['node/c', Buffer.from([0x28, ...Array<number>(9).fill(0xff), 0x01])],
+    ['node/d', Buffer.from('['.repeat(200_000))],
+    ['', bytesOf(record('', 80))],
+    ['node/other', bytesOf(record('e', 80))],
+    ['node/', bytesOf(record('', 80))],
+  ];
+  const sound = record('sound', 80);
+  const soundEntry = ['node/sound', bytesOf(sound)] as const;
+  for (let i = 0; i <= odd.length; i++) {
+    const entries = [...odd.slice(0, i), soundEntry, ...odd.slice(i)];
+    const directory = new fleetDirectory.FleetDirectory(record('own', 1));
+    const ignored: string[] = [];
+    directory.onIgnored(({key}) => ignored.push(key));
+    const store = new ReturningStore();
+    store.entries = entries;
+    await using registry = registryOf(store, directory);
+    registry.start();
+    await timers.setTimeout(SETTLE_MS);
+    assert.deepEqual(directory.others, [sound]);
+    assert.equal(ignored.length, odd.length, ignored.join());
+    assert.equal(store.reads, 1);
+  }
+});
+
+test('an own record that another writer has replaced is written again soon, but not endlessly', async () => {
+  const directory = new fleetDirectory.FleetDirectory(record('own', 1));
+  const store = new ReturningStore();
+  store.losesWrites = true;
+  store.records = [record('own', 70_000)];
+  await using registry = registryOf(store, directory);
+  registry.start();
+  await timers.setTimeout(1_000);
+  assert.ok(store.writes >= 2 && store.writes <= 4, `${store.writes} writes`);
+});
--- a/src/node/serving/fleet_registry.ts
+++ b/src/node/serving/fleet_registry.ts
@@ -38,7 +38,7 @@
  */
 export class FleetRegistry implements AsyncDisposable {
   private readonly loop: storeLoop.StoreLoop;
-  /** Own record as last written or read, undefined if the store lacks it. */
+  /** Own record as last written or read, undefined if the store lacks it or has another one. */
   private written: serving.NodeRecord | undefined;
   /** Era in which the own record was last written by this process. */
   private writtenEra = -1;
@@ -78,7 +78,7 @@
   private async step(): Promise<void> {
     await this.writeSelf();
     await this.readAll();
-    // The own record was lost: it is written before another read, as at the start.
+    // The own record was lost or replaced: it is written before another read, as at the start.
     if (this.written === undefined) return;
     if (this.readEra >= this.era) await this.waitForRefresh();
     await this.loop.pause(RETURN_SPREAD_MS * this.options.random());
@@ -101,7 +101,12 @@
     this.written = self;
   }
 
-  /** @throws errors.GeraniumloftError if the own record is missing in the era of its write. */
+  /**
+   * Reads the records of all nodes.
+   *
+   * @throws errors.GeraniumloftError if the own record is missing or replaced in the era of its
+   *     write.
+   */
   private async readAll(): Promise<void> {
     const {store, directory} = this.options;
     const {records, era} = await store.newest('fleet');
@@ -110,15 +115,29 @@
     this.era = Math.max(this.era, era);
     this.written = undefined;
     for (const {key, value} of records) {
-      const record = value && decode(value);
-      if (record === undefined || key !== KEY_PREFIX + record.nodeId) continue;
-      if (record.nodeId === directory.self.nodeId) this.written = record;
-      else directory.putReported(record);
+      const record = value && this.decode(key, value);
+      if (record === undefined) continue;
+      if (record.nodeId !== directory.self.nodeId) {
+        directory.putReported(record);
+      } else if (fleetDirectory.isSame(record, directory.self)) {
+        this.written = record;
+      }
     }
     this.options.onRead();
     if (this.written === undefined && era <= this.writtenEra) {
       const site = {step: 'read own record', peer: 'store'};
-      throw new errors.GeraniumloftError('the store lacks it', site);
+      throw new errors.GeraniumloftError('missing or replaced', site);
+    }
+  }
+
+  /** Decodes the value of a key, undefined if it is no record of the node that the key names. */
+  private decode(key: string, value: Buffer): serving.NodeRecord | undefined {
+    try {
+      return decodeRecord(key, value);
+    } catch (err) {
+      if (!(err instanceof errors.MalformedInputError)) throw err;
+      this.options.directory.ignore(key, err);
+      return undefined;
     }
   }
 
@@ -130,10 +149,19 @@
   }
 }
 
-function decode(value: Buffer): serving.NodeRecord | undefined {
+/**
+ * Decodes a record.
+ *
+ * @throws errors.MalformedInputError unless it is of the node that the key names.
+ */
+function decodeRecord(key: string, value: Buffer): serving.NodeRecord {
+  const site = {step: 'decode node record', peer: 'store'};
+  let record: serving.NodeRecord;
   try {
-    return serving.NodeRecord.decode(value);
-  } catch {
-    return undefined;
+    record = serving.NodeRecord.decode(value);
+  } catch (cause) {
+    throw new errors.MalformedInputError('not a record', site, {cause});
   }
+  if (key === KEY_PREFIX + record.nodeId) return record;
+  throw new errors.MalformedInputError('key of another node', site);
 }
--- a/src/node/serving/gate_link.test.ts
+++ b/src/node/serving/gate_link.test.ts
@@ -8,14 +8,16 @@
 import * as clock from '../clock.js';
 import * as entrySessions from './entry_sessions.js';
 import * as gateLink from './gate_link.js';
+import * as nodeRecord from './node_record.js';
 
 const {test} = nodeTest;
 
 const GATE_PROCESS_MS = 77;
 
-function record(nodeId: string, port: number): serving.NodeRecord {
+function record(nodeId: string, port: number): nodeRecord.NodeRecord {
   const ip = '127.0.0.1';
-  return {nodeId, dataCentre: 'north', service: 'orders', ip, port};
+  const fields = {nodeId, dataCentre: 'north', service: 'orders', ip, port};
+  return nodeRecord.check(fields);
 }
 
 /** A gate that records the frames it receives. */
--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -5,6 +5,7 @@
 import * as serving from '../../generated/serving.js';
 import * as framedSocket from '../framed_socket.js';
 import * as linkFrame from './link_frame.js';
+import * as nodeRecord from './node_record.js';
 
 /** Time without a frame from the gate after a request until it is pinged, once per request. */
 const FIRST_PING_AFTER_MS: units.Millis = 80;
@@ -87,7 +88,7 @@
   private disposed = false;
 
   constructor(
-    private readonly record: serving.NodeRecord,
+    private readonly record: nodeRecord.NodeRecord,
     private readonly options: GateLinkOptions,
   ) {
     this.open();
--- a/src/node/serving/gate_links.ts
+++ b/src/node/serving/gate_links.ts
@@ -4,6 +4,7 @@
 import * as serving from '../../generated/serving.js';
 import * as fleetDirectory from './fleet_directory.js';
 import * as gateLink from './gate_link.js';
+import * as nodeRecord from './node_record.js';
 import * as pulseInterval from './pulse_interval.js';
 
 /** Interval of the timers of idle links, which are pinged after six seconds. */
@@ -109,7 +110,7 @@
     for (const nodeId of [...this.links.keys()]) this.disconnect(nodeId);
   }
 
-  private connect(record: serving.NodeRecord): void {
+  private connect(record: nodeRecord.NodeRecord): void {
     this.disconnect(record.nodeId);
     const {listener, greeting, nowMs, directory} = this.options;
     const link = new gateLink.GateLink(record, {
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -18,6 +18,7 @@
 import * as fleetSync from './fleet_sync.js';
 import * as keyAdmission from './key_admission.js';
 import * as gateRuntime from './gate_runtime.js';
+import * as ignoredRecords from './ignored_records.js';
 import * as nodeStop from './node_stop.js';
 import * as pauseMeter from './pause_meter.js';
 import * as rolloutStatusWriter from './rollout_status_writer.js';
@@ -82,6 +83,8 @@
       randomSource.seedOf(settings.nodeId, options.processStartedMs),
     );
     this.directory = use(new fleetDirectory.FleetDirectory(recordOf(settings)));
+    const ignored = new ignoredRecords.IgnoredRecords(options.telemetry);
+    this.directory.onIgnored(({key, err}) => ignored.note(key, err));
     this.fleetSync = this.makeFleetSync();
     this.keys = this.makeKeyAdmission();
     this.rollouts = this.makeRollouts();
--- /dev/null
+++ b/test/paths/odd_records.test.ts
@@ -0,0 +1,274 @@
+import * as assert from 'node:assert/strict';
+import * as fs from 'node:fs';
+import * as net from 'node:net';
+import * as nodeTest from 'node:test';
+
+import * as serving from '../../src/generated/serving.js';
+import * as frameCodec from '../../src/node/frame_codec.js';
+import * as documents from '../stand_ins/platform/documents.js';
+import type * as storeStandIn from '../stand_ins/platform/store_stand_in.js';
+import * as child from './child.js';
+import * as platformFleet from './platform_fleet.js';
+
+const {test} = nodeTest;
+
+const FLEET_TOPIC = 'keyed.fleet';
+const OPERATORS_TOPIC = 'keyed.op';
+
+/** Time that a change may take until it is in force on every node. */
+const IN_FORCE_MS = 4_000;
+
+/** Time in which every node reads the records of nodes after a return of the store. */
+const READ_AGAIN_MS = 5_000;
+
+/** Nesting that overflows the stack of a recursive reader. */
+const DEEP_LEVELS = 60_000;
+
+/** Calls to the store that a fleet of three nodes may make until a record is in force on all. */
+const MAX_CALLS = 60;
+
+function encoded(nodeId: string, fields: Partial<serving.NodeRecord>): Buffer {
+  const record = {
+    nodeId,
+    dataCentre: 'north',
+    service: 'orders',
+    ip: '127.0.0.1',
+    port: 9,
+    ...fields,
+  };
+  return Buffer.from(serving.NodeRecord.encode(record).finish());
+}
+
+/** Field 5, the port, as a varint of 64 bits. */
+const GIANT_PORT = Buffer.from([0x28, ...Array<number>(9).fill(0xff), 0x01]);
+
+/** Odd values of a node's record; the first are those that another writer's program may encode. */
+function oddNodeValues(nodeId: string): readonly Buffer[] {
+  return [
+    encoded(nodeId, {port: 70_000}),
+    encoded(nodeId, {port: 2 ** 32 - 1}),
+    encoded(nodeId, {port: 0}),
+    encoded(nodeId, {ip: ''}),
+    encoded(nodeId, {ip: 'no address'}),
+    encoded(nodeId, {ip: '999.0.0.1'}),
+    encoded(nodeId, {service: 'x'.repeat(100_000)}),
+    encoded(nodeId, {dataCentre: 'north\nsouth'}),
+    Buffer.concat([encoded(nodeId, {}), GIANT_PORT]),
+    // Nested groups of field 15, and a length beyond the end.
+    Buffer.alloc(DEEP_LEVELS, 0x7b),
+    Buffer.from([0x0a, 0xff, 0xff, 0xff, 0xff, 0x0f]),
+    Buffer.from('['.repeat(DEEP_LEVELS)),
+  ];
+}
+
+/** Writes an odd record of each kind, under keys before and after those of the nodes. */
+function writeOddNodes({store}: platformFleet.PlatformFleet): void {
+  for (const prefix of ['a', 'z']) {
+    oddNodeValues('').forEach((_, i) => {
+      const nodeId = `${prefix}-${i}`;
+      const value = oddNodeValues(nodeId)[i];
+      store.putBytes(FLEET_TOPIC, `node/${nodeId}`, value);
+    });
+  }
+  store.putBytes(FLEET_TOPIC, '', encoded('', {}));
+  store.putBytes(FLEET_TOPIC, 'node/\u0000', encoded('\u0000', {}));
+}
+
+/** Starts a new era, in which every node reads the records of nodes again. */
+function startNewEra(store: storeStandIn.StoreStandIn): void {
+  store.returnFrom(store.copy());
+  // Ends the reads that wait, so that they find the new era at once.
+  store.put(OPERATORS_TOPIC, 'remark', {});
+}
+
+function withRoute(version: number, name: string): object {
+  const routes = ['history', name].map(route => documents.addedRoute(route));
+  return documents.configuration(version, {routes});
+}
+
+let requests = 0;
+
+async function statusesOf(
+  fleet: platformFleet.PlatformFleet,
+  path: string,
+): Promise<readonly number[]> {
+  const sent = fleet.nodes.map(node =>
+    fleet.send(node, {id: `odd${++requests}`, path}),
+  );
+  const answers = await Promise.allSettled(sent);
+  return answers.map(answer =>
+    answer.status === 'fulfilled' ? answer.value.status : 0,
+  );
+}
+
+/** Writes a configuration with a route of its own and waits until every node serves it. */
+async function checkFollowed(
+  fleet: platformFleet.PlatformFleet,
+  version: number,
+): Promise<void> {
+  const name = `added-${version}`;
+  fleet.store.put(OPERATORS_TOPIC, 'config', withRoute(version, name));
+  let statuses: readonly number[] = [];
+  await child.waitUntil(
+    async () => {
+      statuses = await statusesOf(fleet, `/${name}/1`);
+      return statuses.every(status => status === 200);
+    },
+    IN_FORCE_MS,
+    () => `configuration ${version} to be followed, not ${statuses.join()}`,
+  );
+}
+
+function checkAllRun(fleet: platformFleet.PlatformFleet): void {
+  for (const node of fleet.nodes) {
+    const {exitCode} = node.process.process;
+    assert.equal(exitCode, null, `${node.name} ended: ${endOf(node)}`);
+  }
+}
+
+/** Waits until a node has logged that it ignored an entry. */
+async function waitUntilIgnored(
+  node: platformFleet.FleetNode,
+  key: string,
+): Promise<void> {
+  await child.waitUntil(
+    () => ignoredBy(node).includes(key),
+    READ_AGAIN_MS,
+    () => `${node.name} to ignore ${key}; it printed ${endOf(node)}`,
+  );
+}
+
+function endOf({process}: platformFleet.FleetNode): string {
+  return process.printed.slice(-2_000);
+}
+
+/** Keys of the entries that a node has logged as ignored. */
+function ignoredBy({process}: platformFleet.FleetNode): readonly string[] {
+  return process.printed
+    .split('\n')
+    .filter(line => line.includes('"record-ignored"'))
+    .map(line => (JSON.parse(line) as {readonly record: string}).record);
+}
+
+function advertisedBy(node: platformFleet.FleetNode): string {
+  const settings = JSON.parse(fs.readFileSync(node.settings, 'utf8')) as {
+    readonly listen: {readonly advertised: string};
+  };
+  return settings.listen.advertised;
+}
+
+function addressOf(
+  node: platformFleet.FleetNode,
+): Pick<serving.NodeRecord, 'ip' | 'port'> {
+  const [ip, port] = advertisedBy(node).split(':');
+  return {ip, port: Number(port)};
+}
+
+/** Sends a greeting as another writer might, and waits until the connection is closed. */
+async function greet(
+  node: platformFleet.FleetNode,
+  sender: serving.NodeRecord,
+): Promise<void> {
+  const value = {sender, processStartedMs: 1, toNodeId: node.name};
+  const frame: serving.NodeFrame = {body: {$case: 'greeting', value}};
+  const {ip, port} = addressOf(node);
+  const socket = net.connect(port, ip);
+  socket.on('error', () => undefined);
+  socket.end(frameCodec.encodeFrame(serving.NodeFrame, frame));
+  await new Promise(resolve => socket.on('close', resolve));
+}
+
+test('odd records of nodes end no process, also when a node gets them from another one', async () => {
+  await using fleet = await platformFleet.PlatformFleet.start(3);
+  const {store} = fleet;
+  const [cutOff, ...readers] = fleet.nodes;
+  cutOff.storeRelay.mode = {kind: 'refuse'};
+  cutOff.storeRelay.reset();
+  writeOddNodes(fleet);
+  startNewEra(store);
+  for (const node of readers) await waitUntilIgnored(node, 'z-0');
+  await checkFollowed(fleet, 5);
+  checkAllRun(fleet);
+});
+
+test('odd senders of greetings end no process', async () => {
+  await using fleet = await platformFleet.PlatformFleet.start(2);
+  const [node] = fleet.nodes;
+  for (const [i, value] of oddNodeValues('odd').entries()) {
+    let sender: serving.NodeRecord;
+    try {
+      sender = serving.NodeRecord.decode(value);
+    } catch {
+      continue;
+    }
+    await greet(node, {...sender, nodeId: `odd-${i}`});
+  }
+  checkAllRun(fleet);
+  await waitUntilIgnored(node, 'odd-0');
+  await checkFollowed(fleet, 5);
+});
+
+test('an odd record under the key of a living node costs no link and is replaced', async () => {
+  await using fleet = await platformFleet.PlatformFleet.start(3);
+  const {store} = fleet;
+  const [own, other] = fleet.nodes;
+  const odd = [
+    encoded(other.name, {port: 70_000}),
+    Buffer.alloc(DEEP_LEVELS, 0x7b),
+    // The address of a living node, of this node, and of none.
+    encoded(other.name, addressOf(own)),
+    encoded(other.name, {}),
+  ];
+  for (const value of odd) {
+    const printed = fleet.nodes.map(({process}) => process.printed.length);
+    const key = `node/${other.name}`;
+    const written = store.newestOf(FLEET_TOPIC, key);
+    store.putBytes(FLEET_TOPIC, key, value);
+    startNewEra(store);
+    await child.waitUntil(
+      () => store.newestOf(FLEET_TOPIC, key)?.equals(written!) ?? false,
+      READ_AGAIN_MS,
+      () => `${other.name} to replace ${value.toString('hex', 0, 40)}`,
+    );
+    fleet.nodes.forEach(({name, process}, i) => {
+      const since = process.printed.slice(printed[i]);
+      assert.doesNotMatch(since, /peer-lost|peer-replaced/, name);
+    });
+  }
+  await checkFollowed(fleet, 5);
+  checkAllRun(fleet);
+});
+
+test('nodes are found behind pages of odd records', async () => {
+  await using fleet = await platformFleet.PlatformFleet.start(2);
+  const {store} = fleet;
+  writeOddNodes(fleet);
+  // Several pages before and after the keys of the nodes; the last ones are not UTF-8.
+  for (let i = 0; i < 1_100; i++) {
+    store.putBytes(FLEET_TOPIC, `a${i}`, encoded('', {}));
+    store.putBytes(
+      FLEET_TOPIC,
+      `node/${i}`,
+      encoded(`${i}`, {port: 65_536 + i}),
+    );
+    store.putBytes(
+      FLEET_TOPIC,
+      Buffer.from(`\xff${i}`, 'latin1'),
+      encoded('', {}),
+    );
+  }
+  const added = await fleet.addNode();
+  await fleet.waitUntilReady(added);
+  await child.waitUntil(
+    () =>
+      /peer-regained.*node-0/.test(added.process.printed) &&
+      /peer-regained.*node-1/.test(added.process.printed),
+    READ_AGAIN_MS,
+    () =>
+      `${added.name} to reach all; it printed ${added.process.printed.slice(-2_000)}`,
+  );
+  const calls = store.calls;
+  await checkFollowed(fleet, 5);
+  checkAllRun(fleet);
+  assert.ok(store.calls - calls < MAX_CALLS, `${store.calls - calls} calls`);
+});
