--- a/test/paths/odd_records.test.ts
+++ b/test/paths/odd_records.test.ts
@@ -3,6 +3,7 @@
 import * as net from 'node:net';
 import * as nodeTest from 'node:test';
 
+import * as generated from '../../src/generated/node_settings.js';
 import * as serving from '../../src/generated/serving.js';
 import * as frameCodec from '../../src/node/frame_codec.js';
 import * as documents from '../stand_ins/platform/documents.js';
@@ -91,9 +92,10 @@
 async function statusesOf(
   fleet: platformFleet.PlatformFleet,
   path: string,
+  deadlineMs?: number,
 ): Promise<readonly number[]> {
   const sent = fleet.nodes.map(node =>
-    fleet.send(node, {id: `odd${++requests}`, path}),
+    fleet.send(node, {id: `odd${++requests}`, path, deadlineMs}),
   );
   const answers = await Promise.allSettled(sent);
   return answers.map(answer =>
@@ -150,17 +152,15 @@
     .map(line => (JSON.parse(line) as {readonly record: string}).record);
 }
 
-function advertisedBy(node: platformFleet.FleetNode): string {
-  const settings = JSON.parse(fs.readFileSync(node.settings, 'utf8')) as {
-    readonly listen: {readonly advertised: string};
-  };
-  return settings.listen.advertised;
+function settingsOf(node: platformFleet.FleetNode): generated.NodeSettings {
+  const text = fs.readFileSync(node.settings, 'utf8');
+  return JSON.parse(text) as generated.NodeSettings;
 }
 
 function addressOf(
   node: platformFleet.FleetNode,
 ): Pick<serving.NodeRecord, 'ip' | 'port'> {
-  const [ip, port] = advertisedBy(node).split(':');
+  const [ip, port] = settingsOf(node).listen.advertised!.split(':');
   return {ip, port: Number(port)};
 }
 
@@ -272,3 +272,152 @@
   checkAllRun(fleet);
   assert.ok(store.calls - calls < MAX_CALLS, `${store.calls - calls} calls`);
 });
+
+/** Checks that every node answers requests, some of which it dispatches to another one. */
+async function checkServed(fleet: platformFleet.PlatformFleet): Promise<void> {
+  for (let i = 0; i < 3; i++) {
+    const statuses = await statusesOf(fleet, '/history/1', 1e12);
+    checkAllRun(fleet);
+    assert.ok(
+      statuses.every(status => status === 200),
+      statuses.join(),
+    );
+  }
+}
+
+/** Odd values of a configuration's fields, which the store's own check might miss. */
+function oddConfigurations(firstVersion: number): readonly Buffer[] {
+  const route = documents.addedRoute('history');
+  const oddRoutes: readonly object[] = [
+    {priority: 2 ** 40},
+    {timeout_s: 1e300},
+    {timeout_s: 2 ** 33},
+    {target_latency_s: 1e300},
+    {attempts: 2 ** 52},
+    {
+      split: [
+        {service: 'orders', weight: 1e308},
+        {service: 'orders', weight: 1e308},
+      ],
+    },
+  ];
+  const oddFields: readonly object[] = [
+    ...oddRoutes.map(odd => ({routes: [{...route, ...odd}]})),
+    {version: 2 ** 53},
+    {
+      limits: {
+        max_header_bytes: 16_384,
+        max_body_bytes: 1e5,
+        header_timeout_s: 1e300,
+        idle_timeout_s: 1e300,
+      },
+    },
+    {
+      limits: {
+        max_header_bytes: 16_384,
+        max_body_bytes: 1e5,
+        header_timeout_s: 2 ** 33,
+        idle_timeout_s: 2 ** 33,
+      },
+    },
+  ];
+  return [
+    ...oddFields.map((odd, i) =>
+      JSON.stringify(documents.configuration(firstVersion + i, odd)),
+    ),
+    '['.repeat(200_000),
+    '{"routes":'.repeat(20_000),
+    `{"version":1e400,"routes":[]}`,
+  ].map(text => Buffer.from(text));
+}
+
+test('odd records of operators end no process and undo nothing', async () => {
+  await using fleet = await platformFleet.PlatformFleet.start(3);
+  const {store} = fleet;
+  // Requests of this node are dispatched to the others.
+  await fleet.nodes[0].server[Symbol.asyncDispose]();
+  for (const value of oddConfigurations(10)) {
+    store.putBytes(OPERATORS_TOPIC, 'config', value);
+    await new Promise(resolve => setTimeout(resolve, 200));
+    await checkServed(fleet);
+  }
+  await checkFollowed(fleet, 1_000);
+  checkAllRun(fleet);
+});
+
+test('odd roll-outs end no process, also when a node gets them from another one', async () => {
+  await using fleet = await platformFleet.PlatformFleet.start(3);
+  const {store} = fleet;
+  const [cutOff] = fleet.nodes;
+  cutOff.storeRelay.mode = {kind: 'refuse'};
+  cutOff.storeRelay.reset();
+  const odd: readonly object[] = [
+    {target_version: 'v2', duration_s: 1e300},
+    {target_version: 'v2', duration_s: 2 ** 33},
+    {target_version: 'x'.repeat(100_000), duration_s: -1},
+    {target_version: {}, duration_s: 1},
+    {},
+  ];
+  for (const [i, value] of odd.entries()) {
+    store.put(OPERATORS_TOPIC, 'rollout/orders', value);
+    store.put('keyed.status', 'rollout/orders', {
+      ...value,
+      state: 'running',
+      service: 'orders',
+      order_era: 2 ** 53,
+      order_offset: -1,
+    });
+    await checkFollowed(fleet, 5 + i);
+    checkAllRun(fleet);
+  }
+});
+
+/** Sends a heartbeat of the server beside a node with odd fields; returns the status. */
+async function beat(
+  node: platformFleet.FleetNode,
+  fields: object,
+  info: object,
+  status: object,
+): Promise<number> {
+  const {instanceId, startMs, service, dataCentre: zone} = node.server;
+  const body = {
+    address: settingsOf(node).server,
+    born: startMs,
+    node_info: {service, version: 'v1', zone, slot_count: 10, ...info},
+    status: {state: 'ready', sequence: 1_000, cold_left_s: 0, ...status},
+    ...fields,
+  };
+  const url = `http://${node.control}/Instances.Heartbeat/${instanceId}`;
+  const res = await fetch(url, {method: 'POST', body: JSON.stringify(body)});
+  await res.arrayBuffer();
+  return res.status;
+}
+
+test('odd heartbeats and loads of a server end no process', async () => {
+  await using fleet = await platformFleet.PlatformFleet.start(2);
+  const [node, other] = fleet.nodes;
+  // Requests of the other node run here, and their answers carry the load.
+  await other.server[Symbol.asyncDispose]();
+  const odd: ReadonlyArray<readonly [object, object, object]> = [
+    [{}, {slot_count: 2 ** 40}, {}],
+    [{}, {slot_count: 1e300}, {}],
+    [{}, {}, {sequence: 2 ** 52}],
+    [{}, {}, {cold_left_s: 1e300}],
+    [{born: 2 ** 53}, {}, {}],
+    [{address: '127.0.0.1:70000'}, {}, {}],
+  ];
+  const statuses: number[] = [];
+  for (const [fields, info, status] of odd) {
+    statuses.push(await beat(node, fields, info, status));
+    await checkServed(fleet);
+  }
+  assert.deepEqual(new Set(statuses), new Set([400]));
+  for (const pacePercent of [1e300, 2 ** 33, -1, NaN]) {
+    node.server.pacePercent = pacePercent;
+    await checkServed(fleet);
+  }
+  node.server.pacePercent = 100;
+  assert.equal(await node.server.announce(node.control), 200);
+  await checkFollowed(fleet, 5);
+  checkAllRun(fleet);
+});
