--- a/test/paths/odd_records.test.ts
+++ b/test/paths/odd_records.test.ts
@@ -257,6 +257,13 @@
       encoded('', {}),
     );
   }
+  // Other ids at the addresses of living nodes.
+  for (const [i, node] of fleet.nodes.entries()) {
+    for (const alias of [`a-alias-${i}`, `z-alias-${i}`]) {
+      const value = encoded(alias, addressOf(node));
+      store.putBytes(FLEET_TOPIC, `node/${alias}`, value);
+    }
+  }
   const added = await fleet.addNode();
   await fleet.waitUntilReady(added);
   await child.waitUntil(
@@ -288,6 +295,12 @@
 /** Odd values of a configuration's fields, which the store's own check might miss. */
 function oddConfigurations(firstVersion: number): readonly Buffer[] {
   const route = documents.addedRoute('history');
+  const service = {
+    name: 'orders',
+    max_conns: 200,
+    cold_start_s: 3,
+    cold_per_s: 10,
+  };
   const oddRoutes: readonly object[] = [
     {priority: 2 ** 40},
     {timeout_s: 1e300},
@@ -304,6 +317,9 @@
   const oddFields: readonly object[] = [
     ...oddRoutes.map(odd => ({routes: [{...route, ...odd}]})),
     {version: 2 ** 53},
+    ...['health', '/ \n', '/\u0000', '/\u6f22'].map(health_path => ({
+      services: [{...service, health_path}],
+    })),
     {
       limits: {
         max_header_bytes: 16_384,
