A heartbeat that names a start in the future is refused

Callers saw: after one heartbeat with a `born` of 2^52 a node took that incarnation for the current one and refused each true heartbeat with 409, its leaving included, until the node's process ended.

Cause: the newest start is the current incarnation, and any start was believed.

Evidence: odd_records 'odd heartbeats and loads' failed before (200 for that heartbeat), and passes now.

--- a/src/node/serving/server_message_handler.ts
+++ b/src/node/serving/server_message_handler.ts
@@ -1,10 +1,14 @@
 /** Handles the messages that the backend server sends to its node. */
 import * as decision from '../../common/serving/decision.js';
 import * as serverGate from '../../common/serving/server_gate.js';
+import * as units from '../../common/units.js';
 import * as clock from '../clock.js';
 import * as platformAdapter from './platform_adapter.js';
 import * as simpleHttpServer from './simple_http_server.js';
 
+/** Lead that a server's clock may have; a later start would make all true ones outdated. */
+const MAX_CLOCK_LEAD_MS: units.Millis = 24 * 3_600_000;
+
 const EMPTY = '{}';
 
 const OK: simpleHttpServer.SimpleResponse = {status: 200, text: EMPTY};
@@ -75,6 +79,11 @@
       this.noteRefused({detail, service, address, instanceId});
       return CONFLICT;
     }
+    if (a.startMs > clock.now().epochMs + MAX_CLOCK_LEAD_MS) {
+      const {instanceId, startMs} = a;
+      this.noteRefused({detail: 'starts in the future', instanceId, startMs});
+      return BAD_REQUEST;
+    }
     const change = this.options.gate.onAnnouncement(a, clock.monotonicMs());
     this.options.afterEvent();
     // A message of an earlier incarnation, or out of order, was not applied.
--- a/test/paths/odd_records.test.ts
+++ b/test/paths/odd_records.test.ts
@@ -420,6 +420,7 @@
     [{}, {}, {sequence: 2 ** 52}],
     [{}, {}, {cold_left_s: 1e300}],
     [{born: 2 ** 53}, {}, {}],
+    [{born: 2 ** 52}, {}, {}],
     [{address: '127.0.0.1:70000'}, {}, {}],
   ];
   const statuses: number[] = [];
