Keys of operators whose rest is no name are ignored

Callers saw: a roll-out under a key that is not UTF-8, empty or of control characters was taken for an order, and the deciding node wrote its state. The decoded key of bytes that are not UTF-8 is longer than the key: beyond 255 bytes its length did not fit into the record, and another key was written.

Cause: whatever followed the prefix of a key was taken for a name.

Change: the names of data centres and services in keys, in node records and in the settings have one check: 1 to 200 characters, no control characters, and no U+FFFD, which stands for other bytes.

--- a/src/node/serving/node_record.ts
+++ b/src/node/serving/node_record.ts
@@ -2,11 +2,9 @@
 import * as net from 'node:net';
 
 import * as errors from '../../common/errors.js';
+import * as names from '../../common/serving/names.js';
 import * as serving from '../../generated/serving.js';
 
-/** Name of a node, data centre or service, as the settings allow it. */
-const NAME = /^\P{Cc}{0,200}$/u;
-
 const MAX_PORT = 65_535;
 
 /** First octets of addresses of this network, of groups and of reserved ranges. */
@@ -34,9 +32,8 @@
 
 function faultOf(record: serving.NodeRecord): string | undefined {
   const {nodeId, dataCentre, service, ip, port} = record;
-  if (nodeId === '' || service === '') return 'node id or service missing';
-  if (![nodeId, dataCentre, service].every(name => NAME.test(name))) {
-    return 'name too long, or with control characters';
+  if (![nodeId, dataCentre, service].every(names.isName)) {
+    return 'node id, data centre or service is no name';
   }
   if (!isReachable(ip)) return 'no address of a host';
   const isPort = Number.isInteger(port) && port > 0 && port <= MAX_PORT;
--- a/test/stand_ins/platform/store_stand_in.ts
+++ b/test/stand_ins/platform/store_stand_in.ts
@@ -141,6 +141,11 @@
       .map(({value}) => JSON.parse(value.toString('utf8')) as unknown);
   }
 
+  /** Returns the keys that were written, each once. */
+  keysOf(topic: string): readonly string[] {
+    return [...new Set(this.topic(topic).records.map(({key}) => key))];
+  }
+
   /** Returns the newest value of a key, undefined if it has none. */
   newestOf(topic: string, key: string): Buffer | undefined {
     const newest = this.topic(topic).records.findLast(
