--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -7,6 +7,7 @@
 import * as framedSocket from '../framed_socket.js';
 import * as gateLinkListener from './gate_link_listener.js';
 import * as linkFrame from './link_frame.js';
+import * as nodeRecord from './node_record.js';
 import * as pendingRequests from './pending_requests.js';
 
 /** Time without bytes from the gate after a request until it is pinged, once per request. */
@@ -94,7 +95,7 @@
   private disposed = false;
 
   constructor(
-    private record: serving.NodeRecord,
+    private record: nodeRecord.NodeRecord,
     private readonly options: GateLinkOptions,
   ) {
     this.open();
@@ -135,7 +136,7 @@
   }
 
   /** Applies a new record of the node; one with another address opens a new connection. */
-  update(record: serving.NodeRecord): void {
+  update(record: nodeRecord.NodeRecord): void {
     const {ip, port} = this.record;
     this.record = record;
     if (record.ip === ip && record.port === port) return;
--- a/src/node/serving/gate_links.ts
+++ b/src/node/serving/gate_links.ts
@@ -6,6 +6,7 @@
 import * as fleetDirectory from './fleet_directory.js';
 import * as gateLink from './gate_link.js';
 import * as gateLinkListener from './gate_link_listener.js';
+import * as nodeRecord from './node_record.js';
 import * as pulseInterval from './pulse_interval.js';
 
 /** Interval of the timers of idle links, which are pinged after six seconds. */
@@ -126,14 +127,14 @@
     for (const nodeId of [...this.links.keys()]) this.disconnect(nodeId);
   }
 
-  private connect(record: serving.NodeRecord): void {
+  private connect(record: nodeRecord.NodeRecord): void {
     const {nodeId} = record;
     const known = this.links.get(nodeId);
     if (known) known.update(record);
     else this.links.set(nodeId, this.makeLink(record));
   }
 
-  private makeLink(record: serving.NodeRecord): gateLink.GateLink {
+  private makeLink(record: nodeRecord.NodeRecord): gateLink.GateLink {
     const {listener, greeting, nowMs, directory} = this.options;
     return new gateLink.GateLink(record, {
       greeting,
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -18,6 +18,8 @@
 import * as fleetSync from './fleet_sync.js';
 import * as keyAdmission from './key_admission.js';
 import * as gateRuntime from './gate_runtime.js';
+import * as ignoredRecords from './ignored_records.js';
+import * as nodeRecord from './node_record.js';
 import * as nodeStop from './node_stop.js';
 import * as pauseMeter from './pause_meter.js';
 import * as rolloutStatusWriter from './rollout_status_writer.js';
@@ -81,7 +83,11 @@
     this.random = new randomSource.SeededRandom(
       randomSource.seedOf(settings.nodeId, options.processStartedMs),
     );
-    this.directory = use(new fleetDirectory.FleetDirectory(recordOf(settings)));
+    this.directory = use(
+      new fleetDirectory.FleetDirectory(nodeRecord.ofSettings(settings)),
+    );
+    const ignored = new ignoredRecords.IgnoredRecords(options.telemetry);
+    this.directory.onIgnored(({key, err}) => ignored.note(key, err));
     this.fleetSync = this.makeFleetSync();
     this.keys = this.makeKeyAdmission();
     this.rollouts = this.makeRollouts();
@@ -117,7 +123,7 @@
       this.gateRuntime.setServer(address.parseAddress(server));
     }
     this.settings = settings;
-    this.directory.setSelf(recordOf(settings));
+    this.directory.setSelf(nodeRecord.ofSettings(settings));
     this.note('reload', {service, server});
   }
 
@@ -444,10 +450,3 @@
     decision.noteStateChange(this.options.telemetry, 'node', event, facts);
   }
 }
-
-function recordOf(settings: generated.NodeSettings): serving.NodeRecord {
-  const {nodeId, dataCentre, service, listen} = settings;
-  const advertised = listen.advertised ?? listen.peers;
-  const {ip, port} = address.parseAddress(advertised);
-  return {nodeId, dataCentre, service, ip, port};
-}
