Answer callers that still wait when a planned stop ends, after the sockets are read

Timeouts of requests also wait until what came during a pause has been read. Two new tests fail without it.

--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -223,6 +223,11 @@
     }
   }
 
+  /** Gives up on all requests, as the process is about to end. */
+  giveUpAll(now: units.MonotonicMs): void {
+    for (const call of this.calls.all) this.giveUp(call, 'stopping', now);
+  }
+
   /** Handles expired timers. */
   tick(now: units.MonotonicMs): void {
     for (const call of this.calls.all) {
@@ -414,10 +419,10 @@
     reason: entryCall.GiveUpReason,
     now: units.MonotonicMs,
   ): void {
-    const hasTimedOut = reason === 'timeout';
-    if (call.liveAttempts > 0 && !hasTimedOut) return;
+    const isFinal = reason === 'timeout' || reason === 'stopping';
+    if (call.liveAttempts > 0 && !isFinal) return;
     if (call.failure) return this.respond(call, call.failure, now);
-    if (call.attempts.size > 0 && !hasTimedOut) {
+    if (call.attempts.size > 0 && !isFinal) {
       const mayRetry = this.retryLimit(call, now) === undefined;
       call.hedgeAtMs = mayRetry ? now + RETRY_UNKNOWN_INTERVAL_MS : Infinity;
       return;
--- a/src/common/serving/entry_call.ts
+++ b/src/common/serving/entry_call.ts
@@ -114,6 +114,7 @@
   'shed',
   'server-failed',
   'timeout',
+  'stopping',
   'internal',
   'no-freshness-proof',
   'over-quota',
--- a/src/common/serving/retry_after.ts
+++ b/src/common/serving/retry_after.ts
@@ -25,6 +25,7 @@
     case 'quarantined':
     case 'server-failed':
     case 'timeout':
+    case 'stopping':
     case 'internal':
     case 'no-freshness-proof':
     case 'over-quota':
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -6,6 +6,7 @@
 import * as rollouts from '../../common/rollouts/rollouts.js';
 import * as operatorIntent from '../../common/serving/operator_intent.js';
 import * as placement from '../../common/serving/placement.js';
+import * as retryAfter from '../../common/serving/retry_after.js';
 import * as randomSource from '../../common/random_source.js';
 import * as units from '../../common/units.js';
 import * as serving from '../../generated/serving.js';
@@ -104,6 +105,29 @@
     this.entry.onRefusal(this.localNodeId, refusal, clock.monotonicMs());
   }
 
+  /** Number of callers whose response has not been sent. */
+  get unanswered(): number {
+    return this.callers.inProgress;
+  }
+
+  /** Closes connections of callers after their next response. */
+  announceClosing(): void {
+    this.callers.announceClosing();
+  }
+
+  /** Refuses new requests from callers. */
+  refuseNew(): void {
+    this.callers.refuseNew();
+  }
+
+  /** Gives up on all requests, as the process is about to end. */
+  giveUpAll(): void {
+    for (const id of [...this.waiting.keys()]) {
+      this.endWait(id, () => this.refuseUnrun(id));
+    }
+    this.entry.giveUpAll(clock.monotonicMs());
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.resources[Symbol.asyncDispose]();
   }
@@ -303,6 +327,12 @@
     this.callers.giveUp(id, {reason, mayHaveRun: false, retryAfterMs});
   }
 
+  private refuseUnrun(id: number): void {
+    const retryAfterMs = retryAfter.NO_SERVER_RETRY_MS;
+    const giveUp = {reason: 'stopping', mayHaveRun: false} as const;
+    this.callers.giveUp(id, {...giveUp, retryAfterMs});
+  }
+
   private gatesOf(service: string): readonly placement.KnownGate[] {
     const {self} = this.options.directory;
     return this.options.directory
--- a/src/node/serving/pause_meter.ts
+++ b/src/node/serving/pause_meter.ts
@@ -58,6 +58,11 @@
     return isCatchingUp ? this.pausedMs : 0;
   }
 
+  /** Whether messages that arrived during the last pause may not have been read yet. */
+  get hasUnread(): boolean {
+    return this.pollsLeft > 0;
+  }
+
   private countPolls(): void {
     this.options.afterPoll(() => {
       this.pollsLeft--;
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -129,18 +129,14 @@
 
   /** Runs a planned stop; resolves when all requests are finished or its time limit has passed. */
   stop(): Promise<void> {
-    const {callers} = this.entryRuntime;
-    const {gateRuntime: gates} = this;
     this.stopping ??= new nodeStop.NodeStop({
       stopMs: this.options.platform.bounds.stopMs,
       begin: () => {
-        gates.gate.stop(clock.monotonicMs());
+        this.gateRuntime.gate.stop(clock.monotonicMs());
         this.afterEvent();
       },
-      announceClosing: () => callers.announceClosing(),
-      refuseNew: () => callers.refuseNew(),
-      unfinished: () => callers.inProgress + gates.unfinished,
-      endUnconfirmedLinks: () => gates.endUnconfirmedLinks(),
+      entry: this.entryRuntime,
+      gate: this.gateRuntime,
     });
     return this.stopping.finished;
   }
@@ -430,6 +426,11 @@
   private tick(): void {
     const now = clock.monotonicMs();
     this.pauseMeter.observe(now);
+    if (this.pauseMeter.hasUnread) {
+      // Answers that came in time must be read before their requests time out.
+      setImmediate(() => this.tick());
+      return;
+    }
     this.entryRuntime.tick(now);
     this.gateRuntime.tick(now);
     this.fleetSync.tick();
--- a/test/paths/silent_gates.test.ts
+++ b/test/paths/silent_gates.test.ts
@@ -162,3 +162,25 @@
     assert.equal(fleet.runsOf('r'), 1);
   });
 }
+
+// Callers got a closed connection, although the process had time to answer before it was killed.
+test('an entry that stops answers callers that still wait when its time ends', async () => {
+  await using fleet = await startFleet();
+  const [entry] = fleet.nodes;
+  for (const {server} of fleet.nodes) server.mode = {kind: 'hang'};
+  const sent = fleet.send(entry, {id: 'r', deadlineMs: DEADLINE_MS});
+  await nodeThatRuns(fleet, 'r');
+  entry.process.signal('SIGTERM');
+  const {status, body} = await sent;
+  assert.deepEqual([status, body], [502, 'stopping']);
+});
+
+test('an entry paused beyond the end of its stop delivers the answers that have come', async () => {
+  await using fleet = await startFleet();
+  const [entry] = fleet.nodes;
+  const sent = fleet.send(entry, {id: 'r', deadlineMs: 2 * DEADLINE_MS});
+  await nodeThatRuns(fleet, 'r');
+  entry.process.signal('SIGTERM');
+  await pause(entry.process, 3_600);
+  assert.equal((await sent).status, 200);
+});
