A run of a request that may have waited unread is kept until its latest deadline

The gate takes the whole pause off the time of a request that it reads afterwards, which is right for what it hands to the server and for what it starts; a run at work ends at the latest deadline that the request can have. The new test fails without it. Retries ask for a gate without ranking them: ranking draws random numbers.

--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -346,10 +346,13 @@
     now: units.MonotonicMs,
   ): void {
     if (call.liveAttempts > 0) return;
+    const {placement} = this.options;
     const budget = this.budgets.of(call.service);
     const limit =
       this.retryLimit(call, now) ??
-      (this.hasGate(call, now) ? undefined : 'no-gate') ??
+      (placement.hasGate(call.service, call.closed, now)
+        ? undefined
+        : 'no-gate') ??
       (budget.take() ? undefined : 'budget');
     this.note(call, 'failure', limit === undefined ? 'repeat' : 'no-repeat', {
       ...cause,
@@ -371,11 +374,6 @@
     return retryLimit.retryLimitOf(call, meanMs, now);
   }
 
-  /** Whether a call can be sent to a gate now. */
-  private hasGate(call: entryCall.EntryCall, now: units.MonotonicMs): boolean {
-    return call.hops < MAX_HOPS && this.rank(call, call.closed, now).length > 0;
-  }
-
   /** Sends a second attempt beside an unanswered one. */
   private hedge(call: entryCall.EntryCall, now: units.MonotonicMs): void {
     call.hedgeAtMs = Infinity;
--- a/src/common/serving/gate_call.ts
+++ b/src/common/serving/gate_call.ts
@@ -34,7 +34,10 @@
   readonly dispatch: serving.Dispatch;
   readonly isRemote: boolean;
   readonly rank: number;
+  /** Earliest estimate of the deadline: the request may have waited unread. */
   readonly deadlineMs: units.MonotonicMs;
+  /** Latest estimate of the deadline: the request may have come when it was read. */
+  readonly latestDeadlineMs: units.MonotonicMs;
   readonly objectiveAtMs: units.MonotonicMs;
   stage: Stage = {kind: 'waiting'};
 
@@ -59,6 +62,7 @@
     this.rank = dispatch.rank;
     const sentMs = arrivedMs - (arriving.waitedMs ?? 0);
     this.deadlineMs = sentMs + dispatch.timeLeftMs;
+    this.latestDeadlineMs = arrivedMs + dispatch.timeLeftMs;
     this.objectiveAtMs = sentMs + dispatch.objectiveLeftMs;
   }
 
--- a/src/common/serving/gate_timeouts.ts
+++ b/src/common/serving/gate_timeouts.ts
@@ -16,7 +16,7 @@
     case 'waiting':
       return Math.min(call.linkExpiryMs, capacity.latestStartMs(call));
     case 'running':
-      return Math.min(call.linkExpiryMs, call.deadlineMs + RUN_GRACE_MS);
+      return Math.min(call.linkExpiryMs, call.latestDeadlineMs + RUN_GRACE_MS);
     case 'broken':
       return call.stage.untilMs;
     default:
--- a/src/common/serving/lost_link.test.ts
+++ b/src/common/serving/lost_link.test.ts
@@ -127,3 +127,15 @@
   harness.resend(key, 2, 1_300, {repeatable: false});
   assert.equal(harness.output.refusals[0].mayHaveRun, true);
 });
+
+// A gate that had been paused ended runs whose callers still had time.
+test('a run of a request that may have waited unread is kept until its latest deadline', () => {
+  const harness = new fixtures.GateHarness().open();
+  const dispatch = fixtures.dispatch({timeLeftMs: 2_000});
+  const key = 'e/1';
+  harness.gate.onCall({key, linkId: 1, dispatch, waitedMs: 1_300}, 100);
+  harness.gate.tick(1_200);
+  assert.deepEqual(harness.output.aborted, []);
+  harness.gate.tick(2_400);
+  assert.deepEqual(harness.output.aborted, [key]);
+});
--- a/src/common/serving/placement.ts
+++ b/src/common/serving/placement.ts
@@ -90,12 +90,7 @@
     slackMs: units.Millis,
     now: units.MonotonicMs,
   ): readonly RankedGate[] {
-    const {directory, reports} = this.options;
-    const usable = directory
-      .gatesOf(service)
-      .filter(gate => gate.reachable && !excluded.has(gate.nodeId))
-      .map(gate => ({gate, estimate: reports.estimate(gate.nodeId, now)}))
-      .filter(({estimate}) => estimate.load.closure === serving.Closure.OPEN);
+    const usable = this.usableGates(service, excluded, now);
     const typicalMeanMs = medianOf(usable.map(u => u.estimate.load.meanMs));
     const remotePenaltyMs = DATA_CENTRE_SLACK_SHARE * Math.max(0, slackMs);
     const costOf = (u: (typeof usable)[number]): units.Millis =>
@@ -107,6 +102,28 @@
       .sort((a, b) => a.costMs - b.costMs);
   }
 
+  /** Whether a gate of a service is reachable, open and not excluded. */
+  hasGate(
+    service: string,
+    excluded: ReadonlySet<string>,
+    now: units.MonotonicMs,
+  ): boolean {
+    return this.usableGates(service, excluded, now).length > 0;
+  }
+
+  private usableGates(
+    service: string,
+    excluded: ReadonlySet<string>,
+    now: units.MonotonicMs,
+  ): readonly Omit<RankedGate, 'costMs'>[] {
+    const {directory, reports} = this.options;
+    return directory
+      .gatesOf(service)
+      .filter(gate => gate.reachable && !excluded.has(gate.nodeId))
+      .map(gate => ({gate, estimate: reports.estimate(gate.nodeId, now)}))
+      .filter(({estimate}) => estimate.load.closure === serving.Closure.OPEN);
+  }
+
   /** Whether a gate is in this node's data centre. */
   isNear(gate: KnownGate): boolean {
     return gate.dataCentre === this.options.dataCentre;
