Charge the wait behind other messages to the time of a request

A node that is short of processor time reads messages late although no single callback is long, and the time limits in them count from their sending; only pauses were charged. A request that is read late has less time now, and none if its caller has left.

--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -19,9 +19,10 @@
 import * as keyAdmission from './key_admission.js';
 import * as gateRuntime from './gate_runtime.js';
 import * as ignoredRecords from './ignored_records.js';
+import * as messageAge from './message_age.js';
 import * as nodeRecord from './node_record.js';
 import * as nodeStop from './node_stop.js';
-import * as pauseMeter from './pause_meter.js';
+
 import * as rolloutStatusWriter from './rollout_status_writer.js';
 import * as serverMessageHandler from './server_message_handler.js';
 import * as simpleHttpServer from './simple_http_server.js';
@@ -55,14 +56,10 @@
   private readonly registry: fleetRegistry.FleetRegistry;
   private readonly gateRuntime: gateRuntime.GateRuntime;
   private readonly entryRuntime: entryRuntime.EntryRuntime;
-  private readonly pauseMeter = new pauseMeter.PauseMeter(
-    {
-      intervalMs: MAX_TICK_INTERVAL_MS,
-      afterPoll: callback => void setImmediate(callback),
-      onResumed: pausedMs => this.onResumed(pausedMs),
-    },
-    clock.monotonicMs(),
-  );
+  private readonly messageAge = new messageAge.MessageAge({
+    intervalMs: MAX_TICK_INTERVAL_MS,
+    onResumed: pausedMs => this.onResumed(pausedMs),
+  });
   private readonly rollouts: rolloutsModule.Rollouts;
   private readonly statusWriter: rolloutStatusWriter.RolloutStatusWriter;
   private readonly resources = new resourceStack.ResourceStack();
@@ -163,7 +160,7 @@
       this.gateRuntime.listen(address.parseAddress(listen.peers)),
       this.entryRuntime.callers.listen(address.parseAddress(listen.callers)),
     ]);
-    this.pauseMeter.observe(clock.monotonicMs());
+    this.messageAge.observe(clock.monotonicMs());
     this.storeReaders.start();
     this.registry.start();
     this.statusWriter.start();
@@ -374,7 +371,7 @@
         toNodeId,
         acceptsParts: true,
       }),
-      waitedMs: () => this.pauseMeter.waitedMs(clock.monotonicMs()),
+      waitedMs: () => this.messageAge.waitedMs(),
       afterEvent: () => this.afterEvent(),
     };
   }
@@ -425,8 +422,8 @@
 
   private tick(): void {
     const now = clock.monotonicMs();
-    this.pauseMeter.observe(now);
-    if (this.pauseMeter.hasUnread) {
+    this.messageAge.observe(now);
+    if (this.messageAge.hasUnread) {
       // Answers that came in time must be read before their requests time out.
       setImmediate(() => this.tick());
       return;
