Links: overdue pings are judged after the sockets have been polled

Callers of geraniumloftd got LINK_FAILED with an unknown outcome from an entry whose own process had been paused: its timers run before its sockets are read, so the pong that had arrived during the pause was not seen and the link was taken for silent.

The test "a pause of this process is not taken for silence of the gate" failed before: it waited for an answer and got link-silent.

--- a/src/node/node_sockets.ts
+++ b/src/node/node_sockets.ts
@@ -67,6 +67,7 @@
       },
       count,
       clock.monotonicMs,
+      callback => void setImmediate(callback),
     ),
   );
   const http = resources.use(
--- a/src/node/outgoing_link.ts
+++ b/src/node/outgoing_link.ts
@@ -28,6 +28,8 @@
   readonly maxQueuedBytes: number;
   readonly count: counters.Counters;
   nowMs(): units.MonotonicMs;
+  /** Calls back once all sockets have been polled, so that what has arrived is read. */
+  afterPoll(callback: () => void): void;
   emit(event: linkEvent.LinkEvent): void;
   /** Called when the link has ended or must not be used for new attempts. */
   onUnusable(link: OutgoingLink): void;
@@ -44,6 +46,7 @@
   private lastActivityMs: units.MonotonicMs;
   private pingSentMs: units.MonotonicMs | undefined;
   private nonce = 0;
+  private checkScheduled = false;
 
   constructor(
     readonly target: LinkTarget,
@@ -124,11 +127,18 @@
 
   /** Pings a link without progress; marks it silent if the ping is not answered in time. */
   check(nowMs: units.MonotonicMs): void {
-    const checkDueMs = this.nextCheckMs();
-    if (!this.usable || checkDueMs === undefined || nowMs < checkDueMs) return;
-    if (this.state === 'connecting') this[Symbol.dispose]();
-    else if (this.pingSentMs === undefined) this.ping(nowMs);
-    else this.markSilent();
+    if (!this.isCheckDue(nowMs)) return;
+    if (this.state === 'open' && this.pingSentMs === undefined) {
+      this.ping(nowMs);
+      return;
+    }
+    // After a pause of this process the reply may have arrived without being read.
+    if (this.checkScheduled) return;
+    this.checkScheduled = true;
+    this.context.afterPoll(() => {
+      this.checkScheduled = false;
+      this.endIfOverdue();
+    });
   }
 
   /** Ends the connection at once; pending attempts fail. */
@@ -137,6 +147,17 @@
     this.close();
   }
 
+  private isCheckDue(nowMs: units.MonotonicMs): boolean {
+    const checkDueMs = this.nextCheckMs();
+    return this.usable && checkDueMs !== undefined && nowMs >= checkDueMs;
+  }
+
+  private endIfOverdue(): void {
+    if (!this.isCheckDue(this.context.nowMs())) return;
+    if (this.state === 'connecting') this[Symbol.dispose]();
+    else if (this.pingSentMs !== undefined) this.markSilent();
+  }
+
   private onConnected(): void {
     if (this.state !== 'connecting') return;
     this.state = 'open';
--- a/src/node/peer_links.test.ts
+++ b/src/node/peer_links.test.ts
@@ -13,12 +13,17 @@
 const TIMEOUT_MS = 5_000;
 const PROGRESS_TIMEOUT_MS = 50;
 
+/** Time within which what has been sent over loopback has been read. */
+const POLL_MS = 20;
+
 /** Links of one node, and the events they emitted. */
 interface TestLinks extends AsyncDisposable {
   readonly links: peerLinks.PeerLinks;
   readonly port: number;
   readonly count: counters.MemoryCounters;
   readonly events: readonly linkEvent.LinkEvent[];
+  /** Moves the clock ahead without reading any socket, as if the process had been paused. */
+  pause(durationMs: number): void;
 }
 
 async function startLinks(
@@ -26,6 +31,8 @@
   answer: (links: peerLinks.PeerLinks, event: linkEvent.LinkEvent) => void,
 ): Promise<TestLinks> {
   const [port] = await child.freePorts(1);
+  let pausedMs = 0;
+  const nowMs = () => performance.now() + pausedMs;
   const count = new counters.MemoryCounters();
   const links = new peerLinks.PeerLinks(
     {
@@ -38,7 +45,8 @@
       maxLinks: 16,
     },
     count,
-    () => performance.now(),
+    nowMs,
+    callback => void setTimeout(callback, POLL_MS),
   );
   const events: linkEvent.LinkEvent[] = [];
   void links.events.observe(event => {
@@ -46,12 +54,16 @@
     answer(links, event);
   });
   await links.listen();
-  const timer = setInterval(() => links.tick(performance.now()), 5);
+  const timer = setInterval(() => links.tick(nowMs()), 5);
   return {
     links,
     port,
     count,
     events,
+    pause(durationMs) {
+      pausedMs += durationMs;
+      links.tick(nowMs());
+    },
     async [Symbol.asyncDispose]() {
       clearInterval(timer);
       await links[Symbol.asyncDispose]();
@@ -185,6 +197,25 @@
   },
 );
 
+nodeTest.test(
+  'a pause of this process is not taken for silence of the gate',
+  async () => {
+    await using gate = await startLinks('gate', () => undefined);
+    await using entry = await startEntryLinks();
+    sendCall(entry, gate.port, 'a');
+    const [received] = await waitForEvents(gate, 'link-call');
+    assert.ok(received.kind === 'link-call');
+    const pings = entry.count.get('link.pings');
+    entry.pause(PROGRESS_TIMEOUT_MS);
+    assert.equal(entry.count.get('link.pings'), pings + 1);
+    entry.pause(1_000);
+    const value = peer.CallAnswer.fromPartial({callId: 'a', status: 200});
+    gate.links.reply(received.linkId, {body: {$case: 'answer', value}});
+    await waitForEvents(entry, 'link-answer');
+    assert.equal(entry.count.get('link.silent'), 0);
+  },
+);
+
 nodeTest.test('calls for another node are not accepted', async () => {
   await using gate = await startLinks('other', () => undefined);
   await using entry = await startEntryLinks();
--- a/src/node/peer_links.ts
+++ b/src/node/peer_links.ts
@@ -61,6 +61,7 @@
     private readonly options: PeerLinksOptions,
     private readonly count: counters.Counters,
     private readonly nowMs: () => units.MonotonicMs,
+    private readonly afterPoll: (callback: () => void) => void,
   ) {
     this.accepts = sourceFilter.createSourceFilter(options.allowedSources);
     this.maxFrameBytes =
@@ -138,6 +139,7 @@
       maxQueuedBytes: MAX_QUEUED_FRAMES * this.maxFrameBytes,
       count: this.count,
       nowMs: this.nowMs,
+      afterPoll: this.afterPoll,
       emit: event => this.source.emit(event),
       onUnusable: unusable => this.removeUnusable(unusable),
     });
