Links: replies on a silent link are taken

A caller of geraniumloftd was told that the outcome of its request is unknown while the answer lay on the connection: a link that had not answered a ping in time dropped every later frame, answers included, and was closed after a second whatever it received. Only whole frames counted as a sign of life, so that a ping behind a large answer went unanswered.

A silent link keeps its pending attempts and passes on their replies, the first of which is forgotten on the other links. Any byte counts; the link is kept while bytes arrive for pending attempts, for a second without. A withdrawn attempt is cancelled on silent links too.

--- a/src/node/outgoing_link.ts
+++ b/src/node/outgoing_link.ts
@@ -35,6 +35,7 @@
   onUnusable(link: OutgoingLink): void;
 }
 
+/** A silent link gets no new attempts, but replies to those that it has are taken. */
 type State = 'connecting' | 'open' | 'silent' | 'closed';
 
 /** A persistent connection that carries many attempts at once. */
@@ -62,6 +63,7 @@
       target.nodeId,
       {
         onConnect: () => this.onConnected(),
+        onBytes: () => this.onBytes(),
         onFrame: frame => this.receive(frame),
         onMalformed: () => context.count.increment('malformed.frame'),
         onClose: () => this.close(),
@@ -90,7 +92,7 @@
     return this.pendingCallIds.size > 0;
   }
 
-  /** Time since the last frame arrived or an attempt was sent on the idle link. */
+  /** Time since the last bytes arrived or an attempt was sent on the idle link. */
   idleMs(nowMs: units.MonotonicMs): units.Millis {
     return nowMs - this.lastActivityMs;
   }
@@ -125,6 +127,11 @@
     return this.busy ? this.lastActivityMs + this.progressTimeoutMs : undefined;
   }
 
+  /** Forgets a pending attempt that was answered over another link. */
+  forget(callId: string): void {
+    this.pendingCallIds.delete(callId);
+  }
+
   /** Pings a link without progress; marks it silent if the ping is not answered in time. */
   check(nowMs: units.MonotonicMs): void {
     if (!this.isCheckDue(nowMs)) return;
@@ -171,10 +178,12 @@
     this.socket.send({body: {$case: 'ping', value: {nonce: this.nonce}}});
   }
 
-  private receive(frame: peer.Frame): void {
-    if (this.state === 'silent') return;
+  private onBytes(): void {
     this.lastActivityMs = this.context.nowMs();
     this.pingSentMs = undefined;
+  }
+
+  private receive(frame: peer.Frame): void {
     switch (frame.body?.$case) {
       case 'answer':
         this.receiveAnswer(frame.body.value);
@@ -225,27 +234,25 @@
     this.context.count.increment('link.silent');
     this.context.onUnusable(this);
     const {nodeId} = this.target;
-    for (const callId of this.drainPending()) {
+    for (const callId of [...this.pendingCallIds]) {
       this.context.emit({kind: 'link-silent', nodeId, callId});
     }
   }
 
   private close(): void {
     if (this.state === 'closed') return;
-    const sent = this.state !== 'connecting';
+    const {state} = this;
+    const callIds = [...this.pendingCallIds];
     this.state = 'closed';
+    this.pendingCallIds.clear();
     this.context.onUnusable(this);
-    for (const callId of this.drainPending()) {
-      this.fail(callId, sent);
+    // `link-silent` has been emitted for these attempts, and they are resent over other links.
+    if (state === 'silent') return;
+    for (const callId of callIds) {
+      this.fail(callId, state !== 'connecting');
     }
   }
 
-  private drainPending(): readonly string[] {
-    const callIds = [...this.pendingCallIds];
-    this.pendingCallIds.clear();
-    return callIds;
-  }
-
   private fail(callId: string, sent: boolean): void {
     const {nodeId} = this.target;
     this.context.count.increment('link.failed-attempt');
--- a/src/node/peer_links.test.ts
+++ b/src/node/peer_links.test.ts
@@ -197,6 +197,40 @@
   },
 );
 
+nodeTest.test(
+  'an answer that was ready before the link went silent is taken',
+  async () => {
+    await using gate = await startLinks('gate', () => undefined);
+    await using between = await tcpRelay.TcpRelay.start(gate.port);
+    await using entry = await startEntryLinks();
+    sendCall(entry, between.port, 'a');
+    const [received] = await waitForEvents(gate, 'link-call');
+    assert.ok(received.kind === 'link-call');
+    between.hold();
+    await waitForEvents(entry, 'link-silent');
+    const value = peer.CallAnswer.fromPartial({callId: 'a', status: 200});
+    gate.links.reply(received.linkId, {body: {$case: 'answer', value}});
+    between.release();
+    await waitForEvents(entry, 'link-answer');
+  },
+);
+
+nodeTest.test(
+  'a request that is withdrawn while its link is silent is cancelled',
+  async () => {
+    await using gate = await startLinks('gate', () => undefined);
+    await using between = await tcpRelay.TcpRelay.start(gate.port);
+    await using entry = await startEntryLinks();
+    sendCall(entry, between.port, 'a');
+    await waitForEvents(gate, 'link-call');
+    between.hold();
+    await waitForEvents(entry, 'link-silent');
+    entry.links.sendCancel('gate', 'a');
+    between.release();
+    await waitForEvents(gate, 'link-cancel');
+  },
+);
+
 nodeTest.test(
   'a pause of this process is not taken for silence of the gate',
   async () => {
--- a/src/node/peer_links.ts
+++ b/src/node/peer_links.ts
@@ -17,7 +17,10 @@
 /** Interval between checks for idle links. */
 const IDLE_CHECK_INTERVAL_MS: units.Millis = 30_000;
 
-/** Time that a silent link stays open, so that its calls are first matched on the new link. */
+/**
+ * Time without bytes that a silent link stays open: its calls are first matched on the new link,
+ * and a gate that was only paused may answer over the old one.
+ */
 const SILENT_LINGER_MS: units.Millis = 1_000;
 
 /** Time allowed for other nodes to close their side of a link when this node stops. */
@@ -96,6 +99,7 @@
   /** Cancels an attempt at another node's gate. */
   sendCancel(nodeId: string, callId: string): void {
     this.outgoing.get(nodeId)?.sendCancel(callId);
+    for (const link of this.silentLinksTo(nodeId)) link.sendCancel(callId);
   }
 
   /** Replies to a call over the link that it came on; dropped if the link has ended. */
@@ -140,7 +144,7 @@
       count: this.count,
       nowMs: this.nowMs,
       afterPoll: this.afterPoll,
-      emit: event => this.source.emit(event),
+      emit: event => this.onOutgoingEvent(event),
       onUnusable: unusable => this.removeUnusable(unusable),
     });
     this.count.increment('link.opened');
@@ -157,7 +161,38 @@
       return;
     }
     this.silentLinks.add(link);
-    setTimeout(() => link[Symbol.dispose](), SILENT_LINGER_MS).unref();
+    this.scheduleSilentLinkEnd(link, SILENT_LINGER_MS);
+  }
+
+  private scheduleSilentLinkEnd(
+    link: outgoingLink.OutgoingLink,
+    delayMs: units.Millis,
+  ): void {
+    const endIfOverdue = () => {
+      const idleMs = link.idleMs(this.nowMs());
+      if (!link.busy || idleMs >= SILENT_LINGER_MS) link[Symbol.dispose]();
+      else this.scheduleSilentLinkEnd(link, SILENT_LINGER_MS - idleMs);
+    };
+    setTimeout(() => this.afterPoll(endIfOverdue), delayMs).unref();
+  }
+
+  private silentLinksTo(nodeId: string): readonly outgoingLink.OutgoingLink[] {
+    return [...this.silentLinks].filter(l => l.target.nodeId === nodeId);
+  }
+
+  private onOutgoingEvent(event: linkEvent.LinkEvent): void {
+    if (event.kind === 'link-answer') {
+      this.forget(event.nodeId, event.answer.callId);
+    } else if (event.kind === 'link-refusal') {
+      this.forget(event.nodeId, event.refusal.callId);
+    }
+    this.source.emit(event);
+  }
+
+  /** Forgets an attempt that was replied to on the other links that it was sent over. */
+  private forget(nodeId: string, callId: string): void {
+    this.outgoing.get(nodeId)?.forget(callId);
+    for (const link of this.silentLinksTo(nodeId)) link.forget(callId);
   }
 
   private accept(socket: net.Socket): void {
--- a/test/paths/tcp_relay.ts
+++ b/test/paths/tcp_relay.ts
@@ -42,6 +42,22 @@
     }
   }
 
+  /** Holds back all bytes on the open connections until `release` is called. */
+  hold(): void {
+    for (const [a, b] of this.connections) {
+      a.unpipe(b).pause();
+      b.unpipe(a).pause();
+    }
+  }
+
+  /** Delivers the bytes that `hold` held back. */
+  release(): void {
+    for (const [a, b] of this.connections) {
+      a.pipe(b);
+      b.pipe(a);
+    }
+  }
+
   private accept(socket: net.Socket, targetPort: number): void {
     if (this.refusing) {
       socket.destroy();
