Entry: requests at a silent gate stay open until their deadline

A caller of geraniumloftd with time left got LINK_FAILED with an unknown outcome while a server was at work on its idempotent request: after the second silence (half a second) the entry ended the attempt and cancelled it. A request that is not idempotent ended so after 16 resends, or when a fresh connection was not opened in time.

Silence now ends no attempt. It stays open and is sent to its gate again under the same call id at growing intervals; an idempotent request is retried at another member beside it, as class, attempts and budget allow (the silent attempt counts as a possible run), and the answer that comes first is the caller's. The attempt ends sooner on evidence: the gate's address refuses the connection (`refused` of `link-failed`), another process refuses the resend, or the fresh link breaks. At the deadline the outcome is unknown.

Failed before, with real daemons: "a gate paused while its server works: the GET is answered by it" (refused after the pause). In entry_core: "a request at a silent gate is answered after its pause", "a silent gate may answer before the gate of the retry", "a request at silent gates is unknown at its deadline", "a request ends once its silent gate has ended". The POST and the killed silent gate passed before and guard what must hold.

--- a/src/common/entry/call.ts
+++ b/src/common/entry/call.ts
@@ -15,6 +15,11 @@
   readonly resends: number;
   /** Number of links that broke after a byte of the attempt may have been sent. */
   readonly brokenLinks: number;
+  /**
+   * Whether the gate is silent: a resend was not replied to either. The outcome is unknown until
+   * the gate replies, and the request may be retried elsewhere.
+   */
+  readonly silent: boolean;
   /** When to send the attempt again, undefined if no resend is scheduled. */
   readonly resendAtMs?: units.MonotonicMs;
 }
@@ -84,9 +89,14 @@
     return this.attemptCount;
   }
 
-  /** Number of ended attempts that may have run. */
+  /** Number of attempts that may have run and are not waited for: ended ones and silent ones. */
   get possibleRuns(): number {
-    return this.possibleRunCount;
+    return this.possibleRunCount + this.openAttempts.filter(isSilent).length;
+  }
+
+  /** Whether all open attempts, if any, are at silent gates. */
+  get onlySilentAttempts(): boolean {
+    return this.openAttempts.every(isSilent);
   }
 
   /** Ids of the nodes tried since the last wait. */
@@ -133,6 +143,7 @@
       startedAtMs: nowMs,
       resends: 0,
       brokenLinks: 0,
+      silent: false,
     };
     this.open.set(attempt.callId, attempt);
     this.triedIds.add(m.nodeId);
@@ -161,3 +172,7 @@
     return this.tally.overall(this.open.size > 0);
   }
 }
+
+function isSilent(attempt: Attempt): boolean {
+  return attempt.silent;
+}
--- a/src/common/entry/call_runner.ts
+++ b/src/common/entry/call_runner.ts
@@ -50,14 +50,14 @@
     c.endAttempt(attempt, outcome);
   }
 
-  /** Takes the next step after a failed attempt, unless another attempt is still open. */
+  /** Takes the next step after a failed or silent attempt, unless another may soon be answered. */
   afterFailure(
     c: call.Call,
     failure: call.AttemptFailure,
     nowMs: units.MonotonicMs,
   ): void {
     c.lastFailure = failure;
-    if (c.openAttempts.length > 0) return;
+    if (!c.onlySilentAttempts || c.retryAtMs !== undefined) return;
     const step = this.options.planner.afterFailure(c, failure, nowMs);
     this.applyStep(c, step, nowMs);
   }
@@ -70,9 +70,12 @@
     nowMs: units.MonotonicMs,
   ): void {
     if (step.kind === 'resend') {
-      const {brokenLinks, delayMs} = step;
-      c.updateAttempt({...attempt, brokenLinks, resendAtMs: nowMs + delayMs});
-      return this.resendDueAttempts(c, nowMs);
+      const {brokenLinks, delayMs, silent} = step;
+      const resendAtMs = nowMs + delayMs;
+      c.updateAttempt({...attempt, brokenLinks, silent, resendAtMs});
+      this.resendDueAttempts(c, nowMs);
+      if (silent) this.retryBeside(c, attempt, nowMs);
+      return;
     }
     const {nodeId, callId} = attempt;
     this.endAttempt(c, attempt, step.outcome);
@@ -97,6 +100,19 @@
     this.resendDueAttempts(c, nowMs);
   }
 
+  /** Retries a request whose attempt is at a silent gate; the attempt stays open. */
+  private retryBeside(
+    c: call.Call,
+    attempt: call.Attempt,
+    nowMs: units.MonotonicMs,
+  ): void {
+    const failure = attemptFailures.linkFailure(
+      attempt.nodeId,
+      peer.Outcome.UNKNOWN,
+    );
+    this.afterFailure(c, failure, nowMs);
+  }
+
   private applyStep(
     c: call.Call,
     step: nextStep.NextStep,
@@ -115,6 +131,8 @@
         c.retryAtMs = nowMs + step.delayMs;
         return;
       case 'refuse':
+        // A silent gate may still answer; otherwise the call ends at its deadline.
+        if (c.openAttempts.length > 0) return;
         return this.finish(c, step.reason, step.retryAfterMs);
     }
   }
--- a/src/common/entry/entry_contract.ts
+++ b/src/common/entry/entry_contract.ts
@@ -37,12 +37,16 @@
       readonly nodeId: string;
       readonly refusal: peer.CallRefusal;
     }
-  /** The attempt's link broke or could not be opened. `sent`: a byte may have been sent. */
+  /**
+   * The attempt's link broke or could not be opened. `sent`: a byte may have been sent. `refused`:
+   * the gate's address refused the connection, so that its process has ended.
+   */
   | {
       readonly kind: 'link-failed';
       readonly nodeId: string;
       readonly callId: string;
       readonly sent: boolean;
+      readonly refused: boolean;
     }
   /** The attempt's link makes no progress: its pings are not answered. */
   | {
--- a/src/common/entry/entry_core.test.ts
+++ b/src/common/entry/entry_core.test.ts
@@ -98,6 +98,63 @@
   assert.equal(elsewhere.call.callId, 'r.2');
 });
 
+nodeTest.test('a request at a silent gate is answered after its pause', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a']));
+  const first = entry.send(fixtures.request('r'));
+  const again = fixtures.dispatched(entry.linkSilent(first));
+  assert.deepEqual(entry.linkSilent(again), []);
+  const later = fixtures.dispatched(entry.tickAt(50));
+  assert.equal(later.call.callId, 'r.1');
+  entry.nowMs = 900;
+  assert.deepEqual(kinds(entry.answer(later)), ['respond']);
+});
+
+nodeTest.test('a silent gate may answer before the gate of the retry', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const first = entry.send(fixtures.request('r'));
+  const again = fixtures.dispatched(entry.linkSilent(first));
+  const second = fixtures.dispatched(entry.linkSilent(again));
+  assert.deepEqual(entry.refuse(second), []);
+  assert.deepEqual(kinds(entry.answer(first)), ['respond']);
+});
+
+nodeTest.test('a request at silent gates is unknown at its deadline', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a']));
+  const first = entry.send(fixtures.request('r'));
+  entry.linkSilent(fixtures.dispatched(entry.linkSilent(first)));
+  entry.tickAt(50);
+  const end = fixtures.refused(entry.tickAt(1_000));
+  assert.equal(end.reason, DEADLINE);
+  assert.equal(end.outcome, UNKNOWN);
+});
+
+nodeTest.test('a request ends once its silent gate has ended', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a']));
+  const first = entry.send(fixtures.request('r'));
+  const again = fixtures.dispatched(entry.linkSilent(first));
+  assert.deepEqual(entry.linkSilent(again), []);
+  const later = fixtures.dispatched(entry.tickAt(50));
+  assert.deepEqual(entry.linkFailed(later, false), []);
+  const last = fixtures.dispatched(entry.tickAt(150));
+  const end = fixtures.refused(entry.linkRefused(last));
+  assert.equal(end.outcome, UNKNOWN);
+});
+
+nodeTest.test(
+  'a request ends once another process is at its silent gate',
+  () => {
+    const entry = new fixtures.Entry(new fixtures.FakeFleet(['a']));
+    const first = entry.send(fixtures.request('r'));
+    const again = fixtures.dispatched(entry.linkSilent(first));
+    assert.deepEqual(entry.linkSilent(again), []);
+    const reason = peer.RefusalReason.LINK_FAILED;
+    const end = fixtures.refused(
+      entry.refuse(again, {reason, outcome: UNKNOWN}),
+    );
+    assert.equal(end.outcome, UNKNOWN);
+  },
+);
+
 nodeTest.test('resends a non-idempotent request to its gate only', () => {
   const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
   const req = fixtures.request('r', {requestClass: NON_IDEMPOTENT});
--- a/src/common/entry/entry_core.ts
+++ b/src/common/entry/entry_core.ts
@@ -320,7 +320,7 @@
     const step =
       event.kind === 'link-silent'
         ? linkRecovery.afterSilence(c, attempt)
-        : linkRecovery.afterBreak(c, attempt, event.sent);
+        : linkRecovery.afterBreak(c, attempt, event);
     this.runner.afterLinkEvent(c, attempt, step, nowMs);
   }
 
--- a/src/common/entry/entry_fixtures.test.ts
+++ b/src/common/entry/entry_fixtures.test.ts
@@ -232,7 +232,24 @@
   linkFailed(d: Dispatch, sent: boolean): readonly entryContract.EntryAction[] {
     const {nodeId} = d;
     const {callId} = d.call;
-    return this.handle({kind: 'link-failed', nodeId, callId, sent});
+    return this.handle({
+      kind: 'link-failed',
+      nodeId,
+      callId,
+      sent,
+      refused: false,
+    });
+  }
+
+  /** The gate's address refuses the connection. */
+  linkRefused(d: Dispatch): readonly entryContract.EntryAction[] {
+    return this.handle({
+      kind: 'link-failed',
+      nodeId: d.nodeId,
+      callId: d.call.callId,
+      sent: false,
+      refused: true,
+    });
   }
 
   linkSilent(d: Dispatch): readonly entryContract.EntryAction[] {
--- a/src/common/entry/entry_simulation.test.ts
+++ b/src/common/entry/entry_simulation.test.ts
@@ -260,7 +260,13 @@
     if (this.gates.get(gate.nodeId) !== gate) {
       const {nodeId} = gate;
       const {callId} = call;
-      return this.deliver({kind: 'link-failed', nodeId, callId, sent: true});
+      return this.deliver({
+        kind: 'link-failed',
+        nodeId,
+        callId,
+        sent: true,
+        refused: false,
+      });
     }
     const known = gate.calls.get(call.callId);
     if (known === 'running') return;
@@ -365,7 +371,13 @@
       state === 'running' ? [callId] : [],
     );
     for (const callId of unfinished) {
-      this.deliver({kind: 'link-failed', nodeId, callId, sent: true});
+      this.deliver({
+        kind: 'link-failed',
+        nodeId,
+        callId,
+        sent: true,
+        refused: false,
+      });
     }
   }
 
--- a/src/node/entry_actions.ts
+++ b/src/node/entry_actions.ts
@@ -45,7 +45,13 @@
     const target = memberDirectory.linkTarget(this.view, nodeId);
     if (target === undefined) {
       const {callId} = call;
-      inputs.toEntry({kind: 'link-failed', nodeId, callId, sent: false});
+      inputs.toEntry({
+        kind: 'link-failed',
+        nodeId,
+        callId,
+        sent: false,
+        refused: false,
+      });
       return;
     }
     const timeoutMs = memberDirectory.progressTimeoutMs(
--- a/src/node/link_event.ts
+++ b/src/node/link_event.ts
@@ -20,8 +20,13 @@
       readonly callId: string;
       /** Whether a byte of the attempt may have been sent. */
       readonly sent: boolean;
+      /** Whether the gate's address refused the connection: its process has ended. */
+      readonly refused: boolean;
     }
-  /** The attempt's link makes no progress: a ping went unanswered. */
+  /**
+   * The attempt's link makes no progress: a ping went unanswered. The attempt may be resent; its
+   * reply may still arrive over this link.
+   */
   | {
       readonly kind: 'link-silent';
       readonly nodeId: string;
--- a/src/node/outgoing_link.ts
+++ b/src/node/outgoing_link.ts
@@ -66,7 +66,7 @@
         onBytes: () => this.onBytes(),
         onFrame: frame => this.receive(frame),
         onMalformed: () => context.count.increment('malformed.frame'),
-        onClose: () => this.close(),
+        onClose: err => this.close(err),
       },
     );
     this.socket.send({
@@ -239,7 +239,7 @@
     }
   }
 
-  private close(): void {
+  private close(err?: NodeJS.ErrnoException): void {
     if (this.state === 'closed') return;
     const {state} = this;
     const callIds = [...this.pendingCallIds];
@@ -248,14 +248,15 @@
     this.context.onUnusable(this);
     // `link-silent` has been emitted for these attempts, and they are resent over other links.
     if (state === 'silent') return;
+    const refused = err?.code === 'ECONNREFUSED';
     for (const callId of callIds) {
-      this.fail(callId, state !== 'connecting');
+      this.fail(callId, state !== 'connecting', refused);
     }
   }
 
-  private fail(callId: string, sent: boolean): void {
+  private fail(callId: string, sent: boolean, refused = false): void {
     const {nodeId} = this.target;
     this.context.count.increment('link.failed-attempt');
-    this.context.emit({kind: 'link-failed', nodeId, callId, sent});
+    this.context.emit({kind: 'link-failed', nodeId, callId, sent, refused});
   }
 }
--- a/src/node/peer_links.test.ts
+++ b/src/node/peer_links.test.ts
@@ -131,6 +131,7 @@
     const [event] = await waitForEvents(entry, 'link-failed');
     assert.ok(event.kind === 'link-failed');
     assert.equal(event.sent, false);
+    assert.equal(event.refused, true);
     assert.equal(entry.links.outgoingCount, 0);
   },
 );
--- a/test/fakes/virtual_service_node.ts
+++ b/test/fakes/virtual_service_node.ts
@@ -222,6 +222,7 @@
       nodeId: link.to.nodeId,
       callId,
       sent,
+      refused: !sent,
     });
   }
 
--- a/test/paths/failures.test.ts
+++ b/test/paths/failures.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
+import * as timers from 'node:timers/promises';
 
 import * as configuration from '../../src/generated/configuration.js';
 import * as child from './child.js';
@@ -173,6 +174,46 @@
   },
 );
 
+for (const method of ['GET', 'POST']) {
+  nodeTest.test(
+    `a gate paused while its server works: the ${method} is answered by it`,
+    async () => {
+      const {all, entry, gates} = await startFleet(['orders-1']);
+      await using owned = all;
+      await fleet.setMode(gates[0], {serviceMs: 1_600});
+      const headers = {'Geraniumloft-Request-Id': 'r1'};
+      const path = '/orders/1';
+      const answering = fleet.call(entry.httpPort, {method, path, headers});
+      await waitForRuns(gates[0], 1);
+      gates[0].node.signal('SIGSTOP');
+      await timers.setTimeout(700);
+      gates[0].node.signal('SIGCONT');
+      const answer = await answering;
+      assert.equal(answer.status, 200, JSON.stringify(answer.headers));
+      if (method === 'POST') assert.equal(await runsOf(gates, 'r1'), 1);
+      assert.ok(owned);
+    },
+  );
+}
+
+nodeTest.test(
+  'a killed gate that was silent: its GET ends before the deadline',
+  async () => {
+    const {all, entry, gates} = await startFleet(['orders-1']);
+    await using owned = all;
+    await fleet.setMode(gates[0], {serviceMs: 60_000});
+    const answering = fleet.call(entry.httpPort, {path: '/orders/1'});
+    await waitForRuns(gates[0], 1);
+    gates[0].node.signal('SIGSTOP');
+    await timers.setTimeout(700);
+    gates[0].node.signal('SIGKILL');
+    const answer = await answering;
+    assert.equal(answer.headers['geraniumloft-outcome'], 'unknown');
+    assert.equal(answer.headers['geraniumloft-reason'], 'link-failed');
+    assert.ok(owned);
+  },
+);
+
 nodeTest.test(
   'a paused gate that wakes late runs a POST at most once',
   async () => {
