--- a/src/node/outgoing_link.ts
+++ b/src/node/outgoing_link.ts
@@ -28,11 +28,14 @@
   readonly maxQueuedBytes: number;
   readonly count: counters.Counters;
   nowMs(): units.MonotonicMs;
+  /** Calls back once all sockets have been polled, so that what has arrived is read. */
+  afterPoll(callback: () => void): void;
   emit(event: linkEvent.LinkEvent): void;
   /** Called when the link has ended or must not be used for new attempts. */
   onUnusable(link: OutgoingLink): void;
 }
 
+/** A silent link gets no new attempts, but replies to those that it has are taken. */
 type State = 'connecting' | 'open' | 'silent' | 'closed';
 
 /** A persistent connection that carries many attempts at once. */
@@ -44,6 +47,7 @@
   private lastActivityMs: units.MonotonicMs;
   private pingSentMs: units.MonotonicMs | undefined;
   private nonce = 0;
+  private checkScheduled = false;
 
   constructor(
     readonly target: LinkTarget,
@@ -59,9 +63,10 @@
       target.nodeId,
       {
         onConnect: () => this.onConnected(),
+        onBytes: () => this.onBytes(),
         onFrame: frame => this.receive(frame),
         onMalformed: () => context.count.increment('malformed.frame'),
-        onClose: () => this.close(),
+        onClose: err => this.close(err),
       },
     );
     this.socket.send({
@@ -87,7 +92,7 @@
     return this.pendingCallIds.size > 0;
   }
 
-  /** Time since the last frame arrived or an attempt was sent on the idle link. */
+  /** Time since the last bytes arrived or an attempt was sent on the idle link. */
   idleMs(nowMs: units.MonotonicMs): units.Millis {
     return nowMs - this.lastActivityMs;
   }
@@ -122,13 +127,25 @@
     return this.busy ? this.lastActivityMs + this.progressTimeoutMs : undefined;
   }
 
+  /** Forgets a pending attempt that was answered over another link. */
+  forget(callId: string): void {
+    this.pendingCallIds.delete(callId);
+  }
+
   /** Pings a link without progress; marks it silent if the ping is not answered in time. */
   check(nowMs: units.MonotonicMs): void {
-    const checkDueMs = this.nextCheckMs();
-    if (!this.usable || checkDueMs === undefined || nowMs < checkDueMs) return;
-    if (this.state === 'connecting') this[Symbol.dispose]();
-    else if (this.pingSentMs === undefined) this.ping(nowMs);
-    else this.markSilent();
+    if (!this.isCheckDue(nowMs)) return;
+    if (this.state === 'open' && this.pingSentMs === undefined) {
+      this.ping(nowMs);
+      return;
+    }
+    // After a pause of this process the reply may have arrived without being read.
+    if (this.checkScheduled) return;
+    this.checkScheduled = true;
+    this.context.afterPoll(() => {
+      this.checkScheduled = false;
+      this.endIfOverdue();
+    });
   }
 
   /** Ends the connection at once; pending attempts fail. */
@@ -137,6 +154,17 @@
     this.close();
   }
 
+  private isCheckDue(nowMs: units.MonotonicMs): boolean {
+    const checkDueMs = this.nextCheckMs();
+    return this.usable && checkDueMs !== undefined && nowMs >= checkDueMs;
+  }
+
+  private endIfOverdue(): void {
+    if (!this.isCheckDue(this.context.nowMs())) return;
+    if (this.state === 'connecting') this[Symbol.dispose]();
+    else if (this.pingSentMs !== undefined) this.markSilent();
+  }
+
   private onConnected(): void {
     if (this.state !== 'connecting') return;
     this.state = 'open';
@@ -150,10 +178,12 @@
     this.socket.send({body: {$case: 'ping', value: {nonce: this.nonce}}});
   }
 
-  private receive(frame: peer.Frame): void {
-    if (this.state === 'silent') return;
+  private onBytes(): void {
     this.lastActivityMs = this.context.nowMs();
     this.pingSentMs = undefined;
+  }
+
+  private receive(frame: peer.Frame): void {
     switch (frame.body?.$case) {
       case 'answer':
         this.receiveAnswer(frame.body.value);
@@ -204,30 +234,29 @@
     this.context.count.increment('link.silent');
     this.context.onUnusable(this);
     const {nodeId} = this.target;
-    for (const callId of this.drainPending()) {
+    for (const callId of [...this.pendingCallIds]) {
       this.context.emit({kind: 'link-silent', nodeId, callId});
     }
   }
 
-  private close(): void {
+  private close(err?: NodeJS.ErrnoException): void {
     if (this.state === 'closed') return;
-    const sent = this.state !== 'connecting';
+    const {state} = this;
+    const callIds = [...this.pendingCallIds];
     this.state = 'closed';
+    this.pendingCallIds.clear();
     this.context.onUnusable(this);
-    for (const callId of this.drainPending()) {
-      this.fail(callId, sent);
+    // `link-silent` has been emitted for these attempts, and they are resent over other links.
+    if (state === 'silent') return;
+    const refused = err?.code === 'ECONNREFUSED';
+    for (const callId of callIds) {
+      this.fail(callId, state !== 'connecting', refused);
     }
   }
 
-  private drainPending(): readonly string[] {
-    const callIds = [...this.pendingCallIds];
-    this.pendingCallIds.clear();
-    return callIds;
-  }
-
-  private fail(callId: string, sent: boolean): void {
+  private fail(callId: string, sent: boolean, refused = false): void {
     const {nodeId} = this.target;
     this.context.count.increment('link.failed-attempt');
-    this.context.emit({kind: 'link-failed', nodeId, callId, sent});
+    this.context.emit({kind: 'link-failed', nodeId, callId, sent, refused});
   }
 }
