Await an open attempt 300 ms beyond the earliest deadline of a request that may be newer

The age of such a request is not known, so the whole pause is taken off its time; that stays so for what gates and servers are told. The entry now waits for what it has sent as long as gates keep the run, and never beyond the route's time.

--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -231,7 +231,7 @@
   /** Handles expired timers. */
   tick(now: units.MonotonicMs): void {
     for (const call of this.calls.all) {
-      if (call.endMs <= now) this.giveUp(call, 'timeout', now);
+      if (call.giveUpAtMs <= now) this.giveUp(call, 'timeout', now);
       else if (call.hedgeAtMs > now) continue;
       else if (call.liveAttempts > 0) this.hedge(call, now);
       else this.retry(call, {reason: 'outcome-unknown'}, now);
@@ -242,7 +242,7 @@
   nextWakeMs(): units.MonotonicMs {
     let next = Infinity;
     for (const call of this.calls.all) {
-      next = Math.min(next, call.endMs, call.hedgeAtMs);
+      next = Math.min(next, call.giveUpAtMs, call.hedgeAtMs);
     }
     return next;
   }
--- a/src/common/serving/entry_call.ts
+++ b/src/common/serving/entry_call.ts
@@ -4,6 +4,12 @@
 import * as workspace from '../workspaces/workspace.js';
 import * as configuration from './configuration.js';
 
+/**
+ * Longest time for which an answer is awaited beyond the earliest estimate of a deadline. Gates end
+ * runs as long after it, and callers are to be answered within half a second of it.
+ */
+const MAX_EXTRA_WAIT_MS: units.Millis = 300;
+
 /** A caller's request, fully received. */
 export interface CallerRequest {
   /** Unique within the process. */
@@ -17,6 +23,8 @@
   readonly headers: readonly string[];
   readonly body: Buffer;
   readonly timeLeftMs: units.Millis;
+  /** Time for which it may have waited unread, which `timeLeftMs` leaves out; 0 by default. */
+  readonly waitedMs?: units.Millis;
   /** Workspace of the caller, undefined if the request needs no key. */
   readonly workspace?: workspace.Workspace;
   /** Identifies the request across retries by callers. */
@@ -37,9 +45,12 @@
 
 /** A request in progress at an entry. */
 export class EntryCall {
-  /** Time at which the request times out. */
+  /** Time at which the request times out, by its earliest estimate; runs must end by then. */
   readonly endMs: units.MonotonicMs;
 
+  /** Time until which an open attempt may still be answered: the request may be newer. */
+  readonly giveUpAtMs: units.MonotonicMs;
+
   /** Open attempts by number. */
   readonly attempts = new Map<number, Attempt>();
 
@@ -85,8 +96,10 @@
     readonly service: string,
     readonly arrivedMs: units.MonotonicMs,
   ) {
-    const timeLeftMs = Math.min(request.timeLeftMs, route.timeoutMs);
-    this.endMs = arrivedMs + timeLeftMs;
+    const {timeLeftMs, waitedMs = 0} = request;
+    const longestMs = timeLeftMs + Math.min(waitedMs, MAX_EXTRA_WAIT_MS);
+    this.endMs = arrivedMs + Math.min(timeLeftMs, route.timeoutMs);
+    this.giveUpAtMs = arrivedMs + Math.min(longestMs, route.timeoutMs);
   }
 
   /** Whether a server may have run the request, seen from what is known now. */
--- a/src/common/serving/serving_fixtures.test.ts
+++ b/src/common/serving/serving_fixtures.test.ts
@@ -350,7 +350,11 @@
     });
   }
 
-  request(overrides: Partial<configuration.Route> = {}, now = 0): number {
+  request(
+    overrides: Partial<configuration.Route> = {},
+    now = 0,
+    fields: Partial<entryCall.CallerRequest> = {},
+  ): number {
     const id = ++this.lastId;
     const request: entryCall.CallerRequest = {
       id,
@@ -361,6 +365,7 @@
       body: Buffer.alloc(0),
       timeLeftMs: 1_500,
       fingerprint: `f${id}`,
+      ...fields,
     };
     this.entry.onRequest(request, route(overrides), now);
     return id;
--- a/src/common/serving/silent_gates.test.ts
+++ b/src/common/serving/silent_gates.test.ts
@@ -144,3 +144,25 @@
   harness.entry.tick(1_121);
   assert.equal(harness.sent.length, before + 1);
 });
+
+// An entry that had been paused gave callers 504 before their time was up.
+test('an open attempt is awaited longer if the request may be newer than assumed', () => {
+  const harness = new fixtures.EntryHarness(GATES);
+  const route = {attempts: 1, timeoutMs: 4_000};
+  harness.request(route, 0, {timeLeftMs: 1_000, waitedMs: 800});
+  assert.equal(harness.last.dispatch.timeLeftMs, 1_000);
+  harness.entry.tick(1_299);
+  assert.equal(harness.givenUp.length, 0);
+  harness.entry.tick(1_300);
+  assert.equal(harness.givenUp.length, 1);
+});
+
+test('a route is not exceeded by a request that may be newer than assumed', () => {
+  const harness = new fixtures.EntryHarness(GATES);
+  const route = {attempts: 1, timeoutMs: 1_100};
+  harness.request(route, 0, {timeLeftMs: 1_000, waitedMs: 800});
+  harness.entry.tick(1_099);
+  assert.equal(harness.givenUp.length, 0);
+  harness.entry.tick(1_100);
+  assert.equal(harness.givenUp.length, 1);
+});
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -244,7 +244,7 @@
         onRequest: (request, route) => {
           const waitedMs = this.options.waitedMs();
           const timeLeftMs = Math.max(0, request.timeLeftMs - waitedMs);
-          this.onRequest({...request, timeLeftMs}, route);
+          this.onRequest({...request, timeLeftMs, waitedMs}, route);
           afterEvent();
         },
         onCallerGone: id => {
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -10,6 +10,11 @@
 /** Seeds of the class `silent` that every CI run tests. */
 const SILENT_CI_SEEDS = [1];
 
+/** Seeds of the class `silent` that failed before, each with the cause. */
+const SILENT_REGRESSION_SEEDS = [
+  202, // silent gates taken for failed runs; callers without an answer at the end of a stop
+];
+
 /** Seeds that failed before, each with the cause. */
 const REGRESSION_SEEDS: readonly number[] = [];
 
@@ -24,7 +29,7 @@
   );
 }
 
-for (const seed of SILENT_CI_SEEDS) {
+for (const seed of [...SILENT_CI_SEEDS, ...SILENT_REGRESSION_SEEDS]) {
   nodeTest.test(
     `no request is broken off beside silent processes, seed ${seed}`,
     async () => {
