--- a/src/common/serving/open_calls.ts
+++ b/src/common/serving/gate_calls.ts
@@ -6,7 +6,7 @@
 import * as gateTimeouts from './gate_timeouts.js';
 
 /** Requests in progress by key. */
-export class OpenCalls {
+export class GateCalls {
   private readonly calls = new Map<string, gateCall.GateCall>();
 
   /** @param isEntryUp whether another link shows that a process of an entry runs. */
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -11,7 +11,7 @@
 import * as gateClosure from './gate_closure.js';
 import * as gateLoad from './gate_load.js';
 import * as gateOptions from './gate_options.js';
-import * as openCalls from './open_calls.js';
+import * as gateCalls from './gate_calls.js';
 import * as gateTimeouts from './gate_timeouts.js';
 import * as incarnations from './incarnations.js';
 import * as runReports from './run_reports.js';
@@ -32,7 +32,7 @@
   readonly sentReplies: sentReplies.SentReplies;
   private readonly server: serverAvailability.ServerAvailability;
   private readonly capacity: gateCapacity.GateCapacity;
-  private readonly calls: openCalls.OpenCalls;
+  private readonly calls: gateCalls.GateCalls;
   private readonly replies: gateReplies.GateReplies;
   private readonly runReports: runReports.RunReports;
   private readonly limitReports = new rateLimitReports.RateLimitReports();
@@ -42,7 +42,7 @@
 
   constructor(private readonly options: gateOptions.GateOptions) {
     const {log, output, isEntryUp} = options;
-    this.calls = new openCalls.OpenCalls(isEntryUp);
+    this.calls = new gateCalls.GateCalls(isEntryUp);
     this.sentReplies = new sentReplies.SentReplies(isEntryUp);
     this.replies = new gateReplies.GateReplies(options, this.sentReplies);
     this.server = new serverAvailability.ServerAvailability({
--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -357,7 +357,7 @@
   }
 
   /** Reports the requests whose outcome is unknown, and ends those whose gate is gone. */
-  private endHopeless(now: units.MonotonicMs): void {
+  private judgePending(now: units.MonotonicMs): void {
     if (this.downSinceMs === undefined || this.pending.size === 0) return;
     const durationMs = now - this.downSinceMs;
     const outage = {durationMs, openFailures: this.openFailures};
@@ -416,7 +416,7 @@
       this.isCheckScheduled = false;
       if (this.disposed) return;
       this.checkOverdue(now);
-      this.endHopeless(now);
+      this.judgePending(now);
     });
   }
 
