Trace reads several logs, and a silent gate is traced

Each command declares the rest itself now. Found by the new test of a request whose gate was silent, which failed before; OPERATIONS.md tells how to read such a trace.

--- a/src/cli/commands/outcomes.ts
+++ b/src/cli/commands/outcomes.ts
@@ -20,6 +20,8 @@
     ],
   });
 
+  readonly moreLogs = clipanion.Option.Rest();
+
   protected override run(): Promise<exitCodes.ExitCode> {
     const report = outcomeReport.countOutcomes(this.readLogs());
     this.reportBadLines(report.badLines);
--- a/src/cli/commands/trace.ts
+++ b/src/cli/commands/trace.ts
@@ -20,6 +20,7 @@
   });
 
   readonly requestId = clipanion.Option.String({required: true});
+  readonly moreLogs = clipanion.Option.Rest();
 
   protected override run(): Promise<exitCodes.ExitCode> {
     const trace = requestTrace.traceRequest(this.requestId, this.readLogs());
--- a/src/cli/log_command.ts
+++ b/src/cli/log_command.ts
@@ -17,7 +17,8 @@
   readonly logs = clipanion.Option.Array('--logs', {
     description: 'Log files; more may follow as arguments.',
   });
-  readonly moreLogs = clipanion.Option.Rest();
+  /** Declared by each command, as positional arguments are read in the order of declaration. */
+  abstract readonly moreLogs: readonly string[];
 
   /** @throws cliErrors.CommandError if a file cannot be read. */
   protected readLogs(): readonly logLines.LogText[] {
--- a/test/paths/failed_requests.test.ts
+++ b/test/paths/failed_requests.test.ts
@@ -2,6 +2,7 @@
 import * as fs from 'node:fs';
 import * as nodeTest from 'node:test';
 
+import * as documents from '../stand_ins/platform/documents.js';
 import * as child from './child.js';
 import * as platformFleet from './platform_fleet.js';
 
@@ -98,3 +99,24 @@
   assert.match(decided, /closure=CLOSURE_SERVER_LEAVING/);
   assertInOperationsPage(decided);
 });
+
+test('a request whose gate was silent is traced to the entry that waited for it', async () => {
+  await using fleet = await platformFleet.PlatformFleet.start(2, {
+    services: ['maps'],
+    configuration: {services: ['maps', 'orders'].map(documents.service)},
+  });
+  const [entry, gate] = fleet.nodes;
+  gate.server.mode = {kind: 'hang'};
+  const sent = fleet.send(entry, {id: 'silent'});
+  await child.waitUntil(
+    () => fleet.runsOf('silent') === 1,
+    TRACE_TIMEOUT_MS,
+    () => 'the run to begin',
+  );
+  gate.process.signal('SIGSTOP');
+  assert.equal((await sent).status, 504);
+  gate.process.signal('SIGCONT');
+  const decided = await trace(fleet, 'silent');
+  assert.match(decided, / entry gave-up .*reason=timeout mayHaveRun=true/);
+  assertInOperationsPage(decided);
+});
