Caller port: callers that leave are noticed for all requests of their connection

Cause: Node.js passes on requests that are sent behind one another at once, but emits 'close' for the response whose turn it is only. The entry was never told that the caller of the requests behind it had left: they waited, ran and were retried to their end, and counted as unanswered until the process ended, so that a planned stop waited for them.

Two faults of the same class, that a connection was taken for one request: while a port was closing, the first answer ended the connection, and requests behind it that servers were at work on got none (LOST); and a malformed request was answered at once, in the place of the answer to an earlier one (MIXED).

Change: CallerConnections keeps the responses that wait on each connection.

--- a/src/node/http_entry.test.ts
+++ b/src/node/http_entry.test.ts
@@ -217,3 +217,25 @@
   assert.equal(filtered.count.get('source.rejected'), 1);
   assert.equal(filtered.events.length, 0);
 });
+
+nodeTest.test(
+  'a caller that disconnects has left all the requests that it sent on the connection',
+  async () => {
+    await using entry = await startEntry(() => undefined);
+    const socket = net.connect(entry.port, '127.0.0.1');
+    for (let i = 0; i < 3; i++) {
+      socket.write('GET /orders/1 HTTP/1.1\r\nHost: h\r\n\r\n');
+    }
+    const count = (kind: httpEntry.HttpEntryEvent['kind']): number =>
+      entry.events.filter(event => event.kind === kind).length;
+    const waitFor = (kind: httpEntry.HttpEntryEvent['kind']): Promise<void> =>
+      child.waitUntil(
+        () => count(kind) === 3,
+        TIMEOUT_MS,
+        () => `3 of ${kind}, not ${count(kind)}`,
+      );
+    await waitFor('caller-request');
+    socket.destroy();
+    await waitFor('caller-gone');
+  },
+);
--- a/src/node/http_entry.ts
+++ b/src/node/http_entry.ts
@@ -12,6 +12,7 @@
 import * as units from '../common/units.js';
 import * as peer from '../generated/peer.js';
 import * as bodyReader from './body_reader.js';
+import * as callerConnections from './caller_connections.js';
 import * as callerHeaders from './caller_headers.js';
 import * as eventSource from './event_source.js';
 import * as httpHeaders from './http_headers.js';
@@ -73,6 +74,7 @@
 export class HttpEntry implements AsyncDisposable {
   private readonly server: http.Server;
   private readonly acceptsServerSource: sourceFilter.SourceFilter;
+  private readonly connections = new callerConnections.CallerConnections();
   private readonly exchanges = new Map<string, Exchange>();
   private readonly source = new eventSource.EventSource<HttpEntryEvent>();
   private idleWaiters: ReadonlyArray<() => void> = [];
@@ -173,11 +175,19 @@
   }
 
   private accept(req: http.IncomingMessage, res: http.ServerResponse): void {
+    const requestId = uuid.v7();
+    const isHandled = this.connections.add(res, () =>
+      this.onCallerGone(requestId),
+    );
+    if (!isHandled) {
+      req.resume();
+      return;
+    }
     if (req.url === serverAnnouncement.ANNOUNCEMENT_PATH) {
       this.acceptAnnouncement(req, res);
       return;
     }
-    this.acceptCall(req, res);
+    this.acceptCall(requestId, req, res);
   }
 
   private acceptAnnouncement(
@@ -205,10 +215,10 @@
   }
 
   private acceptCall(
+    requestId: string,
     req: http.IncomingMessage,
     res: http.ServerResponse,
   ): void {
-    const requestId = uuid.v7();
     const callerRequestId = callerHeaders.requestIdOf(req) ?? requestId;
     if (this.inProgress >= this.options.maxCalls) {
       const reason = peer.RefusalReason.NO_ROOM;
@@ -238,8 +248,8 @@
           peer.RefusalReason.TOO_LARGE,
         );
       case 'whole':
+        if (!this.connections.isOpen(res)) return this.resolveIfIdle();
         this.exchanges.set(requestId, exchange);
-        res.once('close', () => this.onCallerGone(requestId));
         return this.routeRequest(requestId, req, callerRequestId, read.body);
       default:
         return invariants.assertNever(read);
@@ -314,7 +324,7 @@
       },
       callerRequestId,
     );
-    this.write(res, status, [...headers, 'Connection', 'close'], body);
+    this.write(res, status, headers, body, true);
     this.resolveIfIdle();
   }
 
@@ -324,6 +334,10 @@
       socket.destroy();
       return;
     }
+    const incomplete = this.connections.incompleteOn(socket);
+    if (incomplete) return this.write(incomplete, 400, [], EMPTY_BODY, true);
+    // An answer now would be taken for that of an earlier request.
+    if (this.connections.endAfterResponses(socket)) return;
     socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
   }
 
@@ -345,8 +359,11 @@
     status: number,
     headers: readonly string[],
     body: Buffer,
+    isLast = this.closing,
   ): void {
-    const closeHeaders = this.closing ? ['Connection', 'close'] : [];
+    if (!this.connections.isOpen(res)) return;
+    const closeHeaders =
+      isLast && this.connections.endWith(res) ? ['Connection', 'close'] : [];
     res.writeHead(status, [...headers, ...closeHeaders]);
     res.end(body);
   }
--- a/src/node/serving/caller_port.ts
+++ b/src/node/serving/caller_port.ts
@@ -10,6 +10,7 @@
 import * as workspace from '../../common/workspaces/workspace.js';
 import * as serving from '../../generated/serving.js';
 import * as bodyReader from '../body_reader.js';
+import * as callerConnections from '../caller_connections.js';
 import * as httpHeaders from '../http_headers.js';
 import * as requestFingerprint from '../request_fingerprint.js';
 import * as tcpListener from '../tcp_listener.js';
@@ -92,7 +93,9 @@
 /** Reads callers' requests and writes the responses. */
 export class CallerPort implements AsyncDisposable {
   private readonly server: http.Server;
+  private readonly connections = new callerConnections.CallerConnections();
   private readonly exchanges = new Map<number, Exchange>();
+  private readonly idsByResponse = new WeakMap<http.ServerResponse, number>();
   /** Responses that have not been passed to the operating system whole. */
   private readonly unflushed = new Set<http.ServerResponse>();
   private lastId = 0;
@@ -184,6 +187,10 @@
   }
 
   private accept(req: http.IncomingMessage, res: http.ServerResponse): void {
+    if (!this.connections.add(res, () => this.onEnded(res))) {
+      req.resume();
+      return;
+    }
     const {maxHeaderBytes, maxBodyBytes} = this.limits;
     if (headerBytes(req) > maxHeaderBytes) {
       return this.refuseUnread(res, STATUS.headersTooLarge, 'headers too long');
@@ -193,8 +200,8 @@
     bodyReader.readBody(req, maxBodyBytes, read => {
       this.bodiesInProgress--;
       clearTimeout(timer);
-      // The time has passed and the request was refused.
-      if (res.headersSent) return;
+      // The time has passed and the request was refused, or its caller has left.
+      if (res.headersSent || !this.connections.isOpen(res)) return;
       switch (read.kind) {
         case 'cut-short':
           return;
@@ -257,7 +264,7 @@
       identity.kind === 'workspace' ? identity.workspace : undefined;
     const id = ++this.lastId;
     this.exchanges.set(id, {res, requestId});
-    res.once('close', () => this.onClosed(id));
+    this.idsByResponse.set(res, id);
     const method = req.method ?? '';
     const request: entryCall.CallerRequest = {
       id,
@@ -291,8 +298,12 @@
     return [...kept, ...headerCodec.originHeaders(service(), caller?.name)];
   }
 
-  private onClosed(id: number): void {
-    if (this.remove(id) !== undefined) this.options.listener.onCallerGone(id);
+  /** Handles the end of a response; without an answer before, its caller has left. */
+  private onEnded(res: http.ServerResponse): void {
+    this.unflushed.delete(res);
+    const id = this.idsByResponse.get(res);
+    if (id === undefined || this.remove(id) === undefined) return;
+    this.options.listener.onCallerGone(id);
   }
 
   private remove(id: number): Exchange | undefined {
@@ -331,7 +342,9 @@
     reason: string,
   ): void {
     this.options.listener.onRefused(undefined, reason);
-    this.writeText(res, status, reason, ['Connection', 'close']);
+    const body = Buffer.from(reason);
+    const headers = ['Content-Length', String(body.length)];
+    this.write(res, status, headers, body, true);
   }
 
   private rejectMalformed(
@@ -344,6 +357,12 @@
     }
     this.options.listener.onRefused(undefined, err.code ?? 'malformed');
     const status = statusOf(err);
+    const incomplete = this.connections.incompleteOn(socket);
+    if (incomplete) {
+      return this.write(incomplete, status, ['Content-Length', '0'], '', true);
+    }
+    // An answer now would be taken for that of an earlier request.
+    if (this.connections.endAfterResponses(socket)) return;
     socket.end(
       `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\n` +
         'Content-Length: 0\r\nConnection: close\r\n\r\n',
@@ -365,15 +384,14 @@
     res: http.ServerResponse,
     status: number,
     headers: readonly string[],
-    body: Uint8Array,
+    body: Uint8Array | string,
+    isLast = this.phase !== 'open',
   ): void {
+    if (!this.connections.isOpen(res)) return;
     const closing =
-      this.phase === 'open' || headers.includes('Connection')
-        ? []
-        : ['Connection', 'close'];
+      isLast && this.connections.endWith(res) ? ['Connection', 'close'] : [];
     res.writeHead(status, [...headers, ...closing]);
     this.unflushed.add(res);
-    res.once('close', () => this.unflushed.delete(res));
     res.end(body);
   }
 }
