Requests that were held up on their way reach no server after their callers have left

Cause: a request states how much of its time is left when it is sent. What reads it seconds later, behind a full link, a resent segment or a process without processor time, took it for new: the gate ran it, and read its withdrawal behind it afterwards; a run that must not be repeated then went on to its end. The gate knew only of pauses of its own. The entry had the same fault at its callers' connections: it sent a request on before the poll that reads the connection's end.

Change: frames of entries state when they were sent, and the gate takes off what a frame took longer than the fastest one lately (MessageDelay). A request that was held up for 400 ms or more waits until a frame that was not has been read behind it; the gate pings the entry for one. An entry that reads a request late handles it two polls later, and the end of a caller's side counts as its leaving.

--- a/bench/processor_time.ts
+++ b/bench/processor_time.ts
@@ -52,6 +52,7 @@
 
   constructor(readonly self: serving.NodeRecord) {
     this.sessions = new entrySessions.EntrySessions({
+      waitedMs: () => 0,
       greeting: toNodeId => this.greeting(toNodeId),
       pulse: () => serving.Pulse.fromPartial({load: {limit: 10, meanMs: 100}}),
       state: () => serving.FleetState.fromPartial({}),
--- a/src/common/serving/gate_call.ts
+++ b/src/common/serving/gate_call.ts
@@ -3,8 +3,16 @@
 import * as units from '../units.js';
 import * as lostLink from './lost_link.js';
 
+/** How long ago a request was sent, apart from the usual time on its way. */
+export interface ArrivalAge {
+  /** Time for which it was held up, by the clock of its entry; 0 by default. */
+  readonly delayMs?: units.Millis;
+  /** Longest time for which it may have waited unread; 0 by default. */
+  readonly waitedMs?: units.Millis;
+}
+
 /** A request as it arrives at a gate. */
-export interface ArrivingCall {
+export interface ArrivingCall extends ArrivalAge {
   /** See `callKey.format`. */
   readonly key: string;
   /** Id of the link that the reply goes to; later links have greater ids. */
@@ -12,8 +20,6 @@
   readonly dispatch: serving.Dispatch;
   /** Whether the entry is on another node, so that replies may be lost; true by default. */
   readonly isRemote?: boolean;
-  /** Longest time for which the request may have waited unread; 0 by default. */
-  readonly waitedMs?: units.Millis;
 }
 
 /** Progress of a request at a gate. */
@@ -60,9 +66,10 @@
     this.dispatch = dispatch;
     this.isRemote = arriving.isRemote ?? true;
     this.rank = dispatch.rank;
-    const sentMs = arrivedMs - (arriving.waitedMs ?? 0);
+    const {delayMs = 0, waitedMs = 0} = arriving;
+    const sentMs = arrivedMs - Math.max(delayMs, waitedMs);
     this.deadlineMs = sentMs + dispatch.timeLeftMs;
-    this.latestDeadlineMs = arrivedMs + dispatch.timeLeftMs;
+    this.latestDeadlineMs = arrivedMs - delayMs + dispatch.timeLeftMs;
     this.objectiveAtMs = sentMs + dispatch.objectiveLeftMs;
   }
 
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -52,6 +52,9 @@
   afterEvent(): void;
 }
 
+/** Polls of all sockets until the end of a connection is read that followed a request. */
+const CLOSE_POLLS = 2;
+
 interface WaitingRequest {
   readonly request: entryCall.CallerRequest;
   readonly route: configuration.Route;
@@ -67,7 +70,7 @@
   /** Ids of nodes whose latest pulse reports that they read the operators' records successfully. */
   private readonly storeReaders = new Set<string>();
   private readonly reports = new gateReports.GateReports();
-  /** Requests that wait for a token, with the time at which they came. */
+  /** Requests that the entry does not handle yet, with the time at which they came. */
   private readonly waiting = new Map<number, WaitingRequest>();
   private readonly resources = new resourceStack.ResourceStack();
 
@@ -243,9 +246,12 @@
         admitsKeys: () => this.options.keys.admits(),
         onRequest: (request, route) => {
           const waitedMs = this.options.waitedMs();
+          if (waitedMs === 0) {
+            this.onRequest(request, route);
+            return afterEvent();
+          }
           const timeLeftMs = Math.max(0, request.timeLeftMs - waitedMs);
-          this.onRequest({...request, timeLeftMs, waitedMs}, route);
-          afterEvent();
+          this.onLateRequest({...request, timeLeftMs, waitedMs}, route);
         },
         onCallerGone: id => {
           this.waiting.delete(id);
@@ -280,6 +286,25 @@
     });
   }
 
+  /**
+   * Handles a request that may have waited unread, once the end of its connection would have been
+   * read if its caller has left: bytes and end are read in two polls.
+   */
+  private onLateRequest(
+    request: entryCall.CallerRequest,
+    route: configuration.Route,
+  ): void {
+    this.waiting.set(request.id, {
+      request,
+      route,
+      sinceMs: clock.monotonicMs(),
+    });
+    afterPolls(CLOSE_POLLS, () => {
+      this.endWait(request.id, (req, rt) => this.onRequest(req, rt));
+      this.options.afterEvent();
+    });
+  }
+
   /** Checks the quota before the entry handles a request. */
   private onRequest(
     request: entryCall.CallerRequest,
@@ -356,3 +381,10 @@
     else this.links.withdraw(nodeId, call);
   }
 }
+
+/** Calls back once the event loop has polled all sockets several times. */
+function afterPolls(polls: number, callback: () => void): void {
+  setImmediate(() =>
+    polls > 1 ? afterPolls(polls - 1, callback) : callback(),
+  );
+}
--- a/src/node/serving/entry_sessions.test.ts
+++ b/src/node/serving/entry_sessions.test.ts
@@ -23,6 +23,7 @@
 function createSessions(onGreeting: () => void): entrySessions.EntrySessions {
   let pulses = 0;
   return new entrySessions.EntrySessions({
+    waitedMs: () => 0,
     nowMs: clock.monotonicMs,
     greeting: () => greeting('gate', true),
     pulse: () =>
@@ -117,3 +118,92 @@
     assert.deepEqual(loadsIn(frames), [1, 0, 2]);
   },
 );
+
+interface HandledMessage {
+  readonly what: string;
+  readonly delayMs?: number;
+}
+
+/** Times of an entry's clock. */
+const GREETED_MS = 10_000;
+const HELD_UP_MS = 2_000;
+
+/**
+ * Sends a request that was held up, and what the entry sends behind it; returns what the gate
+ * handles, in order, with the time for which it takes the request to have been held up.
+ */
+async function handledLate(
+  withdraws: boolean,
+): Promise<readonly HandledMessage[]> {
+  const handled: HandledMessage[] = [];
+  await using sessions = new entrySessions.EntrySessions({
+    waitedMs: () => 0,
+    nowMs: clock.monotonicMs,
+    greeting: () => greeting('gate', true),
+    pulse: () => serving.Pulse.fromPartial({}),
+    state: () => serving.FleetState.fromPartial({}),
+    freshness: question => serving.FreshnessProof.fromPartial({question}),
+    nodeCount: () => 2,
+    listener: {
+      onGreeting: () => undefined,
+      onDispatch: (unusedKey, unusedLink, unusedDispatch, {delayMs}) =>
+        handled.push({what: 'dispatch', delayMs}),
+      onTokenRequest: ({number}) => ({number, grants: []}),
+      onWithdraw: () => handled.push({what: 'withdraw'}),
+      onLinkLost: () => undefined,
+    },
+  });
+  const [port] = await child.freePorts(1);
+  await sessions.listen({ip: '127.0.0.1', port});
+  const entry = linkFrame.wrapSocket(
+    net.connect({host: '127.0.0.1', port}),
+    'gate',
+    {
+      onConnect: () => {
+        const value = greeting('entry', true);
+        entry.send({body: {$case: 'greeting', value}, sentMs: GREETED_MS});
+        const sentMs = GREETED_MS - HELD_UP_MS;
+        const dispatch = serving.Dispatch.fromPartial({call: 1});
+        entry.send({body: {$case: 'dispatch', value: dispatch}, sentMs});
+      },
+      onFrame: ({body}) => {
+        if (body?.$case !== 'ping') return;
+        const sentMs = GREETED_MS;
+        const withdraw = {$case: 'withdraw', value: {call: 1}} as const;
+        assert.deepEqual(handled, []);
+        if (withdraws) {
+          entry.send({body: withdraw, sentMs: sentMs - HELD_UP_MS / 2});
+        }
+        entry.send({body: {$case: 'ping', value: {}}, sentMs});
+      },
+      onMalformed: () => undefined,
+      onClose: () => undefined,
+    },
+  );
+  await child.waitUntil(
+    () => handled.some(({what}) => what === 'dispatch'),
+    2_000,
+    () => 'the request to be handled',
+  );
+  entry[Symbol.dispose]();
+  return handled;
+}
+
+nodeTest.test(
+  'a request that was held up is handled after its withdrawal',
+  async () => {
+    const handled = await handledLate(true);
+    assert.deepEqual(
+      handled.map(({what}) => what),
+      ['withdraw', 'dispatch'],
+    );
+  },
+);
+
+nodeTest.test(
+  'a request that was held up has that much less time',
+  async () => {
+    const [{delayMs = 0}] = await handledLate(false);
+    assert.ok(delayMs >= HELD_UP_MS && delayMs < HELD_UP_MS + 500);
+  },
+);
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -2,6 +2,8 @@
 import * as net from 'node:net';
 
 import * as callKey from '../../common/serving/call_key.js';
+import * as gateCall from '../../common/serving/gate_call.js';
+import * as messageDelay from '../../common/serving/message_delay.js';
 import * as units from '../../common/units.js';
 import * as serving from '../../generated/serving.js';
 import * as frameParts from '../frame_parts.js';
@@ -16,11 +18,22 @@
 /** Time without a frame after which a session is closed; entries ping earlier. */
 export const IDLE_TIMEOUT_MS: units.Millis = 60_000;
 
+/**
+ * Time for which a request was held up from which its caller may have left so long ago that no
+ * server may get it any more.
+ */
+const LATE_MS: units.Millis = 400;
+
 /** Receives the events of sessions. */
 export interface EntrySessionsListener {
   /** A process of a node has connected and sent its greeting. */
   onGreeting(sender: serving.NodeRecord, startedMs: units.EpochMs): void;
-  onDispatch(key: string, linkId: number, dispatch: serving.Dispatch): void;
+  onDispatch(
+    key: string,
+    linkId: number,
+    dispatch: serving.Dispatch,
+    age: gateCall.ArrivalAge,
+  ): void;
   onWithdraw(key: string): void;
   /** An entry asks for tokens; the answer is sent at once. */
   onTokenRequest(request: serving.TokenRequest): serving.TokenGrant;
@@ -45,6 +58,15 @@
   /** Returns the number of nodes in the fleet. */
   nodeCount(): number;
   nowMs(): units.MonotonicMs;
+  /** Returns the longest time for which a message that is read now may have waited. */
+  waitedMs(): units.Millis;
+}
+
+interface LateRequest {
+  readonly key: string;
+  readonly dispatch: serving.Dispatch;
+  readonly delayMs: units.Millis;
+  readonly readMs: units.MonotonicMs;
 }
 
 class Session {
@@ -54,6 +76,9 @@
   /** Whether this side is ended; what is sent from now on is lost. */
   ending = false;
   pulsedMs: units.MonotonicMs = 0;
+  readonly delay = new messageDelay.MessageDelay();
+  /** Requests that were held up on their way. */
+  readonly late: LateRequest[] = [];
   dispatchedMs: units.MonotonicMs = -Infinity;
 
   constructor(
@@ -187,7 +212,21 @@
   private receive(
     session: Session,
     connection: net.Socket,
-    {body}: serving.NodeFrame,
+    {body, sentMs}: serving.NodeFrame,
+  ): void {
+    let delayMs = 0;
+    if (sentMs !== undefined) {
+      delayMs = session.delay.onMessage(sentMs, this.options.nowMs());
+    }
+    this.handle(session, connection, body, delayMs);
+    if (delayMs < LATE_MS) this.releaseLate(session);
+  }
+
+  private handle(
+    session: Session,
+    connection: net.Socket,
+    body: serving.NodeFrame['body'],
+    delayMs: units.Millis,
   ): void {
     if (body?.$case === 'greeting') {
       return this.onGreeting(session, connection, body.value);
@@ -203,7 +242,7 @@
         if (session.ending) return;
         const key = callKey.format(session.entryProcess, body.value.call);
         session.dispatchedMs = this.options.nowMs();
-        return listener.onDispatch(key, session.id, body.value);
+        return this.onDispatch(session, key, body.value, delayMs);
       }
       case 'withdraw':
         return listener.onWithdraw(
@@ -243,6 +282,38 @@
     }
   }
 
+  /**
+   * Handles a request. Its withdrawal may be on its way behind one that was held up, so that one
+   * waits for a message of the entry that was not.
+   */
+  private onDispatch(
+    session: Session,
+    key: string,
+    dispatch: serving.Dispatch,
+    delayMs: units.Millis,
+  ): void {
+    const {listener, waitedMs, nowMs} = this.options;
+    if (delayMs < LATE_MS) {
+      const age = {delayMs, waitedMs: waitedMs()};
+      return listener.onDispatch(key, session.id, dispatch, age);
+    }
+    if (session.late.length === 0) {
+      session.socket.send({body: {$case: 'ping', value: {}}});
+    }
+    session.late.push({key, dispatch, delayMs, readMs: nowMs()});
+  }
+
+  /** Handles the requests that were held up; the entry has not withdrawn them. */
+  private releaseLate(session: Session): void {
+    const {listener, nowMs} = this.options;
+    // The entry sends them again over another link.
+    if (session.ending) return;
+    for (const {key, dispatch, delayMs, readMs} of session.late.splice(0)) {
+      const age = {delayMs: delayMs + nowMs() - readMs};
+      listener.onDispatch(key, session.id, dispatch, age);
+    }
+  }
+
   private onGreeting(
     session: Session,
     connection: net.Socket,
--- a/src/node/serving/gate_link.test.ts
+++ b/src/node/serving/gate_link.test.ts
@@ -27,6 +27,7 @@
   processStartedMs = GATE_PROCESS_MS;
   linkIds: number[] = [];
   readonly sessions = new entrySessions.EntrySessions({
+    waitedMs: () => 0,
     nowMs: clock.monotonicMs,
     greeting: toNodeId => ({
       sender: record('gate', 1),
--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -132,7 +132,7 @@
     this.withdrawals.add(call, now);
     const body = {$case: 'withdraw', value: {call}} as const;
     if (this.isUp) this.send(body);
-    else this.silentSocket?.send({body});
+    else this.silentSocket?.send(linkFrame.stamped(body, now));
   }
 
   /** Applies a new record of the node; one with another address opens a new connection. */
@@ -244,7 +244,8 @@
       }
     }
     const value = this.options.greeting(this.record.nodeId);
-    socket.send({body: {$case: 'greeting', value}});
+    const body = {$case: 'greeting', value} as const;
+    socket.send(linkFrame.stamped(body, this.options.nowMs()));
   }
 
   private onSocketLost(socket: LinkSocket, detail: string): void {
@@ -287,10 +288,11 @@
         return listener.onFreshnessProof(nodeId, body.value);
       case 'tokenGrant':
         return listener.onTokenGrant(nodeId, body.value);
+      case 'ping':
+        return this.send({$case: 'ping', value: {}});
       case 'tokenRequest':
       case 'dispatch':
       case 'withdraw':
-      case 'ping':
       case 'stateWanted':
       case 'freshnessRequest':
       case 'part':
@@ -495,6 +497,7 @@
   }
 
   private send(body: serving.NodeFrame['body']): void {
-    if (this.isUp) this.socket?.send({body});
+    if (!this.isUp) return;
+    this.socket?.send(linkFrame.stamped(body, this.options.nowMs()));
   }
 }
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -241,6 +241,7 @@
     const {directory, fleetSync, greeting, afterEvent} = this.options;
     return new entrySessions.EntrySessions({
       nowMs: clock.monotonicMs,
+      waitedMs: () => this.options.waitedMs(),
       greeting,
       pulse: () => ({
         load: this.gate.load(clock.monotonicMs()),
@@ -261,10 +262,9 @@
           this.gate.onEntryStarted(nodeId, startedMs, clock.monotonicMs());
           afterEvent();
         },
-        onDispatch: (key, linkId, dispatch) => {
-          const waitedMs = this.options.waitedMs();
+        onDispatch: (key, linkId, dispatch, age) => {
           const now = clock.monotonicMs();
-          this.gate.onCall({key, linkId, dispatch, waitedMs}, now);
+          this.gate.onCall({key, linkId, dispatch, ...age}, now);
           afterEvent();
         },
         onWithdraw: key => {
--- a/src/node/serving/link_frame.ts
+++ b/src/node/serving/link_frame.ts
@@ -3,6 +3,7 @@
 
 import * as wire from '@bufbuild/protobuf/wire';
 
+import * as units from '../../common/units.js';
 import * as serving from '../../generated/serving.js';
 import * as frameParts from '../frame_parts.js';
 import * as framedSocket from '../framed_socket.js';
@@ -32,6 +33,14 @@
   partOf: ({body}) => (body?.$case === 'part' ? body.value : undefined),
 };
 
+/** Returns a frame that states when it was sent. */
+export function stamped(
+  body: serving.NodeFrame['body'],
+  now: units.MonotonicMs,
+): serving.NodeFrame {
+  return {body, sentMs: Math.floor(now)};
+}
+
 /** Wraps a connection between nodes in a socket that sends and receives `NodeFrame`s. */
 export function wrapSocket(
   socket: net.Socket,
