Planned stop: requests are taken as long as they can be answered, and what is read is answered

Reported by other operators: in a planned stop requests that came late in the grace were taken, passed on, and cut.

Cause: a stop took requests until 0.48 of the grace and ended at 0.88 of it, whatever a request needs. And an answer that is written while the request is still coming was discarded by the bytes that were unread at the close.

Change: from SIGTERM on an entry sends what times out before the end, or is likely to be answered by then by what its route has taken; gates refuse what cannot begin in time; the rest is refused as not run at once. The end is half a second before the kill; 0.3 s before that the port closes and requests whose body is still coming get 503. The rest of a refused request is read for up to a second.

--- a/src/common/serving/dispatching.ts
+++ b/src/common/serving/dispatching.ts
@@ -1,9 +1,13 @@
 /** Messages by which an entry sends requests to gates. */
 import * as serving from '../../generated/serving.js';
 import * as units from '../units.js';
+import * as decision from './decision.js';
 import * as entryCall from './entry_call.js';
 import * as placement from './placement.js';
 
+/** Limit of the age of a load in the log; older ones tell no more. */
+const MAX_LOGGED_AGE_MS: units.Millis = 1_000_000;
+
 /**
  * Whether the chosen gate may redirect a request: to a gate with a free slot, or back to one that
  * has redirected it.
@@ -17,11 +21,36 @@
   return redirects > 0 || ranked.slice(1).some(placement.hasFreeSlot);
 }
 
+/** Returns why a gate was chosen, for the log. */
+export function factsOf({
+  gate,
+  costMs,
+  estimate,
+}: placement.RankedGate): decision.Facts {
+  const {load, ageMs, outstanding} = estimate;
+  return {
+    nodeId: gate.nodeId,
+    costMs: Math.round(costMs),
+    outstanding,
+    limit: load.limit,
+    pacePercent: load.pacePercent,
+    loadAgeMs: Math.round(Math.min(ageMs, MAX_LOGGED_AGE_MS)),
+  };
+}
+
+/** An attempt at a request. */
+export interface Attempt {
+  readonly number: number;
+  /** Whether the gate may refuse the request in favour of other gates. */
+  readonly redirectable: boolean;
+  /** Time by which the run must begin, infinity without a limit. */
+  readonly startByMs: units.MonotonicMs;
+}
+
 /** Returns the message to the gate for an attempt. */
 export function dispatchOf(
   call: entryCall.EntryCall,
-  number: number,
-  redirectable: boolean,
+  {number, redirectable, startByMs}: Attempt,
   now: units.MonotonicMs,
 ): serving.Dispatch {
   const {request, route, service} = call;
@@ -43,5 +72,9 @@
     redirectable,
     fingerprint: request.fingerprint,
     notice: undefined,
+    startLeftMs:
+      startByMs === Infinity
+        ? undefined
+        : Math.max(0, Math.floor(startByMs - now)),
   };
 }
--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -7,6 +7,7 @@
 import * as decision from './decision.js';
 import * as dispatching from './dispatching.js';
 import * as entryCall from './entry_call.js';
+import * as gateCall from './gate_call.js';
 import * as gateReports from './gate_reports.js';
 import * as entryCalls from './entry_calls.js';
 import * as hedging from './hedging.js';
@@ -16,6 +17,7 @@
 import * as retryAfter from './retry_after.js';
 import * as retryLimit from './retry_limit.js';
 import * as runTimes from './run_times.js';
+import * as stopLimit from './stop_limit.js';
 import * as trafficSplit from './traffic_split.js';
 
 /**
@@ -30,9 +32,6 @@
 /** Interval of checks whether a request can be retried whose only gates are silent. */
 const RETRY_UNKNOWN_INTERVAL_MS: units.Millis = 500;
 
-/** Lowest HTTP status that counts as a server failure. */
-const FIRST_ERROR_STATUS = 500;
-
 /** Dependencies and settings of an entry. */
 export interface EntryOptions {
   readonly intent: operatorIntent.OperatorIntent;
@@ -54,6 +53,7 @@
   private readonly budgets: retryBudget.ServiceRetryBudgets;
   private readonly times = new runTimes.RunTimes();
   private readonly split: trafficSplit.TrafficSplit;
+  private readonly stopLimit = new stopLimit.StopLimit(this.times);
 
   constructor(private readonly options: EntryOptions) {
     const {random, budget, nodeCount} = options;
@@ -108,7 +108,7 @@
     if (ended === undefined) return;
     const {call} = ended;
     this.countRun(ended);
-    const failed = answer.status >= FIRST_ERROR_STATUS;
+    const failed = answer.status >= gateCall.FIRST_ERROR_STATUS;
     if (!failed || !call.route.repeatable) {
       return this.respond(call, answer, now);
     }
@@ -223,6 +223,11 @@
     }
   }
 
+  /** Sends only requests from now on that are likely to be answered before the process ends. */
+  stopAt(endsMs: units.MonotonicMs): void {
+    this.stopLimit.endsMs = endsMs;
+  }
+
   /** Gives up on all requests, as the process is about to end. */
   giveUpAll(now: units.MonotonicMs): void {
     for (const call of this.calls.all) this.giveUp(call, 'stopping', now);
@@ -240,16 +245,14 @@
 
   /** Returns the next time at which `tick` is due, infinity if there is none. */
   nextWakeMs(): units.MonotonicMs {
-    let next = Infinity;
-    for (const call of this.calls.all) {
-      next = Math.min(next, call.giveUpAtMs, call.hedgeAtMs);
-    }
-    return next;
+    return this.calls.nextDueMs();
   }
 
   /** Sends a call without a live attempt to the next gate, or gives up. */
   private sendNext(call: entryCall.EntryCall, now: units.MonotonicMs): void {
     if (call.liveAttempts > 0) return;
+    const isTooLate = now > this.stopLimit.latestStartMs(call);
+    if (isTooLate) return this.giveUp(call, 'no-time', now);
     if (call.hops >= MAX_HOPS) return this.giveUp(call, 'no-room', now);
     const excluded = new Set([
       ...call.redirected,
@@ -298,27 +301,24 @@
     now: units.MonotonicMs,
   ): void {
     const {nodeId} = ranked.gate;
-    const {load, ageMs, outstanding} = ranked.estimate;
     const number = this.calls.openAttempt(call, nodeId);
     call.hops++;
     this.options.reports.onSent(nodeId);
     if (call.route.repeatable && call.hedgeAtMs === Infinity) {
-      call.hedgeAtMs = hedging.hedgeAtMs(call, load.meanMs, now);
+      const {meanMs} = ranked.estimate.load;
+      call.hedgeAtMs = hedging.hedgeAtMs(call, meanMs, now);
     }
     this.note(call, 'routine', 'sent', {
-      nodeId,
+      ...dispatching.factsOf(ranked),
       attempt: number,
       hop: call.hops,
       redirectable,
-      costMs: Math.round(ranked.costMs),
-      outstanding,
-      limit: load.limit,
-      pacePercent: load.pacePercent,
-      loadAgeMs: Math.round(Math.min(ageMs, 1e6)),
       configuration: this.options.intent.configuration?.version,
       timeLeftMs: Math.round(call.endMs - now),
     });
-    const dispatch = dispatching.dispatchOf(call, number, redirectable, now);
+    const startByMs = this.stopLimit.latestStartMs(call);
+    const attempt = {number, redirectable, startByMs};
+    const dispatch = dispatching.dispatchOf(call, attempt, now);
     const notice = this.options.reports.noticeOf(nodeId);
     this.options.output.dispatch(nodeId, {...dispatch, notice});
   }
--- a/src/common/serving/entry_calls.ts
+++ b/src/common/serving/entry_calls.ts
@@ -1,4 +1,5 @@
 /** Requests in progress at an entry, with their open attempts. */
+import * as units from '../units.js';
 import * as entryCall from './entry_call.js';
 
 /** An attempt with the request that it belongs to. */
@@ -23,6 +24,15 @@
     return [...this.calls.values()];
   }
 
+  /** Returns the next time at which a request is given up or hedged, infinity without one. */
+  nextDueMs(): units.MonotonicMs {
+    let next = Infinity;
+    for (const call of this.calls.values()) {
+      next = Math.min(next, call.giveUpAtMs, call.hedgeAtMs);
+    }
+    return next;
+  }
+
   /** Adds a request. */
   add(call: entryCall.EntryCall): void {
     this.calls.set(call.request.id, call);
--- a/src/common/serving/gate_call.ts
+++ b/src/common/serving/gate_call.ts
@@ -45,6 +45,8 @@
   /** Latest estimate of the deadline: the request may have come when it was read. */
   readonly latestDeadlineMs: units.MonotonicMs;
   readonly objectiveAtMs: units.MonotonicMs;
+  /** Time by which its run must begin, infinity if its entry does not stop. */
+  readonly startByMs: units.MonotonicMs;
   stage: Stage = {kind: 'waiting'};
 
   /** Undefined while no link is known that the reply could go to. */
@@ -71,6 +73,7 @@
     this.deadlineMs = sentMs + dispatch.timeLeftMs;
     this.latestDeadlineMs = arrivedMs - delayMs + dispatch.timeLeftMs;
     this.objectiveAtMs = sentMs + dispatch.objectiveLeftMs;
+    this.startByMs = sentMs + (dispatch.startLeftMs ?? Infinity);
   }
 
   /** Handles a resend, which may have been read late from a link that was replaced since. */
--- a/src/common/serving/gate_capacity.ts
+++ b/src/common/serving/gate_capacity.ts
@@ -141,8 +141,9 @@
           : serving.Reason.FULL;
       }
     }
-    const neededMs = waitMs + this.minRunTimeMs(call);
-    if (now + neededMs > call.deadlineMs) return serving.Reason.NO_TIME;
+    if (now + waitMs > this.latestUsefulStartMs(call)) {
+      return serving.Reason.NO_TIME;
+    }
     if (!this.isInRate(call, ahead, now)) return serving.Reason.OVERLOADED;
     if (waitMs > slackMs && this.isOverloaded(now)) {
       return serving.Reason.OVERLOADED;
@@ -310,9 +311,9 @@
     return this.coldStart.mayStart(this.coldPerSecond, now);
   }
 
-  /** Returns the latest start that leaves enough time before the deadline. */
+  /** Returns the latest start that leaves enough time before the deadline or the entry's stop. */
   private latestUsefulStartMs(call: gateCall.GateCall): units.MonotonicMs {
-    return call.deadlineMs - this.minRunTimeMs(call);
+    return Math.min(call.deadlineMs - this.minRunTimeMs(call), call.startByMs);
   }
 
   /** Returns the minimum time left for a run to be started. */
--- a/src/common/serving/run_times.ts
+++ b/src/common/serving/run_times.ts
@@ -4,6 +4,9 @@
 /** Weight of the newest run in the mean run time. */
 const RUN_TIME_WEIGHT = 0.1;
 
+/** Mean deviations from the mean below which nearly all runs end. */
+const LIKELY_DEVIATIONS = 3;
+
 /** Weight of the newest run in the failure share. */
 const FAILURE_WEIGHT = 0.15;
 
@@ -16,6 +19,7 @@
 /** Tracks the mean time of runs by route and the share that fails. */
 export class RunTimes {
   private readonly meanByRouteMs = new Map<string, number>();
+  private readonly deviationByRouteMs = new Map<string, number>();
   private overallMs: number | undefined;
   private failures = 0;
   private failuresAtMs: units.MonotonicMs = 0;
@@ -28,6 +32,9 @@
   ): void {
     const known = this.meanByRouteMs.get(route);
     this.meanByRouteMs.set(route, movingAverage(known, durationMs));
+    const offMs = known === undefined ? 0 : Math.abs(durationMs - known);
+    const deviationMs = this.deviationByRouteMs.get(route);
+    this.deviationByRouteMs.set(route, movingAverage(deviationMs, offMs));
     this.overallMs = movingAverage(this.overallMs, durationMs);
     this.updateFailureShare(0, now);
   }
@@ -40,6 +47,7 @@
   /** Discards the averages of a former incarnation. */
   reset(): void {
     this.meanByRouteMs.clear();
+    this.deviationByRouteMs.clear();
     this.overallMs = undefined;
     this.failures = 0;
   }
@@ -54,6 +62,15 @@
     return this.meanByRouteMs.get(route) ?? this.meanMs;
   }
 
+  /** Returns the time within which nearly all runs of a route end, undefined if it had none. */
+  likelyMs(route: string): units.Millis | undefined {
+    const meanMs = this.meanByRouteMs.get(route);
+    const deviationMs = this.deviationByRouteMs.get(route) ?? 0;
+    return meanMs === undefined
+      ? undefined
+      : meanMs + LIKELY_DEVIATIONS * deviationMs;
+  }
+
   /** Returns the share of recent runs that failed, in [0, 1]. */
   failureShare(now: units.MonotonicMs): number {
     const ageMs = Math.max(0, now - this.failuresAtMs);
--- a/src/node/body_reader.ts
+++ b/src/node/body_reader.ts
@@ -33,6 +33,7 @@
     onRead(read);
   };
   message.on('data', (chunk: Buffer) => {
+    if (finished) return;
     length += chunk.length;
     if (length <= maxBytes) {
       chunks.push(chunk);
--- a/src/node/serving/caller_port.ts
+++ b/src/node/serving/caller_port.ts
@@ -39,6 +39,9 @@
 /** Longest time for a request's body, whatever time its caller states. */
 const MAX_BODY_TIME_MS: units.Millis = 60_000;
 
+/** Longest time for which the rest of a request is read that was refused. */
+const MAX_READ_ON_MS: units.Millis = 1_000;
+
 /** Time until a retry of a request that this node cannot judge or handle now. */
 const REFUSED_RETRY_AFTER_MS: units.Millis = 300;
 
@@ -96,10 +99,11 @@
   private readonly connections = new callerConnections.CallerConnections();
   private readonly exchanges = new Map<number, Exchange>();
   private readonly idsByResponse = new WeakMap<http.ServerResponse, number>();
+  /** Responses to requests whose body is being read. */
+  private readonly unread = new Set<http.ServerResponse>();
   /** Responses that have not been passed to the operating system whole. */
   private readonly unflushed = new Set<http.ServerResponse>();
   private lastId = 0;
-  private bodiesInProgress = 0;
   private phase: 'open' | 'closing' | 'closed' = 'open';
 
   constructor(private readonly options: CallerPortOptions) {
@@ -128,8 +132,8 @@
    * whose body is still being read.
    */
   get inProgress(): number {
-    const {exchanges, unflushed, bodiesInProgress} = this;
-    return exchanges.size + unflushed.size + bodiesInProgress;
+    const {exchanges, unflushed, unread} = this;
+    return exchanges.size + unflushed.size + unread.size;
   }
 
   /** Applies the timeouts of the current configuration. */
@@ -144,9 +148,13 @@
     if (this.phase === 'open') this.phase = 'closing';
   }
 
-  /** Refuses new requests, whose answers might come only after the process ends. */
-  refuseNew(): void {
+  /** Accepts no more connections, and refuses requests that are not read yet. */
+  stopListening(): void {
     this.phase = 'closed';
+    this.server.close();
+    for (const res of [...this.unread]) {
+      if (!res.headersSent) this.refuseNotRun(res, 'no-server');
+    }
   }
 
   /** Writes the answer to a request; ignored if the caller has disconnected. */
@@ -195,10 +203,10 @@
     if (headerBytes(req) > maxHeaderBytes) {
       return this.refuseUnread(res, STATUS.headersTooLarge, 'headers too long');
     }
-    this.bodiesInProgress++;
+    this.unread.add(res);
     const timer = this.limitBodyTime(req, res);
     bodyReader.readBody(req, maxBodyBytes, read => {
-      this.bodiesInProgress--;
+      this.unread.delete(res);
       clearTimeout(timer);
       // The time has passed and the request was refused, or its caller has left.
       if (res.headersSent || !this.connections.isOpen(res)) return;
@@ -391,11 +399,33 @@
     const closing =
       isLast && this.connections.endWith(res) ? ['Connection', 'close'] : [];
     res.writeHead(status, [...headers, ...closing]);
+    this.unread.delete(res);
     this.unflushed.add(res);
-    res.end(body);
+    if (res.req.complete) res.end(body);
+    else endOnceRead(res, body);
   }
 }
 
+/**
+ * Writes a response whose request has not been read whole, and reads the rest of it for a while:
+ * bytes that are unread when a connection closes discard the answer on its way.
+ */
+function endOnceRead(
+  res: http.ServerResponse,
+  body: Uint8Array | string,
+): void {
+  const {req} = res;
+  res.write(body);
+  const end = (): void => {
+    clearTimeout(timer);
+    res.end();
+  };
+  const timer = setTimeout(end, MAX_READ_ON_MS);
+  req.once('end', end);
+  req.once('close', end);
+  req.resume();
+}
+
 /** Characters of a digest that name an unknown key in logs. */
 const LOGGED_DIGEST_LENGTH = 8;
 
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -118,9 +118,14 @@
     this.callers.announceClosing();
   }
 
-  /** Refuses new requests from callers. */
-  refuseNew(): void {
-    this.callers.refuseNew();
+  /** Handles only requests from now on that are likely to be answered before the process ends. */
+  stopAt(endsMs: units.MonotonicMs): void {
+    this.entry.stopAt(endsMs);
+  }
+
+  /** Accepts no more connections and refuses requests that are not read yet. */
+  closePort(): void {
+    this.callers.stopListening();
   }
 
   /** Gives up on all requests, as the process is about to end. */
--- a/src/node/serving/node_stop.ts
+++ b/src/node/serving/node_stop.ts
@@ -2,15 +2,20 @@
 import * as timers from 'node:timers/promises';
 
 import * as units from '../../common/units.js';
+import * as clock from '../clock.js';
 
 /** Time until callers use other nodes: two readiness checks, a second apart, must fail. */
 const DRAIN_DELAY_MS: units.Millis = 2_300;
 
-/** Share of `stopMs` after which new requests are refused, as they might not finish in time. */
-const REFUSE_AT_SHARE = 0.48;
+/** Share of `stopMs` after which the process ends as soon as no request is in progress. */
+const IDLE_END_AT_SHARE = 0.48;
 
-/** Share of `stopMs` after which the process ends even with unfinished requests. */
-const END_AT_SHARE = 0.88;
+/** Time before the kill at which callers that still wait are answered, or its share of `stopMs`. */
+const END_MARGIN_MS: units.Millis = 500;
+const MAX_END_MARGIN_SHARE = 0.12;
+
+/** Time before that at which the port is closed, in which callers read refusals. */
+const CLOSE_PORT_MS: units.Millis = 300;
 
 /** Interval of checks for unfinished requests. */
 const POLL_MS: units.Millis = 50;
@@ -24,8 +29,10 @@
   readonly unanswered: number;
   /** Closes connections of callers after their next response. */
   announceClosing(): void;
-  /** Refuses new requests from callers. */
-  refuseNew(): void;
+  /** Handles only requests from now on that are likely to be answered before the process ends. */
+  stopAt(endsMs: units.MonotonicMs): void;
+  /** Accepts no more connections and refuses requests that are not read yet. */
+  closePort(): void;
   /** Answers all callers that still wait. */
   giveUpAll(): void;
 }
@@ -59,35 +66,40 @@
 
   private async run(): Promise<void> {
     const {stopMs, entry, gate} = this.options;
-    const startedMs = performance.now();
-    const elapsedMs = (): units.Millis => performance.now() - startedMs;
+    const startedMs = clock.monotonicMs();
+    const marginMs = Math.min(END_MARGIN_MS, MAX_END_MARGIN_SHARE * stopMs);
+    const endsMs = startedMs + stopMs - marginMs;
     this.options.begin();
+    entry.stopAt(endsMs);
     await timers.setTimeout(DRAIN_DELAY_MS);
     entry.announceClosing();
-    const refuseMs = REFUSE_AT_SHARE * stopMs;
-    let refusing = false;
-    while (elapsedMs() < END_AT_SHARE * stopMs) {
-      if (!refusing && elapsedMs() >= refuseMs) {
-        refusing = true;
-        entry.refuseNew();
-      }
-      const unfinished = entry.unanswered + gate.unfinished;
-      if (refusing && unfinished === 0) {
+    const idleEndMs = startedMs + IDLE_END_AT_SHARE * stopMs;
+    let isPortClosed = false;
+    while (clock.monotonicMs() < endsMs) {
+      const now = clock.monotonicMs();
+      const isIdle = entry.unanswered + gate.unfinished === 0;
+      if (
+        !isPortClosed &&
+        (now >= endsMs - CLOSE_PORT_MS || (now >= idleEndMs && isIdle))
+      ) {
+        isPortClosed = true;
+        entry.closePort();
+      } else if (isPortClosed && isIdle) {
         if (gate.endUnconfirmedLinks() === 0) return;
       }
       await timers.setTimeout(POLL_MS);
     }
-    await this.answerRest(elapsedMs);
+    await this.answerRest();
   }
 
   /** Answers the callers that still wait, with what has arrived or with a failure. */
-  private async answerRest(elapsedMs: () => units.Millis): Promise<void> {
+  private async answerRest(): Promise<void> {
     const {entry} = this.options;
     // After a pause of this process, answers may have arrived that are not read yet.
     for (let polls = 0; polls < 2; polls++) await timers.setImmediate();
     entry.giveUpAll();
-    const endMs = elapsedMs() + FLUSH_MS;
-    while (entry.unanswered > 0 && elapsedMs() < endMs) {
+    const endMs = clock.monotonicMs() + FLUSH_MS;
+    while (entry.unanswered > 0 && clock.monotonicMs() < endMs) {
       await timers.setTimeout(1);
     }
   }
--- a/src/node/serving/pending_requests.ts
+++ b/src/node/serving/pending_requests.ts
@@ -73,11 +73,12 @@
   resends(now: units.MonotonicMs): readonly serving.Dispatch[] {
     return [...this.requests.values()].map(({dispatch, sentMs}) => {
       const elapsedMs = Math.floor(now - sentMs);
-      const {timeLeftMs, objectiveLeftMs} = dispatch;
+      const {timeLeftMs, objectiveLeftMs, startLeftMs} = dispatch;
       return {
         ...dispatch,
         timeLeftMs: Math.max(1, timeLeftMs - elapsedMs),
         objectiveLeftMs: Math.max(0, objectiveLeftMs - elapsedMs),
+        startLeftMs: startLeftMs && Math.max(0, startLeftMs - elapsedMs),
       };
     });
   }
