Entry: the time for which a request is held before it is sent counts for its route

The call's arrival is now when it was read.

A refused request whose body stops coming was answered a second time when its time ran out; the write is ignored now.

--- a/src/common/serving/entry_call.ts
+++ b/src/common/serving/entry_call.ts
@@ -25,6 +25,8 @@
   readonly timeLeftMs: units.Millis;
   /** Time for which it may have waited unread, which `timeLeftMs` leaves out; 0 by default. */
   readonly waitedMs?: units.Millis;
+  /** Time for which it was held after it was read, which `timeLeftMs` includes; 0 by default. */
+  readonly heldMs?: units.Millis;
   /** Workspace of the caller, undefined if the request needs no key. */
   readonly workspace?: workspace.Workspace;
   /** Identifies the request across retries by callers. */
@@ -45,6 +47,9 @@
 
 /** A request in progress at an entry. */
 export class EntryCall {
+  /** Time at which the request was read. */
+  readonly arrivedMs: units.MonotonicMs;
+
   /** Time at which the request times out, by its earliest estimate; runs must end by then. */
   readonly endMs: units.MonotonicMs;
 
@@ -94,9 +99,11 @@
     readonly request: CallerRequest,
     readonly route: configuration.Route,
     readonly service: string,
-    readonly arrivedMs: units.MonotonicMs,
+    now: units.MonotonicMs,
   ) {
-    const {timeLeftMs, waitedMs = 0} = request;
+    const {timeLeftMs, waitedMs = 0, heldMs = 0} = request;
+    const arrivedMs = now - heldMs;
+    this.arrivedMs = arrivedMs;
     const longestMs = timeLeftMs + Math.min(waitedMs, MAX_EXTRA_WAIT_MS);
     this.endMs = arrivedMs + Math.min(timeLeftMs, route.timeoutMs);
     this.giveUpAtMs = arrivedMs + Math.min(longestMs, route.timeoutMs);
--- a/src/common/serving/silent_gates.test.ts
+++ b/src/common/serving/silent_gates.test.ts
@@ -166,3 +166,13 @@
   harness.entry.tick(1_100);
   assert.equal(harness.givenUp.length, 1);
 });
+
+test('the time for which a request was held before it was sent counts for the route', () => {
+  const harness = new fixtures.EntryHarness(GATES);
+  const route = {attempts: 1, timeoutMs: 1_200, objectiveMs: 800};
+  harness.request(route, 300, {timeLeftMs: 2_000, heldMs: 300});
+  const {timeLeftMs, objectiveLeftMs} = harness.last.dispatch;
+  assert.deepEqual([timeLeftMs, objectiveLeftMs], [900, 500]);
+  harness.entry.tick(1_200);
+  assert.equal(harness.givenUp.length, 1);
+});
--- a/src/node/serving/caller_port.ts
+++ b/src/node/serving/caller_port.ts
@@ -395,7 +395,7 @@
     body: Uint8Array | string,
     isLast = this.phase !== 'open',
   ): void {
-    if (!this.connections.isOpen(res)) return;
+    if (!this.connections.isOpen(res) || res.headersSent) return;
     const closing =
       isLast && this.connections.endWith(res) ? ['Connection', 'close'] : [];
     res.writeHead(status, [...headers, ...closing]);
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -315,7 +315,8 @@
     request: entryCall.CallerRequest,
     route: configuration.Route,
   ): void {
-    const objectiveLeftMs = Math.min(route.objectiveMs, request.timeLeftMs);
+    const {timeLeftMs, heldMs = 0} = request;
+    const objectiveLeftMs = Math.min(route.objectiveMs, timeLeftMs) - heldMs;
     const verdict = this.quotas.onRequest(request, objectiveLeftMs);
     switch (verdict.kind) {
       case 'admitted':
@@ -337,9 +338,9 @@
     const item = this.waiting.get(id);
     if (item === undefined) return;
     this.waiting.delete(id);
-    const waitedMs = clock.monotonicMs() - item.sinceMs;
-    const timeLeftMs = Math.max(0, item.request.timeLeftMs - waitedMs);
-    end({...item.request, timeLeftMs}, item.route);
+    const {request, route, sinceMs} = item;
+    const heldMs = (request.heldMs ?? 0) + clock.monotonicMs() - sinceMs;
+    end({...request, heldMs}, route);
   }
 
   private admit(
