Planned stop: once callers have noticed it, only requests that time out before the end are taken

An estimate is good enough while callers cannot know of the stop; after 0.48 of the grace they do, and a request is taken only if its deadline or its route's timeout comes before the end, so that it is answered in any case.

--- a/src/common/serving/entry.ts
+++ b/src/common/serving/entry.ts
@@ -224,8 +224,8 @@
   }
 
   /** Sends only requests from now on that are likely to be answered before the process ends. */
-  stopAt(endsMs: units.MonotonicMs): void {
-    this.stopLimit.endsMs = endsMs;
+  stopAt(end: stopLimit.ProcessEnd): void {
+    this.stopLimit.stopAt(end);
   }
 
   /** Gives up on all requests, as the process is about to end. */
--- a/src/common/serving/stopping_entry.test.ts
+++ b/src/common/serving/stopping_entry.test.ts
@@ -16,8 +16,8 @@
 
 const RUN_MS = 1_000;
 
-/** An entry whose requests have taken `RUN_MS`, and whose process ends 5 s after the time 10 s. */
-function stoppingEntry(): fixtures.EntryHarness {
+/** An entry whose requests have taken `RUN_MS`, and whose process ends at 15 s. */
+function stoppingEntry(noticedMs = Infinity): fixtures.EntryHarness {
   const harness = new fixtures.EntryHarness(GATES);
   for (let i = 0; i < 5; i++) {
     harness.request(LONG, i * RUN_MS, LONG_TIME);
@@ -30,7 +30,7 @@
     harness.entry.onAnswer(nodeId, answer, (i + 1) * RUN_MS);
   }
   harness.sent.length = 0;
-  harness.entry.stopAt(15_000);
+  harness.entry.stopAt({endsMs: 15_000, noticedMs});
   return harness;
 }
 
@@ -47,6 +47,15 @@
   assert.equal(harness.givenUp[0].mayHaveRun, false);
 });
 
+test('a stopping entry refuses what may outlast it once callers have noticed the stop', () => {
+  const harness = stoppingEntry(13_000);
+  harness.request(LONG, 13_001, LONG_TIME);
+  assert.equal(harness.sent.length, 0);
+  assert.equal(harness.givenUp[0].mayHaveRun, false);
+  harness.request({timeoutMs: 1_500}, 13_001, LONG_TIME);
+  assert.equal(harness.sent.length, 1);
+});
+
 test('a stopping entry refuses requests of routes that it does not know, unless they time out before', () => {
   const harness = stoppingEntry();
   harness.request({...LONG, name: 'new'}, 10_000, LONG_TIME);
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -7,6 +7,7 @@
 import * as operatorIntent from '../../common/serving/operator_intent.js';
 import * as placement from '../../common/serving/placement.js';
 import * as retryAfter from '../../common/serving/retry_after.js';
+import * as stopLimit from '../../common/serving/stop_limit.js';
 import * as randomSource from '../../common/random_source.js';
 import * as units from '../../common/units.js';
 import * as serving from '../../generated/serving.js';
@@ -119,8 +120,8 @@
   }
 
   /** Handles only requests from now on that are likely to be answered before the process ends. */
-  stopAt(endsMs: units.MonotonicMs): void {
-    this.entry.stopAt(endsMs);
+  stopAt(end: stopLimit.ProcessEnd): void {
+    this.entry.stopAt(end);
   }
 
   /** Accepts no more connections and refuses requests that are not read yet. */
--- a/src/node/serving/node_stop.ts
+++ b/src/node/serving/node_stop.ts
@@ -1,14 +1,15 @@
 /** Sequence of a planned stop. */
 import * as timers from 'node:timers/promises';
 
+import * as stopLimit from '../../common/serving/stop_limit.js';
 import * as units from '../../common/units.js';
 import * as clock from '../clock.js';
 
 /** Time until callers use other nodes: two readiness checks, a second apart, must fail. */
 const DRAIN_DELAY_MS: units.Millis = 2_300;
 
-/** Share of `stopMs` after which the process ends as soon as no request is in progress. */
-const IDLE_END_AT_SHARE = 0.48;
+/** Share of `stopMs` by which callers have noticed the stop, and an idle process may end. */
+const NOTICED_AT_SHARE = 0.48;
 
 /** Time before the kill at which callers that still wait are answered, or its share of `stopMs`. */
 const END_MARGIN_MS: units.Millis = 500;
@@ -30,7 +31,7 @@
   /** Closes connections of callers after their next response. */
   announceClosing(): void;
   /** Handles only requests from now on that are likely to be answered before the process ends. */
-  stopAt(endsMs: units.MonotonicMs): void;
+  stopAt(end: stopLimit.ProcessEnd): void;
   /** Accepts no more connections and refuses requests that are not read yet. */
   closePort(): void;
   /** Answers all callers that still wait. */
@@ -70,17 +71,17 @@
     const marginMs = Math.min(END_MARGIN_MS, MAX_END_MARGIN_SHARE * stopMs);
     const endsMs = startedMs + stopMs - marginMs;
     this.options.begin();
-    entry.stopAt(endsMs);
+    const noticedMs = startedMs + NOTICED_AT_SHARE * stopMs;
+    entry.stopAt({endsMs, noticedMs});
     await timers.setTimeout(DRAIN_DELAY_MS);
     entry.announceClosing();
-    const idleEndMs = startedMs + IDLE_END_AT_SHARE * stopMs;
     let isPortClosed = false;
     while (clock.monotonicMs() < endsMs) {
       const now = clock.monotonicMs();
       const isIdle = entry.unanswered + gate.unfinished === 0;
       if (
         !isPortClosed &&
-        (now >= endsMs - CLOSE_PORT_MS || (now >= idleEndMs && isIdle))
+        (now >= endsMs - CLOSE_PORT_MS || (now >= noticedMs && isIdle))
       ) {
         isPortClosed = true;
         entry.closePort();
