--- a/src/node/frame_parts.test.ts
+++ b/src/node/frame_parts.test.ts
@@ -24,7 +24,7 @@
 function answerFrame(call: number, bodyBytes: number): serving.NodeFrame {
   const body = Buffer.alloc(bodyBytes, call);
   const value = serving.Answer.fromPartial({call, status: 200, body});
-  return {body: {$case: 'answer', value}};
+  return {body: {$case: 'answer', value}, sentMs: call};
 }
 
 function encode(frame: serving.NodeFrame): Buffer {
--- a/src/node/framed_socket.test.ts
+++ b/src/node/framed_socket.test.ts
@@ -171,11 +171,11 @@
 function answerFrame(call: number, bodyBytes: number): serving.NodeFrame {
   const body = Buffer.alloc(bodyBytes, call);
   const value = serving.Answer.fromPartial({call, status: 200, body});
-  return {body: {$case: 'answer', value}};
+  return {body: {$case: 'answer', value}, sentMs: call};
 }
 
 function pingFrame(): serving.NodeFrame {
-  return {body: {$case: 'ping', value: {}}};
+  return {body: {$case: 'ping', value: {}}, sentMs: 1};
 }
 
 function pulseFrame(): serving.NodeFrame {
