Test: a request on a link that stays slow is handled once its entry has replied (known red)

While the link stays that slow, the reply to the gate's ping is as late, and the request is not run until its time has passed.

--- a/src/node/serving/entry_sessions.test.ts
+++ b/src/node/serving/entry_sessions.test.ts
@@ -131,9 +131,12 @@
 /**
  * Sends a request that was held up, and what the entry sends behind it; returns what the gate
  * handles, in order, with the time for which it takes the request to have been held up.
+ *
+ * @param replyDelayMs time for which the entry's reply to a ping is held up.
  */
 async function handledLate(
   withdraws: boolean,
+  replyDelayMs = 0,
 ): Promise<readonly HandledMessage[]> {
   const handled: HandledMessage[] = [];
   await using sessions = new entrySessions.EntrySessions({
@@ -155,11 +158,13 @@
   });
   const [port] = await child.freePorts(1);
   await sessions.listen({ip: '127.0.0.1', port});
+  let greetedAtMs = 0;
   const entry = linkFrame.wrapSocket(
     net.connect({host: '127.0.0.1', port}),
     'gate',
     {
       onConnect: () => {
+        greetedAtMs = clock.monotonicMs();
         const value = greeting('entry', true);
         entry.send({body: {$case: 'greeting', value}, sentMs: GREETED_MS});
         const sentMs = GREETED_MS - HELD_UP_MS;
@@ -168,13 +173,16 @@
       },
       onFrame: ({body}) => {
         if (body?.$case !== 'ping') return;
-        const sentMs = GREETED_MS;
+        const sentMs = GREETED_MS + clock.monotonicMs() - greetedAtMs;
         const withdraw = {$case: 'withdraw', value: {call: 1}} as const;
         assert.deepEqual(handled, []);
         if (withdraws) {
-          entry.send({body: withdraw, sentMs: sentMs - HELD_UP_MS / 2});
+          const withdrawnMs = Math.floor(sentMs - HELD_UP_MS / 2);
+          entry.send({body: withdraw, sentMs: withdrawnMs});
         }
-        entry.send({body: {$case: 'ping', value: {}}, sentMs});
+        const ping = {$case: 'ping', value: {}} as const;
+        const reply = {body: ping, sentMs: Math.floor(sentMs)};
+        setTimeout(() => entry.send(reply), replyDelayMs);
       },
       onMalformed: () => undefined,
       onClose: () => undefined,
@@ -207,3 +215,15 @@
     assert.ok(delayMs >= HELD_UP_MS && delayMs < HELD_UP_MS + 500);
   },
 );
+
+// While a link stays slow, the reply to the gate's ping is as late as the request was.
+nodeTest.test(
+  'a request on a link that stays slow is handled once its entry has replied',
+  async () => {
+    const handled = await handledLate(false, 500);
+    assert.deepEqual(
+      handled.map(({what}) => what),
+      ['dispatch'],
+    );
+  },
+);
