--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -12,6 +12,7 @@
 import * as timers from 'node:timers';
 import * as timersPromises from 'node:timers/promises';
 
+import * as child from '../../build/test/paths/child.js';
 import * as documents from '../../build/test/stand_ins/platform/documents.js';
 import * as serverStandIn from '../../build/test/stand_ins/platform/server_stand_in.js';
 import * as storeStandIn from '../../build/test/stand_ins/platform/store_stand_in.js';
@@ -75,14 +76,6 @@
   }
 }
 
-async function freePort() {
-  const server = net.createServer();
-  await new Promise(resolve => server.listen(0, '127.0.0.1', resolve));
-  const {port} = server.address();
-  await new Promise(resolve => server.close(resolve));
-  return port;
-}
-
 /**
  * Links of the other machines to one machine. `cuts(from, to)` tells which pairs are partitioned:
  * their bytes are held back, and new connections get no answer.
@@ -180,9 +173,8 @@
   async addMachine({name, zone, service}) {
     const server = new serverStandIn.ServerStandIn(service, zone, `i-${name}`);
     const serverAddress = await server.listen();
-    const ports = [];
-    for (let i = 0; i < 5; i++) ports.push(await freePort());
-    const [callers, peers, control, readiness, metrics] = ports;
+    const [callers, peers, control, readiness, metrics] =
+      await child.freePorts(5);
     const link = new MachineLink(name, peers, this.names, (from, to) =>
       this.isCut(from, to),
     );
@@ -228,7 +220,7 @@
   /** Starts the process of a node. */
   spawn(node) {
     const [program, ...args] = COMMAND;
-    const child = childProcess.spawn(program, args, {
+    const started = childProcess.spawn(program, args, {
       cwd: ROOT,
       env: {
         PATH: process.env.PATH,
@@ -238,20 +230,20 @@
       },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
-    node.child = child;
+    node.child = started;
     node.startedMs = now();
     node.exited = new Promise(resolve => {
-      child.on('exit', (code, signal) => {
+      started.on('exit', (code, signal) => {
         this.record.line(`end ${node.name} code=${code} signal=${signal}`);
         const ranMs = now() - node.startedMs;
         this.ends.push({name: node.name, atMs: now(), ranMs});
         resolve();
       });
     });
-    for (const stream of [child.stdout, child.stderr]) {
+    for (const stream of [started.stdout, started.stderr]) {
       stream.on('data', chunk => (node.output += String(chunk)));
     }
-    this.record.line(`start ${node.name} pid=${child.pid}`);
+    this.record.line(`start ${node.name} pid=${started.pid}`);
   }
 
   isReady(node) {
@@ -369,6 +361,9 @@
     status = broken ? 1 : 0;
   } catch (err) {
     record.say(`could not run: ${err.stack}`);
+    for (const {name, output} of fleet?.nodes ?? []) {
+      record.line(`${name} printed: ${output.slice(-2_000)}`);
+    }
   } finally {
     await fleet?.stop().catch(err => record.say(`stop: ${err}`));
     timers.clearTimeout(guard);
