Gate: a late heartbeat brings a server that has left no requests after its node's restart

Cause: the leaving was known to the node's process and, as a notice, to the entries of other nodes, which told a restarted gate only together with a request; none came where each data centre serves its own callers. Any answer to a health check that named the instance confirmed it, also with status 503.

Now an incarnation gets no request before it has answered a check as healthy once, and nodes send notices in the greetings of their links; a notice binds an incarnation that becomes known later.

A new incarnation with the same id is used, before and now.

--- a/bench/processor_time.ts
+++ b/bench/processor_time.ts
@@ -61,6 +61,7 @@
       nowMs: clock.monotonicMs,
       listener: {
         onGreeting: sender => this.dial(sender),
+        onNotice: () => undefined,
         onDispatch: () => undefined,
         onWithdraw: () => undefined,
         onLinkLost: () => undefined,
@@ -86,7 +87,12 @@
 
   private greeting(toNodeId: string): serving.Greeting {
     const sender = this.self;
-    return {sender, processStartedMs: 1, toNodeId, acceptsParts: true};
+    return serving.Greeting.fromPartial({
+      sender,
+      processStartedMs: 1,
+      toNodeId,
+      acceptsParts: true,
+    });
   }
 
   private dial(record: serving.NodeRecord): void {
@@ -98,6 +104,7 @@
       nowMs: clock.monotonicMs,
       listener: {
         onUp: ignore,
+        onNotice: () => undefined,
         onDown: ignore,
         onMaybeUnreachable: ignore,
         onAnswer: ignore,
--- a/src/common/serving/gate_leaving.test.ts
+++ b/src/common/serving/gate_leaving.test.ts
@@ -38,6 +38,40 @@
   assert.equal(harness.gate.closure(), serving.Closure.SERVER_LEAVING);
 });
 
+test('a restarted gate sends a server that only a late heartbeat calls ready no request', () => {
+  const harness = new fixtures.GateHarness();
+  const unhealthy = {...HEALTH, healthy: false, instanceId: 'i-1'};
+  harness.gate.onHealth(unhealthy, 0);
+  harness.gate.onAnnouncement(fixtures.announcement({sequence: 7}), 10);
+  harness.call({}, 11);
+  harness.gate.onHealth(unhealthy, 12);
+  harness.call({}, 13);
+  assert.equal(harness.gate.closure(), serving.Closure.SERVER_ABSENT);
+  assert.deepEqual(
+    harness.output.reasons,
+    Array(2).fill(serving.Reason.CLOSED),
+  );
+  assert.equal(harness.output.runs.length, 0);
+  harness.healthy('i-1', 20);
+  harness.call({}, 21);
+  assert.equal(harness.output.runs.length, 1);
+});
+
+test('a server that was healthy keeps its requests while its health checks fail', () => {
+  const harness = new fixtures.GateHarness().open();
+  harness.gate.recheck();
+  harness.gate.onHealth({...HEALTH, healthy: false, instanceId: 'i-1'}, 10);
+  harness.call({}, 11);
+  assert.equal(harness.output.runs.length, 1);
+});
+
+test('a deregistration is about the start that it states, also when only a check is known', () => {
+  const harness = new fixtures.GateHarness();
+  harness.healthy();
+  harness.gate.onDeregistration('i-1', 1_000, 10);
+  assert.equal(harness.gate.load(10).notice?.startMs, 1_000);
+});
+
 test('neither late heartbeats nor another instance end the leaving of an incarnation', () => {
   const harness = new fixtures.GateHarness().open();
   harness.gate.onStatement(harness.call(), leaving('run'), 10);
--- a/src/common/serving/incarnations.ts
+++ b/src/common/serving/incarnations.ts
@@ -58,6 +58,8 @@
   readonly slots: number;
   /** Final for an incarnation. */
   readonly leaving: boolean;
+  /** Whether it has answered a health check as healthy. */
+  readonly proven: boolean;
   /** Whether another instance has answered at the address since. */
   readonly gone: boolean;
   readonly coldUntilMs: units.MonotonicMs;
@@ -74,12 +76,38 @@
 /** Tolerance in ms on the end of a cold start, for the latency of health check answers. */
 const COLD_START_TOLERANCE_MS = 300;
 
+/** Most notices kept; each other node sends one at most. */
+const MAX_NOTICES = 16;
+
+/** Notices of other nodes, the latest of each incarnation whose start is known. */
+class KnownNotices {
+  private readonly byIncarnation = new Map<string, serving.ServerNotice>();
+
+  /** The notices, the latest last. */
+  get all(): readonly serving.ServerNotice[] {
+    return [...this.byIncarnation.values()];
+  }
+
+  /** Keeps a notice. Without a start it could bind a later incarnation with the same id. */
+  add(notice: serving.ServerNotice): void {
+    const {instanceId, startMs} = notice;
+    if (startMs === 0) return;
+    const key = `${startMs}/${instanceId}`;
+    this.byIncarnation.delete(key);
+    this.byIncarnation.set(key, notice);
+    if (this.byIncarnation.size <= MAX_NOTICES) return;
+    const [oldest] = this.byIncarnation.keys();
+    this.byIncarnation.delete(oldest);
+  }
+}
+
 /** Derives the current incarnation and its state from announcements and health checks. */
 export class IncarnationTracker {
   private current: Incarnation | undefined;
   private newestStartMs = 0;
   private hasAnnouncement = false;
   private lastSerial = 0;
+  private readonly notices = new KnownNotices();
 
   /** Instance id of the current incarnation, undefined if none is known. */
   get instanceId(): string | undefined {
@@ -96,6 +124,11 @@
     return this.current?.slots ?? 0;
   }
 
+  /** Whether the current incarnation has answered a health check as healthy. */
+  get isProven(): boolean {
+    return this.current?.proven ?? false;
+  }
+
   /** Number of the current incarnation within this process, 0 if none is known. */
   get serial(): number {
     return this.current?.serial ?? 0;
@@ -145,9 +178,11 @@
     this.newestStartMs = announcement.startMs;
     if (isNew && !completesAdopted) {
       this.current = incarnationOf(announcement, ++this.lastSerial, now);
+      this.applyKnownNotices();
       return 'new-incarnation';
     }
-    return this.updateCurrent(current!, announcement, now);
+    const change = this.updateCurrent(current!, announcement, now);
+    return this.applyKnownNotices() ? 'leaving' : change;
   }
 
   /**
@@ -164,7 +199,7 @@
     if (startMs !== undefined && startMs < (current.startMs ?? 0)) {
       return 'outdated';
     }
-    return this.markLeaving(current);
+    return this.markLeaving({...current, startMs: startMs ?? current.startMs});
   }
 
   /** Handles the answer to a health check. */
@@ -173,6 +208,7 @@
     if (instanceId === undefined) return 'unchanged';
     if (this.current === undefined) return this.adopt(instanceId, sample, now);
     if (this.current.instanceId !== instanceId) return this.markGone();
+    if (sample.healthy) this.current = {...this.current, proven: true};
     return this.updateColdStart(this.current, sample.coldLeftMs, now);
   }
 
@@ -206,9 +242,22 @@
 
   /**
    * Handles what another node was told about an incarnation, maybe by an earlier process of this
-   * node; what the backend server has stated to this process goes first.
+   * node; what the backend server has stated to this process goes first. A notice also binds an
+   * incarnation that becomes known later.
    */
   onNotice(notice: serving.ServerNotice): StatementEffect {
+    this.notices.add(notice);
+    return this.applyNotice(notice);
+  }
+
+  /** Marks the incarnation as gone, because another instance answers at its address. */
+  markGone(): IncarnationChange {
+    if (this.current === undefined || this.current.gone) return 'unchanged';
+    this.current = {...this.current, gone: true};
+    return 'gone';
+  }
+
+  private applyNotice(notice: serving.ServerNotice): StatementEffect {
     const {current} = this;
     if (current === undefined || !concerns(notice, current)) return NO_EFFECT;
     const {startMs, limitPerSecond} = notice;
@@ -224,11 +273,10 @@
     return {limitChanged, startsLeaving};
   }
 
-  /** Marks the incarnation as gone, because another instance answers at its address. */
-  markGone(): IncarnationChange {
-    if (this.current === undefined || this.current.gone) return 'unchanged';
-    this.current = {...this.current, gone: true};
-    return 'gone';
+  /** Applies the notices that came before the incarnation; returns whether it starts to leave. */
+  private applyKnownNotices(): boolean {
+    const effects = this.notices.all.map(notice => this.applyNotice(notice));
+    return effects.some(({startsLeaving}) => startsLeaving);
   }
 
   private markLeaving(current: Incarnation): IncarnationChange {
@@ -254,12 +302,14 @@
       sequence: -1,
       slots: sample.slots ?? DEFAULT_SLOTS,
       leaving: false,
+      proven: true,
       gone: false,
       coldUntilMs: now + (sample.coldLeftMs ?? 0),
       serial: ++this.lastSerial,
       limits: new serverStatement.LimitStatements(),
       version: undefined,
     };
+    this.applyKnownNotices();
     return 'new-incarnation';
   }
 
@@ -323,6 +373,7 @@
     sequence: announcement.sequence,
     slots: announcement.slots,
     leaving: announcement.state === 'leaving',
+    proven: false,
     gone: false,
     coldUntilMs: now + announcement.coldLeftMs,
     serial,
--- a/src/common/serving/server_availability.ts
+++ b/src/common/serving/server_availability.ts
@@ -10,6 +10,8 @@
   | 'confirmed'
   /** No requests are sent until a health check confirms the incarnation. */
   | 'unconfirmed'
+  /** The incarnation has answered health checks, but none as healthy; it may be leaving. */
+  | 'unproven'
   /** The backend server does not answer. */
   | 'down';
 
@@ -36,9 +38,15 @@
     return this.state === 'confirmed';
   }
 
-  /** Whether a backend server is registered and not known to be down. */
+  /** Whether a health check decides if requests may be sent. */
+  get needsCheck(): boolean {
+    return this.state === 'unconfirmed' || this.state === 'down';
+  }
+
+  /** Whether a backend server is registered and not known to be unable to take requests. */
   get isPresent(): boolean {
-    return this.tracker.state !== 'absent' && this.state !== 'down';
+    if (this.tracker.state === 'absent') return false;
+    return this.state === 'confirmed' || this.state === 'unconfirmed';
   }
 
   /** Sends no requests until a health check confirms the backend server. */
@@ -79,8 +87,7 @@
       this.onStatement(sample.statement, this.tracker.serial);
     }
     if (isKnown) {
-      if (this.state === 'down') this.note('server-up', {});
-      this.state = 'confirmed';
+      this.onKnownAnswer();
     }
     return before !== this.tracker.instanceId || change === 'gone';
   }
@@ -120,6 +127,19 @@
     this.recheck();
   }
 
+  /**
+   * Handles the answer of the known incarnation. That it has left may be known to a former process
+   * of this node only, so one that has never been healthy gets no requests.
+   */
+  private onKnownAnswer(): void {
+    const {instanceId, isProven} = this.tracker;
+    if (isProven && this.state === 'down') this.note('server-up', {});
+    if (!isProven && this.state !== 'unproven') {
+      this.note('server-unproven', {instanceId});
+    }
+    this.state = isProven ? 'confirmed' : 'unproven';
+  }
+
   private noteChange(
     change: incarnations.IncarnationChange,
     source: string,
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -60,9 +60,9 @@
     return this.calls.size;
   }
 
-  /** Whether a health check must succeed before the backend server gets more requests. */
+  /** Whether a health check decides if the backend server gets more requests. */
   get needsHealthCheck(): boolean {
-    return !this.server.isConfirmed;
+    return this.server.needsCheck;
   }
 
   /** Returns why the gate accepts no new requests, or `OPEN`. */
@@ -88,7 +88,9 @@
     if (known) return known.onResent(linkId);
     if (this.replies.resend(arriving)) return;
     const call = new gateCall.GateCall(arriving, now);
-    this.applyNotices([call]);
+    if (arriving.dispatch.notice) {
+      this.server.onNotice(arriving.dispatch.notice);
+    }
     this.processQueue(now);
     this.capacity.onArrival(call, now);
     const reason = this.refusalReason(call, now);
@@ -156,7 +158,6 @@
     now: units.MonotonicMs,
   ): incarnations.IncarnationChange {
     const change = this.server.onAnnouncement(announcement, now);
-    this.applyNotices(this.capacity.queue.waiting);
     const {soleSenderSinceMs} = this.options;
     const isNewer = announcement.startMs >= soleSenderSinceMs;
     if (isNewer && change !== 'outdated') this.capacity.onServerStart();
@@ -175,10 +176,15 @@
     return change;
   }
 
+  /** Handles what another node was told of the backend server, maybe by a former process. */
+  onNotice(notice: serving.ServerNotice, now: units.MonotonicMs): void {
+    this.server.onNotice(notice);
+    this.processQueue(now);
+  }
+
   /** Handles the answer to a health check. */
   onHealth(sample: incarnations.HealthSample, now: units.MonotonicMs): void {
     const serverDied = this.server.onHealth(sample, now);
-    this.applyNotices(this.capacity.queue.waiting);
     this.refuseBroken(serverDied, now);
     this.processQueue(now);
   }
@@ -293,13 +299,6 @@
     this.refuseUnrun(late, serving.Reason.RATE_LIMITED, now);
   }
 
-  /** Applies what entries were told to the incarnation that is now known. */
-  private applyNotices(calls: readonly gateCall.GateCall[]): void {
-    for (const {dispatch} of calls) {
-      if (dispatch.notice) this.server.onNotice(dispatch.notice);
-    }
-  }
-
   private refuseUnrun(
     calls: readonly gateCall.GateCall[],
     reason: serving.Reason,
--- a/src/common/serving/server_notice.test.ts
+++ b/src/common/serving/server_notice.test.ts
@@ -89,6 +89,24 @@
   assert.equal(harness.output.reasons.at(-1), CLOSED);
 });
 
+test('a restarted gate keeps to what another node knows before its server announces itself', () => {
+  const harness = new fixtures.GateHarness();
+  harness.gate.onNotice(notice({leaving: true}), 0);
+  harness.open({sequence: 9}, 10);
+  assert.equal(harness.gate.closure(), SERVER_LEAVING);
+  harness.call({}, 20);
+  assert.deepEqual(harness.output.reasons, [CLOSED]);
+  harness.open({startMs: 5_000}, 30);
+  assert.equal(harness.gate.closure(), OPEN);
+});
+
+test('a notice without a start does not bind a later incarnation with the same id', () => {
+  const harness = new fixtures.GateHarness();
+  harness.gate.onNotice(notice({leaving: true, startMs: 0}), 0);
+  harness.open({startMs: 5_000}, 10);
+  assert.equal(harness.gate.closure(), OPEN);
+});
+
 test('an entry tells a gate what it was told before the link was lost, until it is withdrawn', () => {
   const harness = new fixtures.EntryHarness([fixtures.gate('a')]);
   const leaving = notice({leaving: true});
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -47,6 +47,8 @@
   readonly keys: keyAdmission.KeyAdmission;
   greeting(toNodeId: string): serving.Greeting;
   onSuspect(suspect: serving.Suspect): void;
+  /** Another node tells what it knows of the backend server beside this one. */
+  onNotice(notice: serving.ServerNotice): void;
   /** Returns the longest time for which a request that is read now may have waited. */
   waitedMs(): units.Millis;
   /** Called after each event that the entry has handled. */
@@ -87,6 +89,11 @@
     return this.storeReaders.has(nodeId);
   }
 
+  /** Returns what a gate has told of the incarnation beside it, undefined if nothing. */
+  noticeOf(nodeId: string): serving.ServerNotice | undefined {
+    return this.reports.noticeOf(nodeId);
+  }
+
   /** Time at which `tick` must be called next. */
   nextWakeMs(): units.MonotonicMs {
     return Math.min(this.entry.nextWakeMs(), this.quotas.nextWakeMs());
@@ -166,6 +173,7 @@
           this.entry.onMaybeUnreachable(nodeId, clock.monotonicMs());
           afterEvent();
         },
+        onNotice: notice => this.options.onNotice(notice),
         onAnswer: (nodeId, answer) => {
           this.entry.onAnswer(nodeId, answer, clock.monotonicMs());
           afterEvent();
--- a/src/node/serving/entry_sessions.test.ts
+++ b/src/node/serving/entry_sessions.test.ts
@@ -16,7 +16,12 @@
 
 function greeting(nodeId: string, acceptsParts: boolean): serving.Greeting {
   const sender = serving.NodeRecord.fromPartial({nodeId});
-  return {sender, processStartedMs: 1, toNodeId: 'gate', acceptsParts};
+  return serving.Greeting.fromPartial({
+    sender,
+    processStartedMs: 1,
+    toNodeId: 'gate',
+    acceptsParts,
+  });
 }
 
 /** A gate with sessions whose load counts the pulses made. */
@@ -33,6 +38,7 @@
     nodeCount: () => 2,
     listener: {
       onGreeting,
+      onNotice: () => undefined,
       onDispatch: () => undefined,
       onTokenRequest: ({number}) => ({number, grants: []}),
       onWithdraw: () => undefined,
@@ -149,6 +155,7 @@
     nodeCount: () => 2,
     listener: {
       onGreeting: () => undefined,
+      onNotice: () => undefined,
       onDispatch: (unusedKey, unusedLink, unusedDispatch, {delayMs}) =>
         handled.push({what: 'dispatch', delayMs}),
       onTokenRequest: ({number}) => ({number, grants: []}),
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -28,6 +28,8 @@
 export interface EntrySessionsListener {
   /** A process of a node has connected and sent its greeting. */
   onGreeting(sender: serving.NodeRecord, startedMs: units.EpochMs): void;
+  /** A node tells what it knows of the backend server beside this one. */
+  onNotice(notice: serving.ServerNotice): void;
   onDispatch(
     key: string,
     linkId: number,
@@ -335,7 +337,9 @@
     session.entryProcess = callKey.processOf(nodeId, processStartedMs);
     if (greeting.acceptsParts) session.socket.allowParts();
     this.sendPulse(session, this.options.pulse(), this.options.nowMs());
-    this.options.listener.onGreeting(sender, processStartedMs);
+    const {listener} = this.options;
+    if (greeting.notice) listener.onNotice(greeting.notice);
+    listener.onGreeting(sender, processStartedMs);
     for (const {entryProcess = '', socket} of this.sessions.values()) {
       if (callKey.isSucceeded(entryProcess, nodeId, processStartedMs)) {
         // Its unread requests have no callers any more.
--- a/src/node/serving/gate_link.test.ts
+++ b/src/node/serving/gate_link.test.ts
@@ -34,6 +34,7 @@
       processStartedMs: this.processStartedMs,
       toNodeId,
       acceptsParts: true,
+      notice: undefined,
     }),
     pulse: () => ({
       load: fixtures.load(),
@@ -54,6 +55,7 @@
     nodeCount: () => 2,
     listener: {
       onGreeting: () => undefined,
+      onNotice: () => undefined,
       onDispatch: (key, linkId) => {
         this.dispatched.push(key);
         this.linkIds.push(linkId);
@@ -135,9 +137,11 @@
       processStartedMs: 5,
       toNodeId,
       acceptsParts: true,
+      notice: undefined,
     }),
     listener: {
       onUp: () => undefined,
+      onNotice: () => undefined,
       onDown: (unusedId, {detail}) => void downs.push(detail),
       onAbsent: () => undefined,
       onOutcomeUnknown: (unusedId, call) => void unknown.push(call),
--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -305,12 +305,12 @@
     const {nodeId} = this.record;
     if (greeting.sender?.nodeId !== nodeId) {
       this.handleOpenFailed('refused');
-      this.options.listener.onMismatch(nodeId, greeting.sender);
-      return;
+      return this.options.listener.onMismatch(nodeId, greeting.sender);
     }
     const sameProcess = this.gateStartedMs === greeting.processStartedMs;
     this.gateStartedMs = greeting.processStartedMs;
     if (greeting.acceptsParts) this.socket?.allowParts();
+    if (greeting.notice) this.options.listener.onNotice(greeting.notice);
     this.dropSilentSocket();
     this.onRestored({sameProcess, sameConnection: false});
     if (!sameProcess) return this.failAll('process-replaced');
--- a/src/node/serving/gate_link_listener.ts
+++ b/src/node/serving/gate_link_listener.ts
@@ -40,6 +40,8 @@
   onMaybeUnreachable(nodeId: string): void;
   /** No connection to the gate's address has opened for a second. */
   onAbsent(nodeId: string): void;
+  /** The node of the gate tells what it knows of the backend server beside this node. */
+  onNotice(notice: serving.ServerNotice): void;
   onAnswer(nodeId: string, answer: serving.Answer): void;
   onRefusal(nodeId: string, refusal: serving.Refusal): void;
   onPulse(nodeId: string, pulse: serving.Pulse): void;
--- a/src/node/serving/gate_links.ts
+++ b/src/node/serving/gate_links.ts
@@ -20,6 +20,7 @@
     | 'onUp'
     | 'onDown'
     | 'onMaybeUnreachable'
+    | 'onNotice'
     | 'onAnswer'
     | 'onRefusal'
     | 'onPulse'
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -117,6 +117,12 @@
     this.gate.onWithdraw(localKey(call), clock.monotonicMs());
   }
 
+  /** Handles what another node was told of the backend server. */
+  onNotice(notice: serving.ServerNotice): void {
+    this.gate.onNotice(notice, clock.monotonicMs());
+    this.options.afterEvent();
+  }
+
   /** Handles the end of a pause of the process. */
   onResumed(pausedMs: units.Millis): void {
     this.health.abandon();
@@ -262,6 +268,7 @@
           this.gate.onEntryStarted(nodeId, startedMs, clock.monotonicMs());
           afterEvent();
         },
+        onNotice: notice => this.onNotice(notice),
         onDispatch: (key, linkId, dispatch, age) => {
           const now = clock.monotonicMs();
           this.gate.onCall({key, linkId, dispatch, ...age}, now);
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -345,6 +345,7 @@
       fingerprint,
       keys: this.keys,
       onSuspect: suspect => this.onSuspect(suspect),
+      onNotice: notice => this.gateRuntime.onNotice(notice),
       localGate: {
         dispatch: dispatch => this.gateRuntime.dispatchLocal(dispatch),
         withdraw: call => this.gateRuntime.withdrawLocal(call),
@@ -370,6 +371,7 @@
         processStartedMs: this.options.processStartedMs,
         toNodeId,
         acceptsParts: true,
+        notice: this.entryRuntime.noticeOf(toNodeId),
       }),
       waitedMs: () => this.messageAge.waitedMs(),
       afterEvent: () => this.afterEvent(),
--- a/test/paths/platform_fleet.ts
+++ b/test/paths/platform_fleet.ts
@@ -244,9 +244,11 @@
 
   private async announceAll(): Promise<void> {
     await Promise.all(
-      this.nodes.map(({server, control}) =>
-        server.announce(control).catch(() => undefined),
-      ),
+      this.nodes
+        .filter(({server}) => !server.deregistered)
+        .map(({server, control}) =>
+          server.announce(control).catch(() => undefined),
+        ),
     );
   }
 
--- a/test/stand_ins/platform/server_stand_in.ts
+++ b/test/stand_ins/platform/server_stand_in.ts
@@ -76,7 +76,11 @@
   statesLeaving = false;
   /** Whether health checks state the limit and the leaving too. */
   statesInHealth = false;
-  /** Whether this incarnation has announced that it leaves; its health checks fail. */
+  /** Whether health checks pass although this incarnation leaves. */
+  leavesHealthy = false;
+  /** Whether it sends no announcements any more, as it has deregistered. */
+  deregistered = false;
+  /** Incarnation that has stated that it leaves; its health checks fail. */
   private leavingId: string | undefined;
   readonly runs: ReceivedRequest[] = [];
   /** Ids of requests whose connection closed while they ran. */
@@ -116,10 +120,18 @@
   }
 
   /** Announces this server to the node at `control`; returns the HTTP status of the answer. */
-  async announce(
+  announce(
     control: string,
     state: 'ready' | 'draining' = 'ready',
   ): Promise<number> {
+    return this.prepareAnnouncement(control, state)();
+  }
+
+  /** Makes an announcement now and returns a function that sends it, maybe much later. */
+  prepareAnnouncement(
+    control: string,
+    state: 'ready' | 'draining' = 'ready',
+  ): () => Promise<number> {
     const {service, dataCentre: zone} = this;
     if (state === 'draining') this.leavingId = this.instanceId;
     const isLeaving = this.leavingId === this.instanceId;
@@ -134,9 +146,23 @@
       },
     };
     const url = `http://${control}/Instances.Heartbeat/${this.instanceId}`;
-    const res = await fetch(url, {method: 'POST', body: JSON.stringify(body)});
-    await res.arrayBuffer();
-    return res.status;
+    return () => post(url, body);
+  }
+
+  /** Leaves without having announced it; returns the HTTP status of the node's answer. */
+  deregister(control: string): Promise<number> {
+    this.leavingId = this.instanceId;
+    this.deregistered = true;
+    const url = `http://${control}/Instances.Deregister/${this.instanceId}`;
+    return post(url, {born: this.startMs});
+  }
+
+  /** Starts again under the same instance id, as a new incarnation at the same address. */
+  startAgain(): void {
+    this.startMs = Date.now();
+    this.sequence = 0;
+    this.leavingId = undefined;
+    this.deregistered = false;
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -168,7 +194,8 @@
     if (req.url === '/healthz') {
       res.setHeader('Instance-Id', this.instanceId);
       res.setHeader('Cold-Ms', String(this.coldLeftMs));
-      res.writeHead(this.leavingId === this.instanceId ? 503 : 200);
+      const isLeaving = this.leavingId === this.instanceId;
+      res.writeHead(isLeaving && !this.leavesHealthy ? 503 : 200);
       res.end();
       return;
     }
@@ -370,3 +397,9 @@
   socket.on('drain', write);
   write();
 }
+
+async function post(url: string, body: object): Promise<number> {
+  const res = await fetch(url, {method: 'POST', body: JSON.stringify(body)});
+  await res.arrayBuffer();
+  return res.status;
+}
