Entry: requests whose callers left before they were accepted reach no server

Cause: Node.js accepts one connection in each turn of its event loop, so callers who repeat on new connections wait in the listen queue, unmeasured, while all turns are short. The request is read a turn before the end of its connection and was sent on in between.

--- a/src/node/http_entry.test.ts
+++ b/src/node/http_entry.test.ts
@@ -161,6 +161,23 @@
   assert.deepEqual(kinds(), ['caller-request', 'caller-gone']);
 });
 
+// A caller may have left while its connection waited to be accepted.
+nodeTest.test(
+  'a request whose caller has left before it was read is not passed on',
+  async () => {
+    await using entry = await startEntry(() => undefined);
+    const socket = net.connect(entry.port, '127.0.0.1');
+    socket.end('GET /orders/1 HTTP/1.1\r\nHost: x\r\n\r\n');
+    const kinds = () => entry.events.map(event => event.kind);
+    await child.waitUntil(
+      () => kinds().includes('caller-gone'),
+      TIMEOUT_MS,
+      () => 'the end of the caller',
+    );
+    assert.deepEqual(kinds(), ['caller-gone']);
+  },
+);
+
 nodeTest.test(
   'refusals carry outcome, reason and the wait before a retry',
   async () => {
--- a/src/node/http_entry.ts
+++ b/src/node/http_entry.ts
@@ -14,10 +14,12 @@
 import * as bodyReader from './body_reader.js';
 import * as callerConnections from './caller_connections.js';
 import * as callerHeaders from './caller_headers.js';
+import * as clock from './clock.js';
 import * as eventSource from './event_source.js';
 import * as httpHeaders from './http_headers.js';
 import * as refusalResponse from './refusal_response.js';
 import * as requestFingerprint from './request_fingerprint.js';
+import * as requestIntake from './request_intake.js';
 import * as serverAnnouncement from './server_announcement.js';
 import * as tcpListener from './tcp_listener.js';
 import * as sourceFilter from './source_filter.js';
@@ -77,6 +79,7 @@
   private readonly connections = new callerConnections.CallerConnections();
   private readonly exchanges = new Map<string, Exchange>();
   private readonly source = new eventSource.EventSource<HttpEntryEvent>();
+  private readonly intake = this.makeIntake();
   private idleWaiters: ReadonlyArray<() => void> = [];
   private bodiesInProgress = 0;
   private closing = false;
@@ -297,7 +300,18 @@
       retriesLeft: fields.retriesLeft,
       fingerprint: this.fingerprint.of(service, method, path, body),
     };
-    this.source.emit({kind: 'caller-request', request});
+    this.intake.add(request);
+  }
+
+  private makeIntake(): requestIntake.RequestIntake<entryContract.CallerRequest> {
+    return new requestIntake.RequestIntake({
+      nowMs: clock.monotonicMs,
+      afterPoll: callback => void setImmediate(callback),
+      handle: request => {
+        if (!this.exchanges.has(request.requestId)) return;
+        this.source.emit({kind: 'caller-request', request});
+      },
+    });
   }
 
   private refuseNotRun(requestId: string, reason: peer.RefusalReason): void {
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -13,6 +13,7 @@
 import * as serving from '../../generated/serving.js';
 import * as clock from '../clock.js';
 import * as requestFingerprint from '../request_fingerprint.js';
+import * as requestIntake from '../request_intake.js';
 import * as resourceStack from '../resource_stack.js';
 import * as callerPort from './caller_port.js';
 import * as platformAdapter from './platform_adapter.js';
@@ -55,9 +56,6 @@
   afterEvent(): void;
 }
 
-/** Polls of all sockets until the end of a connection is read that followed a request. */
-const CLOSE_POLLS = 2;
-
 interface WaitingRequest {
   readonly request: entryCall.CallerRequest;
   readonly route: configuration.Route;
@@ -75,6 +73,7 @@
   private readonly reports = new gateReports.GateReports();
   /** Requests that the entry does not handle yet, with the time at which they came. */
   private readonly waiting = new Map<number, WaitingRequest>();
+  private readonly intake = this.makeIntake();
   private readonly resources = new resourceStack.ResourceStack();
 
   constructor(private readonly options: EntryRuntimeOptions) {
@@ -260,12 +259,9 @@
         admitsKeys: () => this.options.keys.admits(),
         onRequest: (request, route) => {
           const waitedMs = this.options.waitedMs();
-          if (waitedMs === 0) {
-            this.onRequest(request, route);
-            return afterEvent();
-          }
           const timeLeftMs = Math.max(0, request.timeLeftMs - waitedMs);
-          this.onLateRequest({...request, timeLeftMs, waitedMs}, route);
+          this.wait({...request, timeLeftMs, waitedMs}, route);
+          this.intake.add(request.id);
         },
         onCallerGone: id => {
           this.waiting.delete(id);
@@ -300,22 +296,14 @@
     });
   }
 
-  /**
-   * Handles a request that may have waited unread, once the end of its connection would have been
-   * read if its caller has left: bytes and end are read in two polls.
-   */
-  private onLateRequest(
-    request: entryCall.CallerRequest,
-    route: configuration.Route,
-  ): void {
-    this.waiting.set(request.id, {
-      request,
-      route,
-      sinceMs: clock.monotonicMs(),
-    });
-    afterPolls(CLOSE_POLLS, () => {
-      this.endWait(request.id, (req, rt) => this.onRequest(req, rt));
-      this.options.afterEvent();
+  private makeIntake(): requestIntake.RequestIntake<number> {
+    return new requestIntake.RequestIntake({
+      nowMs: clock.monotonicMs,
+      afterPoll: callback => void setImmediate(callback),
+      handle: id => {
+        this.endWait(id, (request, route) => this.onRequest(request, route));
+        this.options.afterEvent();
+      },
     });
   }
 
@@ -330,16 +318,21 @@
     switch (verdict.kind) {
       case 'admitted':
         return this.admit(request, route);
-      case 'waiting': {
-        const sinceMs = clock.monotonicMs();
-        this.waiting.set(request.id, {request, route, sinceMs});
-        return;
-      }
+      case 'waiting':
+        return this.wait(request, route);
       case 'refused':
         return this.refuse(request.id, verdict.retryAfterMs);
     }
   }
 
+  private wait(
+    request: entryCall.CallerRequest,
+    route: configuration.Route,
+  ): void {
+    const sinceMs = clock.monotonicMs();
+    this.waiting.set(request.id, {request, route, sinceMs});
+  }
+
   private endWait(
     id: number,
     end: (request: entryCall.CallerRequest, route: configuration.Route) => void,
@@ -397,10 +390,3 @@
     else this.links.withdraw(nodeId, call);
   }
 }
-
-/** Calls back once the event loop has polled all sockets several times. */
-function afterPolls(polls: number, callback: () => void): void {
-  setImmediate(() =>
-    polls > 1 ? afterPolls(polls - 1, callback) : callback(),
-  );
-}
