--- a/test/paths/left_servers.test.ts
+++ b/test/paths/left_servers.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 
+import * as child from './child.js';
 import * as platformFleet from './platform_fleet.js';
 
 const {test} = nodeTest;
@@ -10,6 +11,8 @@
 
 const SENDING_MS = 2_600;
 
+const START_TIMEOUT_MS = 15_000;
+
 /** How the node beside a server that leaves, and others, end and start again. */
 interface Restart {
   readonly title: string;
@@ -123,10 +126,10 @@
 });
 
 /** Sends an announcement until the node, which is starting, acknowledges it. */
-async function sendUntilTaken(send: () => Promise<number>): Promise<void> {
-  for (;;) {
-    const status = await send().catch(() => 0);
-    if (status === 200) return;
-    await pause(10);
-  }
+function sendUntilTaken(send: () => Promise<number>): Promise<void> {
+  return child.waitUntil(
+    async () => (await send().catch(() => 0)) === 200,
+    START_TIMEOUT_MS,
+    () => 'the node to acknowledge the announcement',
+  );
 }
