--- a/src/common/serving/pace_confirmation.test.ts
+++ b/src/common/serving/pace_confirmation.test.ts
@@ -4,6 +4,7 @@
 import * as serving from '../../generated/serving.js';
 import * as randomSource from '../random_source.js';
 import * as units from '../units.js';
+import * as callKey from './call_key.js';
 import * as fixtures from './serving_fixtures.test.js';
 
 const {test} = nodeTest;
@@ -12,6 +13,10 @@
 const STALL_MS: units.Millis = 150;
 const CALM_MS: units.Millis = 450;
 const RUN_MS: units.Millis = 120;
+
+/** Run that starts during a stall, as it is short at the pace of a stall too. */
+const SHORT_RUN_MS: units.Millis = 20;
+
 const REQUEST_INTERVAL_MS: units.Millis = 90;
 const SAMPLE_INTERVAL_MS: units.Millis = 100;
 const SAMPLE_TRIP_MS: units.Millis = 2;
@@ -82,6 +87,27 @@
   });
 }
 
+// The entry of the same node is told of a refusal at once and may send the request back: another
+// one that waited started then, and was refused as not run, so that it ran twice (TWICE).
+test('a request that starts while another one is refused is not refused as not run', () => {
+  const harness = new fixtures.GateHarness().open();
+  const {gate, output} = harness;
+  for (let now = 0; now < 500; now += 50) {
+    harness.answered(harness.call({}, now), now + SHORT_RUN_MS);
+  }
+  gate.onServerLoad(load(100), 500);
+  const keys = [1, 2].map(() => harness.call({redirectable: true}, 600));
+  const refused: string[] = [];
+  output.refuse = (unusedLinkId, {call, mayHaveRun}) => {
+    if (!mayHaveRun) refused.push(callKey.format('e', call));
+    if (refused.length === 1) harness.call({redirectable: false}, 601);
+  };
+  gate.onServerLoad(load(STALLED_PERCENT), 601);
+  for (const key of keys) {
+    assert.ok(harness.isRunning(key) !== refused.includes(key), key);
+  }
+});
+
 test('a waiting request is redirected when a sample shows a stall', () => {
   const harness = new fixtures.GateHarness().open();
   harness.gate.onServerLoad(load(100), 0);
