--- a/src/common/serving/incarnations.ts
+++ b/src/common/serving/incarnations.ts
@@ -76,7 +76,7 @@
 /** Tolerance in ms on the end of a cold start, for the latency of health check answers. */
 const COLD_START_TOLERANCE_MS = 300;
 
-/** Most notices kept; each other node sends one at most. */
+/** Most notices kept, one for each incarnation. */
 const MAX_NOTICES = 16;
 
 /** Notices of other nodes, the latest of each incarnation whose start is known. */
