--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -4,9 +4,11 @@
 import * as decision from '../common/serving/decision.js';
 import * as generated from '../generated/node_settings.js';
 import * as eventLog from '../node/serving/event_log.js';
+import * as memoryWatch from '../node/serving/memory_watch.js';
 import * as nodeSettings from '../node/serving/node_settings.js';
 import * as servingNode from '../node/serving/serving_node.js';
 import * as telemetry from '../node/serving/telemetry.js';
+import * as processFailures from '../node/process_failures.js';
 import * as program from '../node/program.js';
 import * as settings from '../node/settings.js';
 
@@ -16,6 +18,9 @@
 /** Poll interval of the settings file in ms; it may change without a signal. */
 const SETTINGS_POLL_MS = 1_000;
 
+/** Interval of checks of the memory of the process in ms. */
+const MEMORY_CHECK_MS = 1_000;
+
 const USAGE = 'usage: geraniumloft-node [--settings FILE] [--check]';
 
 async function run(
@@ -35,6 +40,9 @@
       nowMs: () => performance.now(),
     }),
   );
+  const note = (event: string, facts: decision.Facts): void =>
+    decision.noteStateChange(log, 'node', event, facts);
+  processFailures.exitOnUnhandled(failure => note('failed', {...failure}));
   const platform = adapter.createPlatform(initial.store, initial.bounds);
   await using unusedStore = platform.store;
   await using node = await servingNode.ServingNode.start({
@@ -42,11 +50,16 @@
     platform,
     telemetry: log,
     processStartedMs,
+  }).catch((err: Error) => {
+    note('failed', {step: 'start', cause: err.message});
+    throw err;
   });
-  const note = (event: string, facts: Readonly<Record<string, string>>): void =>
-    decision.noteStateChange(log, 'node', event, facts);
-  note('start', {service: initial.service, dataCentre: initial.dataCentre});
+  const {service, dataCentre, memoryMb} = initial;
+  note('start', {service, dataCentre, memoryMb, runtime: process.version});
   const reloads = watchSettings(path, reloaded => node.reload(reloaded), note);
+  const memory = memoryWatch.MemoryWatch.ofProcess(memoryMb, note);
+  // Checked until the process exits, as a planned stop takes memory too.
+  setInterval(() => memory.check(), MEMORY_CHECK_MS).unref();
   const signal = await stopSignal();
   clearInterval(reloads);
   note('stop', {signal});
@@ -58,7 +71,7 @@
 function watchSettings(
   path: string,
   onChanged: (changed: generated.NodeSettings) => void,
-  note: (event: string, facts: Readonly<Record<string, string>>) => void,
+  note: (event: string, facts: decision.Facts) => void,
 ): NodeJS.Timeout {
   let lastChangedMs = nodeSettings.changedMs(path);
   const reload = (): void => {
--- a/src/node/main.ts
+++ b/src/node/main.ts
@@ -4,6 +4,7 @@
 import * as generated from '../generated/settings.js';
 import * as daemon from './daemon.js';
 import * as logger from './logger.js';
+import * as processFailures from './process_failures.js';
 import * as program from './program.js';
 import * as resourceStack from './resource_stack.js';
 import * as settingsFile from './settings.js';
@@ -13,6 +14,9 @@
 
 async function run(settings: generated.Settings): Promise<void> {
   const log = logger.createLogger(settings.nodeId, settings.logLevel);
+  processFailures.exitOnUnhandled(({step, cause}) =>
+    log.error(`${step}: ${cause}`),
+  );
   await using resources = new resourceStack.ResourceStack();
   const count = settings.statsd
     ? resources.use(
--- a/src/node/serving/telemetry.ts
+++ b/src/node/serving/telemetry.ts
@@ -62,6 +62,19 @@
     labelNames: ['workspace', 'result'],
     registers: [this.registry],
   });
+  private readonly memory = new promClient.Gauge({
+    name: 'geraniumloft_memory_bytes',
+    help: 'Memory of the process by kind.',
+    labelNames: ['kind'],
+    registers: [this.registry],
+    collect: () => this.collectMemory(),
+  });
+  private readonly sockets = new promClient.Gauge({
+    name: 'geraniumloft_open_sockets',
+    help: 'Open TCP sockets, listening ones not included.',
+    registers: [this.registry],
+    collect: () => this.collectSockets(),
+  });
   private workspaceUses: () => readonly WorkspaceUse[] = () => [];
 
   constructor(private readonly log: decision.DecisionLog) {}
@@ -105,6 +118,17 @@
     });
   }
 
+  private collectSockets(): void {
+    this.sockets.set(openSockets());
+  }
+
+  private collectMemory(): void {
+    const {rss, heapUsed, external} = process.memoryUsage();
+    this.memory.set({kind: 'resident'}, rss);
+    this.memory.set({kind: 'heap'}, heapUsed);
+    this.memory.set({kind: 'external'}, external);
+  }
+
   private count(component: string, event: string, reason: string): void {
     const key = `${component}/${event}/${reason}`;
     const known = this.counts.get(key);
@@ -136,6 +160,14 @@
   }
 }
 
+/** Resource type of TCP sockets in Node.js. */
+const SOCKET_RESOURCE = 'TCPSocketWrap';
+
+function openSockets(): number {
+  const resources = process.getActiveResourcesInfo();
+  return resources.filter(type => type === SOCKET_RESOURCE).length;
+}
+
 /** Decisions with the same labels since metrics were last read. */
 class DecisionCount {
   uncollected = 1;
--- a/tools/docs_content.ts
+++ b/tools/docs_content.ts
@@ -193,6 +193,8 @@
     '| `geraniumloft_decisions_total` | component, event, reason | one count for each decision that has a line in the log, whether the line was written, dropped or sampled out |',
     '| `geraniumloft_latency_seconds` | part, route | histogram, in seconds, by `part`: `whole`, `waiting at the gate`, `at the backend server`, `stalled by neighbours` |',
     '| `geraniumloft_freshness_proof_age_seconds` | | age of the proof that the configuration is the newest; infinity without one, also where none is needed |',
+    '| `geraniumloft_memory_bytes` | kind | memory of the process: `resident`, `heap` (objects of V8), `external` (buffers outside the heap) |',
+    '| `geraniumloft_open_sockets` | | open TCP sockets, listening ones not included |',
     '',
     '`geraniumloft_decisions_total{event="refused-unread"}` counts, among others, requests refused for their keys:',
     'with reason `unknown-key` (401) and `no-freshness-proof` (503).',
