--- a/test/paths/child.ts
+++ b/test/paths/child.ts
@@ -52,6 +52,17 @@
     return Number(kilobytes) * 1_024;
   }
 
+  /** Number of open descriptors, sockets included. */
+  get descriptors(): number {
+    return fs.readdirSync(`/proc/${this.process.pid}/fd`).length;
+  }
+
+  /** Whether the process has not ended. */
+  get isRunning(): boolean {
+    const {exitCode, signalCode} = this.process;
+    return exitCode === null && signalCode === null;
+  }
+
   /** Signal that ended the process though this object did not send it, such as SIGSEGV. */
   get unexpectedSignal(): NodeJS.Signals | undefined {
     const {endedBy} = this;
