--- /dev/null
+++ b/src/node/caller_memory.test.ts
@@ -0,0 +1,55 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+
+import * as callerMemory from './caller_memory.js';
+
+const {test} = nodeTest;
+
+const MAX_BYTES = 100;
+
+/** Memory with one allocation for each name; `ended` has the names that had to end. */
+function makeMemory<T extends string>(names: readonly T[]) {
+  const memory = new callerMemory.CallerMemory(MAX_BYTES);
+  const ended: T[] = [];
+  const allocations = Object.fromEntries(
+    names.map(name => [name, memory.allocate(() => ended.push(name))]),
+  ) as Record<T, callerMemory.CallerAllocation>;
+  return {memory, allocations, ended};
+}
+
+test('the connection that holds most ends when the memory is used up', () => {
+  const {memory, allocations, ended} = makeMemory(['large', 'small', 'last']);
+  allocations.large.add(60);
+  allocations.small.add(30);
+  allocations.last.add(20);
+  assert.deepEqual(ended, ['large']);
+  assert.equal(memory.usedBytes, 50);
+});
+
+test('connections within the memory stay', () => {
+  const {memory, allocations, ended} = makeMemory(['a', 'b']);
+  allocations.a.add(50);
+  allocations.b.add(50);
+  allocations.a.remove(20);
+  allocations.b.add(20);
+  assert.deepEqual(ended, []);
+  assert.equal(memory.usedBytes, MAX_BYTES);
+});
+
+test('a connection that alone takes more than the memory ends', () => {
+  const {memory, allocations, ended} = makeMemory(['only']);
+  allocations.only.add(MAX_BYTES + 1);
+  assert.deepEqual(ended, ['only']);
+  assert.equal(memory.usedBytes, 0);
+});
+
+test('bytes of an ended connection count once', () => {
+  const {memory, allocations} = makeMemory(['a', 'b']);
+  allocations.a.add(40);
+  allocations.a[Symbol.dispose]();
+  allocations.a[Symbol.dispose]();
+  allocations.a.add(40);
+  allocations.a.remove(40);
+  allocations.b.add(10);
+  assert.equal(memory.usedBytes, 10);
+});
