Gate: a request that starts while another one is refused is not refused as not run

Cause: the gate refuses its waiting requests from a list that it made before. The entry of the same node learns of each refusal at once and may send a request back within the call, which starts another request of the list; that one was then refused as not run although its server worked on it, and its entry sent it elsewhere. In the same way a request could be refused twice, by a closure within the refusal. All loops of the gate over requests went by such lists: refusals of waiting and of broken requests, timers, entries that have started again.

Fix: GateCalls yields only requests that have not ended when their turn comes, and only those that still wait are refused as not run.

--- a/src/common/serving/gate_calls.ts
+++ b/src/common/serving/gate_calls.ts
@@ -17,20 +17,33 @@
     return this.calls.size;
   }
 
-  /** The requests, which may be removed meanwhile. */
-  get all(): readonly gateCall.GateCall[] {
-    return [...this.calls.values()];
+  /** The requests, see `unended`. */
+  get all(): Iterable<gateCall.GateCall> {
+    return this.unended([...this.calls.values()]);
   }
 
   /** Returns the requests whose entry's process has ended, see `callKey.isSucceeded`. */
   succeededBy(
     nodeId: string,
     startedMs: units.EpochMs,
-  ): readonly gateCall.GateCall[] {
-    return this.all.filter(({key}) => {
+  ): Iterable<gateCall.GateCall> {
+    const succeeded = [...this.calls.values()].filter(({key}) => {
       const {entryProcess} = callKey.parse(key);
       return callKey.isSucceeded(entryProcess, nodeId, startedMs);
     });
+    return this.unended(succeeded);
+  }
+
+  /**
+   * Yields the requests without those that end while earlier ones are handled: the entry of the
+   * same node learns of a reply at once and may send a request, which starts or ends others.
+   */
+  *unended(
+    calls: readonly gateCall.GateCall[],
+  ): Generator<gateCall.GateCall, void> {
+    for (const call of calls) {
+      if (this.calls.get(call.key) === call) yield call;
+    }
   }
 
   add(call: gateCall.GateCall): void {
--- a/src/common/serving/pace_confirmation.test.ts
+++ b/src/common/serving/pace_confirmation.test.ts
@@ -108,6 +108,20 @@
   }
 });
 
+test('a request that ends while another one is refused is refused once', () => {
+  const harness = new fixtures.GateHarness().open();
+  const {gate, output} = harness;
+  gate.onServerLoad(load(100), 0);
+  const keys = [1, 2, 3].map(() => harness.call({redirectable: true}, 100));
+  const refused: string[] = [];
+  output.refuse = (unusedLinkId, {call}) => {
+    refused.push(callKey.format('e', call));
+    if (refused.length === 1) gate.stop(102);
+  };
+  gate.onServerLoad(load(STALLED_PERCENT), 102);
+  assert.deepEqual([...refused].sort(), [...keys].sort());
+});
+
 test('a waiting request is redirected when a sample shows a stall', () => {
   const harness = new fixtures.GateHarness().open();
   harness.gate.onServerLoad(load(100), 0);
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -304,7 +304,8 @@
     reason: serving.Reason,
     now: units.MonotonicMs,
   ): void {
-    for (const call of [...calls]) {
+    for (const call of this.calls.unended([...calls])) {
+      if (call.stage.kind !== 'waiting') continue;
       this.refuse(call, {reason, mayHaveRun: false}, now);
     }
   }
