Entry: a request that was given up while another one is hedged is not sent

A reply may end another request of the list, which its caller was then told has not run; the entry went on to send it to a server. EntryCalls yields only requests that have not ended.

Evidence: the test in entry.test sees a fourth dispatch on the code before, of the request that was given up, and passes now.

--- a/src/common/serving/entry.test.ts
+++ b/src/common/serving/entry.test.ts
@@ -218,6 +218,27 @@
   assert.equal(harness.withdrawn.length, 1);
 });
 
+// The gate of the same node replies at once, so that a second run may end another request.
+test('a request that was given up while another one is hedged is not sent', () => {
+  const harness = new fixtures.EntryHarness([NEAR, FAR]);
+  harness.request({attempts: 3});
+  harness.request({attempts: 3});
+  const [, second] = harness.sent;
+  harness.onSent = () => {
+    harness.onSent = () => undefined;
+    const {call} = second.dispatch;
+    const reason = Reason.OVERLOADED;
+    const refusal = serving.Refusal.fromPartial({call, reason});
+    harness.entry.onRefusal(second.nodeId, refusal, 590);
+  };
+  harness.entry.tick(590);
+  assert.equal(harness.givenUp.length, 1);
+  assert.equal(harness.sent.length, 3);
+  const {requestId} = second.dispatch;
+  const sent = harness.sent.map(({dispatch: d}) => d.requestId);
+  assert.equal(sent.filter(id => id === requestId).length, 1);
+});
+
 test('a request at a gate that may be unreachable is hedged at once', () => {
   const harness = new fixtures.EntryHarness([
     NEAR,
--- a/src/common/serving/entry_calls.ts
+++ b/src/common/serving/entry_calls.ts
@@ -19,9 +19,9 @@
     return this.calls.size;
   }
 
-  /** The requests at the time of the call; may change while they are gone through. */
-  get all(): readonly entryCall.EntryCall[] {
-    return [...this.calls.values()];
+  /** The requests, see `unended`. */
+  get all(): Iterable<entryCall.EntryCall> {
+    return this.unended([...this.calls.values()]);
   }
 
   /** Returns the next time at which a request is given up or hedged, infinity without one. */
@@ -75,4 +75,16 @@
     this.callByAttempt.delete(number);
     return owned;
   }
+
+  /**
+   * Yields the requests without those that end while earlier ones are handled: the gate of the same
+   * node replies at once, also to other requests.
+   */
+  private *unended(
+    calls: readonly entryCall.EntryCall[],
+  ): Generator<entryCall.EntryCall, void> {
+    for (const call of calls) {
+      if (this.calls.get(call.request.id) === call) yield call;
+    }
+  }
 }
--- a/src/common/serving/serving_fixtures.test.ts
+++ b/src/common/serving/serving_fixtures.test.ts
@@ -319,6 +319,8 @@
   readonly givenUp: entryCall.GiveUp[] = [];
   readonly reports = new gateReports.GateReports();
   readonly entry: entryModule.Entry;
+  /** Called for each request that is sent, while the entry sends it. */
+  onSent: (sent: Sent) => void = () => undefined;
   private lastId = 0;
 
   constructor(
@@ -342,7 +344,10 @@
       random: new randomSource.SeededRandom(7),
       log: this.log,
       output: {
-        dispatch: (nodeId, d) => void this.sent.push({nodeId, dispatch: d}),
+        dispatch: (nodeId, d) => {
+          this.sent.push({nodeId, dispatch: d});
+          this.onSent(this.last);
+        },
         withdraw: (unusedNodeId, call) => void this.withdrawn.push(call),
         respond: (unusedId, answer) => void this.responses.push(answer),
         giveUp: (unusedId, giveUp) => void this.givenUp.push(giveUp),
