--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -79,8 +79,8 @@
   ending = false;
   pulsedMs: units.MonotonicMs = 0;
   readonly delay = new messageDelay.MessageDelay();
-  /** Requests that were held up on their way. */
-  readonly late: LateRequest[] = [];
+  /** Requests that were held up on their way, in the order in which they were read. */
+  late: readonly LateRequest[] = [];
   dispatchedMs: units.MonotonicMs = -Infinity;
 
   constructor(
@@ -221,7 +221,7 @@
       delayMs = session.delay.onMessage(sentMs, this.options.nowMs());
     }
     this.handle(session, connection, body, delayMs);
-    if (delayMs < LATE_MS) this.releaseLate(session);
+    if (session.late.length > 0) this.releaseLate(session, delayMs);
   }
 
   private handle(
@@ -286,7 +286,7 @@
 
   /**
    * Handles a request. Its withdrawal may be on its way behind one that was held up, so that one
-   * waits for a message of the entry that was not.
+   * waits for a message of the entry that was not, or that was sent after the request was read.
    */
   private onDispatch(
     session: Session,
@@ -299,19 +299,29 @@
       const age = {delayMs, waitedMs: waitedMs()};
       return listener.onDispatch(key, session.id, dispatch, age);
     }
-    if (session.late.length === 0) {
-      session.socket.send({body: {$case: 'ping', value: {}}});
-    }
-    session.late.push({key, dispatch, delayMs, readMs: nowMs()});
+    if (session.late.length === 0) requestReply(session);
+    const request = {key, dispatch, delayMs, readMs: nowMs()};
+    session.late = [...session.late, request];
   }
 
-  /** Handles the requests that were held up; the entry has not withdrawn them. */
-  private releaseLate(session: Session): void {
+  /**
+   * Handles the requests that were held up and that the entry has not withdrawn.
+   *
+   * @param delayMs time for which the message was held up that has just been read.
+   */
+  private releaseLate(session: Session, delayMs: units.Millis): void {
     const {listener, nowMs} = this.options;
+    const now = nowMs();
+    const isDue = ({readMs}: LateRequest): boolean =>
+      delayMs < LATE_MS || readMs <= now - delayMs;
+    const due = session.late.filter(isDue);
+    if (due.length === 0) return;
+    session.late = session.late.filter(request => !isDue(request));
+    if (session.late.length > 0) requestReply(session);
     // The entry sends them again over another link.
     if (session.ending) return;
-    for (const {key, dispatch, delayMs, readMs} of session.late.splice(0)) {
-      const age = {delayMs: delayMs + nowMs() - readMs};
+    for (const {key, dispatch, delayMs: heldMs, readMs} of due) {
+      const age = {delayMs: heldMs + now - readMs};
       listener.onDispatch(key, session.id, dispatch, age);
     }
   }
@@ -349,6 +359,10 @@
   }
 }
 
+function requestReply({socket}: Session): void {
+  socket.send({body: {$case: 'ping', value: {}}});
+}
+
 /** Whether an answer may be sent in parts, with room for headers beyond ASCII and other fields. */
 function mayBeLong({headers, body}: serving.Answer): boolean {
   const headerBytes = headers.reduce((sum, text) => sum + text.length, 0);
