--- /dev/null
+++ b/src/daemon/platform_daemon.ts
@@ -0,0 +1,118 @@
+/** The daemon for the users' platform: `geraniumloft-node [--settings FILE] [--check]`. */
+import * as adapter from '../../platform/adapter.js';
+import * as decision from '../common/serving/decision.js';
+import * as generated from '../generated/node_settings.js';
+import * as eventLog from '../node/serving/event_log.js';
+import * as memoryWatch from '../node/serving/memory_watch.js';
+import * as nodeSettings from '../node/serving/node_settings.js';
+import * as servingNode from '../node/serving/serving_node.js';
+import * as telemetry from '../node/serving/telemetry.js';
+import * as processFailures from '../node/process_failures.js';
+import type * as processSignals from '../node/process_signals.js';
+import * as program from '../node/program.js';
+import * as settings from '../node/settings.js';
+
+/** Environment variable with the path of the settings file, used without `--settings`. */
+const SETTINGS_VARIABLE = 'GERANIUMLOFT_BOOT';
+
+/** Poll interval of the settings file in ms; it may change without a signal. */
+const SETTINGS_POLL_MS = 1_000;
+
+/** Interval of checks of the memory of the process in ms. */
+const MEMORY_CHECK_MS = 1_000;
+
+const USAGE = 'usage: geraniumloft-node [--settings FILE] [--check]';
+
+async function run(
+  path: string,
+  initial: generated.NodeSettings,
+  signals: processSignals.ProcessSignals,
+): Promise<void> {
+  // Loading the script takes hundreds of milliseconds after a restart, in which the backend server
+  // beside this process may start.
+  const processStartedMs = Math.floor(performance.timeOrigin);
+  const log = new telemetry.Telemetry(
+    new eventLog.EventLog({
+      nodeId: initial.nodeId,
+      processStartedMs,
+      bytesPerSecond: initial.logBytesPerSecond,
+      routineShare: initial.routineLogShare,
+      output: process.stdout,
+      nowMs: () => performance.now(),
+    }),
+  );
+  const note = (event: string, facts: decision.Facts): void =>
+    decision.noteStateChange(log, 'node', event, facts);
+  processFailures.exitOnUnhandled(failure => note('failed', {...failure}));
+  const platform = adapter.createPlatform(initial.store, initial.bounds);
+  await using unusedStore = platform.store;
+  await using node = await servingNode.ServingNode.start({
+    settings: initial,
+    platform,
+    telemetry: log,
+    processStartedMs,
+  }).catch((err: Error) => {
+    note('failed', {step: 'start', cause: err.message});
+    throw err;
+  });
+  const {service, dataCentre, memoryMb} = initial;
+  note('start', {service, dataCentre, memoryMb, runtime: process.version});
+  const reloads = watchSettings(path, reloaded => node.reload(reloaded), note);
+  const memory = memoryWatch.MemoryWatch.ofProcess(memoryMb, note);
+  // Checked until the process exits, as a planned stop takes memory too.
+  setInterval(() => memory.check(), MEMORY_CHECK_MS).unref();
+  const signal = await new Promise<string>(onStop =>
+    signals.attach({onStop, onReload: reloads.reload}),
+  );
+  clearInterval(reloads.timer);
+  note('stop', {signal});
+  await node.stop();
+  note('stopped', {});
+}
+
+/** Reloads the settings when the file changes and on SIGHUP; invalid ones are only logged. */
+function watchSettings(
+  path: string,
+  onChanged: (changed: generated.NodeSettings) => void,
+  note: (event: string, facts: decision.Facts) => void,
+): {readonly reload: () => void; readonly timer: NodeJS.Timeout} {
+  let lastChangedMs = nodeSettings.changedMs(path);
+  const reload = (): void => {
+    lastChangedMs = nodeSettings.changedMs(path);
+    try {
+      onChanged(nodeSettings.readNodeSettings(path));
+    } catch (err) {
+      if (!(err instanceof settings.SettingsError)) throw err;
+      note('reload-refused', {faults: err.lines.join('; ')});
+    }
+  };
+  const timer = setInterval(() => {
+    if (nodeSettings.changedMs(path) !== lastChangedMs) reload();
+  }, SETTINGS_POLL_MS);
+  return {reload, timer};
+}
+
+/**
+ * Runs the daemon with the arguments of the process; resolves with its exit status.
+ *
+ * @param signals installed by the script that loads the daemon.
+ */
+export async function main(
+  signals: processSignals.ProcessSignals,
+): Promise<number> {
+  const args = program.parseArguments(
+    process.argv.slice(2),
+    process.env[SETTINGS_VARIABLE],
+  );
+  if (args === undefined) {
+    console.error(USAGE);
+    return program.USAGE_STATUS;
+  }
+  try {
+    const initial = nodeSettings.readNodeSettings(args.settings);
+    if (!args.check) await run(args.settings, initial, signals);
+    return 0;
+  } catch (err) {
+    return program.reportFailure(err);
+  }
+}
--- /dev/null
+++ b/src/node/process_signals.ts
@@ -0,0 +1,53 @@
+/** Signals of a daemon, from the first statement of its script until it exits. Imports nothing. */
+
+/** Signals that stop a daemon. */
+const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
+
+/** A signal that stops a daemon. */
+export type StopSignal = (typeof STOP_SIGNALS)[number];
+
+/** What a running daemon does on signals. */
+export interface SignalHandlers {
+  /** Runs the planned stop; called for each stop signal. */
+  readonly onStop: (signal: StopSignal) => void;
+  /** Reads the settings again. */
+  readonly onReload: () => void;
+}
+
+/**
+ * Receives the signals of the process. Until a daemon attaches its handlers, a stop signal ends the
+ * process with status 0, as nothing runs yet, and other signals are kept.
+ */
+export class ProcessSignals {
+  private handlers: SignalHandlers | undefined;
+  private isReloadKept = false;
+
+  /** Installs the handlers of the process; they stay until it exits. */
+  install(): void {
+    for (const signal of STOP_SIGNALS) {
+      process.on(signal, () => this.stop(signal));
+    }
+    process.on('SIGHUP', () => this.reload());
+  }
+
+  /** Passes signals to the handlers from now on, and first the ones that were kept. */
+  attach(handlers: SignalHandlers): void {
+    this.handlers = handlers;
+    if (this.isReloadKept) handlers.onReload();
+  }
+
+  private stop(signal: StopSignal): void {
+    if (this.handlers === undefined) process.exit(0);
+    this.handlers.onStop(signal);
+  }
+
+  private reload(): void {
+    if (this.handlers === undefined) this.isReloadKept = true;
+    else this.handlers.onReload();
+  }
+}
+
+/** Resolves after signals that have arrived were handled. */
+export function signalsHandled(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,8 +1,15 @@
-/** Bundles the daemon into one script, so that a restart loads one file instead of hundreds. */
+/**
+ * Bundles the daemon, so that a restart loads two files instead of hundreds: a small script that
+ * installs the handlers of signals, and the daemon itself, which it loads next.
+ */
 import * as path from 'node:path';
 
 import * as esbuild from 'esbuild';
 
+const DIRECTORY = 'target';
+const LAUNCHER = 'geraniumloft-node.cjs';
+const DAEMON = 'geraniumloft-node-daemon.cjs';
+
 /** Modules that are replaced by smaller ones. */
 const REPLACEMENTS = [
   [/^undici$/, 'tools/undici_client.mjs'],
@@ -20,15 +27,33 @@
   },
 };
 
-await esbuild.build({
-  entryPoints: ['src/daemon/main.ts'],
-  outfile: 'target/geraniumloft-node.cjs',
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  minifyWhitespace: true,
-  minifySyntax: true,
-  mainFields: ['module', 'main'],
-  plugins: [replaceModules],
-});
+const loadDaemon = {
+  name: 'load-daemon',
+  setup(build) {
+    build.onResolve({filter: /^\.\/platform_daemon\.js$/}, () => ({
+      path: `./${DAEMON}`,
+      external: true,
+    }));
+  },
+};
+
+/** Bundles a module and what it imports into one script. */
+async function bundle(entryPoint, file, plugins) {
+  await esbuild.build({
+    entryPoints: [entryPoint],
+    outfile: path.join(DIRECTORY, file),
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    // The loader of ES modules would delay the start.
+    supported: {'dynamic-import': false},
+    minifyWhitespace: true,
+    minifySyntax: true,
+    mainFields: ['module', 'main'],
+    plugins,
+  });
+}
+
+await bundle('src/daemon/platform_daemon.ts', DAEMON, [replaceModules]);
+await bundle('src/daemon/main.ts', LAUNCHER, [loadDaemon]);
