--- a/src/daemon/platform_daemon.ts
+++ b/src/daemon/platform_daemon.ts
@@ -62,7 +62,11 @@
   // Checked until the process exits, as a planned stop takes memory too.
   setInterval(() => memory.check(), MEMORY_CHECK_MS).unref();
   const signal = await new Promise<string>(onStop =>
-    signals.attach({onStop, onReload: reloads.reload}),
+    signals.attach({
+      onStop,
+      onReload: reloads.reload,
+      onIgnored: ignored => note('signal-ignored', {signal: ignored}),
+    }),
   );
   clearInterval(reloads.timer);
   note('stop', {signal});
