--- a/src/daemon/platform_daemon.ts
+++ b/src/daemon/platform_daemon.ts
@@ -11,6 +11,7 @@
 import type * as processSignals from '../node/process_signals.js';
 import * as program from '../node/program.js';
 import * as settings from '../node/settings.js';
+import * as settingsWait from '../node/settings_wait.js';
 
 /** Environment variable with the path of the settings file, used without `--settings`. */
 const SETTINGS_VARIABLE = 'GERANIUMLOFT_BOOT';
@@ -113,8 +114,14 @@
     return program.USAGE_STATUS;
   }
   try {
-    const initial = nodeSettings.readNodeSettings(args.settings);
-    if (!args.check) await run(args.settings, initial, signals);
+    const read = (): generated.NodeSettings =>
+      nodeSettings.readNodeSettings(args.settings);
+    if (args.check) {
+      read();
+    } else {
+      const initial = await settingsWait.readWhenWhole(read);
+      await run(args.settings, initial, signals);
+    }
     return 0;
   } catch (err) {
     return program.reportFailure(err);
--- a/src/node/serving/node_settings.ts
+++ b/src/node/serving/node_settings.ts
@@ -5,6 +5,7 @@
 import * as documentFault from '../../common/documents/document_fault.js';
 import * as validation from '../../common/documents/validation.js';
 import * as generated from '../../generated/node_settings.js';
+import * as incompleteDocument from '../incomplete_document.js';
 import * as settings from '../settings.js';
 
 /**
@@ -13,15 +14,17 @@
  * @throws settings.SettingsError with one line for each fault.
  */
 export function readNodeSettings(path: string): generated.NodeSettings {
+  const text = settings.readText(path);
   const check = new documentChecker.DocumentChecker<generated.NodeSettings>(
     validation.NODE_SETTINGS,
   );
-  const checked = check.checkText(readText(path));
+  const checked = check.checkText(text);
   switch (checked.kind) {
     case 'invalid':
       throw new settings.SettingsError(
         path,
         checked.faults.map(fault => documentFault.formatFault(path, fault)),
+        incompleteDocument.isIncomplete(text),
       );
     case 'valid':
       return checked.value;
@@ -32,12 +35,3 @@
 export function changedMs(path: string): number | undefined {
   return fs.statSync(path, {throwIfNoEntry: false})?.mtimeMs;
 }
-
-function readText(path: string): string {
-  try {
-    return fs.readFileSync(path, 'utf8');
-  } catch (err) {
-    const detail = err instanceof Error ? err.message : String(err);
-    throw new settings.SettingsError(path, [`${path}: ${detail}`]);
-  }
-}
--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -6,12 +6,15 @@
 import * as validation from '../common/documents/validation.js';
 import * as errors from '../common/errors.js';
 import * as generated from '../generated/settings.js';
+import * as incompleteDocument from './incomplete_document.js';
 
 /** Invalid or unreadable settings; `lines` has one line for each fault. */
 export class SettingsError extends errors.GeraniumloftError {
   constructor(
     path: string,
     readonly lines: readonly string[],
+    /** Whether the file may become valid by itself: it cannot be read, or ends too early. */
+    readonly isIncomplete = false,
   ) {
     super(`${lines.length} fault(s)`, {step: 'read settings', peer: path});
   }
@@ -36,6 +39,7 @@
       throw new SettingsError(
         fileName,
         checked.faults.map(fault => documentFault.formatFault(fileName, fault)),
+        incompleteDocument.isIncomplete(text),
       );
     case 'valid':
       checkPortsDiffer(checked.value, fileName);
@@ -52,13 +56,17 @@
   return parseSettings(readText(path), path);
 }
 
-function readText(path: string): string {
+/**
+ * Reads the text of a settings file.
+ *
+ * @throws SettingsError if it cannot be read.
+ */
+export function readText(path: string): string {
   try {
     return fs.readFileSync(path, 'utf8');
   } catch (err) {
-    throw new SettingsError(path, [
-      `${path}: ${err instanceof Error ? err.message : String(err)}`,
-    ]);
+    const detail = err instanceof Error ? err.message : String(err);
+    throw new SettingsError(path, [`${path}: ${detail}`], true);
   }
 }
 
--- /dev/null
+++ b/src/node/settings_wait.ts
@@ -0,0 +1,29 @@
+/** Waits at a start for a settings file that is being written. */
+import * as settings from './settings.js';
+
+/** Longest wait for a whole settings file, in ms. */
+const WAIT_MS = 5_000;
+
+/** Poll interval of the file, in ms. */
+const POLL_MS = 50;
+
+/**
+ * Reads settings once the file exists and is whole; says on standard error that it waits.
+ *
+ * @throws settings.SettingsError if the file has faults, or is not whole after 5 s.
+ */
+export async function readWhenWhole<T>(read: () => T): Promise<T> {
+  const endMs = performance.now() + WAIT_MS;
+  for (let isFirst = true; ; isFirst = false) {
+    try {
+      return read();
+    } catch (err) {
+      if (!(err instanceof settings.SettingsError)) throw err;
+      if (!err.isIncomplete || performance.now() >= endMs) throw err;
+      if (isFirst) {
+        console.error(`waiting up to ${WAIT_MS} ms: ${err.lines.join('; ')}`);
+      }
+    }
+    await new Promise(resolve => setTimeout(resolve, POLL_MS));
+  }
+}
--- /dev/null
+++ b/test/paths/start_settings.test.ts
@@ -0,0 +1,91 @@
+import * as assert from 'node:assert/strict';
+import * as fs from 'node:fs';
+import * as nodeTest from 'node:test';
+
+import * as child from './child.js';
+import * as loneNode from './lone_node.js';
+
+const {before, test} = nodeTest;
+
+/** Time within which a process that does not wait exits, in ms, on a busy machine too. */
+const AT_ONCE_MS = 4_000;
+
+/** Shortest and longest wait for a whole file, in ms. */
+const MIN_WAIT_MS = 2_000;
+const MAX_WAIT_MS = 9_000;
+
+before(loneNode.build);
+
+/** Kinds of files that become valid by themselves: what is there at the start. */
+const UNFINISHED: ReadonlyArray<
+  readonly [name: string, prefix: (text: string) => string | undefined]
+> = [
+  ['missing', () => undefined],
+  ['empty', () => ''],
+  ['half written', text => text.slice(0, text.length / 2)],
+];
+
+/** Writes the beginning of a settings file, if there is one, and returns its path. */
+function unfinishedFile(text: string | undefined): string {
+  const path = child.temporaryFile('node.jsonc', text ?? '');
+  if (text === undefined) fs.rmSync(path);
+  return path;
+}
+
+for (const [name, prefix] of UNFINISHED) {
+  test(`a node starts once its ${name} settings file is whole`, async () => {
+    const {text} = await loneNode.settings();
+    const path = unfinishedFile(prefix(text));
+    await using node = loneNode.start(path);
+    await node.waitForOutput('waiting');
+    fs.writeFileSync(path, text);
+    await node.waitForOutput('"event":"start"');
+    assert.equal(loneNode.countPrinted(node, 'waiting'), 1, node.printed);
+    node.signal('SIGTERM');
+    assert.equal(await node.exitStatus(), 0, node.printed);
+  });
+}
+
+test('a settings file that stays unfinished ends the start with its faults', async () => {
+  const startedMs = performance.now();
+  await using node = loneNode.start(unfinishedFile('{"nodeId": '));
+  assert.equal(await node.exitStatus(), 2);
+  const tookMs = performance.now() - startedMs;
+  assert.ok(tookMs > MIN_WAIT_MS && tookMs < MAX_WAIT_MS, `${tookMs} ms`);
+  assert.match(node.printed, /syntax error/);
+});
+
+test('signals while a node waits for its settings are kept, or end it', async () => {
+  const {text} = await loneNode.settings();
+  const path = unfinishedFile(undefined);
+  await using node = loneNode.start(path);
+  await node.waitForOutput('waiting');
+  node.signal('SIGHUP');
+  node.signal('SIGUSR2');
+  fs.writeFileSync(path, text);
+  await node.waitForOutput('"event":"reload"');
+  assert.match(node.printed, /"event":"signal-ignored"/);
+  await using waiting = loneNode.start(unfinishedFile(undefined));
+  await waiting.waitForOutput('waiting');
+  waiting.signal('SIGTERM');
+  assert.equal(await waiting.exitStatus(), 0, waiting.printed);
+});
+
+test('whole settings with faults end the start at once', async () => {
+  for (const text of ['{"nodeId": "a"}', '{"nodeId" "a"}']) {
+    const startedMs = performance.now();
+    await using node = loneNode.start(unfinishedFile(text));
+    assert.equal(await node.exitStatus(), 2);
+    assert.ok(performance.now() - startedMs < AT_ONCE_MS);
+    assert.doesNotMatch(node.printed, /waiting/);
+  }
+});
+
+test('a check of the settings does not wait', async () => {
+  for (const text of [undefined, '', '{"nodeId": ']) {
+    const startedMs = performance.now();
+    await using node = loneNode.start(unfinishedFile(text), ['--check']);
+    assert.equal(await node.exitStatus(), 2);
+    assert.ok(performance.now() - startedMs < AT_ONCE_MS);
+  }
+});
