--- a/src/daemon/platform_daemon.ts
+++ b/src/daemon/platform_daemon.ts
@@ -1,7 +1,6 @@
 /** The daemon for the users' platform: `geraniumloft-node [--settings FILE] [--check]`. */
 import * as adapter from '../../platform/adapter.js';
 import * as decision from '../common/serving/decision.js';
-import * as generated from '../generated/node_settings.js';
 import * as eventLog from '../node/serving/event_log.js';
 import * as memoryWatch from '../node/serving/memory_watch.js';
 import * as nodeSettings from '../node/serving/node_settings.js';
@@ -10,15 +9,12 @@
 import * as processFailures from '../node/process_failures.js';
 import type * as processSignals from '../node/process_signals.js';
 import * as program from '../node/program.js';
-import * as settings from '../node/settings.js';
 import * as settingsWait from '../node/settings_wait.js';
+import * as settingsReload from './settings_reload.js';
 
 /** Environment variable with the path of the settings file, used without `--settings`. */
 const SETTINGS_VARIABLE = 'GERANIUMLOFT_BOOT';
 
-/** Poll interval of the settings file in ms; it may change without a signal. */
-const SETTINGS_POLL_MS = 1_000;
-
 /** Interval of checks of the memory of the process in ms. */
 const MEMORY_CHECK_MS = 1_000;
 
@@ -26,9 +22,10 @@
 
 async function run(
   path: string,
-  initial: generated.NodeSettings,
+  file: nodeSettings.SettingsFile,
   signals: processSignals.ProcessSignals,
 ): Promise<void> {
+  const initial = file.settings;
   // Loading the script takes hundreds of milliseconds after a restart, in which the backend server
   // beside this process may start.
   const processStartedMs = Math.floor(performance.timeOrigin);
@@ -58,45 +55,28 @@
   });
   const {service, dataCentre, memoryMb} = initial;
   note('start', {service, dataCentre, memoryMb, runtime: process.version});
-  const reloads = watchSettings(path, reloaded => node.reload(reloaded), note);
+  using reloads = new settingsReload.SettingsReload({
+    path,
+    initial: file,
+    apply: changed => node.reload(changed),
+    note,
+  });
   const memory = memoryWatch.MemoryWatch.ofProcess(memoryMb, note);
   // Checked until the process exits, as a planned stop takes memory too.
   setInterval(() => memory.check(), MEMORY_CHECK_MS).unref();
   const signal = await new Promise<string>(onStop =>
     signals.attach({
       onStop,
-      onReload: reloads.reload,
+      onReload: () => reloads.reload(),
       onIgnored: ignored => note('signal-ignored', {signal: ignored}),
     }),
   );
-  clearInterval(reloads.timer);
+  reloads[Symbol.dispose]();
   note('stop', {signal});
   await node.stop();
   note('stopped', {});
 }
 
-/** Reloads the settings when the file changes and on SIGHUP; invalid ones are only logged. */
-function watchSettings(
-  path: string,
-  onChanged: (changed: generated.NodeSettings) => void,
-  note: (event: string, facts: decision.Facts) => void,
-): {readonly reload: () => void; readonly timer: NodeJS.Timeout} {
-  let lastChangedMs = nodeSettings.changedMs(path);
-  const reload = (): void => {
-    lastChangedMs = nodeSettings.changedMs(path);
-    try {
-      onChanged(nodeSettings.readNodeSettings(path));
-    } catch (err) {
-      if (!(err instanceof settings.SettingsError)) throw err;
-      note('reload-refused', {faults: err.lines.join('; ')});
-    }
-  };
-  const timer = setInterval(() => {
-    if (nodeSettings.changedMs(path) !== lastChangedMs) reload();
-  }, SETTINGS_POLL_MS);
-  return {reload, timer};
-}
-
 /**
  * Runs the daemon with the arguments of the process; resolves with its exit status.
  *
@@ -114,13 +94,13 @@
     return program.USAGE_STATUS;
   }
   try {
-    const read = (): generated.NodeSettings =>
+    const read = (): nodeSettings.SettingsFile =>
       nodeSettings.readNodeSettings(args.settings);
     if (args.check) {
       read();
     } else {
-      const initial = await settingsWait.readWhenWhole(read);
-      await run(args.settings, initial, signals);
+      const file = await settingsWait.readWhenWhole(read);
+      await run(args.settings, file, signals);
     }
     return 0;
   } catch (err) {
--- a/src/node/serving/node_settings.ts
+++ b/src/node/serving/node_settings.ts
@@ -1,6 +1,4 @@
 /** Settings file of a node on the users' platform. */
-import * as fs from 'node:fs';
-
 import * as documentChecker from '../../common/documents/document_checker.js';
 import * as documentFault from '../../common/documents/document_fault.js';
 import * as validation from '../../common/documents/validation.js';
@@ -8,13 +6,31 @@
 import * as incompleteDocument from '../incomplete_document.js';
 import * as settings from '../settings.js';
 
+/** A valid settings file. */
+export interface SettingsFile {
+  readonly settings: generated.NodeSettings;
+  readonly text: string;
+}
+
 /**
  * Reads and validates the settings file.
  *
  * @throws settings.SettingsError with one line for each fault.
  */
-export function readNodeSettings(path: string): generated.NodeSettings {
+export function readNodeSettings(path: string): SettingsFile {
   const text = settings.readText(path);
+  return {settings: parseNodeSettings(path, text), text};
+}
+
+/**
+ * Validates the text of the settings file at `path`.
+ *
+ * @throws settings.SettingsError with one line for each fault.
+ */
+export function parseNodeSettings(
+  path: string,
+  text: string,
+): generated.NodeSettings {
   const check = new documentChecker.DocumentChecker<generated.NodeSettings>(
     validation.NODE_SETTINGS,
   );
@@ -30,8 +46,3 @@
       return checked.value;
   }
 }
-
-/** Returns the modification time of the file in epoch ms, undefined if there is no file. */
-export function changedMs(path: string): number | undefined {
-  return fs.statSync(path, {throwIfNoEntry: false})?.mtimeMs;
-}
