--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -2,6 +2,7 @@
  * Bundles the daemon, so that a restart loads two files instead of hundreds: a small script that
  * installs the handlers of signals, and the daemon itself, which it loads next.
  */
+import * as fs from 'node:fs';
 import * as path from 'node:path';
 
 import * as esbuild from 'esbuild';
@@ -37,11 +38,14 @@
   },
 };
 
-/** Bundles a module and what it imports into one script. */
+/** Mode of the scripts; the first one may be run by its name. */
+const MODE = 0o755;
+
+/** Bundles a module and what it imports into one script, which replaces the one before at once. */
 async function bundle(entryPoint, file, plugins) {
-  await esbuild.build({
+  const {outputFiles} = await esbuild.build({
     entryPoints: [entryPoint],
-    outfile: path.join(DIRECTORY, file),
+    write: false,
     bundle: true,
     platform: 'node',
     target: 'node20',
@@ -53,7 +57,12 @@
     mainFields: ['module', 'main'],
     plugins,
   });
+  const temporary = path.join(DIRECTORY, `.${file}.${process.pid}`);
+  fs.writeFileSync(temporary, outputFiles[0].contents, {mode: MODE});
+  fs.renameSync(temporary, path.join(DIRECTORY, file));
 }
 
+fs.mkdirSync(DIRECTORY, {recursive: true});
+// The daemon first, as a start that reads the first script loads it next.
 await bundle('src/daemon/platform_daemon.ts', DAEMON, [replaceModules]);
 await bundle('src/daemon/main.ts', LAUNCHER, [loadDaemon]);
