--- a/src/node/main.ts
+++ b/src/node/main.ts
@@ -1,53 +1,16 @@
 #!/usr/bin/env node
-/** The daemon: `geraniumloftd --settings FILE [--check]`. */
-import * as counters from '../common/counters.js';
-import * as generated from '../generated/settings.js';
-import * as daemon from './daemon.js';
-import * as logger from './logger.js';
-import * as processFailures from './process_failures.js';
-import * as program from './program.js';
-import * as resourceStack from './resource_stack.js';
-import * as settingsFile from './settings.js';
-import * as statsdCounters from './statsd_counters.js';
+/** Starts `geraniumloftd`. Signals have handlers before the daemon itself is loaded. */
+import * as processSignals from './process_signals.js';
 
-const USAGE = 'usage: geraniumloftd --settings FILE [--check]';
-
-async function run(settings: generated.Settings): Promise<void> {
-  const log = logger.createLogger(settings.nodeId, settings.logLevel);
-  processFailures.exitOnUnhandled(({step, cause}) =>
-    log.error(`${step}: ${cause}`),
-  );
-  await using resources = new resourceStack.ResourceStack();
-  const count = settings.statsd
-    ? resources.use(
-        new statsdCounters.StatsdCounters(settings.statsd, err =>
-          log.debug(`StatsD: ${err.message}`),
-        ),
-      )
-    : new counters.MemoryCounters();
-  await using node = await daemon.Daemon.start({settings, count, log});
-  log.info('listening');
-  await new Promise<void>(resolve => {
-    const stop = (): void => void node.stop().then(resolve);
-    process.on('SIGTERM', stop);
-    process.on('SIGINT', stop);
-  });
-  log.info('stopped');
-}
+const signals = new processSignals.ProcessSignals();
+// A check that is interrupted must not end like one that found no fault.
+if (!process.argv.includes('--check')) signals.install();
 
 async function main(): Promise<number> {
-  const args = program.parseArguments(process.argv.slice(2));
-  if (args === undefined) {
-    console.error(USAGE);
-    return program.USAGE_STATUS;
-  }
-  try {
-    const settings = settingsFile.readSettings(args.settings);
-    if (!args.check) await run(settings);
-    return 0;
-  } catch (err) {
-    return program.reportFailure(err);
-  }
+  const daemonMain = await import('./daemon_main.js');
+  await processSignals.signalsHandled();
+  return daemonMain.main(signals);
 }
 
-process.exitCode = await main();
+// Without an explicit exit the handlers of signals would end before the process does.
+void main().then(status => process.exit(status));
