--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -86,6 +86,8 @@
   'malformed.http':
     'HTTP requests that could not be parsed or exceeded a bound.',
   'malformed.log-record': 'Log records that were skipped.',
+  'port.error':
+    'Errors of open ports, as for connections that could not be accepted.',
   'roster.full': 'Joins ignored because the roster is full.',
   'server.connection-opened': 'Connections opened to the backend server.',
   'server.lost': 'Times the backend server was found to be gone.',
--- a/src/node/serving/abortable_pause.ts
+++ b/src/node/abortable_pause.ts
@@ -1,7 +1,7 @@
 /** Delays that an abort signal ends early. */
 import * as timers from 'node:timers/promises';
 
-import * as units from '../../common/units.js';
+import * as units from '../common/units.js';
 
 /** Resolves after `ms`, or at once when the signal is aborted; never rejects. */
 export async function pause(
--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -19,6 +19,7 @@
 import * as nodeStatus from './node_status.js';
 import * as operatorServer from './operator_server.js';
 import * as plannedStop from './planned_stop.js';
+import * as portLog from './port_log.js';
 import * as resourceStack from './resource_stack.js';
 import * as serverState from './server_state.js';
 import * as signal from './signal.js';
@@ -107,6 +108,8 @@
     const server = await operatorServer.OperatorServer.listen({
       ip,
       port: ports.operator,
+      portName: 'operators',
+      observer: portLog.portLog('operators', this.options),
       peerSources,
       service: new nodeStatus.NodeStatusService(this.statusSources()),
       counters: count,
@@ -203,7 +206,7 @@
     settings,
     {nodeId: self.nodeId, incarnation: self.incarnation},
     cores.control,
-    count,
+    {count, log},
     resources,
   );
   const commands = resources.use(
--- a/src/node/datagram_socket.test.ts
+++ b/src/node/datagram_socket.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as dgram from 'node:dgram';
 import * as nodeTest from 'node:test';
+import * as timers from 'node:timers/promises';
 
 import * as fc from 'fast-check';
 
@@ -11,6 +12,7 @@
 
 const SEED = Number(process.env['SEED'] ?? 3);
 const MAX_BYTES = 300;
+const HELD_MS = 300;
 const TIMEOUT_MS = 5_000;
 
 interface Receiver extends AsyncDisposable {
@@ -96,3 +98,44 @@
   );
   assert.equal(target.received.length, 0);
 });
+
+// A port that was taken for less than a second ended the start.
+nodeTest.test('a port that is taken for a while is waited for', async () => {
+  const holder = dgram.createSocket('udp4');
+  await new Promise<void>(resolve => holder.bind(0, '127.0.0.1', resolve));
+  const {port} = holder.address();
+  holder.unref();
+  const options = {ip: '127.0.0.1', port, maxBytes: 1, allowedSources: []};
+  const waiting: string[] = [];
+  const observer = {
+    onWaiting: (unusedAddress: unknown, code: string) => waiting.push(code),
+    onOpened: () => undefined,
+    onError: () => undefined,
+  };
+  await using socket = new datagramSocket.DatagramSocket(
+    {...options, observer},
+    new counters.MemoryCounters(),
+  );
+  const listening = socket.listen();
+  await Promise.race([listening, timers.setTimeout(HELD_MS)]);
+  holder.close();
+  await listening;
+  assert.deepEqual(waiting, ['EADDRINUSE']);
+});
+
+nodeTest.test('disposing a socket ends its wait for a port', async () => {
+  const holder = dgram.createSocket('udp4');
+  await new Promise<void>(resolve => holder.bind(0, '127.0.0.1', resolve));
+  const {port} = holder.address();
+  holder.unref();
+  const options = {ip: '127.0.0.1', port, maxBytes: 1, allowedSources: []};
+  const socket = new datagramSocket.DatagramSocket(
+    options,
+    new counters.MemoryCounters(),
+  );
+  const rejected = assert.rejects(socket.listen(), /closed/);
+  await Promise.race([rejected, timers.setTimeout(HELD_MS)]);
+  await socket[Symbol.asyncDispose]();
+  await rejected;
+  holder.close();
+});
--- a/src/node/datagram_socket.ts
+++ b/src/node/datagram_socket.ts
@@ -5,12 +5,11 @@
 import * as counters from '../common/counters.js';
 import * as peer from '../generated/peer.js';
 import * as eventSource from './event_source.js';
+import * as portOpening from './port_opening.js';
 import * as sourceFilter from './source_filter.js';
 
 /** Listening address of the socket, and limits on what it accepts. */
-export interface DatagramOptions {
-  readonly ip: string;
-  readonly port: number;
+export interface DatagramOptions extends portOpening.PortOptions {
   /** Largest datagram accepted and sent, in bytes. */
   readonly maxBytes: number;
   /** Addresses from which datagrams are accepted. */
@@ -28,7 +27,7 @@
   private readonly socket: dgram.Socket;
   private readonly accepts: sourceFilter.SourceFilter;
   private readonly source = new eventSource.EventSource<DatagramEvent>();
-  private closed = false;
+  private readonly closing = new AbortController();
 
   /** Decoded datagrams from allowed sources. */
   readonly events = this.source.stream;
@@ -45,21 +44,20 @@
     this.socket.on('error', () => this.count.increment('datagram.failed'));
   }
 
-  /** Binds the socket. */
+  /**
+   * Binds the socket; waits for a port that is taken. Disposal ends the wait.
+   *
+   * @throws errors.GeraniumloftError if the port cannot be opened, or the socket was closed.
+   */
   async listen(): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.socket.once('error', reject);
-      this.socket.bind(this.options.port, this.options.ip, () => {
-        this.socket.off('error', reject);
-        resolve();
-      });
-    });
+    const {signal} = this.closing;
+    await portOpening.openPort(this.options, () => this.bindOnce(), signal);
   }
 
   /** Sends a datagram; losses are not reported. */
   send(ip: string, port: number, datagram: peer.Datagram): void {
     const bytes = peer.Datagram.encode(datagram).finish();
-    if (this.closed || bytes.length > this.options.maxBytes) {
+    if (this.closing.signal.aborted || bytes.length > this.options.maxBytes) {
       this.count.increment('datagram.failed');
       return;
     }
@@ -70,6 +68,24 @@
     });
   }
 
+  /** Makes one attempt to bind; resolves too if the socket is closed meanwhile. */
+  private bindOnce(): Promise<void> {
+    const {socket, options} = this;
+    return new Promise((resolve, reject) => {
+      const settle = (err?: Error): void => {
+        socket.off('error', settle);
+        socket.off('listening', settle);
+        socket.off('close', settle);
+        if (err === undefined) resolve();
+        else reject(err);
+      };
+      socket.once('error', settle);
+      socket.once('listening', settle);
+      socket.once('close', settle);
+      socket.bind(options.port, options.ip);
+    });
+  }
+
   private receive(bytes: Buffer, address: string): void {
     if (!this.accepts(address)) {
       this.count.increment('source.rejected');
@@ -95,8 +111,8 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    if (this.closed) return;
-    this.closed = true;
+    if (this.closing.signal.aborted) return;
+    this.closing.abort();
     await new Promise<void>(resolve => this.socket.close(() => resolve()));
   }
 }
--- a/src/node/node_sockets.ts
+++ b/src/node/node_sockets.ts
@@ -1,6 +1,5 @@
 /** Creates the sockets of a node from its settings. */
 import * as fleetView from '../common/control/fleet_view.js';
-import * as counters from '../common/counters.js';
 import * as generated from '../generated/settings.js';
 import * as clock from './clock.js';
 import * as datagramSocket from './datagram_socket.js';
@@ -8,6 +7,8 @@
 import * as linkEvent from './link_event.js';
 import * as logClient from './log_client.js';
 import * as peerLinks from './peer_links.js';
+import * as portLog from './port_log.js';
+import * as portOpening from './port_opening.js';
 import * as remoteState from './remote_state.js';
 import * as requestFingerprint from './request_fingerprint.js';
 import * as resourceStack from './resource_stack.js';
@@ -30,10 +31,17 @@
   settings: generated.Settings,
   identity: linkEvent.LinkIdentity,
   view: fleetView.FleetView,
-  count: counters.Counters,
+  reports: portLog.PortReports,
   resources: resourceStack.ResourceStack,
 ): Promise<NodeSockets> {
   const {ip, ports, bounds, peerSources, serverSources} = settings;
+  const {count} = reports;
+  const portOf = (portName: string, port: number): portOpening.PortOptions => ({
+    ip,
+    port,
+    portName,
+    observer: portLog.portLog(portName, reports),
+  });
   const sizes = {
     maxBodyBytes: bounds.bodyBytes,
     maxHeaderBytes: bounds.headerBytes,
@@ -44,8 +52,7 @@
   const datagrams = resources.use(
     new datagramSocket.DatagramSocket(
       {
-        ip,
-        port: ports.peer,
+        ...portOf('datagrams', ports.peer),
         maxBytes: bounds.datagramBytes,
         allowedSources: peerSources,
       },
@@ -60,8 +67,7 @@
       {
         ...sizes,
         identity,
-        ip,
-        port: ports.peer,
+        ...portOf('peers', ports.peer),
         allowedSources: peerSources,
         maxLinks: LINKS_PER_MEMBER * bounds.members,
       },
@@ -72,7 +78,12 @@
   );
   const http = resources.use(
     new httpEntry.HttpEntry(
-      {...sizes, ip, port: ports.http, maxCalls: bounds.calls, serverSources},
+      {
+        ...sizes,
+        ...portOf('callers', ports.http),
+        maxCalls: bounds.calls,
+        serverSources,
+      },
       view,
       fingerprint,
       count,
@@ -83,7 +94,6 @@
 
 /** Starts listening for peers and then for callers. */
 export async function listen(sockets: NodeSockets): Promise<void> {
-  await sockets.datagrams.listen();
-  await sockets.links.listen();
+  await Promise.all([sockets.datagrams.listen(), sockets.links.listen()]);
   await sockets.http.listen();
 }
--- a/src/node/operator_server.ts
+++ b/src/node/operator_server.ts
@@ -4,9 +4,9 @@
 import * as standalone from '@trpc/server/adapters/standalone';
 
 import * as counters from '../common/counters.js';
-import * as errors from '../common/errors.js';
 import * as operatorContract from './operator_contract.js';
 import * as operatorRouter from './operator_router.js';
+import * as portOpening from './port_opening.js';
 import * as sourceFilter from './source_filter.js';
 import * as tcpListener from './tcp_listener.js';
 
@@ -17,9 +17,7 @@
 const REQUEST_TIMEOUT_MS = 5_000;
 
 /** Listening address, allowed sources and service of the operator server. */
-export interface OperatorServerOptions {
-  readonly ip: string;
-  readonly port: number;
+export interface OperatorServerOptions extends portOpening.PortOptions {
   readonly peerSources: readonly string[];
   readonly service: operatorContract.OperatorService;
   readonly counters: counters.Counters;
@@ -55,13 +53,7 @@
       options.counters.increment('malformed.http');
       socket.destroy();
     });
-    try {
-      await tcpListener.listen(server, options);
-    } catch (err) {
-      const message = err instanceof Error ? err.message : String(err);
-      const site = {step: 'listen', peer: `${options.ip}:${options.port}`};
-      throw new errors.GeraniumloftError(message, site, {cause: err});
-    }
+    await tcpListener.listen(server, options);
     return new OperatorServer(server);
   }
 
--- a/src/node/peer_links.ts
+++ b/src/node/peer_links.ts
@@ -8,6 +8,7 @@
 import * as incomingLink from './incoming_link.js';
 import * as linkEvent from './link_event.js';
 import * as outgoingLink from './outgoing_link.js';
+import * as portOpening from './port_opening.js';
 import * as tcpListener from './tcp_listener.js';
 import * as sourceFilter from './source_filter.js';
 
@@ -33,10 +34,8 @@
 const FRAME_OVERHEAD_BYTES = 4096;
 
 /** Listening address for links, and limits on what they accept. */
-export interface PeerLinksOptions {
+export interface PeerLinksOptions extends portOpening.PortOptions {
   readonly identity: linkEvent.LinkIdentity;
-  readonly ip: string;
-  readonly port: number;
   /** Addresses from which links are accepted. */
   readonly allowedSources: readonly string[];
   readonly maxBodyBytes: number;
--- a/src/node/serving/fleet_registry.ts
+++ b/src/node/serving/fleet_registry.ts
@@ -3,7 +3,7 @@
 import * as errors from '../../common/errors.js';
 import * as units from '../../common/units.js';
 import * as serving from '../../generated/serving.js';
-import * as abortablePause from './abortable_pause.js';
+import * as abortablePause from '../abortable_pause.js';
 import * as platformAdapter from './platform_adapter.js';
 import * as fleetDirectory from './fleet_directory.js';
 import * as storeLoop from './store_loop.js';
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -20,9 +20,9 @@
 import * as gateRuntime from './gate_runtime.js';
 import * as ignoredRecords from './ignored_records.js';
 import * as messageAge from './message_age.js';
+import * as nodePorts from './node_ports.js';
 import * as nodeRecord from './node_record.js';
 import * as nodeStop from './node_stop.js';
-
 import * as rolloutStatusWriter from './rollout_status_writer.js';
 import * as serverMessageHandler from './server_message_handler.js';
 import * as simpleHttpServer from './simple_http_server.js';
@@ -62,6 +62,7 @@
   });
   private readonly rollouts: rolloutsModule.Rollouts;
   private readonly statusWriter: rolloutStatusWriter.RolloutStatusWriter;
+  private readonly ports: nodePorts.NodePorts;
   private readonly resources = new resourceStack.ResourceStack();
   private settings: generated.NodeSettings;
   private readonly wakeTimer = new wakeTimer.WakeTimer({
@@ -93,17 +94,23 @@
     this.gateRuntime = use(this.makeGateRuntime());
     this.entryRuntime = use(this.makeEntryRuntime(fingerprint));
     this.statusWriter = use(this.makeStatusWriter());
+    this.ports = use(this.makePorts());
     this.gateRuntime.setServer(address.parseAddress(settings.server));
   }
 
+  /** Makes a node that is not open yet; disposing it while it opens ends that at once. */
+  static async create(options: ServingNodeOptions): Promise<ServingNode> {
+    const fingerprint = await requestFingerprint.RequestFingerprint.load();
+    return new ServingNode(options, fingerprint);
+  }
+
   /**
-   * Starts a node; resolves once it listens on all its ports.
+   * Makes a node and opens it.
    *
-   * @throws the error of the socket if a port cannot be opened.
+   * @throws errors.GeraniumloftError if a port cannot be opened.
    */
   static async start(options: ServingNodeOptions): Promise<ServingNode> {
-    const fingerprint = await requestFingerprint.RequestFingerprint.load();
-    const node = new ServingNode(options, fingerprint);
+    const node = await ServingNode.create(options);
     try {
       await node.open();
       return node;
@@ -113,6 +120,21 @@
     }
   }
 
+  /**
+   * Opens the ports and begins to serve; resolves once all ports but that of the metrics are open.
+   *
+   * @throws errors.GeraniumloftError if a port stays taken, cannot be opened, or the node was
+   *     disposed meanwhile.
+   */
+  async open(): Promise<void> {
+    await this.ports.open();
+    this.messageAge.observe(clock.monotonicMs());
+    this.storeReaders.start();
+    this.registry.start();
+    this.statusWriter.start();
+    this.wakeTimer.schedule(clock.monotonicMs() + MAX_TICK_INTERVAL_MS);
+  }
+
   /** Applies settings that changed while the node runs; open ports stay as they are. */
   reload(settings: generated.NodeSettings): void {
     const {service, server} = settings;
@@ -143,9 +165,8 @@
     await this.resources[Symbol.asyncDispose]();
   }
 
-  private async open(): Promise<void> {
-    const {listen} = this.settings;
-    const {platform, telemetry: log} = this.options;
+  private makePorts(): nodePorts.NodePorts {
+    const {platform, telemetry: log, settings} = this.options;
     const messages = new serverMessageHandler.ServerMessageHandler({
       decoder: platform.announcements,
       gate: this.gateRuntime.gate,
@@ -153,29 +174,15 @@
       localServer: () => this.localServer(),
       afterEvent: () => this.afterEvent(),
     });
-    await Promise.all([
-      this.serve(listen.readiness, () => this.readiness()),
-      this.serve(listen.announcements, req => messages.handle(req)),
-      this.serve(listen.metrics, () => this.metrics()),
-      this.gateRuntime.listen(address.parseAddress(listen.peers)),
-      this.entryRuntime.callers.listen(address.parseAddress(listen.callers)),
-    ]);
-    this.messageAge.observe(clock.monotonicMs());
-    this.storeReaders.start();
-    this.registry.start();
-    this.statusWriter.start();
-    this.wakeTimer.schedule(clock.monotonicMs() + MAX_TICK_INTERVAL_MS);
-  }
-
-  private async serve(
-    listenAddress: string | undefined,
-    handler: simpleHttpServer.SimpleHandler,
-  ): Promise<void> {
-    if (listenAddress === undefined) return;
-    const server = this.resources.use(
-      new simpleHttpServer.SimpleHttpServer(handler),
-    );
-    await server.listen(address.parseAddress(listenAddress));
+    return new nodePorts.NodePorts({
+      listen: settings.listen,
+      log,
+      callers: at => this.entryRuntime.callers.listen(at),
+      peers: at => this.gateRuntime.listen(at),
+      announcements: req => messages.handle(req),
+      readiness: () => this.readiness(),
+      metrics: () => this.metrics(),
+    });
   }
 
   private makeKeyAdmission(): keyAdmission.KeyAdmission {
@@ -400,7 +407,8 @@
   }
 
   private readiness(): simpleHttpServer.SimpleResponse {
-    const ready = this.intent.isKnown && this.stopping === undefined;
+    const {intent, ports, stopping} = this;
+    const ready = ports.isOpen && intent.isKnown && stopping === undefined;
     return {status: ready ? OK : UNAVAILABLE, text: '{}'};
   }
 
--- a/src/node/serving/store_loop.ts
+++ b/src/node/serving/store_loop.ts
@@ -1,6 +1,6 @@
 /** Repeats a store operation until it is disposed, with backoff after failures. */
 import * as units from '../../common/units.js';
-import * as abortablePause from './abortable_pause.js';
+import * as abortablePause from '../abortable_pause.js';
 
 /** Largest random part added to a wait, so that nodes do not call the store simultaneously. */
 const JITTER_SHARE = 0.5;
--- a/src/node/tcp_listener.ts
+++ b/src/node/tcp_listener.ts
@@ -1,22 +1,51 @@
 /** Starts servers that listen on TCP. */
 import type * as net from 'node:net';
 
-/** Address to listen on; port 0 chooses a free one. */
-export interface ListenAddress {
-  readonly ip: string;
-  readonly port: number;
-}
+import * as portOpening from './port_opening.js';
+
+/** Address to listen on, with the options of `portOpening.openPort`. */
+export type ListenAddress = portOpening.PortOptions;
 
-/** Resolves once the server listens; rejects if it cannot. */
-export function listen(
+/**
+ * Resolves once the server listens; waits for a port that is taken. Closing the server ends the
+ * wait.
+ *
+ * @throws errors.GeraniumloftError if the port cannot be opened, or the server was closed.
+ */
+export async function listen(
   server: net.Server,
   address: ListenAddress,
+): Promise<void> {
+  const closed = new AbortController();
+  const onClose = () => closed.abort();
+  server.once('close', onClose);
+  try {
+    await portOpening.openPort(
+      address,
+      () => listenOnce(server, address),
+      closed.signal,
+    );
+  } finally {
+    server.off('close', onClose);
+  }
+}
+
+/** Makes one attempt to listen; resolves too if the server is closed meanwhile. */
+function listenOnce(
+  server: net.Server,
+  {ip, port}: ListenAddress,
 ): Promise<void> {
   return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(address.port, address.ip, () => {
-      server.off('error', reject);
-      resolve();
-    });
+    const settle = (err?: Error): void => {
+      server.off('error', settle);
+      server.off('listening', settle);
+      server.off('close', settle);
+      if (err === undefined) resolve();
+      else reject(err);
+    };
+    server.once('error', settle);
+    server.once('listening', settle);
+    server.once('close', settle);
+    server.listen(port, ip);
   });
 }
--- /dev/null
+++ b/test/paths/taken_ports.test.ts
@@ -0,0 +1,134 @@
+import * as assert from 'node:assert/strict';
+import * as fs from 'node:fs';
+import * as net from 'node:net';
+import * as nodeTest from 'node:test';
+import * as timers from 'node:timers/promises';
+
+import * as child from './child.js';
+import * as platformFleet from './platform_fleet.js';
+
+const {test} = nodeTest;
+
+/** Time for which a port is taken; longer than a start takes. */
+const TAKEN_MS = 1_500;
+
+const SERVED_TIMEOUT_MS = 15_000;
+
+type PortName = 'callers' | 'peers' | 'announcements' | 'readiness' | 'metrics';
+
+/** Holds a port until it is disposed. */
+async function holdPort(address: string): Promise<AsyncDisposable> {
+  const [host, port] = address.split(':');
+  const holder = net.createServer(socket => socket.destroy());
+  await new Promise<void>((resolve, reject) => {
+    holder.once('error', reject);
+    holder.listen(Number(port), host, resolve);
+  });
+  let closed: Promise<void> | undefined;
+  return {
+    [Symbol.asyncDispose]: () =>
+      (closed ??= new Promise(resolve => holder.close(() => resolve()))),
+  };
+}
+
+/** Gives a node a port for metrics; returns the addresses of all its ports. */
+async function addressesOf(
+  node: platformFleet.FleetNode,
+): Promise<Readonly<Record<PortName, string>>> {
+  const settings = JSON.parse(fs.readFileSync(node.settings, 'utf8')) as {
+    readonly listen: Readonly<Record<PortName, string>>;
+  };
+  const [port] = await child.freePorts(1);
+  const listen = {...settings.listen, metrics: `127.0.0.1:${port}`};
+  fs.writeFileSync(node.settings, JSON.stringify({...settings, listen}));
+  return listen;
+}
+
+async function end(node: platformFleet.FleetNode): Promise<void> {
+  node.process.signal('SIGKILL');
+  await node.process.exitStatus();
+}
+
+/** Waits until a request through a node is answered; the process must not end meanwhile. */
+async function waitUntilServed(
+  fleet: platformFleet.PlatformFleet,
+  node: platformFleet.FleetNode,
+): Promise<void> {
+  let count = 0;
+  await child.waitUntil(
+    async () => {
+      assert.ok(node.process.isRunning, node.process.printed);
+      const id = `served-${++count}`;
+      return (await fleet.send(node, {id})).status === 200;
+    },
+    SERVED_TIMEOUT_MS,
+    () => `a request to be answered; it printed ${node.process.printed}`,
+  );
+}
+
+const neededPorts = ['callers', 'peers', 'announcements', 'readiness'] as const;
+
+for (const name of neededPorts) {
+  // A port that was taken for a moment ended the start of the process.
+  test(`a node starts once its port for ${name} is released`, async () => {
+    await using fleet = await platformFleet.PlatformFleet.start(1);
+    const addresses = await addressesOf(fleet.nodes[0]);
+    await end(fleet.nodes[0]);
+    await using holder = await holdPort(addresses[name]);
+    const started = fleet.restart(fleet.nodes[0]);
+    const outcome = await Promise.race([
+      started.then(
+        () => 'ready',
+        () => 'failed',
+      ),
+      timers.setTimeout(TAKEN_MS, 'waiting'),
+    ]);
+    const [{process}] = fleet.nodes;
+    assert.ok(process.isRunning, process.printed);
+    assert.equal(outcome, 'waiting', process.printed);
+    await holder[Symbol.asyncDispose]();
+    await waitUntilServed(fleet, await started);
+    const waits = process.printed.match(/"event":"listen-waiting".*/g) ?? [];
+    assert.equal(waits.length, 1, process.printed);
+    assert.match(waits[0], new RegExp(`"port":"${name}"`));
+    assert.match(waits[0], /"code":"EADDRINUSE"/);
+    assert.match(process.printed, /"event":"listen-open"/);
+  });
+}
+
+// Nothing depends on the metrics, but their port was as fatal as the others.
+test('a node whose port for metrics stays taken serves, and opens it later', async () => {
+  await using fleet = await platformFleet.PlatformFleet.start(1);
+  const {metrics} = await addressesOf(fleet.nodes[0]);
+  await end(fleet.nodes[0]);
+  await using holder = await holdPort(metrics);
+  const node = await fleet.restart(fleet.nodes[0]);
+  await waitUntilServed(fleet, node);
+  await timers.setTimeout(TAKEN_MS);
+  assert.ok(node.process.isRunning, node.process.printed);
+  await holder[Symbol.asyncDispose]();
+  await node.process.waitForOutput('"event":"listen-open"');
+  assert.equal((await fetch(`http://${metrics}/metrics`)).status, 200);
+});
+
+test('a node waits for an address that is not on the machine', async () => {
+  await using fleet = await platformFleet.PlatformFleet.start(1);
+  const {callers} = await addressesOf(fleet.nodes[0]);
+  await end(fleet.nodes[0]);
+  const text = fs.readFileSync(fleet.nodes[0].settings, 'utf8');
+  // An address for documentation, RFC 5737.
+  fs.writeFileSync(
+    fleet.nodes[0].settings,
+    text.replace(callers, callers.replace('127.0.0.1', '192.0.2.1')),
+  );
+  await using process = child.startProgram('moved', 'src/daemon/main.js', [
+    '--settings',
+    fleet.nodes[0].settings,
+  ]);
+  await Promise.race([
+    process.waitForOutput('listen-waiting'),
+    process.exitStatus().catch(() => null),
+  ]);
+  assert.ok(process.isRunning, process.printed);
+  assert.match(process.printed, /"code":"EADDRNOTAVAIL"/);
+});
