--- a/src/node/datagram_socket.ts
+++ b/src/node/datagram_socket.ts
@@ -27,6 +27,7 @@
   private readonly socket: dgram.Socket;
   private readonly accepts: sourceFilter.SourceFilter;
   private readonly source = new eventSource.EventSource<DatagramEvent>();
+  private isOpen = false;
   private readonly closing = new AbortController();
 
   /** Decoded datagrams from allowed sources. */
@@ -41,7 +42,7 @@
       net.isIPv6(options.ip) ? 'udp6' : 'udp4',
       (bytes, from) => this.receive(bytes, from.address),
     );
-    this.socket.on('error', () => this.count.increment('datagram.failed'));
+    this.socket.on('error', err => this.onError(err));
   }
 
   /**
@@ -52,6 +53,7 @@
   async listen(): Promise<void> {
     const {signal} = this.closing;
     await portOpening.openPort(this.options, () => this.bindOnce(), signal);
+    this.isOpen = true;
   }
 
   /** Sends a datagram; losses are not reported. */
@@ -86,6 +88,12 @@
     });
   }
 
+  private onError(err: Error): void {
+    if (!this.isOpen) return;
+    this.count.increment('datagram.failed');
+    this.options.observer?.onError(this.options, portOpening.codeOf(err));
+  }
+
   private receive(bytes: Buffer, address: string): void {
     if (!this.accepts(address)) {
       this.count.increment('source.rejected');
--- a/src/node/tcp_listener.test.ts
+++ b/src/node/tcp_listener.test.ts
@@ -1,4 +1,5 @@
 import * as assert from 'node:assert/strict';
+import * as http from 'node:http';
 import * as net from 'node:net';
 import * as nodeTest from 'node:test';
 import * as timers from 'node:timers/promises';
@@ -104,3 +105,27 @@
   await rejected;
   assert.equal(server.listening, false);
 });
+
+// An error of accept, as without free descriptors, ended the process.
+for (const protocol of ['TCP', 'HTTP']) {
+  test(`errors of an open port are reported, and it stays open: ${protocol}`, async () => {
+    const server =
+      protocol === 'TCP' ? net.createServer() : http.createServer();
+    const [seen, observer] = recorder();
+    await tcpListener.listen(server, {ip: IP, port: 0, observer});
+    for (const code of ['EMFILE', 'EPROTO']) {
+      server.emit('error', Object.assign(new Error('accept'), {code}));
+    }
+    assert.deepEqual(seen, ['error EMFILE', 'error EPROTO']);
+    assert.ok(server.listening);
+    await close(server);
+  });
+}
+
+test('an error of an open port that nobody observes is ignored', async () => {
+  const server = net.createServer();
+  await tcpListener.listen(server, {ip: IP, port: 0});
+  server.emit('error', new Error('accept'));
+  assert.ok(server.listening);
+  await close(server);
+});
--- a/src/node/tcp_listener.ts
+++ b/src/node/tcp_listener.ts
@@ -8,7 +8,8 @@
 
 /**
  * Resolves once the server listens; waits for a port that is taken. Closing the server ends the
- * wait.
+ * wait. Errors of the server from then on, as for connections that it cannot accept, are passed to
+ * the observer only.
  *
  * @throws errors.GeraniumloftError if the port cannot be opened, or the server was closed.
  */
@@ -16,6 +17,11 @@
   server: net.Server,
   address: ListenAddress,
 ): Promise<void> {
+  let isOpen = false;
+  // Stays: an error without a listener would end the process.
+  server.on('error', err => {
+    if (isOpen) address.observer?.onError(address, portOpening.codeOf(err));
+  });
   const closed = new AbortController();
   const onClose = () => closed.abort();
   server.once('close', onClose);
@@ -25,6 +31,7 @@
       () => listenOnce(server, address),
       closed.signal,
     );
+    isOpen = true;
   } finally {
     server.off('close', onClose);
   }
