--- a/src/node/serving/memory_watch.test.ts
+++ b/src/node/serving/memory_watch.test.ts
@@ -41,3 +41,19 @@
   check({heapUsed: 80 * MB});
   assert.deepEqual(events, ['memory-high']);
 });
+
+// Without free descriptors the check threw in a timer, which ended the process.
+test('memory that cannot be read is not judged', test => {
+  const events: string[] = [];
+  const watch = memoryWatch.MemoryWatch.ofProcess(1, event =>
+    events.push(event),
+  );
+  test.mock.method(process, 'memoryUsage', () => {
+    throw Object.assign(new Error('uv_resident_set_memory'), {code: 'EMFILE'});
+  });
+  watch.check();
+  assert.deepEqual(events, []);
+  test.mock.restoreAll();
+  watch.check();
+  assert.deepEqual(events, ['memory-high']);
+});
--- a/src/node/serving/memory_watch.ts
+++ b/src/node/serving/memory_watch.ts
@@ -17,12 +17,23 @@
   readonly external: number;
 }
 
+/** Returns the memory of this process, undefined if the system does not tell it now. */
+export function memoryOfProcess(): MemoryUse | undefined {
+  try {
+    return process.memoryUsage();
+  } catch {
+    // Node.js opens a file for the resident size, which needs a free descriptor.
+    return undefined;
+  }
+}
+
 /** Settings and dependencies of `MemoryWatch`. */
 export interface MemoryWatchOptions {
   readonly memoryMb: number;
   /** Limit of the heap, in bytes. */
   readonly heapLimitBytes: number;
-  use(): MemoryUse;
+  /** Returns the memory, undefined if the system does not tell it now. */
+  use(): MemoryUse | undefined;
   note(event: string, facts: Readonly<Record<string, number>>): void;
 }
 
@@ -38,14 +49,19 @@
     note: MemoryWatchOptions['note'],
   ): MemoryWatch {
     const heapLimitBytes = v8.getHeapStatistics().heap_size_limit;
-    const use = (): MemoryUse => process.memoryUsage();
-    return new MemoryWatch({memoryMb, heapLimitBytes, use, note});
+    return new MemoryWatch({
+      memoryMb,
+      heapLimitBytes,
+      use: memoryOfProcess,
+      note,
+    });
   }
 
   /** Compares the memory with its limits. */
   check(): void {
     const {memoryMb, heapLimitBytes, note} = this.options;
     const use = this.options.use();
+    if (use === undefined) return;
     const share = Math.max(
       use.rss / (memoryMb * answerMemory.BYTES_PER_MB),
       use.heapUsed / heapLimitBytes,
--- a/src/node/serving/telemetry.ts
+++ b/src/node/serving/telemetry.ts
@@ -3,6 +3,7 @@
 
 import * as decision from '../../common/serving/decision.js';
 import * as units from '../../common/units.js';
+import * as memoryWatch from './memory_watch.js';
 
 /** Bucket bounds of the latency histogram, in seconds. */
 const LATENCY_BUCKETS_S = [
@@ -123,7 +124,9 @@
   }
 
   private collectMemory(): void {
-    const {rss, heapUsed, external} = process.memoryUsage();
+    const use = memoryWatch.memoryOfProcess();
+    if (use === undefined) return;
+    const {rss, heapUsed, external} = use;
     this.memory.set({kind: 'resident'}, rss);
     this.memory.set({kind: 'heap'}, heapUsed);
     this.memory.set({kind: 'external'}, external);
