Bodies of requests share the callers' memory; large ones wait for it

Callers whose uploads ran at slow servers lost all that the node held: it was ended for its memory, though each body was within max_body_bytes. Nothing bounded the bodies together, and the chunks of a body stayed beside the joined copy for as long as the request lived.

Large bodies (over 64 KiB) are read in the order of their arrival while their lengths fit three quarters of the callers' memory. The others are not read, so that their senders wait. One for which no memory comes free within half of its request's time is refused with 503 and Retry-After before anything is passed on, and so is one for whose buffers no room is left. A body longer than all of the memory is read when no other is held. Of bodies without a length that hold all of the memory and need more, the latest is refused. Small bodies never wait. The time that a body waited is taken off the request's time. Bytes are given back with the answer or when the caller has left. Bodies are copied into one buffer as they arrive, so that no chunks are kept. 408 stays for a caller that is slow itself; a length above max_body_bytes is refused with 413 at once.

--- a/src/node/http_headers.ts
+++ b/src/node/http_headers.ts
@@ -166,6 +166,19 @@
   return headers.find(h => h.name.toLowerCase() === lower)?.value;
 }
 
+/** Length of the colon, space and line end of a header line. */
+const HEADER_LINE_OVERHEAD_BYTES = 4;
+
+/** Returns the length of a request's target and headers, in bytes. */
+export function headerBytes(req: http.IncomingMessage): number {
+  let bytes = (req.url ?? '').length;
+  for (let i = 0; i + 1 < req.rawHeaders.length; i += 2) {
+    bytes += req.rawHeaders[i].length + req.rawHeaders[i + 1].length;
+    bytes += HEADER_LINE_OVERHEAD_BYTES;
+  }
+  return bytes;
+}
+
 function forwardedHeaders(
   rawHeaders: readonly string[],
   connection: string | undefined,
--- a/src/node/serving/caller_port.ts
+++ b/src/node/serving/caller_port.ts
@@ -9,7 +9,7 @@
 import * as workspaceDirectory from '../../common/workspaces/workspace_directory.js';
 import * as workspace from '../../common/workspaces/workspace.js';
 import * as serving from '../../generated/serving.js';
-import * as bodyReader from '../body_reader.js';
+import * as bodyIntake from '../body_intake.js';
 import * as callerConnections from '../caller_connections.js';
 import * as httpHeaders from '../http_headers.js';
 import * as requestFingerprint from '../request_fingerprint.js';
@@ -36,18 +36,12 @@
 /** Time limit of a request whose caller states none. */
 const DEFAULT_TIME_LEFT_MS: units.Millis = 30_000;
 
-/** Longest time for a request's body, whatever time its caller states. */
-const MAX_BODY_TIME_MS: units.Millis = 60_000;
-
 /** Longest time for which the rest of a request is read that was refused. */
 const MAX_READ_ON_MS: units.Millis = 1_000;
 
 /** Time until a retry of a request that this node cannot judge or handle now. */
 const REFUSED_RETRY_AFTER_MS: units.Millis = 300;
 
-/** Length of the colon, space and line end of a header line. */
-const HEADER_LINE_OVERHEAD_BYTES = 4;
-
 const STATUS = {
   badRequest: 400,
   unauthorized: 401,
@@ -85,6 +79,7 @@
   readonly http: platformAdapter.HeaderCodec;
   readonly service: () => string;
   readonly fingerprint: requestFingerprint.RequestFingerprint;
+  readonly bodies: bodyIntake.BodyIntake;
   readonly listener: CallerPortListener;
 }
 
@@ -101,6 +96,8 @@
   private readonly idsByResponse = new WeakMap<http.ServerResponse, number>();
   /** Responses to requests whose body is being read. */
   private readonly unread = new Set<http.ServerResponse>();
+  /** Memory of the bodies of requests without an answer. */
+  private readonly bodies = new Map<http.ServerResponse, bodyIntake.HeldBody>();
   /** Responses that have not been passed to the operating system whole. */
   private readonly unflushed = new Set<http.ServerResponse>();
   private lastId = 0;
@@ -200,45 +197,62 @@
       return;
     }
     const {maxHeaderBytes, maxBodyBytes} = this.limits;
-    if (headerBytes(req) > maxHeaderBytes) {
+    if (httpHeaders.headerBytes(req) > maxHeaderBytes) {
       return this.refuseUnread(res, STATUS.headersTooLarge, 'headers too long');
     }
-    this.unread.add(res);
-    const timer = this.limitBodyTime(req, res);
-    bodyReader.readBody(req, maxBodyBytes, read => {
-      this.unread.delete(res);
-      clearTimeout(timer);
-      // The time has passed and the request was refused, or its caller has left.
-      if (res.headersSent || !this.connections.isOpen(res)) return;
-      switch (read.kind) {
-        case 'cut-short':
-          return;
-        case 'too-long':
-          return this.refuseUnread(res, STATUS.tooLarge, 'body too long');
-        case 'whole':
-          return this.handle(req, res, read.body);
-      }
-    });
+    this.readBody(req, res, maxBodyBytes);
   }
 
-  /** Refuses a request whose body is not complete when its caller ceases to wait. */
-  private limitBodyTime(
+  private readBody(
     req: http.IncomingMessage,
     res: http.ServerResponse,
-  ): NodeJS.Timeout {
-    const {timeLeftMs = DEFAULT_TIME_LEFT_MS} = this.options.http.readCaller(
-      req.headers,
-    );
-    return setTimeout(
-      () => this.refuseUnread(res, STATUS.requestTimeout, 'body not complete'),
-      Math.min(timeLeftMs, MAX_BODY_TIME_MS),
-    );
+    maxBytes: number,
+  ): void {
+    const {http: headerCodec, bodies, listener} = this.options;
+    const {requestId, timeLeftMs = DEFAULT_TIME_LEFT_MS} =
+      headerCodec.readCaller(req.headers);
+    this.unread.add(res);
+    const held = bodies.take(req, {
+      maxBytes,
+      timeLeftMs,
+      onExceeded: () => {
+        listener.onRefused(requestId, 'memory exceeded', {...bodies.use});
+        req.socket.destroy();
+      },
+      onTaken: (taken, body) => {
+        this.unread.delete(res);
+        // The request was refused, or its caller has left.
+        if (res.headersSent || !this.connections.isOpen(res)) {
+          return body[Symbol.dispose]();
+        }
+        switch (taken.kind) {
+          case 'cut-short':
+            return;
+          case 'too-long':
+            return this.refuseUnread(res, STATUS.tooLarge, 'body too long');
+          case 'late':
+            return this.refuseUnread(
+              res,
+              STATUS.requestTimeout,
+              'body not complete',
+            );
+          case 'no-memory':
+            listener.onRefused(requestId, 'no-memory', {...bodies.use});
+            return this.refuseUntaken(res);
+          case 'whole':
+            this.bodies.set(res, body);
+            return this.handle(req, res, taken.body, body.waitedMs);
+        }
+      },
+    });
+    if (this.unread.has(res)) this.bodies.set(res, held);
   }
 
   private handle(
     req: http.IncomingMessage,
     res: http.ServerResponse,
     body: Buffer,
+    heldMs: units.Millis,
   ): void {
     const {http: headerCodec, listener} = this.options;
     const fields = headerCodec.readCaller(req.headers);
@@ -283,6 +297,7 @@
       body,
       workspace: caller,
       timeLeftMs: fields.timeLeftMs ?? DEFAULT_TIME_LEFT_MS,
+      heldMs,
       fingerprint: this.options.fingerprint.of(
         this.options.service(),
         method,
@@ -308,6 +323,8 @@
 
   /** Handles the end of a response; without an answer before, its caller has left. */
   private onEnded(res: http.ServerResponse): void {
+    this.releaseBody(res);
+    this.unread.delete(res);
     this.unflushed.delete(res);
     const id = this.idsByResponse.get(res);
     if (id === undefined || this.remove(id) === undefined) return;
@@ -320,6 +337,17 @@
     return exchange;
   }
 
+  private releaseBody(res: http.ServerResponse): void {
+    this.bodies.get(res)?.[Symbol.dispose]();
+    this.bodies.delete(res);
+  }
+
+  /** Refuses a request whose body there is no memory for, and closes the connection. */
+  private refuseUntaken(res: http.ServerResponse): void {
+    const retry = retryAfterHeader(REFUSED_RETRY_AFTER_MS);
+    this.writeText(res, STATUS.unavailable, 'no-room', retry, true);
+  }
+
   private refuse(res: http.ServerResponse, giveUp: entryCall.GiveUp): void {
     const {reason, mayHaveRun, retryAfterMs} = giveUp;
     if (mayHaveRun) {
@@ -327,8 +355,7 @@
         reason === 'timeout' ? STATUS.gatewayTimeout : STATUS.badGateway;
       return this.writeText(res, status, reason, []);
     }
-    const seconds = (retryAfterMs / units.MS_PER_SECOND).toFixed(2);
-    const retry = ['Retry-After', seconds];
+    const retry = retryAfterHeader(retryAfterMs);
     const status =
       reason === 'over-quota' ? STATUS.tooManyRequests : STATUS.unavailable;
     this.writeText(res, status, reason, retry);
@@ -382,10 +409,11 @@
     status: number,
     reason: string,
     headers: readonly string[],
+    isLast = this.phase !== 'open',
   ): void {
     const body = Buffer.from(reason);
     const length = ['Content-Length', String(body.length)];
-    this.write(res, status, [...headers, ...length], body);
+    this.write(res, status, [...headers, ...length], body, isLast);
   }
 
   private write(
@@ -400,6 +428,7 @@
       isLast && this.connections.endWith(res) ? ['Connection', 'close'] : [];
     res.writeHead(status, [...headers, ...closing]);
     this.unread.delete(res);
+    this.releaseBody(res);
     this.unflushed.add(res);
     if (res.req.complete) res.end(body);
     else endOnceRead(res, body);
@@ -426,6 +455,10 @@
   req.resume();
 }
 
+function retryAfterHeader(retryAfterMs: units.Millis): readonly string[] {
+  return ['Retry-After', (retryAfterMs / units.MS_PER_SECOND).toFixed(2)];
+}
+
 /** Characters of a digest that name an unknown key in logs. */
 const LOGGED_DIGEST_LENGTH = 8;
 
@@ -435,15 +468,6 @@
     : `(${key.kind})`;
 }
 
-function headerBytes(req: http.IncomingMessage): number {
-  let bytes = (req.url ?? '').length;
-  for (let i = 0; i + 1 < req.rawHeaders.length; i += 2) {
-    bytes += req.rawHeaders[i].length + req.rawHeaders[i + 1].length;
-    bytes += HEADER_LINE_OVERHEAD_BYTES;
-  }
-  return bytes;
-}
-
 function statusOf(err: NodeJS.ErrnoException): number {
   switch (err.code) {
     case 'HPE_HEADER_OVERFLOW':
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -11,6 +11,8 @@
 import * as randomSource from '../../common/random_source.js';
 import * as units from '../../common/units.js';
 import * as serving from '../../generated/serving.js';
+import * as bodyIntake from '../body_intake.js';
+import * as callerMemory from '../caller_memory.js';
 import * as clock from '../clock.js';
 import * as requestFingerprint from '../request_fingerprint.js';
 import * as requestIntake from '../request_intake.js';
@@ -37,6 +39,8 @@
   readonly dataCentre: string;
   readonly http: platformAdapter.HeaderCodec;
   readonly bounds: platformAdapter.FleetBounds;
+  /** Memory that the process may use, in MB. */
+  readonly memoryMb: number;
   readonly rollouts: rollouts.Rollouts;
   readonly intent: operatorIntent.OperatorIntent;
   readonly directory: fleetDirectory.FleetDirectory;
@@ -254,6 +258,10 @@
       http,
       service,
       fingerprint,
+      bodies: new bodyIntake.BodyIntake({
+        memory: callerMemory.CallerMemory.ofProcess(this.options.memoryMb),
+        nowMs: clock.monotonicMs,
+      }),
       listener: {
         configuration: () => intent.configuration,
         admitsKeys: () => this.options.keys.admits(),
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -341,6 +341,7 @@
     return new entryRuntime.EntryRuntime({
       ...this.sharedOptions(),
       bounds: this.options.platform.bounds,
+      memoryMb: this.options.settings.memoryMb,
       rollouts: this.rollouts,
       fingerprint,
       keys: this.keys,
