Links between nodes send long bodies without a copy of them

A request or an answer with a long body was encoded into a frame of its own length, by a buffer that doubles, so that a node held a body two to three times while it was sent. The body is now the last field of its message and its frame, and is passed to the socket in parts as it is. The bytes decode as before, so nodes of the version before read them.

--- a/src/node/frame_parts.test.ts
+++ b/src/node/frame_parts.test.ts
@@ -72,7 +72,7 @@
           } else {
             const frame = answerFrame(sent.length + 1, step);
             sent.push(frame);
-            queue.add(encode(frame));
+            queue.add([encode(frame)]);
           }
         }
         drain(queue).forEach(receive);
@@ -95,8 +95,8 @@
 
 nodeTest.test('messages take turns', () => {
   const queue = new frameParts.PartQueue(MAX_OPEN_BYTES);
-  queue.add(Buffer.alloc(3 * frameParts.PART_BYTES));
-  queue.add(Buffer.alloc(2 * frameParts.PART_BYTES));
+  queue.add([Buffer.alloc(3 * frameParts.PART_BYTES)]);
+  queue.add([Buffer.alloc(2 * frameParts.PART_BYTES)]);
   const parts = drain(queue);
   assert.deepEqual(
     parts.map(({message}) => message),
@@ -110,7 +110,7 @@
 
 nodeTest.test('a cleared queue has no parts left', () => {
   const queue = new frameParts.PartQueue(MAX_OPEN_BYTES);
-  queue.add(Buffer.alloc(3 * frameParts.PART_BYTES));
+  queue.add([Buffer.alloc(3 * frameParts.PART_BYTES)]);
   queue.next();
   assert.equal(queue.bytes, 2 * frameParts.PART_BYTES);
   queue.clear();
@@ -124,7 +124,7 @@
   const frames = Array.from({length: 50}, (unused, i) =>
     answerFrame(i + 1, (i % 9) * frameParts.PART_BYTES),
   );
-  for (const frame of frames) queue.add(encode(frame));
+  for (const frame of frames) queue.add([encode(frame)]);
   const joined = drain(queue).map(part => joiner.push(partFrame(part)));
   assert.equal(joined.filter(frame => frame !== undefined).length, 50);
 });
@@ -213,3 +213,29 @@
     {seed: SEED},
   );
 });
+
+nodeTest.test('pieces of a message are sent in order without copies', () => {
+  const queue = new frameParts.PartQueue(10 * frameParts.PART_BYTES);
+  const pieces = [
+    Buffer.from('head'),
+    Buffer.alloc(2 * frameParts.PART_BYTES + 1, 'x'),
+  ];
+  queue.add(pieces);
+  const parts: frameParts.Part[] = [];
+  for (let part = queue.next(); part !== undefined; part = queue.next()) {
+    parts.push(part);
+  }
+  const whole = Buffer.concat(pieces);
+  assert.deepEqual(
+    parts.map(({last, totalBytes}) => [last, totalBytes]),
+    [
+      [false, whole.length],
+      [false, 0],
+      [false, 0],
+      [true, 0],
+    ],
+  );
+  assert.deepEqual(Buffer.concat(parts.map(({content}) => content)), whole);
+  assert.equal(parts[1].content.buffer, pieces[1].buffer);
+  assert.equal(queue.bytes, 0);
+});
--- a/src/node/frame_parts.ts
+++ b/src/node/frame_parts.ts
@@ -20,8 +20,18 @@
   readonly totalBytes: number;
 }
 
+/** A frame that ends with bytes which are not copied. */
+export interface SplitFrame {
+  /** Writes the frame except for the content. */
+  encodeHead(writer: wire.BinaryWriter): wire.BinaryWriter;
+  /** Must not change until it is sent. */
+  readonly content: Buffer;
+}
+
 /** Carries parts in frames of a protocol. */
 export interface PartProtocol<T> {
+  /** Splits a frame with a long body; undefined for other frames. */
+  split?(frame: T): SplitFrame | undefined;
   /** Writes the frame that carries a part, except for the content, with which the frame ends. */
   encodeHead(part: Part, writer: wire.BinaryWriter): wire.BinaryWriter;
   /** Returns the part that a frame carries, undefined if it is another frame. */
@@ -29,12 +39,32 @@
 }
 
 class OutgoingMessage {
-  sentBytes = 0;
+  readonly totalBytes: number;
+  private readonly pieces: Buffer[];
+  private takenBytes = 0;
 
   constructor(
     readonly number: number,
-    readonly bytes: Buffer,
-  ) {}
+    pieces: readonly Buffer[],
+  ) {
+    this.pieces = pieces.filter(({length}) => length > 0);
+    this.totalBytes = this.pieces.reduce((sum, {length}) => sum + length, 0);
+  }
+
+  /** Bytes that were taken. */
+  get sentBytes(): number {
+    return this.takenBytes;
+  }
+
+  /** Takes the next bytes, which lie in one piece. */
+  take(): Buffer {
+    const [piece] = this.pieces;
+    const content = piece.subarray(0, PART_BYTES);
+    if (content.length === piece.length) this.pieces.shift();
+    else this.pieces[0] = piece.subarray(content.length);
+    this.takenBytes += content.length;
+    return content;
+  }
 }
 
 /** Queue of long frames whose parts take turns. */
@@ -58,10 +88,11 @@
     return this.unsentBytes;
   }
 
-  /** Adds an encoded frame, without its length prefix. */
-  add(bytes: Buffer): void {
-    this.waiting.push(new OutgoingMessage(++this.lastNumber, bytes));
-    this.unsentBytes += bytes.length;
+  /** Adds the pieces of an encoded frame, without its length prefix; they are not copied. */
+  add(pieces: readonly Buffer[]): void {
+    const message = new OutgoingMessage(++this.lastNumber, pieces);
+    this.waiting.push(message);
+    this.unsentBytes += message.totalBytes;
   }
 
   /** Removes the next part; undefined if the queue is empty. */
@@ -69,14 +100,13 @@
     this.openWaiting();
     const message = this.open.shift();
     if (message === undefined) return undefined;
-    const {number, bytes, sentBytes} = message;
-    const content = bytes.subarray(sentBytes, sentBytes + PART_BYTES);
-    message.sentBytes += content.length;
+    const {number} = message;
+    const totalBytes = message.sentBytes === 0 ? message.totalBytes : 0;
+    const content = message.take();
     this.unsentBytes -= content.length;
-    const last = message.sentBytes === bytes.length;
-    if (last) this.openBytes -= bytes.length;
+    const last = message.sentBytes === message.totalBytes;
+    if (last) this.openBytes -= message.totalBytes;
     else this.open.push(message);
-    const totalBytes = sentBytes === 0 ? bytes.length : 0;
     return {message: number, content, last, totalBytes};
   }
 
@@ -92,7 +122,7 @@
     while (this.open.length < MAX_OPEN_MESSAGES) {
       const [first] = this.waiting;
       if (first === undefined) return;
-      const openBytes = this.openBytes + first.bytes.length;
+      const openBytes = this.openBytes + first.totalBytes;
       if (this.open.length > 0 && openBytes > this.maxOpenBytes) return;
       this.openBytes = openBytes;
       this.open.push(first);
--- a/src/node/framed_socket.ts
+++ b/src/node/framed_socket.ts
@@ -89,12 +89,14 @@
   /** Sends a frame; without effect once the connection has ended. */
   send(frame: T): void {
     if (!this.socket.writable || this.ending) return;
-    const bytes = frameCodec.encodeFrame(this.codec, frame);
-    if (!this.sendsParts || bytes.length <= frameParts.PART_BYTES) {
-      this.write(bytes);
+    const pieces = this.encode(frame);
+    const length = pieces.reduce((sum, piece) => sum + piece.length, 0);
+    if (!this.sendsParts || length <= frameParts.PART_BYTES) {
+      for (const piece of pieces) this.write(piece);
       return;
     }
-    this.partQueue.add(bytes.subarray(frameCodec.PREFIX_BYTES));
+    const [head, ...rest] = pieces;
+    this.partQueue.add([head.subarray(frameCodec.PREFIX_BYTES), ...rest]);
     this.writeParts();
   }
 
@@ -116,6 +118,18 @@
     this.socket.destroy();
   }
 
+  /** Returns an encoded frame with its length prefix; a long body is a piece of its own. */
+  private encode(frame: T): readonly Buffer[] {
+    const split = this.partProtocol?.split?.(frame);
+    if (split === undefined) return [frameCodec.encodeFrame(this.codec, frame)];
+    const {content} = split;
+    const head = frameCodec.encodePrefixed(
+      writer => split.encodeHead(writer),
+      content.length,
+    );
+    return [head, content];
+  }
+
   /** Writes parts until enough bytes are buffered; the socket's 'drain' event goes on. */
   private writeParts(): void {
     const {socket, partQueue, partProtocol} = this;
--- a/src/node/serving/link_frame.ts
+++ b/src/node/serving/link_frame.ts
@@ -15,6 +15,12 @@
 const PART_TAG = tagOf(15);
 const CONTENT_TAG = tagOf(4);
 
+/** Tags of bodies and of the messages in `NodeFrame` that have one. */
+const DISPATCH_TAG = tagOf(2);
+const DISPATCH_BODY_TAG = tagOf(8);
+const ANSWER_TAG = tagOf(4);
+const ANSWER_BODY_TAG = tagOf(4);
+
 const NO_CONTENT = Buffer.alloc(0);
 
 /** Parts on connections between nodes. */
@@ -30,6 +36,7 @@
       .uint32(head.length + content.length)
       .raw(head);
   },
+  split: splitFrame,
   partOf: ({body}) => (body?.$case === 'part' ? body.value : undefined),
 };
 
@@ -57,6 +64,50 @@
   );
 }
 
+function splitFrame(
+  frame: serving.NodeFrame,
+): frameParts.SplitFrame | undefined {
+  const {body} = frame;
+  switch (body?.$case) {
+    case 'dispatch': {
+      const {value} = body;
+      return splitBody(frame, value.body, DISPATCH_TAG, DISPATCH_BODY_TAG, () =>
+        serving.Dispatch.encode({...value, body: NO_CONTENT}),
+      );
+    }
+    case 'answer': {
+      const {value} = body;
+      return splitBody(frame, value.body, ANSWER_TAG, ANSWER_BODY_TAG, () =>
+        serving.Answer.encode({...value, body: NO_CONTENT}),
+      );
+    }
+    default:
+      return undefined;
+  }
+}
+
+/** Splits a frame before the body of its message, which becomes the last field of both. */
+function splitBody(
+  frame: serving.NodeFrame,
+  content: Buffer,
+  messageTag: number,
+  bodyTag: number,
+  encodeOthers: () => wire.BinaryWriter,
+): frameParts.SplitFrame | undefined {
+  if (content.length <= frameParts.PART_BYTES) return undefined;
+  const head = encodeOthers().uint32(bodyTag).uint32(content.length).finish();
+  const rest = serving.NodeFrame.encode({...frame, body: undefined}).finish();
+  return {
+    content,
+    encodeHead: writer =>
+      writer
+        .raw(rest)
+        .uint32(messageTag)
+        .uint32(head.length + content.length)
+        .raw(head),
+  };
+}
+
 function tagOf(field: number): number {
   return (field << 3) | wire.WireType.LengthDelimited;
 }
