--- a/src/node/body_intake.ts
+++ b/src/node/body_intake.ts
@@ -49,12 +49,16 @@
   nowMs(): units.MonotonicMs;
 }
 
-/** Use of the memory for bodies, in bytes. */
+/** Use of the callers' memory, in bytes. */
 export interface BodyMemoryUse {
   /** Held or reserved for bodies of more than `SMALL_BODY_BYTES`. */
   readonly largeBytes: number;
   /** Held for the other bodies. */
   readonly smallBytes: number;
+  /** Held for callers in all. */
+  readonly usedBytes: number;
+  /** Most that may be held for callers. */
+  readonly maxBytes: number;
 }
 
 /** Memory of a body; must be disposed when the request is answered or its caller has left. */
@@ -216,9 +220,11 @@
     );
   }
 
-  /** Bytes that bodies take. */
+  /** Bytes that are held. */
   get use(): BodyMemoryUse {
-    return {largeBytes: this.queue.usedBytes, smallBytes: this.smallBytes};
+    const {usedBytes, maxBytes} = this.memory;
+    const {queue, smallBytes} = this;
+    return {largeBytes: queue.usedBytes, smallBytes, usedBytes, maxBytes};
   }
 
   /** Whether no further body may wait. */
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -254,14 +254,16 @@
 
   private makeCallerPort(): callerPort.CallerPort {
     const {http, service, fingerprint, intent, log, afterEvent} = this.options;
+    const bodies = new bodyIntake.BodyIntake({
+      memory: callerMemory.CallerMemory.ofProcess(this.options.memoryMb),
+      nowMs: clock.monotonicMs,
+    });
+    log.setCallerMemory(() => bodies.use);
     return new callerPort.CallerPort({
       http,
       service,
       fingerprint,
-      bodies: new bodyIntake.BodyIntake({
-        memory: callerMemory.CallerMemory.ofProcess(this.options.memoryMb),
-        nowMs: clock.monotonicMs,
-      }),
+      bodies,
       listener: {
         configuration: () => intent.configuration,
         admitsKeys: () => this.options.keys.admits(),
--- a/src/node/serving/telemetry.ts
+++ b/src/node/serving/telemetry.ts
@@ -30,6 +30,17 @@
   readonly refusedPerSecond: number;
 }
 
+/** Memory that is held for callers, in bytes. */
+export interface CallerMemoryUse {
+  /** Bodies of requests that are read only while there is memory for them. */
+  readonly largeBytes: number;
+  /** Other bodies of requests. */
+  readonly smallBytes: number;
+  /** All that is counted. */
+  readonly usedBytes: number;
+  readonly maxBytes: number;
+}
+
 /** Counts decisions, observes their durations and passes them on to a log. */
 export class Telemetry implements decision.DecisionLog {
   private readonly registry = new promClient.Registry();
@@ -75,6 +86,14 @@
     registers: [this.registry],
     collect: () => this.collectSockets(),
   });
+  private readonly callerMemory = new promClient.Gauge({
+    name: 'geraniumloft_caller_memory_bytes',
+    help: 'Memory that is held for callers by kind, and its limit.',
+    labelNames: ['kind'],
+    registers: [this.registry],
+    collect: () => this.collectCallerMemory(),
+  });
+  private callerMemoryUse: (() => CallerMemoryUse) | undefined;
   private workspaceUses: () => readonly WorkspaceUse[] = () => [];
 
   constructor(private readonly log: decision.DecisionLog) {}
@@ -84,6 +103,11 @@
     this.workspaceUses = source;
   }
 
+  /** Sets the source of the memory that is held for callers. */
+  setCallerMemory(source: () => CallerMemoryUse): void {
+    this.callerMemoryUse = source;
+  }
+
   write(d: decision.Decision): void {
     const reason = this.reasons.of(String(d.facts['reason'] ?? ''));
     const {component, event} = d;
@@ -129,6 +153,15 @@
     this.memory.set({kind: 'external'}, external);
   }
 
+  private collectCallerMemory(): void {
+    const use = this.callerMemoryUse?.();
+    if (use === undefined) return;
+    this.callerMemory.set({kind: 'large-bodies'}, use.largeBytes);
+    this.callerMemory.set({kind: 'small-bodies'}, use.smallBytes);
+    this.callerMemory.set({kind: 'all'}, use.usedBytes);
+    this.callerMemory.set({kind: 'limit'}, use.maxBytes);
+  }
+
   private count(component: string, event: string, reason: string): void {
     const key = `${component}/${event}/${reason}`;
     const known = this.counts.get(key);
