Large bodies wait for all that is held for callers, not for bodies alone

A large body that was admitted while other things took the callers' memory ended a connection, its own or that of an answer, though it could have waited. It now waits until there is room beside all else, and goes on when bytes are given back (CallerMemory.onFreed). A body that was ended while it was counted is not read. The two new tests of body_intake and that of caller_memory cover it; the first failed before, as the upload was read at once and the largest ended.

--- a/src/node/body_intake.test.ts
+++ b/src/node/body_intake.test.ts
@@ -198,3 +198,24 @@
   assert.equal(await harness.outcomeOf('/last'), 'no-memory');
   assert.equal(harness.memory.usedBytes, MAX_BYTES);
 });
+
+test('a large body waits while other things are held for callers', async () => {
+  await using harness = await Harness.open();
+  const other = harness.memory.allocate(() => assert.fail('ended'));
+  other.add(MAX_BYTES - 1_000);
+  harness.upload('/large', HALF_BYTES);
+  await harness.until(() => harness.intake.queue.waitingCount === 1);
+  other.remove(HALF_BYTES);
+  assert.equal(await harness.outcomeOf('/large'), String(HALF_BYTES));
+});
+
+test('a body that takes most ends when other things use up the memory', async () => {
+  await using harness = await Harness.open();
+  const socket = harness.upload('/large', HALF_BYTES);
+  await harness.outcomeOf('/large');
+  harness.memory.allocate(() => assert.fail('ended')).add(HALF_BYTES - 1_000);
+  assert.equal(socket.destroyed, false);
+  harness.memory.allocate(() => assert.fail('ended')).add(2_000);
+  await harness.until(() => socket.destroyed);
+  assert.equal(harness.memory.usedBytes, HALF_BYTES + 1_000);
+});
--- a/src/node/body_intake.ts
+++ b/src/node/body_intake.ts
@@ -127,6 +127,8 @@
   }
 
   private read(): void {
+    // Counting its bytes may have ended its connection.
+    if (this.state !== 'open') return;
     this.isReading = true;
     this.stopReading = bodyReader.readBody(
       this.req,
@@ -217,7 +219,9 @@
     this.memory = options.memory;
     this.queue = new bodyQueue.BodyQueue(
       LARGE_BODY_SHARE * options.memory.maxBytes,
+      bytes => this.fits(bytes),
     );
+    this.memory.onFreed = () => this.queue.admit();
   }
 
   /** Bytes that are held. */
@@ -244,7 +248,7 @@
     return this.options.nowMs();
   }
 
-  /** Whether the memory has room for the bytes of a small body. */
+  /** Whether the memory has room for further bytes. */
   fits(bytes: number): boolean {
     return this.memory.usedBytes + bytes <= this.memory.maxBytes;
   }
--- a/src/node/body_queue.ts
+++ b/src/node/body_queue.ts
@@ -20,8 +20,14 @@
   private waiting: ReadonlyArray<readonly [QueuedBody, number]> = [];
   private reservedBytes = 0;
 
-  /** @param maxBytes most bytes that are reserved together. */
-  constructor(readonly maxBytes: number) {}
+  /**
+   * @param maxBytes most bytes that are reserved together.
+   * @param hasRoom whether there is memory for further bytes beside all else that it holds.
+   */
+  constructor(
+    readonly maxBytes: number,
+    private readonly hasRoom: (bytes: number) => boolean = () => true,
+  ) {}
 
   /** Bytes that are reserved for all bodies. */
   get usedBytes(): number {
@@ -80,7 +86,8 @@
     this.admit();
   }
 
-  private admit(): void {
+  /** Lets waiting bodies go on for which there is memory now. */
+  admit(): void {
     while (this.waiting.length > 0) {
       const [[first, needed]] = this.waiting;
       if (this.fits(first, needed)) {
@@ -89,7 +96,9 @@
         first.onReserved();
         continue;
       }
-      const stuck = this.findStuck();
+      const stuck = this.isWithinLimit(first, needed)
+        ? undefined
+        : this.findStuck();
       if (stuck === undefined) return;
       this.stopWaiting(stuck);
       stuck.onStuck();
@@ -105,6 +114,13 @@
   }
 
   private fits(body: QueuedBody, needed: number): boolean {
+    return (
+      this.isWithinLimit(body, needed) &&
+      this.hasRoom(needed - this.bytesOf(body))
+    );
+  }
+
+  private isWithinLimit(body: QueuedBody, needed: number): boolean {
     return this.reservedBytes - this.bytesOf(body) + needed <= this.maxBytes;
   }
 
--- a/src/node/caller_memory.test.ts
+++ b/src/node/caller_memory.test.ts
@@ -53,3 +53,15 @@
   allocations.b.add(10);
   assert.equal(memory.usedBytes, 10);
 });
+
+test('each return of bytes is told', () => {
+  const {memory, allocations} = makeMemory(['a', 'b']);
+  const used: number[] = [];
+  memory.onFreed = () => used.push(memory.usedBytes);
+  allocations.a.add(40);
+  allocations.b.add(10);
+  allocations.a.remove(5);
+  allocations.a[Symbol.dispose]();
+  allocations.a[Symbol.dispose]();
+  assert.deepEqual(used, [45, 10]);
+});
--- a/src/node/caller_memory.ts
+++ b/src/node/caller_memory.ts
@@ -48,6 +48,9 @@
   private readonly allocations = new Set<CallerAllocation>();
   private heldBytes = 0;
 
+  /** Called when bytes were given back. */
+  onFreed: () => void = () => undefined;
+
   /** @param maxBytes most bytes that all connections hold together. */
   constructor(readonly maxBytes: number) {}
 
@@ -77,6 +80,7 @@
   release(allocation: CallerAllocation): void {
     if (!this.allocations.delete(allocation)) return;
     this.heldBytes -= allocation.bytes;
+    if (allocation.bytes > 0) this.onFreed();
   }
 
   /** Counts a change of a connection; ends the largest ones until the rest fits. */
@@ -89,5 +93,6 @@
       this.release(largest);
       largest.onExceeded();
     }
+    if (bytes < 0) this.onFreed();
   }
 }
