Test: uploads that are refused fewer than the server's slots

With more uploads than slots the request beside them failed on earlier code for want of a slot, and the test did not come to what it is for.

--- a/test/paths/upload_refusals.test.ts
+++ b/test/paths/upload_refusals.test.ts
@@ -9,7 +9,8 @@
 
 const BYTES_PER_MB = 1024 * 1024;
 
-const UPLOADS = 16;
+/** Fewer than the slots of the server. */
+const UPLOADS = 8;
 
 /** Of which the callers' memory takes four: 64 MB, a quarter of it, three quarters of that. */
 const BODY = 'x'.repeat(3 * BYTES_PER_MB);
@@ -44,7 +45,7 @@
       paddingBytes: 0,
     }),
   };
-  const answers = Array.from({length: UPLOADS}, async (unused, i) => {
+  const sendUpload = async (i: number) => {
     const id = `u${i}`;
     const answer = await fleet.send(node, {
       id,
@@ -54,7 +55,10 @@
       deadlineMs: DEADLINE_MS,
     });
     return {id, ...answer};
-  });
+  };
+  const answers = Promise.allSettled(
+    Array.from({length: UPLOADS}, (unused, i) => sendUpload(i)),
+  );
   await child.waitUntil(
     () => node.server.running > 0,
     DEADLINE_MS,
@@ -62,7 +66,12 @@
   );
   const {status} = await fleet.send(node, {id: 'small'});
   assert.equal(status, 200);
-  const refused = (await Promise.all(answers)).filter(a => a.status === 503);
+  const refused = (await answers)
+    .map(settled => {
+      assert.equal(settled.status, 'fulfilled');
+      return settled.value;
+    })
+    .filter(answer => answer.status === 503);
   assert.ok(refused.length > 0);
   for (const {id, headers} of refused) {
     assert.ok(Number(headers['retry-after']) > 0, id);
