--- a/test/paths/lone_node.ts
+++ b/test/paths/lone_node.ts
@@ -9,6 +9,9 @@
 
 const execFile = util.promisify(childProcess.execFile);
 
+/** Number of ports of a node, its backend server and the store. */
+export const PORT_COUNT = 6;
+
 /** State of a listening socket in /proc/net/tcp. */
 const LISTENING = '0A';
 
@@ -27,11 +30,11 @@
 
 /** Returns settings with ports that are free; `changes` replaces fields. */
 export async function settings(changes: object = {}): Promise<LoneSettings> {
-  const ports = await child.freePorts(6);
+  const ports = await child.freePorts(PORT_COUNT);
   return settingsOn(ports, changes);
 }
 
-/** Returns settings with the given six ports. */
+/** Returns settings with the given ports, `PORT_COUNT` of them. */
 export function settingsOn(
   ports: readonly number[],
   changes: object = {},
@@ -77,6 +80,11 @@
   }
 }
 
+/** Whether the script has installed all its handlers of signals; SIGIO is the last one. */
+export function handlesSignals(node: child.Child): boolean {
+  return catches(node, 'SIGIO');
+}
+
 /** Whether a port of loopback is open. */
 export function isListening(port: number): boolean {
   const hex = port.toString(16).toUpperCase().padStart(4, '0');
