--- a/src/node/serving/link_frame.ts
+++ b/src/node/serving/link_frame.ts
@@ -5,6 +5,7 @@
 
 import * as units from '../../common/units.js';
 import * as serving from '../../generated/serving.js';
+import * as frameCodec from '../frame_codec.js';
 import * as frameParts from '../frame_parts.js';
 import * as framedSocket from '../framed_socket.js';
 
@@ -33,6 +34,19 @@
   partOf: ({body}) => (body?.$case === 'part' ? body.value : undefined),
 };
 
+/**
+ * Decodes frames. The encoding of integers bounds them, that of the other numbers does not: what is
+ * counted with such a number could not be sent.
+ */
+const FRAME_CODEC: frameCodec.FrameCodec<serving.NodeFrame> = {
+  encode: (frame, writer) => serving.NodeFrame.encode(frame, writer),
+  decode: bytes => {
+    const frame = serving.NodeFrame.decode(bytes);
+    if (!rates(frame).every(isRate)) throw new RangeError('no rate');
+    return frame;
+  },
+};
+
 /** Returns a frame that states when it was sent. */
 export function stamped(
   body: serving.NodeFrame['body'],
@@ -49,7 +63,7 @@
 ): framedSocket.FramedSocket<serving.NodeFrame> {
   return new framedSocket.FramedSocket(
     socket,
-    serving.NodeFrame,
+    FRAME_CODEC,
     MAX_FRAME_BYTES,
     peerName,
     listener,
@@ -57,6 +71,41 @@
   );
 }
 
+/** Returns the rates and bursts that a frame states. */
+function rates({body}: serving.NodeFrame): readonly number[] {
+  switch (body?.$case) {
+    case 'greeting':
+    case 'dispatch':
+      return limitOf(body.value.notice);
+    case 'answer':
+    case 'refusal':
+    case 'pulse':
+      return limitOf(body.value.load?.notice);
+    case 'tokenRequest':
+      return body.value.demands.flatMap(d => [d.ratePerSecond, d.burst]);
+    case 'withdraw':
+    case 'ping':
+    case 'stateWanted':
+    case 'state':
+    case 'suspect':
+    case 'freshnessRequest':
+    case 'freshnessProof':
+    case 'tokenGrant':
+    case 'part':
+    case undefined:
+      return [];
+  }
+}
+
+function limitOf(notice: serving.ServerNotice | undefined): readonly number[] {
+  const perSecond = notice?.limitPerSecond;
+  return perSecond === undefined ? [] : [perSecond];
+}
+
+function isRate(value: number): boolean {
+  return Number.isFinite(value) && value >= 0;
+}
+
 function tagOf(field: number): number {
   return (field << 3) | wire.WireType.LengthDelimited;
 }
