--- a/src/node/serving/fleet_sync.test.ts
+++ b/src/node/serving/fleet_sync.test.ts
@@ -152,3 +152,51 @@
   assert.deepEqual(intent.position, position);
   assert.equal(intent.configuration?.version, 1);
 });
+
+// Text that is JSON but no configuration threw in the callback of the link, or later.
+test('a configuration of a peer that lacks fields is not applied', () => {
+  const document = fixtures.document({version: 9});
+  const odd: readonly unknown[] = [
+    null,
+    7,
+    {},
+    {version: 9},
+    {...document, limits: {}},
+    {...document, routes: [{...document.routes[0], host: undefined}]},
+    {...document, routes: [{...document.routes[0], timeoutMs: 'long'}]},
+    {...document, routes: [{...document.routes[0], rank: 0.5}]},
+    {...document, services: [null]},
+    {...document, workspaces: [{name: 'a'}]},
+    {
+      ...document,
+      workspaces: [
+        {name: 'a', keyDigests: []},
+        {name: 'a', keyDigests: []},
+      ],
+    },
+  ];
+  for (const value of odd) {
+    const {sync, intent} = setUp(false);
+    const configurationJson = JSON.stringify(value);
+    const state = {...sync.state(), configurationJson, intentOffset: 9};
+    sync.onState('near', state);
+    assert.equal(intent.configuration?.version, 1, configurationJson);
+  }
+});
+
+test('a configuration of a peer is applied, with fields that are not known', () => {
+  const {sync, intent} = setUp(false);
+  const workspaces = [
+    {name: 'a', keyDigests: ['d'], rank: 1, quota: undefined},
+    {
+      name: 'b',
+      keyDigests: [],
+      rank: undefined,
+      quota: {ratePerSecond: 0.5, burst: 2},
+    },
+  ];
+  const document = fixtures.document({version: 9, workspaces});
+  const configurationJson = JSON.stringify({...document, added: 1});
+  sync.onState('near', {...sync.state(), configurationJson, intentOffset: 9});
+  assert.equal(intent.configuration?.version, 9);
+});
--- a/src/node/serving/fleet_sync.ts
+++ b/src/node/serving/fleet_sync.ts
@@ -1,11 +1,11 @@
 /** Keeps this node's view of the operators' intent and the fleet up to date. */
 import * as crashSuspects from '../../common/serving/crash_suspects.js';
 import * as decision from '../../common/serving/decision.js';
-import * as configuration from '../../common/serving/configuration.js';
 import * as operatorIntent from '../../common/serving/operator_intent.js';
 import * as units from '../../common/units.js';
 import * as serving from '../../generated/serving.js';
 import * as rolloutMessage from '../../common/rollouts/rollout_message.js';
+import * as peerConfiguration from './peer_configuration.js';
 import * as platformAdapter from './platform_adapter.js';
 import * as fleetDirectory from './fleet_directory.js';
 
@@ -230,7 +230,7 @@
     const document =
       configurationJson === ''
         ? undefined
-        : (JSON.parse(configurationJson) as configuration.FleetConfiguration);
+        : peerConfiguration.parse(configurationJson);
     const dataCentres = state.dataCentres.map(
       ({dataCentre, out, era, offset, heldMs}) => ({
         dataCentre,
