--- a/src/node/logger.ts
+++ b/src/node/logger.ts
@@ -15,6 +15,8 @@
   level: loglevel.LogLevelDesc,
 ): Logger {
   const logger = loglevel.default.getLogger(name);
+  // An error such as EPIPE or ENOSPC must not end the process.
+  process.stderr.on('error', () => undefined);
   logger.methodFactory = methodName => {
     return (...parts: readonly unknown[]) => {
       const line = `${new Date().toISOString()} ${methodName} ${name}: ${parts.join(' ')}`;
