--- a/src/node/process_failures.ts
+++ b/src/node/process_failures.ts
@@ -27,7 +27,10 @@
 ): void {
   // Rejected promises arrive here too, with their origin.
   process.on('uncaughtException', (err, origin) => {
-    report(unhandledFailure(err, origin));
+    const failure = unhandledFailure(err, origin);
+    // The log may drop the line, as it has a rate limit.
+    console.error(`${failure.step}: ${failure.cause}`);
+    report(failure);
     process.exit(UNHANDLED_STATUS);
   });
 }
