--- a/test/paths/taken_ports.test.ts
+++ b/test/paths/taken_ports.test.ts
@@ -4,6 +4,10 @@
 import * as nodeTest from 'node:test';
 import * as timers from 'node:timers/promises';
 
+import * as adapter from '../../platform/adapter.js';
+import * as generated from '../../src/generated/node_settings.js';
+import * as servingNode from '../../src/node/serving/serving_node.js';
+import * as telemetry from '../../src/node/serving/telemetry.js';
 import * as child from './child.js';
 import * as platformFleet from './platform_fleet.js';
 
@@ -14,6 +18,9 @@
 
 const SERVED_TIMEOUT_MS = 15_000;
 
+/** Longest time for a disposal; the node would wait for its port much longer. */
+const DISPOSAL_MS = 5_000;
+
 type PortName = 'callers' | 'peers' | 'announcements' | 'readiness' | 'metrics';
 
 /** Holds a port until it is disposed. */
@@ -132,3 +139,44 @@
   assert.ok(process.isRunning, process.printed);
   assert.match(process.printed, /"code":"EADDRNOTAVAIL"/);
 });
+
+test('a node that waits for its ports is disposed at once', async () => {
+  const ports = await child.freePorts(6);
+  const [callers, peers, announcements, readiness, metrics, store] = ports.map(
+    port => `127.0.0.1:${port}`,
+  );
+  const settings = {
+    nodeId: 'node-0',
+    dataCentre: 'north',
+    service: 'orders',
+    server: '127.0.0.1:9',
+    listen: {callers, peers, announcements, readiness, metrics},
+    store,
+    bounds: {},
+    memoryMb: 250,
+  } as unknown as generated.NodeSettings;
+  await using unusedHolder = await holdPort(callers);
+  await using unusedOther = await holdPort(metrics);
+  const platform = adapter.createPlatform(settings.store, settings.bounds);
+  await using unusedStore = platform.store;
+  const waits: string[] = [];
+  const log = new telemetry.Telemetry({
+    write: ({event}) => void waits.push(event),
+  });
+  const node = await servingNode.ServingNode.create({
+    settings,
+    platform,
+    telemetry: log,
+    processStartedMs: Date.now(),
+  });
+  const rejected = assert.rejects(node.open(), /closed/);
+  await child.waitUntil(
+    () => waits.filter(event => event === 'listen-waiting').length === 2,
+    SERVED_TIMEOUT_MS,
+    () => `two ports to be waited for: ${waits}`,
+  );
+  const startMs = performance.now();
+  await node[Symbol.asyncDispose]();
+  await rejected;
+  assert.ok(performance.now() - startMs < DISPOSAL_MS);
+});
