--- a/src/node/serving/node_ports.ts
+++ b/src/node/serving/node_ports.ts
@@ -37,7 +37,7 @@
   }
 
   /**
-   * Opens all ports at the same time; resolves once those are open that requests depend on.
+   * Opens the port for peers once the others are open that requests depend on; resolves then.
    *
    * @throws errors.GeraniumloftError that names the port if one stays taken or cannot be opened.
    */
@@ -47,9 +47,10 @@
     await Promise.all([
       this.serve('readiness', this.options.readiness),
       this.serve('announcements', this.options.announcements),
-      peers(this.portOf('peers', listen.peers)),
       callers(this.portOf('callers', listen.callers)),
     ]);
+    // Last: nothing runs here before other nodes reach this one, so a stop may end the wait.
+    await peers(this.portOf('peers', listen.peers));
     this.opened = true;
   }
 
