--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -127,12 +127,13 @@
    *     disposed meanwhile.
    */
   async open(): Promise<void> {
-    await this.ports.open();
+    // From here on, as a wait for a port is no pause of the process.
     this.messageAge.observe(clock.monotonicMs());
+    this.wakeTimer.schedule(clock.monotonicMs() + MAX_TICK_INTERVAL_MS);
+    await this.ports.open();
     this.storeReaders.start();
     this.registry.start();
     this.statusWriter.start();
-    this.wakeTimer.schedule(clock.monotonicMs() + MAX_TICK_INTERVAL_MS);
   }
 
   /** Applies settings that changed while the node runs; open ports stay as they are. */
