--- a/test/stand_ins/server/server_mode.ts
+++ b/test/stand_ins/server/server_mode.ts
@@ -20,6 +20,8 @@
   readonly cutShort: boolean;
   /** Answers with the id of another request. */
   readonly foreign: boolean;
+  /** Least length of an answer's body, in bytes. */
+  readonly bodyBytes: number;
   /** Age of the load report, in milliseconds. */
   readonly loadLagMs: number;
   /** Load to report; negative to report the actual load. */
@@ -40,6 +42,7 @@
   silent: false,
   cutShort: false,
   foreign: false,
+  bodyBytes: 0,
   loadLagMs: 500,
   reportedInFlight: -1,
   announce: 'ready',
--- a/test/stand_ins/server/server_stand_in.ts
+++ b/test/stand_ins/server/server_stand_in.ts
@@ -197,7 +197,7 @@
         checksum: checksum(body),
         depth: Number(req.headers['geraniumloft-depth'] ?? 0),
         runs,
-      }),
+      }).padEnd(this.mode.bodyBytes),
     );
     res.setHeader('Content-Type', 'application/json');
     res.setHeader('Content-Length', answer.length);
