Count answers that callers have not taken, and reset who holds most

Callers saw: the node was killed for its memory, with all its requests, when some clients did not read large answers or read them slowly.

Cause: the bytes of an answer counted only while it was read from the server. What was written to a caller and not taken was held without a bound, however many answers and connections.

CallerConnections now counts the bytes of each response until it has been passed to the operating system whole.

--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -39,6 +39,8 @@
 
 /** Counters other than refusals and retries, with descriptions for docs/METRICS.md. */
 export const COUNTER_DESCRIPTIONS = {
+  'callers.reset-memory':
+    'Connections reset because callers held too much memory together, and these most of it.',
   'configuration.rejected':
     'Configuration changes in the log that were not accepted.',
   'datagram.failed': 'Datagrams that could not be sent.',
--- a/src/node/caller_connections.ts
+++ b/src/node/caller_connections.ts
@@ -2,29 +2,70 @@
 import type * as http from 'node:http';
 import type * as net from 'node:net';
 
+import type * as callerMemory from './caller_memory.js';
+
+/** Why a connection was reset. */
+export type ResetReason = 'caller memory used up';
+
+/** Counters of the connections that were reset, by reason. */
+export const RESET_COUNTERS = {
+  'caller memory used up': 'callers.reset-memory',
+} as const satisfies Readonly<Record<ResetReason, string>>;
+
+/** Dependencies of `CallerConnections`. */
+export interface CallerConnectionsOptions {
+  /** Memory that all connections share. */
+  readonly memory: callerMemory.CallerMemory;
+  /** A connection was reset; its requests end when it has closed. */
+  onReset(reason: ResetReason): void;
+}
+
+/** A request without a response that was passed to the operating system whole. */
+interface OpenRequest {
+  readonly onEnd: () => void;
+  readonly heldBytes: number;
+}
+
 /**
  * Requests of one connection that wait for their responses. A caller may send requests behind one
  * another; Node.js passes each on at once, writes the responses in order, and emits the events of a
  * response only once its turn has come.
  */
 class CallerConnection {
-  private readonly open = new Map<http.ServerResponse, () => void>();
+  private readonly open = new Map<http.ServerResponse, OpenRequest>();
+  private readonly allocation: callerMemory.CallerAllocation;
   private newest: http.ServerResponse | undefined;
   /** Whether the connection ends with the response to the newest request. */
   isEnding = false;
 
-  constructor(private readonly socket: net.Socket) {
-    socket.once('close', () => this.endAll(() => true));
+  constructor(
+    private readonly socket: net.Socket,
+    private readonly options: CallerConnectionsOptions,
+  ) {
+    this.allocation = options.memory.allocate(() =>
+      this.reset('caller memory used up'),
+    );
+    socket.once('close', () => {
+      this.endAll(() => true);
+      this.allocation[Symbol.dispose]();
+    });
     // Node.js then writes no further response.
     socket.once('end', () => this.endAll(res => !res.headersSent));
   }
 
   add(res: http.ServerResponse, onEnd: () => void): void {
     this.newest = res;
-    this.open.set(res, onEnd);
+    this.open.set(res, {onEnd, heldBytes: 0});
     res.once('close', () => this.end(res));
   }
 
+  hold(res: http.ServerResponse, bytes: number): void {
+    const request = this.open.get(res);
+    if (request === undefined) return;
+    this.open.set(res, {...request, heldBytes: request.heldBytes + bytes});
+    this.allocation.add(bytes);
+  }
+
   isNewest(res: http.ServerResponse): boolean {
     return this.newest === res;
   }
@@ -46,16 +87,23 @@
     return this.open.size > 0;
   }
 
+  /** A reset also frees what the operating system holds for the caller. */
+  private reset(reason: ResetReason): void {
+    this.options.onReset(reason);
+    this.socket.resetAndDestroy();
+  }
+
   private endAll(isEnded: (res: http.ServerResponse) => boolean): void {
     for (const res of [...this.open.keys()]) if (isEnded(res)) this.end(res);
   }
 
   private end(res: http.ServerResponse): void {
-    const onEnd = this.open.get(res);
-    if (onEnd === undefined) return;
+    const request = this.open.get(res);
+    if (request === undefined) return;
     this.open.delete(res);
+    this.allocation.remove(request.heldBytes);
     if (this.isEnding && this.open.size === 0) this.socket.end();
-    onEnd();
+    request.onEnd();
   }
 }
 
@@ -63,6 +111,8 @@
 export class CallerConnections {
   private readonly connections = new WeakMap<net.Socket, CallerConnection>();
 
+  constructor(private readonly options: CallerConnectionsOptions) {}
+
   /**
    * Adds a response; returns false if its request must not be handled, as its connection ends with
    * the response to an earlier one.
@@ -76,6 +126,14 @@
     return true;
   }
 
+  /**
+   * Counts bytes that a response holds until it has been written whole. Connections are reset, the
+   * one that holds most first, when all together hold too much.
+   */
+  hold(res: http.ServerResponse, bytes: number): void {
+    this.of(res.req.socket).hold(res, bytes);
+  }
+
   /** Whether the caller still waits for a response. */
   isOpen(res: http.ServerResponse): boolean {
     return this.of(res.req.socket).isOpen(res);
@@ -105,7 +163,7 @@
   private of(socket: net.Socket): CallerConnection {
     const known = this.connections.get(socket);
     if (known) return known;
-    const connection = new CallerConnection(socket);
+    const connection = new CallerConnection(socket, this.options);
     this.connections.set(socket, connection);
     return connection;
   }
--- a/src/node/http_entry.test.ts
+++ b/src/node/http_entry.test.ts
@@ -10,6 +10,7 @@
 import * as peer from '../generated/peer.js';
 import * as child from '../../test/paths/child.js';
 import * as fleet from '../../test/paths/fleet.js';
+import * as callerMemory from './caller_memory.js';
 import * as httpEntry from './http_entry.js';
 import * as httpHeaders from './http_headers.js';
 import * as requestFingerprint from './request_fingerprint.js';
@@ -17,6 +18,7 @@
 const SEED = Number(process.env['SEED'] ?? 5);
 const TIMEOUT_MS = 5_000;
 const MAX_BODY_BYTES = 1_024;
+const MEMORY_MB = 250;
 
 /** A listening HTTP entry, and the events it emitted. */
 interface TestEntry extends AsyncDisposable {
@@ -46,6 +48,7 @@
       maxBodyBytes: MAX_BODY_BYTES,
       maxHeaderBytes: 2_048,
       maxCalls: 16,
+      memory: callerMemory.CallerMemory.ofProcess(MEMORY_MB),
       serverSources,
     },
     {configuration} as unknown as fleetView.FleetView,
--- a/src/node/http_entry.ts
+++ b/src/node/http_entry.ts
@@ -14,6 +14,7 @@
 import * as bodyReader from './body_reader.js';
 import * as callerConnections from './caller_connections.js';
 import * as callerHeaders from './caller_headers.js';
+import type * as callerMemory from './caller_memory.js';
 import * as clock from './clock.js';
 import * as eventSource from './event_source.js';
 import * as httpHeaders from './http_headers.js';
@@ -48,6 +49,8 @@
   readonly maxHeaderBytes: number;
   /** Maximum number of requests in progress. */
   readonly maxCalls: number;
+  /** Memory that callers may take. */
+  readonly memory: callerMemory.CallerMemory;
   /** Addresses from which announcements are accepted. */
   readonly serverSources: readonly string[];
 }
@@ -76,7 +79,7 @@
 export class HttpEntry implements AsyncDisposable {
   private readonly server: http.Server;
   private readonly acceptsServerSource: sourceFilter.SourceFilter;
-  private readonly connections = new callerConnections.CallerConnections();
+  private readonly connections: callerConnections.CallerConnections;
   private readonly exchanges = new Map<string, Exchange>();
   private readonly source = new eventSource.EventSource<HttpEntryEvent>();
   private readonly intake = this.makeIntake();
@@ -93,6 +96,11 @@
     private readonly fingerprint: requestFingerprint.RequestFingerprint,
     private readonly count: counters.Counters,
   ) {
+    this.connections = new callerConnections.CallerConnections({
+      memory: options.memory,
+      onReset: reason =>
+        count.increment(callerConnections.RESET_COUNTERS[reason]),
+    });
     this.acceptsServerSource = sourceFilter.createSourceFilter(
       options.serverSources,
     );
@@ -379,6 +387,7 @@
     const closeHeaders =
       isLast && this.connections.endWith(res) ? ['Connection', 'close'] : [];
     res.writeHead(status, [...headers, ...closeHeaders]);
+    this.connections.hold(res, body.length);
     res.end(body);
   }
 
--- a/src/node/node_sockets.ts
+++ b/src/node/node_sockets.ts
@@ -2,6 +2,7 @@
 import * as fleetView from '../common/control/fleet_view.js';
 import * as counters from '../common/counters.js';
 import * as generated from '../generated/settings.js';
+import * as callerMemory from './caller_memory.js';
 import * as clock from './clock.js';
 import * as datagramSocket from './datagram_socket.js';
 import * as httpEntry from './http_entry.js';
@@ -72,7 +73,14 @@
   );
   const http = resources.use(
     new httpEntry.HttpEntry(
-      {...sizes, ip, port: ports.http, maxCalls: bounds.calls, serverSources},
+      {
+        ...sizes,
+        ip,
+        port: ports.http,
+        maxCalls: bounds.calls,
+        memory: new callerMemory.CallerMemory(bounds.callerBytes),
+        serverSources,
+      },
       view,
       fingerprint,
       count,
--- a/src/node/serving/caller_port.ts
+++ b/src/node/serving/caller_port.ts
@@ -11,6 +11,7 @@
 import * as serving from '../../generated/serving.js';
 import * as bodyReader from '../body_reader.js';
 import * as callerConnections from '../caller_connections.js';
+import * as callerMemory from '../caller_memory.js';
 import * as httpHeaders from '../http_headers.js';
 import * as requestFingerprint from '../request_fingerprint.js';
 import * as tcpListener from '../tcp_listener.js';
@@ -86,6 +87,8 @@
   readonly service: () => string;
   readonly fingerprint: requestFingerprint.RequestFingerprint;
   readonly listener: CallerPortListener;
+  /** Memory that the process may use, in MB. */
+  readonly memoryMb: number;
 }
 
 interface Exchange {
@@ -96,7 +99,7 @@
 /** Reads callers' requests and writes the responses. */
 export class CallerPort implements AsyncDisposable {
   private readonly server: http.Server;
-  private readonly connections = new callerConnections.CallerConnections();
+  private readonly connections: callerConnections.CallerConnections;
   private readonly exchanges = new Map<number, Exchange>();
   private readonly idsByResponse = new WeakMap<http.ServerResponse, number>();
   /** Responses to requests whose body is being read. */
@@ -107,6 +110,10 @@
   private phase: 'open' | 'closing' | 'closed' = 'open';
 
   constructor(private readonly options: CallerPortOptions) {
+    this.connections = new callerConnections.CallerConnections({
+      memory: callerMemory.CallerMemory.ofProcess(options.memoryMb),
+      onReset: reason => options.listener.onRefused(undefined, reason),
+    });
     this.server = http.createServer(
       {
         maxHeaderSize: MAX_PARSED_HEADER_BYTES,
@@ -401,6 +408,7 @@
     res.writeHead(status, [...headers, ...closing]);
     this.unread.delete(res);
     this.unflushed.add(res);
+    this.connections.hold(res, body.length);
     if (res.req.complete) res.end(body);
     else endOnceRead(res, body);
   }
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -45,6 +45,8 @@
   readonly fingerprint: requestFingerprint.RequestFingerprint;
   readonly log: telemetry.Telemetry;
   readonly localGate: LocalGate;
+  /** Memory that the process may use, in MB. */
+  readonly memoryMb: number;
   readonly keys: keyAdmission.KeyAdmission;
   greeting(toNodeId: string): serving.Greeting;
   onSuspect(suspect: serving.Suspect): void;
@@ -251,6 +253,7 @@
   private makeCallerPort(): callerPort.CallerPort {
     const {http, service, fingerprint, intent, log, afterEvent} = this.options;
     return new callerPort.CallerPort({
+      memoryMb: this.options.memoryMb,
       http,
       service,
       fingerprint,
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -318,7 +318,6 @@
       ...this.sharedOptions(),
       suspects: this.suspects,
       rollouts: this.rollouts,
-      memoryMb: this.options.settings.memoryMb,
       coldRateFactor: platform.bounds.coldRateFactor,
       soleSenderSinceMs: processStartedMs - platform.bounds.restartGapMs,
       readsStore: () => this.storeReaders.readsStore,
@@ -360,6 +359,7 @@
     return {
       service: () => this.settings.service,
       dataCentre: settings.dataCentre,
+      memoryMb: settings.memoryMb,
       http: platform.http,
       intent: this.intent,
       directory: this.directory,
