Read no further requests of a connection with 256 open ones

Callers saw: one connection that sent requests behind one another without end, and read no answers, ended the node and geraniumloftd at the heap limit.

Cause: Node.js stops to read a socket whose answers wait, but resumes it whenever one of them is passed to the socket, whether the caller takes it or not. Requests therefore grew without a bound, and so they did on a connection that ends with an earlier answer: those behind it were read on and dropped.

CallerConnections pauses the socket at 256 open requests, and again after each resume of Node.js, until one is answered. Up to 64 KiB that were read with them are still handled: they count in the memory of callers with 4 KiB each and their heads. Requests that are dropped count too, and the connection then closes with its last answer. The rest of a request cannot arrive while its connection is not read, so that this is no timeout of the caller.

Failed before: the three tests of unread_pipelines.test.ts and two of unread_answers_daemon.test.ts (heap limit of 160 MB). Now: peaks of 135 and 190 MB at the node, 132 and 159 MB at geraniumloftd, 250 allowed, an ordinary request is answered, and the stop ends with status 0.

--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -39,6 +39,8 @@
 
 /** Counters other than refusals and retries, with descriptions for docs/METRICS.md. */
 export const COUNTER_DESCRIPTIONS = {
+  'callers.paused':
+    'Connections that were not read for a while, as many of their requests had no answer.',
   'callers.reset-memory':
     'Connections reset because callers held too much memory together, and these most of it.',
   'configuration.rejected':
--- a/src/node/caller_connections.ts
+++ b/src/node/caller_connections.ts
@@ -4,6 +4,12 @@
 
 import type * as callerMemory from './caller_memory.js';
 
+/** Open requests from which on a connection is not read until one of them is answered. */
+const MAX_OPEN_REQUESTS = 256;
+
+/** Memory of an open request besides its head and bodies, in all parts that handle it. */
+const OPEN_REQUEST_BYTES = 4 * 1024;
+
 /** Why a connection was reset. */
 export type ResetReason = 'caller memory used up';
 
@@ -18,6 +24,8 @@
   readonly memory: callerMemory.CallerMemory;
   /** A connection was reset; its requests end when it has closed. */
   onReset(reason: ResetReason): void;
+  /** A connection is not read for the first time, as too many of its requests are open. */
+  onPaused(): void;
 }
 
 /** A request without a response that was passed to the operating system whole. */
@@ -35,6 +43,11 @@
   private readonly open = new Map<http.ServerResponse, OpenRequest>();
   private readonly allocation: callerMemory.CallerAllocation;
   private newest: http.ServerResponse | undefined;
+  /** Requests that came after the one with whose response the connection ends. */
+  private ignored = 0;
+  private hasPaused = false;
+  /** Whether nothing is read, as too many requests are open. */
+  isPaused = false;
   /** Whether the connection ends with the response to the newest request. */
   isEnding = false;
 
@@ -45,18 +58,27 @@
     this.allocation = options.memory.allocate(() =>
       this.reset('caller memory used up'),
     );
+    // Its 'close' event may have been emitted.
+    if (socket.destroyed) this.allocation[Symbol.dispose]();
     socket.once('close', () => {
       this.endAll(() => true);
       this.allocation[Symbol.dispose]();
     });
+    // Node.js resumes a socket after each request and response.
+    socket.on('resume', () => {
+      if (this.isPaused) socket.pause();
+    });
     // Node.js then writes no further response.
     socket.once('end', () => this.endAll(res => !res.headersSent));
   }
 
   add(res: http.ServerResponse, onEnd: () => void): void {
     this.newest = res;
-    this.open.set(res, {onEnd, heldBytes: 0});
+    const heldBytes = OPEN_REQUEST_BYTES + headBytes(res.req);
+    this.open.set(res, {onEnd, heldBytes});
     res.once('close', () => this.end(res));
+    this.allocation.add(heldBytes);
+    this.pauseIfFull();
   }
 
   hold(res: http.ServerResponse, bytes: number): void {
@@ -66,6 +88,14 @@
     this.allocation.add(bytes);
   }
 
+  /** Counts a request that is not handled, as the connection is ending. */
+  ignore(): void {
+    this.ignored++;
+    this.allocation.add(OPEN_REQUEST_BYTES);
+    this.pauseIfFull();
+    if (this.open.size === 0) this.endSocket();
+  }
+
   isNewest(res: http.ServerResponse): boolean {
     return this.newest === res;
   }
@@ -87,12 +117,37 @@
     return this.open.size > 0;
   }
 
+  /**
+   * Reads nothing while too many requests are open. Those that have been read before, up to 64 KiB
+   * of them, are handled all the same; they count in the memory.
+   */
+  private pauseIfFull(): void {
+    const isFull = this.open.size + this.ignored >= MAX_OPEN_REQUESTS;
+    if (isFull === this.isPaused) return;
+    this.isPaused = isFull;
+    if (isFull) this.pause();
+    else this.socket.resume();
+  }
+
+  private pause(): void {
+    this.socket.pause();
+    if (!this.hasPaused) this.options.onPaused();
+    this.hasPaused = true;
+  }
+
   /** A reset also frees what the operating system holds for the caller. */
   private reset(reason: ResetReason): void {
+    this.isEnding = true;
     this.options.onReset(reason);
     this.socket.resetAndDestroy();
   }
 
+  /** A paused socket would not notice that its caller closes it too. */
+  private endSocket(): void {
+    if (this.isPaused) this.socket.destroySoon();
+    else this.socket.end();
+  }
+
   private endAll(isEnded: (res: http.ServerResponse) => boolean): void {
     for (const res of [...this.open.keys()]) if (isEnded(res)) this.end(res);
   }
@@ -102,11 +157,16 @@
     if (request === undefined) return;
     this.open.delete(res);
     this.allocation.remove(request.heldBytes);
-    if (this.isEnding && this.open.size === 0) this.socket.end();
+    this.pauseIfFull();
+    if (this.isEnding && this.open.size === 0) this.endSocket();
     request.onEnd();
   }
 }
 
+function headBytes({url = '', rawHeaders}: http.IncomingMessage): number {
+  return rawHeaders.reduce((bytes, text) => bytes + text.length, url.length);
+}
+
 /** Tracks the responses of all connections to a server. */
 export class CallerConnections {
   private readonly connections = new WeakMap<net.Socket, CallerConnection>();
@@ -121,7 +181,10 @@
    */
   add(res: http.ServerResponse, onEnd: () => void): boolean {
     const connection = this.of(res.req.socket);
-    if (connection.isEnding) return false;
+    if (connection.isEnding) {
+      connection.ignore();
+      return false;
+    }
     connection.add(res, onEnd);
     return true;
   }
@@ -150,6 +213,11 @@
     return true;
   }
 
+  /** Whether a connection is not read, as too many of its requests are open. */
+  isPaused(socket: net.Socket): boolean {
+    return this.of(socket).isPaused;
+  }
+
   /** Returns the response to a request that has not been read whole, undefined without one. */
   incompleteOn(socket: net.Socket): http.ServerResponse | undefined {
     return this.of(socket).incomplete;
--- a/src/node/http_entry.ts
+++ b/src/node/http_entry.ts
@@ -100,6 +100,7 @@
       memory: options.memory,
       onReset: reason =>
         count.increment(callerConnections.RESET_COUNTERS[reason]),
+      onPaused: () => count.increment('callers.paused'),
     });
     this.acceptsServerSource = sourceFilter.createSourceFilter(
       options.serverSources,
@@ -115,7 +116,7 @@
       (req, res) => this.accept(req, res),
     );
     this.server.on('clientError', (err, socket) =>
-      this.rejectMalformed(socket as net.Socket),
+      this.rejectMalformed(err, socket as net.Socket),
     );
     this.server.maxConnections = 4 * options.maxCalls;
   }
@@ -350,7 +351,13 @@
     this.resolveIfIdle();
   }
 
-  private rejectMalformed(socket: net.Socket): void {
+  private rejectMalformed(
+    err: NodeJS.ErrnoException,
+    socket: net.Socket,
+  ): void {
+    // The rest of a request on a connection that is not read cannot arrive.
+    const isTimeout = err.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+    if (isTimeout && this.connections.isPaused(socket)) return;
     this.count.increment('malformed.http');
     if (!socket.writable) {
       socket.destroy();
--- a/src/node/serving/caller_port.ts
+++ b/src/node/serving/caller_port.ts
@@ -73,6 +73,8 @@
   admitsKeys(): boolean;
   onRequest(request: entryCall.CallerRequest, route: configuration.Route): void;
   onCallerGone(requestId: number): void;
+  /** A connection is not read for a while, as many of its requests have no answer. */
+  onPaused(): void;
   /** A request was refused before it reached the entry, or its answer could not be written. */
   onRefused(
     requestId: string | undefined,
@@ -113,6 +115,7 @@
     this.connections = new callerConnections.CallerConnections({
       memory: callerMemory.CallerMemory.ofProcess(options.memoryMb),
       onReset: reason => options.listener.onRefused(undefined, reason),
+      onPaused: () => options.listener.onPaused(),
     });
     this.server = http.createServer(
       {
@@ -370,6 +373,8 @@
       socket.destroy();
       return;
     }
+    // The rest of a request on a connection that is not read cannot arrive.
+    if (isTimeout(err) && this.connections.isPaused(socket)) return;
     this.options.listener.onRefused(undefined, err.code ?? 'malformed');
     const status = statusOf(err);
     const incomplete = this.connections.incompleteOn(socket);
@@ -452,6 +457,10 @@
   return bytes;
 }
 
+function isTimeout(err: NodeJS.ErrnoException): boolean {
+  return err.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+}
+
 function statusOf(err: NodeJS.ErrnoException): number {
   switch (err.code) {
     case 'HPE_HEADER_OVERFLOW':
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -272,6 +272,13 @@
           this.entry.onCallerGone(id, clock.monotonicMs());
           afterEvent();
         },
+        onPaused: () =>
+          log.write({
+            component: 'entry',
+            event: 'connection-paused',
+            importance: 'notable',
+            facts: {},
+          }),
         onRefused: (requestId, reason, facts) =>
           log.write({
             component: 'entry',
