Reset a connection whose caller takes nothing of an answer for 60 s

Callers saw: connections of clients that read nothing stayed for good, with their answers, and a planned stop waited for these answers until its end.

Cause: no timeout ran while an answer waits for its caller. Node.js limits heads and idle connections, and the body has the deadline of its caller.

The socket's own timeout now runs, which any byte that moves restarts, also within a large answer. When it ends, the connection is reset if its oldest response was written; if the answer is still to come, the timeout starts anew. 60 s is the longest time that a caller waits.

Failed before: 'a connection whose caller takes nothing of its answer is reset' (caller_connections.test.ts), with 150 ms in place of 60 s.

--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -43,6 +43,8 @@
     'Connections that were not read for a while, as many of their requests had no answer.',
   'callers.reset-memory':
     'Connections reset because callers held too much memory together, and these most of it.',
+  'callers.reset-untaken':
+    'Connections reset because their callers took nothing of an answer for a minute.',
   'configuration.rejected':
     'Configuration changes in the log that were not accepted.',
   'datagram.failed': 'Datagrams that could not be sent.',
--- a/src/node/caller_connections.test.ts
+++ b/src/node/caller_connections.test.ts
@@ -20,6 +20,8 @@
 /** Several times what Node.js reads at once. */
 const MANY = 8 * Math.ceil((64 * 1024) / REQUEST.length);
 
+const UNTAKEN_MS = 150;
+
 /** Time in which requests that the server can read arrive. */
 const SETTLE_MS = 300;
 
@@ -37,13 +39,14 @@
   pauses = 0;
   private readonly sockets: net.Socket[] = [];
 
-  constructor(maxBytes: number) {
+  constructor(maxBytes: number, untakenMs?: number) {
     this.memory = new callerMemory.CallerMemory(maxBytes);
     this.connections = new callerConnections.CallerConnections({
       memory: this.memory,
       onReset: reason => this.resets.push(reason),
       onPaused: () => this.pauses++,
     });
+    this.connections.watch(this.server, untakenMs);
   }
 
   async listen(): Promise<void> {
@@ -177,3 +180,24 @@
   await until(() => res.req.socket.destroyed);
   assert.equal(harness.memory.usedBytes, 0);
 });
+
+test('a connection whose caller takes nothing of its answer is reset', async () => {
+  await using harness = new Harness(Infinity, UNTAKEN_MS);
+  await harness.listen();
+  const res = await harness.call();
+  harness.answer(res, LARGE_BYTES);
+  await until(() => !harness.isOpen(res));
+  assert.deepEqual(harness.resets, ['answer not taken']);
+});
+
+test('a caller may wait longer for an answer', async () => {
+  await using harness = new Harness(Infinity, UNTAKEN_MS);
+  await harness.listen();
+  const res = await harness.call();
+  await timers.setTimeout(4 * UNTAKEN_MS);
+  assert.ok(harness.isOpen(res));
+  harness.answer(res, 200);
+  await until(() => !harness.isOpen(res));
+  assert.ok(res.writableFinished);
+  assert.deepEqual(harness.resets, []);
+});
--- a/src/node/caller_connections.ts
+++ b/src/node/caller_connections.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http';
 import type * as net from 'node:net';
 
+import type * as units from '../common/units.js';
 import type * as callerMemory from './caller_memory.js';
 
 /** Open requests from which on a connection is not read until one of them is answered. */
@@ -10,12 +11,16 @@
 /** Memory of an open request besides its head and bodies, in all parts that handle it. */
 const OPEN_REQUEST_BYTES = 4 * 1024;
 
+/** Longest time for which a caller may take nothing of an answer; callers wait no longer. */
+const MAX_UNTAKEN_MS: units.Millis = 60_000;
+
 /** Why a connection was reset. */
-export type ResetReason = 'caller memory used up';
+export type ResetReason = 'caller memory used up' | 'answer not taken';
 
 /** Counters of the connections that were reset, by reason. */
 export const RESET_COUNTERS = {
   'caller memory used up': 'callers.reset-memory',
+  'answer not taken': 'callers.reset-untaken',
 } as const satisfies Readonly<Record<ResetReason, string>>;
 
 /** Dependencies of `CallerConnections`. */
@@ -96,6 +101,15 @@
     if (this.open.size === 0) this.endSocket();
   }
 
+  /** Handles that nothing was read or written for `idleMs`. */
+  onIdle(idleMs: units.Millis): void {
+    const [oldest] = this.open.keys();
+    if (oldest === undefined) this.socket.destroy();
+    else if (oldest.headersSent) this.reset('answer not taken');
+    // The answer is still to come.
+    else this.socket.setTimeout(idleMs);
+  }
+
   isNewest(res: http.ServerResponse): boolean {
     return this.newest === res;
   }
@@ -173,6 +187,13 @@
 
   constructor(private readonly options: CallerConnectionsOptions) {}
 
+  /** Resets connections to `server` whose callers take nothing of an answer for `untakenMs`. */
+  watch(server: http.Server, untakenMs: units.Millis = MAX_UNTAKEN_MS): void {
+    server.setTimeout(untakenMs, socket =>
+      this.of(socket as net.Socket).onIdle(untakenMs),
+    );
+  }
+
   /**
    * Adds a response; returns false if its request must not be handled, as its connection ends with
    * the response to an earlier one.
--- a/src/node/http_entry.ts
+++ b/src/node/http_entry.ts
@@ -118,6 +118,7 @@
     this.server.on('clientError', (err, socket) =>
       this.rejectMalformed(err, socket as net.Socket),
     );
+    this.connections.watch(this.server);
     this.server.maxConnections = 4 * options.maxCalls;
   }
 
--- a/src/node/serving/caller_port.ts
+++ b/src/node/serving/caller_port.ts
@@ -129,6 +129,7 @@
     this.server.on('clientError', (err, socket) =>
       this.rejectMalformed(err, socket as net.Socket),
     );
+    this.connections.watch(this.server);
     this.applyLimits();
   }
 
