--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -39,6 +39,12 @@
 
 /** Counters other than refusals and retries, with descriptions for docs/METRICS.md. */
 export const COUNTER_DESCRIPTIONS = {
+  'callers.paused':
+    'Connections that were not read for a while, as many of their requests had no answer.',
+  'callers.reset-memory':
+    'Connections reset because callers held too much memory together, and these most of it.',
+  'callers.reset-untaken':
+    'Connections reset because their callers took nothing of an answer for a minute.',
   'configuration.rejected':
     'Configuration changes in the log that were not accepted.',
   'datagram.failed': 'Datagrams that could not be sent.',
--- a/src/node/node_sockets.ts
+++ b/src/node/node_sockets.ts
@@ -1,6 +1,7 @@
 /** Creates the sockets of a node from its settings. */
 import * as fleetView from '../common/control/fleet_view.js';
 import * as generated from '../generated/settings.js';
+import * as callerMemory from './caller_memory.js';
 import * as clock from './clock.js';
 import * as datagramSocket from './datagram_socket.js';
 import * as httpEntry from './http_entry.js';
@@ -82,6 +83,7 @@
         ...sizes,
         ...portOf('callers', ports.http),
         maxCalls: bounds.calls,
+        memory: new callerMemory.CallerMemory(bounds.callerBytes),
         serverSources,
       },
       view,
--- a/src/node/serving/caller_port.ts
+++ b/src/node/serving/caller_port.ts
@@ -66,6 +66,8 @@
   admitsKeys(): boolean;
   onRequest(request: entryCall.CallerRequest, route: configuration.Route): void;
   onCallerGone(requestId: number): void;
+  /** A connection is not read for a while, as many of its requests have no answer. */
+  onPaused(): void;
   /** A request was refused before it reached the entry, or its answer could not be written. */
   onRefused(
     requestId: string | undefined,
@@ -91,7 +93,7 @@
 /** Reads callers' requests and writes the responses. */
 export class CallerPort implements AsyncDisposable {
   private readonly server: http.Server;
-  private readonly connections = new callerConnections.CallerConnections();
+  private readonly connections: callerConnections.CallerConnections;
   private readonly exchanges = new Map<number, Exchange>();
   private readonly idsByResponse = new WeakMap<http.ServerResponse, number>();
   /** Responses to requests whose body is being read. */
@@ -104,6 +106,11 @@
   private phase: 'open' | 'closing' | 'closed' = 'open';
 
   constructor(private readonly options: CallerPortOptions) {
+    this.connections = new callerConnections.CallerConnections({
+      memory: options.bodies.memory,
+      onReset: reason => options.listener.onRefused(undefined, reason),
+      onPaused: () => options.listener.onPaused(),
+    });
     this.server = http.createServer(
       {
         maxHeaderSize: MAX_PARSED_HEADER_BYTES,
@@ -116,6 +123,7 @@
     this.server.on('clientError', (err, socket) =>
       this.rejectMalformed(err, socket as net.Socket),
     );
+    this.connections.watch(this.server);
     this.applyLimits();
   }
 
@@ -390,6 +398,8 @@
       socket.destroy();
       return;
     }
+    // The rest of a request on a connection that is not read cannot arrive.
+    if (isTimeout(err) && this.connections.isPaused(socket)) return;
     this.options.listener.onRefused(undefined, err.code ?? 'malformed');
     const status = statusOf(err);
     const incomplete = this.connections.incompleteOn(socket);
@@ -430,6 +440,7 @@
     this.unread.delete(res);
     this.releaseBody(res);
     this.unflushed.add(res);
+    this.connections.hold(res, body.length);
     if (res.req.complete) res.end(body);
     else endOnceRead(res, body);
   }
@@ -468,6 +479,10 @@
     : `(${key.kind})`;
 }
 
+function isTimeout(err: NodeJS.ErrnoException): boolean {
+  return err.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+}
+
 function statusOf(err: NodeJS.ErrnoException): number {
   switch (err.code) {
     case 'HPE_HEADER_OVERFLOW':
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -326,7 +326,6 @@
       ...this.sharedOptions(),
       suspects: this.suspects,
       rollouts: this.rollouts,
-      memoryMb: this.options.settings.memoryMb,
       coldRateFactor: platform.bounds.coldRateFactor,
       soleSenderSinceMs: processStartedMs - platform.bounds.restartGapMs,
       readsStore: () => this.storeReaders.readsStore,
@@ -349,7 +348,6 @@
     return new entryRuntime.EntryRuntime({
       ...this.sharedOptions(),
       bounds: this.options.platform.bounds,
-      memoryMb: this.options.settings.memoryMb,
       rollouts: this.rollouts,
       fingerprint,
       keys: this.keys,
@@ -369,6 +367,7 @@
     return {
       service: () => this.settings.service,
       dataCentre: settings.dataCentre,
+      memoryMb: settings.memoryMb,
       http: platform.http,
       intent: this.intent,
       directory: this.directory,
