--- a/test/paths/child.ts
+++ b/test/paths/child.ts
@@ -103,16 +103,24 @@
   }
 }
 
-/** Starts a compiled program; `program` is relative to the build directory. */
+/**
+ * Starts a compiled program; `program` is relative to the build directory.
+ *
+ * @param maxDescriptors descriptors that the process may open; those of this process by default.
+ */
 export function startProgram(
   name: string,
   program: string,
   args: readonly string[],
   nodeArgs: readonly string[] = [],
+  maxDescriptors?: number,
 ): Child {
   const file = path.join(BUILD_ROOT, program);
-  const command = [...nodeArgs, file, ...args];
-  const started = childProcess.spawn(process.execPath, command, {
+  const node = [process.execPath, ...nodeArgs, file, ...args];
+  const limited = `ulimit -n ${maxDescriptors}; exec "$0" "$@"`;
+  const [command, ...rest] =
+    maxDescriptors === undefined ? node : ['sh', '-c', limited, ...node];
+  const started = childProcess.spawn(command, rest, {
     stdio: ['ignore', 'pipe', 'pipe'],
   });
   living.add(started);
--- a/test/paths/fleet.ts
+++ b/test/paths/fleet.ts
@@ -25,6 +25,8 @@
   readonly settings?: Readonly<Record<string, unknown>>;
   /** Arguments for Node.js itself, before the program. */
   readonly nodeArgs?: readonly string[];
+  /** Descriptors that the node may open; those of this process by default. */
+  readonly maxDescriptors?: number;
 }
 
 /** A node and the backend server beside it. */
@@ -129,6 +131,7 @@
         'src/node/main.js',
         ['--settings', file],
         options.nodeArgs,
+        options.maxDescriptors,
       ),
     );
     const server = this.startServer(options, serverPort, httpPort);
--- a/test/paths/platform_fleet.ts
+++ b/test/paths/platform_fleet.ts
@@ -22,8 +22,10 @@
   readonly process: child.Child;
   readonly server: serverStandIn.ServerStandIn;
   readonly callers: string;
+  readonly peers: string;
   readonly control: string;
   readonly readiness: string;
+  readonly metrics: string;
   readonly settings: string;
   /** Relays the links of other nodes to this one. */
   readonly relay: faultRelay.FaultRelay;
@@ -55,6 +57,8 @@
   readonly program?: string;
   /** Arguments for Node.js itself, before the program. */
   readonly nodeArgs?: readonly string[];
+  /** Descriptors that each daemon may open; those of this process by default. */
+  readonly maxDescriptors?: number;
   /** Settings of all nodes that override the defaults of the tests. */
   readonly settings?: object;
   /** Top-level fields of the first configuration that override the defaults of the tests. */
@@ -75,7 +79,10 @@
   private constructor(
     readonly store: storeStandIn.StoreStandIn,
     readonly storeAddress: string,
-    private readonly options: Required<PlatformFleetOptions>,
+    private readonly options: Required<
+      Omit<PlatformFleetOptions, 'maxDescriptors'>
+    > &
+      Pick<PlatformFleetOptions, 'maxDescriptors'>,
   ) {}
 
   /** Starts a fleet and waits until each node can reach all backend servers. */
@@ -116,8 +123,8 @@
     );
     server.version = this.options.versions[i] ?? 'v1';
     const address = await server.listen();
-    const ports = await child.freePorts(4);
-    const [callers, peers, control, readiness] = ports.map(
+    const ports = await child.freePorts(5);
+    const [callers, peers, control, readiness, metrics] = ports.map(
       port => `127.0.0.1:${port}`,
     );
     const relay = new faultRelay.FaultRelay(ports[1]);
@@ -137,6 +144,7 @@
           advertised,
           announcements: control,
           readiness,
+          metrics,
         },
         store: await storeRelay.listen(),
         bounds: {grace_s: 4},
@@ -151,8 +159,10 @@
       process,
       server,
       callers,
+      peers,
       control,
       readiness,
+      metrics,
       settings,
       relay,
       storeRelay,
@@ -235,9 +245,15 @@
   }
 
   private startDaemon(name: string, settings: string): child.Child {
-    const {program, nodeArgs} = this.options;
+    const {program, nodeArgs, maxDescriptors} = this.options;
     const args = ['--settings', settings];
-    const daemon = child.startProgram(name, program, args, nodeArgs);
+    const daemon = child.startProgram(
+      name,
+      program,
+      args,
+      nodeArgs,
+      maxDescriptors,
+    );
     this.daemons.push(daemon);
     return daemon;
   }
