A refused connection closes though its client neither reads nor closes

Cause: the refusal ended only this side of the connection. HTTP servers allow half-open connections, so it lasted until the client closed its side. Later timeouts of Node.js did not reach it, nor did bytes that the parser skips. geraniumloftd also looked for late heads every 30 s only.

--- a/src/node/caller_connections.ts
+++ b/src/node/caller_connections.ts
@@ -2,6 +2,8 @@
 import type * as http from 'node:http';
 import type * as net from 'node:net';
 
+import * as lingeringClose from './lingering_close.js';
+
 /**
  * Requests of one connection that wait for their responses. A caller may send requests behind one
  * another; Node.js passes each on at once, writes the responses in order, and emits the events of a
@@ -54,7 +56,9 @@
     const onEnd = this.open.get(res);
     if (onEnd === undefined) return;
     this.open.delete(res);
-    if (this.isEnding && this.open.size === 0) this.socket.end();
+    if (this.isEnding && this.open.size === 0) {
+      lingeringClose.endLingering(this.socket);
+    }
     onEnd();
   }
 }
--- a/src/node/http_entry.ts
+++ b/src/node/http_entry.ts
@@ -17,6 +17,7 @@
 import * as clock from './clock.js';
 import * as eventSource from './event_source.js';
 import * as httpHeaders from './http_headers.js';
+import * as lingeringClose from './lingering_close.js';
 import * as refusalResponse from './refusal_response.js';
 import * as requestFingerprint from './request_fingerprint.js';
 import * as requestIntake from './request_intake.js';
@@ -30,6 +31,9 @@
 /** Time allowed for a caller to send a whole request. */
 const REQUEST_TIMEOUT_MS: units.Millis = 30_000;
 
+/** Interval of checks for connections that exceed these times. */
+const TIMEOUT_CHECK_INTERVAL_MS: units.Millis = 1_000;
+
 /** Idle time after which a caller's connection is closed. */
 const KEEP_ALIVE_TIMEOUT_MS: units.Millis = 60_000;
 
@@ -101,6 +105,7 @@
         maxHeaderSize: options.maxHeaderBytes,
         headersTimeout: HEADERS_TIMEOUT_MS,
         requestTimeout: REQUEST_TIMEOUT_MS,
+        connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
         keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
         noDelay: true,
       },
@@ -343,6 +348,7 @@
   }
 
   private rejectMalformed(socket: net.Socket): void {
+    if (lingeringClose.limitLingering(socket)) return;
     this.count.increment('malformed.http');
     if (!socket.writable) {
       socket.destroy();
@@ -352,7 +358,10 @@
     if (incomplete) return this.write(incomplete, 400, [], EMPTY_BODY, true);
     // An answer now would be taken for that of an earlier request.
     if (this.connections.endAfterResponses(socket)) return;
-    socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
+    lingeringClose.endLingering(
+      socket,
+      'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n',
+    );
   }
 
   private takeExchange(requestId: string): Exchange | undefined {
--- a/src/node/serving/caller_port.ts
+++ b/src/node/serving/caller_port.ts
@@ -12,6 +12,7 @@
 import * as bodyReader from '../body_reader.js';
 import * as callerConnections from '../caller_connections.js';
 import * as httpHeaders from '../http_headers.js';
+import * as lingeringClose from '../lingering_close.js';
 import * as requestFingerprint from '../request_fingerprint.js';
 import * as tcpListener from '../tcp_listener.js';
 import * as platformAdapter from './platform_adapter.js';
@@ -39,12 +40,12 @@
 /** Longest time for a request's body, whatever time its caller states. */
 const MAX_BODY_TIME_MS: units.Millis = 60_000;
 
-/** Longest time for which the rest of a request is read that was refused. */
-const MAX_READ_ON_MS: units.Millis = 1_000;
-
 /** Time until a retry of a request that this node cannot judge or handle now. */
 const REFUSED_RETRY_AFTER_MS: units.Millis = 300;
 
+/** Code of the error of Node.js for a head that is not complete in time. */
+const HEAD_OVERDUE = 'ERR_HTTP_REQUEST_TIMEOUT';
+
 /** Length of the colon, space and line end of a header line. */
 const HEADER_LINE_OVERHEAD_BYTES = 4;
 
@@ -116,8 +117,8 @@
       },
       (req, res) => this.accept(req, res),
     );
-    this.server.on('clientError', (err, socket) =>
-      this.rejectMalformed(err, socket as net.Socket),
+    this.server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
+      this.rejectMalformed(err.code, socket as net.Socket),
     );
     this.applyLimits();
   }
@@ -355,23 +356,22 @@
     this.write(res, status, headers, body, true);
   }
 
-  private rejectMalformed(
-    err: NodeJS.ErrnoException,
-    socket: net.Socket,
-  ): void {
-    if (!socket.writable || err.code === 'ECONNRESET') {
+  private rejectMalformed(code: string | undefined, socket: net.Socket): void {
+    if (lingeringClose.limitLingering(socket)) return;
+    if (!socket.writable || code === 'ECONNRESET') {
       socket.destroy();
       return;
     }
-    this.options.listener.onRefused(undefined, err.code ?? 'malformed');
-    const status = statusOf(err);
+    this.options.listener.onRefused(undefined, code ?? 'malformed');
+    const status = statusOf(code);
     const incomplete = this.connections.incompleteOn(socket);
     if (incomplete) {
       return this.write(incomplete, status, ['Content-Length', '0'], '', true);
     }
     // An answer now would be taken for that of an earlier request.
     if (this.connections.endAfterResponses(socket)) return;
-    socket.end(
+    lingeringClose.endLingering(
+      socket,
       `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\n` +
         'Content-Length: 0\r\nConnection: close\r\n\r\n',
     );
@@ -420,7 +420,7 @@
     clearTimeout(timer);
     res.end();
   };
-  const timer = setTimeout(end, MAX_READ_ON_MS);
+  const timer = setTimeout(end, lingeringClose.MAX_READ_ON_MS);
   req.once('end', end);
   req.once('close', end);
   req.resume();
@@ -444,11 +444,11 @@
   return bytes;
 }
 
-function statusOf(err: NodeJS.ErrnoException): number {
-  switch (err.code) {
+function statusOf(code: string | undefined): number {
+  switch (code) {
     case 'HPE_HEADER_OVERFLOW':
       return STATUS.headersTooLarge;
-    case 'ERR_HTTP_REQUEST_TIMEOUT':
+    case HEAD_OVERDUE:
       return STATUS.requestTimeout;
     default:
       return STATUS.badRequest;
