Bytes before a request count from the first one, empty lines included

What was seen: clients that sent empty lines behind an answered request, at any pace, stayed connected for good, 40 of 40, at the callers' port of both programs and at the ports for readiness, announcements and metrics.

Cause: the parser skips empty lines before a request and counts neither them nor their time; each byte restarts the idle timeout of Node.js, and its timeout of heads begins with the first byte of a request line.

Idle connections are looked at twice a second: more than 4 bytes since the last response begin the time for the next head, and more than 128 KiB end it at once. It is judged after a poll, so that a head which waits to be read after a pause of the process is not late. The four bytes are those that clients may send behind a body.

--- a/src/node/http_entry.ts
+++ b/src/node/http_entry.ts
@@ -16,7 +16,9 @@
 import * as callerHeaders from './caller_headers.js';
 import * as clock from './clock.js';
 import * as eventSource from './event_source.js';
+import * as headWatch from './head_watch.js';
 import * as httpHeaders from './http_headers.js';
+import * as idleConnections from './idle_connections.js';
 import * as lingeringClose from './lingering_close.js';
 import * as refusalResponse from './refusal_response.js';
 import * as requestFingerprint from './request_fingerprint.js';
@@ -115,6 +117,7 @@
       this.rejectMalformed(socket as net.Socket),
     );
     this.server.maxConnections = 4 * options.maxCalls;
+    this.watchHeads();
   }
 
   /** Starts accepting connections. */
@@ -182,6 +185,16 @@
     });
   }
 
+  private watchHeads(): void {
+    const idle = new idleConnections.IdleConnections(this.server);
+    headWatch.watchHeads(
+      this.server,
+      idle,
+      () => HEADERS_TIMEOUT_MS,
+      socket => this.rejectMalformed(socket),
+    );
+  }
+
   private accept(req: http.IncomingMessage, res: http.ServerResponse): void {
     const requestId = uuid.v7();
     const isHandled = this.connections.add(res, () =>
--- a/src/node/serving/caller_port.ts
+++ b/src/node/serving/caller_port.ts
@@ -11,15 +11,14 @@
 import * as serving from '../../generated/serving.js';
 import * as bodyReader from '../body_reader.js';
 import * as callerConnections from '../caller_connections.js';
+import * as headWatch from '../head_watch.js';
 import * as httpHeaders from '../http_headers.js';
+import * as idleConnections from '../idle_connections.js';
 import * as lingeringClose from '../lingering_close.js';
 import * as requestFingerprint from '../request_fingerprint.js';
 import * as tcpListener from '../tcp_listener.js';
 import * as platformAdapter from './platform_adapter.js';
 
-/** Limit of the HTTP parser; the configured limit is checked separately, below this one. */
-const MAX_PARSED_HEADER_BYTES = 64 * 1024;
-
 /** Limits before the first configuration is known. */
 const DEFAULT_LIMITS: configuration.CallerLimits = {
   maxHeaderBytes: 16 * 1024,
@@ -110,7 +109,7 @@
   constructor(private readonly options: CallerPortOptions) {
     this.server = http.createServer(
       {
-        maxHeaderSize: MAX_PARSED_HEADER_BYTES,
+        maxHeaderSize: headWatch.MAX_PARSED_HEADER_BYTES,
         requestTimeout: 0,
         connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS,
         noDelay: true,
@@ -120,6 +119,7 @@
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
       this.rejectMalformed(err.code, socket as net.Socket),
     );
+    this.watchHeads();
     this.applyLimits();
   }
 
@@ -190,6 +190,16 @@
     await closed;
   }
 
+  private watchHeads(): void {
+    const idle = new idleConnections.IdleConnections(this.server);
+    headWatch.watchHeads(
+      this.server,
+      idle,
+      () => this.limits.headerTimeoutMs,
+      socket => this.rejectMalformed(HEAD_OVERDUE, socket),
+    );
+  }
+
   private get limits(): configuration.CallerLimits {
     const cfg = this.options.listener.configuration();
     return cfg?.document.limits ?? DEFAULT_LIMITS;
--- a/src/node/serving/simple_http_server.ts
+++ b/src/node/serving/simple_http_server.ts
@@ -3,6 +3,8 @@
 
 import * as units from '../../common/units.js';
 import * as bodyReader from '../body_reader.js';
+import * as headWatch from '../head_watch.js';
+import * as idleConnections from '../idle_connections.js';
 import * as tcpListener from '../tcp_listener.js';
 
 /** Largest request body accepted, in bytes. */
@@ -46,6 +48,7 @@
       },
       (req, res) => this.accept(req, res),
     );
+    this.watchHeads();
   }
 
   /** Starts accepting connections. */
@@ -61,6 +64,16 @@
     await closed;
   }
 
+  private watchHeads(): void {
+    const idle = new idleConnections.IdleConnections(this.server);
+    headWatch.watchHeads(
+      this.server,
+      idle,
+      () => REQUEST_TIMEOUT_MS,
+      socket => socket.destroy(),
+    );
+  }
+
   private accept(req: http.IncomingMessage, res: http.ServerResponse): void {
     bodyReader.readBody(req, MAX_BODY_BYTES, read => {
       if (read.kind === 'cut-short') return;
