Peers have 2 s and 64 KiB for their greeting, whatever they send

What was seen: 20 connections to the peers port, each with a frame of 64 MiB that began without a greeting, took a process to 1,200 MB where 200 are allowed; 20 that sent a frame a byte at a time stayed connected for good.

Cause: frames of up to 80 MiB are read before they are looked at, the first one too, and the timeout of the greeting was one of the socket, which each byte starts anew.

Until the greeting a connection has a deadline from its start and a bound in bytes; 'connection-closed' in the log tells which of them was reached.

--- a/src/node/serving/entry_sessions.test.ts
+++ b/src/node/serving/entry_sessions.test.ts
@@ -25,9 +25,13 @@
 }
 
 /** A gate with sessions whose load counts the pulses made. */
-function createSessions(onGreeting: () => void): entrySessions.EntrySessions {
+function createSessions(
+  onGreeting: () => void,
+  limits: Pick<entrySessions.EntrySessionsOptions, 'onRefused'> = {},
+): entrySessions.EntrySessions {
   let pulses = 0;
   return new entrySessions.EntrySessions({
+    ...limits,
     waitedMs: () => 0,
     nowMs: clock.monotonicMs,
     greeting: () => greeting('gate', true),
@@ -234,3 +238,41 @@
     );
   },
 );
+
+/** Connects clients that act instead of sending a greeting; returns why the gate refuses them. */
+async function refusalsOf(
+  actions: ReadonlyArray<(socket: net.Socket) => void>,
+): Promise<readonly string[]> {
+  const reasons: string[] = [];
+  await using sessions = createSessions(() => undefined, {
+    onRefused: reason => reasons.push(reason),
+  });
+  const [port] = await child.freePorts(1);
+  await sessions.listen({ip: '127.0.0.1', port});
+  const closed = actions.map(act => {
+    const socket = net.connect({host: '127.0.0.1', port}, () => act(socket));
+    socket.on('error', () => undefined);
+    return new Promise(resolve => socket.once('close', resolve));
+  });
+  await child.withTimeout(Promise.all(closed), 10_000, 'all to be closed');
+  return reasons.sort();
+}
+
+nodeTest.test('a greeting whose bytes trickle is not waited for', async () => {
+  const timers: NodeJS.Timeout[] = [];
+  const refusals = await refusalsOf([
+    socket => {
+      socket.write('\0\0\x10\0');
+      timers.push(setInterval(() => socket.write('\0'), 50));
+    },
+  ]);
+  for (const timer of timers) clearInterval(timer);
+  assert.deepEqual(refusals, ['greeting not complete']);
+});
+
+nodeTest.test('a long frame before a greeting is not read whole', async () => {
+  const frame = Buffer.alloc(8 * 1024 * 1024);
+  frame.writeUInt32BE(64 * 1024 * 1024);
+  const refusals = await refusalsOf([socket => void socket.write(frame)]);
+  assert.deepEqual(refusals, ['greeting too long']);
+});
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -15,6 +15,9 @@
 /** Timeout of the greeting. */
 const GREETING_TIMEOUT_MS: units.Millis = 2_000;
 
+/** Largest greeting, in bytes. */
+const MAX_GREETING_BYTES = 64 * 1024;
+
 /** Time without a frame after which a session is closed; entries ping earlier. */
 export const IDLE_TIMEOUT_MS: units.Millis = 60_000;
 
@@ -57,6 +60,8 @@
   freshness(question: number): serving.FreshnessProof;
   /** Longest interval of pulses that the sender's state asks for, infinity by default. */
   maxPulseIntervalMs?(): units.Millis;
+  /** A connection was closed before its greeting, for the reason given. */
+  onRefused?(reason: string): void;
   /** Returns the number of nodes in the fleet. */
   nodeCount(): number;
   nowMs(): units.MonotonicMs;
@@ -82,13 +87,15 @@
   /** Requests that were held up on their way. */
   readonly late: LateRequest[] = [];
   dispatchedMs: units.MonotonicMs = -Infinity;
+  /** Bytes that were read before the last ones. */
+  readBytes = 0;
 
   constructor(
     readonly id: number,
     connection: net.Socket,
     listener: Pick<
       framedSocket.FramedSocketListener<serving.NodeFrame>,
-      'onClose' | 'onFrame'
+      'onBytes' | 'onClose' | 'onFrame'
     >,
   ) {
     this.socket = linkFrame.wrapSocket(
@@ -107,6 +114,8 @@
 export class EntrySessions implements AsyncDisposable {
   private readonly server: net.Server;
   private readonly sessions = new Map<number, Session>();
+  /** Connections without a greeting. */
+  private readonly ungreeted = new Map<Session, net.Socket>();
   private lastId = 0;
 
   constructor(private readonly options: EntrySessionsOptions) {
@@ -197,15 +206,41 @@
 
   private accept(connection: net.Socket): void {
     const session = new Session(++this.lastId, connection, {
+      onBytes: () => this.limitGreeting(session, connection),
       onFrame: frame => this.receive(session, connection, frame),
       onClose: () => this.onClosed(session, connection),
     });
     this.sessions.set(session.id, session);
-    connection.setTimeout(GREETING_TIMEOUT_MS, () => connection.destroy());
+    this.ungreeted.set(session, connection);
+    // The timeout of a socket would start anew with each byte.
+    const timer = setTimeout(
+      () => this.refuseUngreeted(session, 'greeting not complete'),
+      GREETING_TIMEOUT_MS,
+    );
+    connection.once('close', () => clearTimeout(timer));
+  }
+
+  /** Closes a connection whose first frame is longer than a greeting. */
+  private limitGreeting(session: Session, connection: net.Socket): void {
+    // What was read last is not handled yet.
+    if (session.readBytes > MAX_GREETING_BYTES) {
+      this.refuseUngreeted(session, 'greeting too long');
+    }
+    session.readBytes = connection.bytesRead;
+  }
+
+  /** Closes a connection; without effect once its greeting has come. */
+  private refuseUngreeted(session: Session, reason: string): void {
+    const connection = this.ungreeted.get(session);
+    if (connection === undefined) return;
+    this.ungreeted.delete(session);
+    this.options.onRefused?.(reason);
+    connection.destroy();
   }
 
   private onClosed(session: Session, connection: net.Socket): void {
     this.sessions.delete(session.id);
+    this.ungreeted.delete(session);
     const {writableFinished, readableEnded, errored} = connection;
     const isWhole = writableFinished && readableEnded && errored === null;
     this.options.listener.onLinkLost(session.id, session.ending && isWhole);
@@ -332,6 +367,7 @@
       session.socket.end();
       return;
     }
+    this.ungreeted.delete(session);
     connection.setTimeout(IDLE_TIMEOUT_MS, () => connection.destroy());
     const {nodeId} = sender;
     session.entryProcess = callKey.processOf(nodeId, processStartedMs);
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -1,5 +1,6 @@
 /** Connects the gate to the backend server and to the entries of all nodes. */
 import * as crashSuspects from '../../common/serving/crash_suspects.js';
+import * as decision from '../../common/serving/decision.js';
 import * as gateCall from '../../common/serving/gate_call.js';
 import * as operatorIntent from '../../common/serving/operator_intent.js';
 import * as rollouts from '../../common/rollouts/rollouts.js';
@@ -260,6 +261,15 @@
       maxPulseIntervalMs: () =>
         this.options.rollouts.isActive ? ROLLOUT_PULSE_MS : Infinity,
       nodeCount: () => directory.size,
+      onRefused: reason =>
+        decision.noteStateChange(
+          this.options.log,
+          'gate',
+          'connection-closed',
+          {
+            reason,
+          },
+        ),
       listener: {
         onGreeting: (sender, startedMs) => {
           const {nodeId} = sender;
