Connections have bounds below the descriptors of the process

What was seen: with more connections than descriptors (500 of 400) at any port of geraniumloft-node an ordinary caller, the store and a peer were not reached any more; geraniumloftd refused new connections while idle ones held its bound.

Cause: no port of geraniumloft-node had a bound on connections, so they took all descriptors; geraniumloftd had one that looked neither at descriptors nor at which connections were idle.

Of the descriptors without 200 for files (setting maxDescriptors, filled from max_fds, or the limit of the system if that is lower) callers may take half, peers before their greeting an eighth, and each port for local clients a sixteenth, at most 128. A connection beyond a bound closes the one that has been idle for longest, so ordinary callers can connect beside any number of idle connections, and one with a request under way is never closed.

--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -41,6 +41,8 @@
 export const COUNTER_DESCRIPTIONS = {
   'configuration.rejected':
     'Configuration changes in the log that were not accepted.',
+  'connection.too-many':
+    'Idle connections of callers that were closed to make room for new ones.',
   'datagram.failed': 'Datagrams that could not be sent.',
   'datagram.received': 'Datagrams received.',
   'datagram.sent': 'Datagrams sent.',
--- a/src/node/http_entry.test.ts
+++ b/src/node/http_entry.test.ts
@@ -46,6 +46,7 @@
       maxBodyBytes: MAX_BODY_BYTES,
       maxHeaderBytes: 2_048,
       maxCalls: 16,
+      maxConnections: 64,
       serverSources,
     },
     {configuration} as unknown as fleetView.FleetView,
--- a/src/node/http_entry.ts
+++ b/src/node/http_entry.ts
@@ -15,6 +15,7 @@
 import * as callerConnections from './caller_connections.js';
 import * as callerHeaders from './caller_headers.js';
 import * as clock from './clock.js';
+import * as connectionLimit from './connection_limit.js';
 import * as eventSource from './event_source.js';
 import * as headWatch from './head_watch.js';
 import * as httpHeaders from './http_headers.js';
@@ -54,6 +55,8 @@
   readonly maxHeaderBytes: number;
   /** Maximum number of requests in progress. */
   readonly maxCalls: number;
+  /** Maximum number of connections. */
+  readonly maxConnections: number;
   /** Addresses from which announcements are accepted. */
   readonly serverSources: readonly string[];
 }
@@ -116,8 +119,7 @@
     this.server.on('clientError', (err, socket) =>
       this.rejectMalformed(socket as net.Socket),
     );
-    this.server.maxConnections = 4 * options.maxCalls;
-    this.watchHeads();
+    this.limitConnections();
   }
 
   /** Starts accepting connections. */
@@ -185,7 +187,8 @@
     });
   }
 
-  private watchHeads(): void {
+  private limitConnections(): void {
+    const {maxConnections} = this.options;
     const idle = new idleConnections.IdleConnections(this.server);
     headWatch.watchHeads(
       this.server,
@@ -193,6 +196,9 @@
       () => HEADERS_TIMEOUT_MS,
       socket => this.rejectMalformed(socket),
     );
+    connectionLimit.limitConnections(this.server, idle, maxConnections, () =>
+      this.count.increment('connection.too-many'),
+    );
   }
 
   private accept(req: http.IncomingMessage, res: http.ServerResponse): void {
--- a/src/node/idle_connections.test.ts
+++ b/src/node/idle_connections.test.ts
@@ -3,6 +3,7 @@
 import type * as net from 'node:net';
 import * as nodeTest from 'node:test';
 
+import * as connectionLimit from './connection_limit.js';
 import * as idleConnections from './idle_connections.js';
 
 const {test} = nodeTest;
@@ -64,3 +65,27 @@
   respond();
   assert.equal(server.idle.connectionCount, 0);
 });
+
+test('the connection that has been idle for longest makes room for a new one', () => {
+  const server = new FakeServer();
+  let closed = 0;
+  connectionLimit.limitConnections(server, server.idle, 2, () => closed++);
+  const [first, second] = [server.connect(), server.connect()];
+  server.request(first)();
+  const third = server.connect();
+  assert.deepEqual(
+    [first, second, third].map(({destroyed}) => destroyed),
+    [false, true, false],
+  );
+  assert.equal(closed, 1);
+});
+
+test('a new connection is closed if requests are under way on all others', () => {
+  const server = new FakeServer();
+  connectionLimit.limitConnections(server, server.idle, 1, () => undefined);
+  const busy = server.connect();
+  server.request(busy);
+  const refused = server.connect();
+  assert.ok(!busy.destroyed);
+  assert.ok(refused.destroyed);
+});
--- a/src/node/node_sockets.ts
+++ b/src/node/node_sockets.ts
@@ -4,6 +4,7 @@
 import * as generated from '../generated/settings.js';
 import * as clock from './clock.js';
 import * as datagramSocket from './datagram_socket.js';
+import * as descriptorLimit from './descriptor_limit.js';
 import * as httpEntry from './http_entry.js';
 import * as linkEvent from './link_event.js';
 import * as logClient from './log_client.js';
@@ -16,6 +17,9 @@
 /** Incoming links accepted per member that the bounds allow. */
 const LINKS_PER_MEMBER = 2;
 
+/** Connections of callers accepted for each request that may be in progress. */
+const CONNECTIONS_PER_CALL = 4;
+
 /** Servers, clients and sockets of a node. */
 export interface NodeSockets {
   readonly http: httpEntry.HttpEntry;
@@ -72,7 +76,17 @@
   );
   const http = resources.use(
     new httpEntry.HttpEntry(
-      {...sizes, ip, port: ports.http, maxCalls: bounds.calls, serverSources},
+      {
+        ...sizes,
+        ip,
+        port: ports.http,
+        maxCalls: bounds.calls,
+        maxConnections: Math.min(
+          CONNECTIONS_PER_CALL * bounds.calls,
+          descriptorLimit.connectionBounds().callers,
+        ),
+        serverSources,
+      },
       view,
       fingerprint,
       count,
--- a/src/node/serving/caller_port.ts
+++ b/src/node/serving/caller_port.ts
@@ -11,6 +11,7 @@
 import * as serving from '../../generated/serving.js';
 import * as bodyReader from '../body_reader.js';
 import * as callerConnections from '../caller_connections.js';
+import * as connectionLimit from '../connection_limit.js';
 import * as headWatch from '../head_watch.js';
 import * as httpHeaders from '../http_headers.js';
 import * as idleConnections from '../idle_connections.js';
@@ -86,6 +87,8 @@
   readonly service: () => string;
   readonly fingerprint: requestFingerprint.RequestFingerprint;
   readonly listener: CallerPortListener;
+  /** Most connections at a time, unlimited by default. */
+  readonly maxConnections?: number;
 }
 
 interface Exchange {
@@ -119,7 +122,7 @@
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
       this.rejectMalformed(err.code, socket as net.Socket),
     );
-    this.watchHeads();
+    this.limitConnections();
     this.applyLimits();
   }
 
@@ -190,7 +193,8 @@
     await closed;
   }
 
-  private watchHeads(): void {
+  private limitConnections(): void {
+    const {listener, maxConnections = Infinity} = this.options;
     const idle = new idleConnections.IdleConnections(this.server);
     headWatch.watchHeads(
       this.server,
@@ -198,6 +202,9 @@
       () => this.limits.headerTimeoutMs,
       socket => this.rejectMalformed(HEAD_OVERDUE, socket),
     );
+    connectionLimit.limitConnections(this.server, idle, maxConnections, () =>
+      listener.onRefused(undefined, 'too many connections'),
+    );
   }
 
   private get limits(): configuration.CallerLimits {
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -37,6 +37,8 @@
   readonly dataCentre: string;
   readonly http: platformAdapter.HeaderCodec;
   readonly bounds: platformAdapter.FleetBounds;
+  /** Most connections of callers at a time. */
+  readonly maxConnections: number;
   readonly rollouts: rollouts.Rollouts;
   readonly intent: operatorIntent.OperatorIntent;
   readonly directory: fleetDirectory.FleetDirectory;
@@ -254,6 +256,7 @@
       http,
       service,
       fingerprint,
+      maxConnections: this.options.maxConnections,
       listener: {
         configuration: () => intent.configuration,
         admitsKeys: () => this.options.keys.admits(),
--- a/src/node/serving/entry_sessions.test.ts
+++ b/src/node/serving/entry_sessions.test.ts
@@ -27,7 +27,10 @@
 /** A gate with sessions whose load counts the pulses made. */
 function createSessions(
   onGreeting: () => void,
-  limits: Pick<entrySessions.EntrySessionsOptions, 'onRefused'> = {},
+  limits: Pick<
+    entrySessions.EntrySessionsOptions,
+    'maxGreetings' | 'onRefused'
+  > = {},
 ): entrySessions.EntrySessions {
   let pulses = 0;
   return new entrySessions.EntrySessions({
@@ -242,9 +245,11 @@
 /** Connects clients that act instead of sending a greeting; returns why the gate refuses them. */
 async function refusalsOf(
   actions: ReadonlyArray<(socket: net.Socket) => void>,
+  maxGreetings?: number,
 ): Promise<readonly string[]> {
   const reasons: string[] = [];
   await using sessions = createSessions(() => undefined, {
+    maxGreetings,
     onRefused: reason => reasons.push(reason),
   });
   const [port] = await child.freePorts(1);
@@ -276,3 +281,13 @@
   const refusals = await refusalsOf([socket => void socket.write(frame)]);
   assert.deepEqual(refusals, ['greeting too long']);
 });
+
+nodeTest.test(
+  'the oldest connections without a greeting make room',
+  async () => {
+    const idle = (): void => undefined;
+    const refusals = await refusalsOf([idle, idle, idle], 2);
+    const late = 'greeting not complete';
+    assert.deepEqual(refusals, [late, late, 'too many connections']);
+  },
+);
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -60,6 +60,8 @@
   freshness(question: number): serving.FreshnessProof;
   /** Longest interval of pulses that the sender's state asks for, infinity by default. */
   maxPulseIntervalMs?(): units.Millis;
+  /** Most connections that have sent no greeting yet, unlimited by default. */
+  readonly maxGreetings?: number;
   /** A connection was closed before its greeting, for the reason given. */
   onRefused?(reason: string): void;
   /** Returns the number of nodes in the fleet. */
@@ -114,7 +116,7 @@
 export class EntrySessions implements AsyncDisposable {
   private readonly server: net.Server;
   private readonly sessions = new Map<number, Session>();
-  /** Connections without a greeting. */
+  /** Connections without a greeting, the oldest first. */
   private readonly ungreeted = new Map<Session, net.Socket>();
   private lastId = 0;
 
@@ -218,6 +220,10 @@
       GREETING_TIMEOUT_MS,
     );
     connection.once('close', () => clearTimeout(timer));
+    const {maxGreetings = Infinity} = this.options;
+    if (this.ungreeted.size <= maxGreetings) return;
+    const [oldest] = this.ungreeted.keys();
+    this.refuseUngreeted(oldest, 'too many connections');
   }
 
   /** Closes a connection whose first frame is longer than a greeting. */
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -49,6 +49,8 @@
   readonly coldRateFactor: number;
   /** Memory that the process may use, in MB. */
   readonly memoryMb: number;
+  /** Most connections of other nodes that have sent no greeting yet. */
+  readonly maxGreetings: number;
   /** Time since which no former process of this node has sent requests to the backend server. */
   readonly soleSenderSinceMs: units.EpochMs;
   readonly log: telemetry.Telemetry;
@@ -261,6 +263,7 @@
       maxPulseIntervalMs: () =>
         this.options.rollouts.isActive ? ROLLOUT_PULSE_MS : Infinity,
       nodeCount: () => directory.size,
+      maxGreetings: this.options.maxGreetings,
       onRefused: reason =>
         decision.noteStateChange(
           this.options.log,
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -8,6 +8,7 @@
 import * as generated from '../../generated/node_settings.js';
 import * as serving from '../../generated/serving.js';
 import * as clock from '../clock.js';
+import * as descriptorLimit from '../descriptor_limit.js';
 import * as requestFingerprint from '../request_fingerprint.js';
 import * as resourceStack from '../resource_stack.js';
 import * as address from './address.js';
@@ -19,6 +20,7 @@
 import * as keyAdmission from './key_admission.js';
 import * as gateRuntime from './gate_runtime.js';
 import * as ignoredRecords from './ignored_records.js';
+import * as localPorts from './local_ports.js';
 import * as messageAge from './message_age.js';
 import * as nodeRecord from './node_record.js';
 import * as nodeStop from './node_stop.js';
@@ -63,6 +65,7 @@
   private readonly rollouts: rolloutsModule.Rollouts;
   private readonly statusWriter: rolloutStatusWriter.RolloutStatusWriter;
   private readonly resources = new resourceStack.ResourceStack();
+  private readonly bounds: descriptorLimit.ConnectionBounds;
   private settings: generated.NodeSettings;
   private readonly wakeTimer = new wakeTimer.WakeTimer({
     nowMs: clock.monotonicMs,
@@ -77,6 +80,7 @@
     const {settings} = options;
     const use = this.resources.use.bind(this.resources);
     this.settings = settings;
+    this.bounds = descriptorLimit.connectionBounds(settings.maxDescriptors);
     this.random = new randomSource.SeededRandom(
       randomSource.seedOf(settings.nodeId, options.processStartedMs),
     );
@@ -154,9 +158,15 @@
       afterEvent: () => this.afterEvent(),
     });
     await Promise.all([
-      this.serve(listen.readiness, () => this.readiness()),
-      this.serve(listen.announcements, req => messages.handle(req)),
-      this.serve(listen.metrics, () => this.metrics()),
+      localPorts.openLocalPorts(
+        listen,
+        {
+          readiness: () => this.readiness(),
+          announcements: req => messages.handle(req),
+          metrics: () => this.metrics(),
+        },
+        {maxConnections: this.bounds.local, log, resources: this.resources},
+      ),
       this.gateRuntime.listen(address.parseAddress(listen.peers)),
       this.entryRuntime.callers.listen(address.parseAddress(listen.callers)),
     ]);
@@ -167,17 +177,6 @@
     this.wakeTimer.schedule(clock.monotonicMs() + MAX_TICK_INTERVAL_MS);
   }
 
-  private async serve(
-    listenAddress: string | undefined,
-    handler: simpleHttpServer.SimpleHandler,
-  ): Promise<void> {
-    if (listenAddress === undefined) return;
-    const server = this.resources.use(
-      new simpleHttpServer.SimpleHttpServer(handler),
-    );
-    await server.listen(address.parseAddress(listenAddress));
-  }
-
   private makeKeyAdmission(): keyAdmission.KeyAdmission {
     const {platform, telemetry: log} = this.options;
     return new keyAdmission.KeyAdmission({
@@ -319,6 +318,7 @@
       suspects: this.suspects,
       rollouts: this.rollouts,
       memoryMb: this.options.settings.memoryMb,
+      maxGreetings: this.bounds.greetings,
       coldRateFactor: platform.bounds.coldRateFactor,
       soleSenderSinceMs: processStartedMs - platform.bounds.restartGapMs,
       readsStore: () => this.storeReaders.readsStore,
@@ -341,6 +341,7 @@
     return new entryRuntime.EntryRuntime({
       ...this.sharedOptions(),
       bounds: this.options.platform.bounds,
+      maxConnections: this.bounds.callers,
       rollouts: this.rollouts,
       fingerprint,
       keys: this.keys,
--- a/src/node/serving/simple_http_server.ts
+++ b/src/node/serving/simple_http_server.ts
@@ -3,6 +3,7 @@
 
 import * as units from '../../common/units.js';
 import * as bodyReader from '../body_reader.js';
+import * as connectionLimit from '../connection_limit.js';
 import * as headWatch from '../head_watch.js';
 import * as idleConnections from '../idle_connections.js';
 import * as tcpListener from '../tcp_listener.js';
@@ -35,11 +36,22 @@
   req: SimpleRequest,
 ) => SimpleResponse | Promise<SimpleResponse>;
 
+/** Limits of a server, and what to do when one is applied. */
+export interface SimpleServerOptions {
+  /** Most connections at a time. */
+  readonly maxConnections: number;
+  /** A connection was closed, for the reason given. */
+  onClosed(reason: string): void;
+}
+
 /** Serves requests from one handler, with bodies of up to 16 KiB. */
 export class SimpleHttpServer implements AsyncDisposable {
   private readonly server: http.Server;
 
-  constructor(private readonly handler: SimpleHandler) {
+  constructor(
+    private readonly handler: SimpleHandler,
+    options: SimpleServerOptions,
+  ) {
     this.server = http.createServer(
       {
         headersTimeout: REQUEST_TIMEOUT_MS,
@@ -48,7 +60,7 @@
       },
       (req, res) => this.accept(req, res),
     );
-    this.watchHeads();
+    this.limitConnections(options);
   }
 
   /** Starts accepting connections. */
@@ -64,13 +76,22 @@
     await closed;
   }
 
-  private watchHeads(): void {
+  private limitConnections({
+    maxConnections,
+    onClosed,
+  }: SimpleServerOptions): void {
     const idle = new idleConnections.IdleConnections(this.server);
     headWatch.watchHeads(
       this.server,
       idle,
       () => REQUEST_TIMEOUT_MS,
-      socket => socket.destroy(),
+      socket => {
+        onClosed('head not complete');
+        socket.destroy();
+      },
+    );
+    connectionLimit.limitConnections(this.server, idle, maxConnections, () =>
+      onClosed('too many connections'),
     );
   }
 
