--- a/src/common/counter_names.ts
+++ b/src/common/counter_names.ts
@@ -47,6 +47,8 @@
     'Connections reset because their callers took nothing of an answer for a minute.',
   'configuration.rejected':
     'Configuration changes in the log that were not accepted.',
+  'connection.too-many':
+    'Idle connections of callers that were closed to make room for new ones.',
   'datagram.failed': 'Datagrams that could not be sent.',
   'datagram.received': 'Datagrams received.',
   'datagram.sent': 'Datagrams sent.',
--- a/src/common/rollouts/rollouts.ts
+++ b/src/common/rollouts/rollouts.ts
@@ -26,6 +26,12 @@
   readonly isOpen: boolean;
 }
 
+/** Returns the state of a gate with this load. */
+export function gateStateOf(load: serving.Load): GateState {
+  const {running, waiting, limit, closure} = load;
+  return {running, waiting, limit, isOpen: closure === serving.Closure.OPEN};
+}
+
 /** Dependencies of `Rollouts`. */
 export interface RolloutsOptions {
   readonly orders: rolloutOrders.RolloutOrders;
--- a/src/node/caller_connections.ts
+++ b/src/node/caller_connections.ts
@@ -4,6 +4,7 @@
 
 import type * as units from '../common/units.js';
 import type * as callerMemory from './caller_memory.js';
+import * as lingeringClose from './lingering_close.js';
 
 /** Open requests from which on a connection is not read until one of them is answered. */
 const MAX_OPEN_REQUESTS = 256;
@@ -159,7 +160,7 @@
   /** A paused socket would not notice that its caller closes it too. */
   private endSocket(): void {
     if (this.isPaused) this.socket.destroySoon();
-    else this.socket.end();
+    else lingeringClose.endLingering(this.socket);
   }
 
   private endAll(isEnded: (res: http.ServerResponse) => boolean): void {
--- a/src/node/http_entry.test.ts
+++ b/src/node/http_entry.test.ts
@@ -49,6 +49,7 @@
       maxHeaderBytes: 2_048,
       maxCalls: 16,
       memory: callerMemory.CallerMemory.ofProcess(MEMORY_MB),
+      maxConnections: 64,
       serverSources,
     },
     {configuration} as unknown as fleetView.FleetView,
--- a/src/node/http_entry.ts
+++ b/src/node/http_entry.ts
@@ -16,8 +16,12 @@
 import * as callerHeaders from './caller_headers.js';
 import type * as callerMemory from './caller_memory.js';
 import * as clock from './clock.js';
+import * as connectionLimit from './connection_limit.js';
 import * as eventSource from './event_source.js';
+import * as headWatch from './head_watch.js';
 import * as httpHeaders from './http_headers.js';
+import * as idleConnections from './idle_connections.js';
+import * as lingeringClose from './lingering_close.js';
 import * as refusalResponse from './refusal_response.js';
 import * as requestFingerprint from './request_fingerprint.js';
 import * as requestIntake from './request_intake.js';
@@ -31,9 +35,15 @@
 /** Time allowed for a caller to send a whole request. */
 const REQUEST_TIMEOUT_MS: units.Millis = 30_000;
 
+/** Interval of checks for connections that exceed these times. */
+const TIMEOUT_CHECK_INTERVAL_MS: units.Millis = 1_000;
+
 /** Idle time after which a caller's connection is closed. */
 const KEEP_ALIVE_TIMEOUT_MS: units.Millis = 60_000;
 
+/** Code of the error of Node.js for a request that is not complete in time. */
+const HEAD_OVERDUE = 'ERR_HTTP_REQUEST_TIMEOUT';
+
 /** Largest announcement, in bytes. */
 const MAX_ANNOUNCEMENT_BYTES = 4_096;
 
@@ -51,6 +61,8 @@
   readonly maxCalls: number;
   /** Memory that callers may take. */
   readonly memory: callerMemory.CallerMemory;
+  /** Maximum number of connections. */
+  readonly maxConnections: number;
   /** Addresses from which announcements are accepted. */
   readonly serverSources: readonly string[];
 }
@@ -110,16 +122,17 @@
         maxHeaderSize: options.maxHeaderBytes,
         headersTimeout: HEADERS_TIMEOUT_MS,
         requestTimeout: REQUEST_TIMEOUT_MS,
+        connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
         keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
         noDelay: true,
       },
       (req, res) => this.accept(req, res),
     );
-    this.server.on('clientError', (err, socket) =>
+    this.server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
       this.rejectMalformed(err, socket as net.Socket),
     );
     this.connections.watch(this.server);
-    this.server.maxConnections = 4 * options.maxCalls;
+    this.limitConnections();
   }
 
   /** Starts accepting connections. */
@@ -187,6 +200,20 @@
     });
   }
 
+  private limitConnections(): void {
+    const {maxConnections} = this.options;
+    const idle = new idleConnections.IdleConnections(this.server);
+    headWatch.watchHeads(
+      this.server,
+      idle,
+      () => HEADERS_TIMEOUT_MS,
+      socket => this.rejectMalformed({code: HEAD_OVERDUE}, socket),
+    );
+    connectionLimit.limitConnections(this.server, idle, maxConnections, () =>
+      this.count.increment('connection.too-many'),
+    );
+  }
+
   private accept(req: http.IncomingMessage, res: http.ServerResponse): void {
     const requestId = uuid.v7();
     const isHandled = this.connections.add(res, () =>
@@ -353,12 +380,12 @@
   }
 
   private rejectMalformed(
-    err: NodeJS.ErrnoException,
+    {code}: Pick<NodeJS.ErrnoException, 'code'>,
     socket: net.Socket,
   ): void {
+    if (lingeringClose.limitLingering(socket)) return;
     // The rest of a request on a connection that is not read cannot arrive.
-    const isTimeout = err.code === 'ERR_HTTP_REQUEST_TIMEOUT';
-    if (isTimeout && this.connections.isPaused(socket)) return;
+    if (code === HEAD_OVERDUE && this.connections.isPaused(socket)) return;
     this.count.increment('malformed.http');
     if (!socket.writable) {
       socket.destroy();
@@ -368,7 +395,10 @@
     if (incomplete) return this.write(incomplete, 400, [], EMPTY_BODY, true);
     // An answer now would be taken for that of an earlier request.
     if (this.connections.endAfterResponses(socket)) return;
-    socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
+    lingeringClose.endLingering(
+      socket,
+      'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n',
+    );
   }
 
   private takeExchange(requestId: string): Exchange | undefined {
--- a/src/node/node_sockets.ts
+++ b/src/node/node_sockets.ts
@@ -4,6 +4,7 @@
 import * as callerMemory from './caller_memory.js';
 import * as clock from './clock.js';
 import * as datagramSocket from './datagram_socket.js';
+import * as descriptorLimit from './descriptor_limit.js';
 import * as httpEntry from './http_entry.js';
 import * as linkEvent from './link_event.js';
 import * as logClient from './log_client.js';
@@ -18,6 +19,9 @@
 /** Incoming links accepted per member that the bounds allow. */
 const LINKS_PER_MEMBER = 2;
 
+/** Connections of callers accepted for each request that may be in progress. */
+const CONNECTIONS_PER_CALL = 4;
+
 /** Servers, clients and sockets of a node. */
 export interface NodeSockets {
   readonly http: httpEntry.HttpEntry;
@@ -84,6 +88,10 @@
         ...portOf('callers', ports.http),
         maxCalls: bounds.calls,
         memory: new callerMemory.CallerMemory(bounds.callerBytes),
+        maxConnections: Math.min(
+          CONNECTIONS_PER_CALL * bounds.calls,
+          descriptorLimit.connectionBounds().callers,
+        ),
         serverSources,
       },
       view,
--- a/src/node/serving/caller_port.ts
+++ b/src/node/serving/caller_port.ts
@@ -11,14 +11,17 @@
 import * as serving from '../../generated/serving.js';
 import * as bodyIntake from '../body_intake.js';
 import * as callerConnections from '../caller_connections.js';
+import * as connectionLimit from '../connection_limit.js';
+import * as headWatch from '../head_watch.js';
 import * as httpHeaders from '../http_headers.js';
+import * as idleConnections from '../idle_connections.js';
+import * as lingeringClose from '../lingering_close.js';
 import * as requestFingerprint from '../request_fingerprint.js';
 import * as tcpListener from '../tcp_listener.js';
+import * as unreadRequest from '../unread_request.js';
+import * as callerStatuses from './caller_statuses.js';
 import * as platformAdapter from './platform_adapter.js';
 
-/** Limit of the HTTP parser; the configured limit is checked separately, below this one. */
-const MAX_PARSED_HEADER_BYTES = 64 * 1024;
-
 /** Limits before the first configuration is known. */
 const DEFAULT_LIMITS: configuration.CallerLimits = {
   maxHeaderBytes: 16 * 1024,
@@ -36,27 +39,10 @@
 /** Time limit of a request whose caller states none. */
 const DEFAULT_TIME_LEFT_MS: units.Millis = 30_000;
 
-/** Longest time for which the rest of a request is read that was refused. */
-const MAX_READ_ON_MS: units.Millis = 1_000;
-
 /** Time until a retry of a request that this node cannot judge or handle now. */
 const REFUSED_RETRY_AFTER_MS: units.Millis = 300;
 
-const STATUS = {
-  badRequest: 400,
-  unauthorized: 401,
-  notFound: 404,
-  requestTimeout: 408,
-  tooLarge: 413,
-  tooManyRequests: 429,
-  headersTooLarge: 431,
-  badGateway: 502,
-  unavailable: 503,
-  gatewayTimeout: 504,
-} as const;
-
-const NO_CONTENT = 204;
-const NOT_MODIFIED = 304;
+const {STATUS, HEAD_OVERDUE} = callerStatuses;
 
 /** Provides the configuration and receives the events of the port. */
 export interface CallerPortListener {
@@ -83,6 +69,8 @@
   readonly fingerprint: requestFingerprint.RequestFingerprint;
   readonly bodies: bodyIntake.BodyIntake;
   readonly listener: CallerPortListener;
+  /** Most connections at a time, unlimited by default. */
+  readonly maxConnections?: number;
 }
 
 interface Exchange {
@@ -113,17 +101,18 @@
     });
     this.server = http.createServer(
       {
-        maxHeaderSize: MAX_PARSED_HEADER_BYTES,
+        maxHeaderSize: headWatch.MAX_PARSED_HEADER_BYTES,
         requestTimeout: 0,
         connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS,
         noDelay: true,
       },
       (req, res) => this.accept(req, res),
     );
-    this.server.on('clientError', (err, socket) =>
-      this.rejectMalformed(err, socket as net.Socket),
+    this.server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
+      this.rejectMalformed(err.code, socket as net.Socket),
     );
     this.connections.watch(this.server);
+    this.limitConnections();
     this.applyLimits();
   }
 
@@ -168,7 +157,7 @@
     if (exchange === undefined) return;
     const {status, headers, body} = answer;
     const headerList = [...headers];
-    if (status !== NO_CONTENT && status !== NOT_MODIFIED) {
+    if (callerStatuses.mayHaveBody(status)) {
       headerList.push('Content-Length', String(body.length));
     }
     try {
@@ -194,6 +183,20 @@
     await closed;
   }
 
+  private limitConnections(): void {
+    const {listener, maxConnections = Infinity} = this.options;
+    const idle = new idleConnections.IdleConnections(this.server);
+    headWatch.watchHeads(
+      this.server,
+      idle,
+      () => this.limits.headerTimeoutMs,
+      socket => this.rejectMalformed(HEAD_OVERDUE, socket),
+    );
+    connectionLimit.limitConnections(this.server, idle, maxConnections, () =>
+      listener.onRefused(undefined, 'too many connections'),
+    );
+  }
+
   private get limits(): configuration.CallerLimits {
     const cfg = this.options.listener.configuration();
     return cfg?.document.limits ?? DEFAULT_LIMITS;
@@ -390,25 +393,24 @@
     this.write(res, status, headers, body, true);
   }
 
-  private rejectMalformed(
-    err: NodeJS.ErrnoException,
-    socket: net.Socket,
-  ): void {
-    if (!socket.writable || err.code === 'ECONNRESET') {
+  private rejectMalformed(code: string | undefined, socket: net.Socket): void {
+    if (lingeringClose.limitLingering(socket)) return;
+    if (!socket.writable || code === 'ECONNRESET') {
       socket.destroy();
       return;
     }
     // The rest of a request on a connection that is not read cannot arrive.
-    if (isTimeout(err) && this.connections.isPaused(socket)) return;
-    this.options.listener.onRefused(undefined, err.code ?? 'malformed');
-    const status = statusOf(err);
+    if (code === HEAD_OVERDUE && this.connections.isPaused(socket)) return;
+    this.options.listener.onRefused(undefined, code ?? 'malformed');
+    const status = callerStatuses.statusOfError(code);
     const incomplete = this.connections.incompleteOn(socket);
     if (incomplete) {
       return this.write(incomplete, status, ['Content-Length', '0'], '', true);
     }
     // An answer now would be taken for that of an earlier request.
     if (this.connections.endAfterResponses(socket)) return;
-    socket.end(
+    lingeringClose.endLingering(
+      socket,
       `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\n` +
         'Content-Length: 0\r\nConnection: close\r\n\r\n',
     );
@@ -442,30 +444,10 @@
     this.unflushed.add(res);
     this.connections.hold(res, body.length);
     if (res.req.complete) res.end(body);
-    else endOnceRead(res, body);
+    else unreadRequest.endOnceRead(res, body);
   }
 }
 
-/**
- * Writes a response whose request has not been read whole, and reads the rest of it for a while:
- * bytes that are unread when a connection closes discard the answer on its way.
- */
-function endOnceRead(
-  res: http.ServerResponse,
-  body: Uint8Array | string,
-): void {
-  const {req} = res;
-  res.write(body);
-  const end = (): void => {
-    clearTimeout(timer);
-    res.end();
-  };
-  const timer = setTimeout(end, MAX_READ_ON_MS);
-  req.once('end', end);
-  req.once('close', end);
-  req.resume();
-}
-
 function retryAfterHeader(retryAfterMs: units.Millis): readonly string[] {
   return ['Retry-After', (retryAfterMs / units.MS_PER_SECOND).toFixed(2)];
 }
@@ -478,18 +460,3 @@
     ? key.digest.slice(0, LOGGED_DIGEST_LENGTH)
     : `(${key.kind})`;
 }
-
-function isTimeout(err: NodeJS.ErrnoException): boolean {
-  return err.code === 'ERR_HTTP_REQUEST_TIMEOUT';
-}
-
-function statusOf(err: NodeJS.ErrnoException): number {
-  switch (err.code) {
-    case 'HPE_HEADER_OVERFLOW':
-      return STATUS.headersTooLarge;
-    case 'ERR_HTTP_REQUEST_TIMEOUT':
-      return STATUS.requestTimeout;
-    default:
-      return STATUS.badRequest;
-  }
-}
--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -41,6 +41,8 @@
   readonly bounds: platformAdapter.FleetBounds;
   /** Memory that the process may use, in MB. */
   readonly memoryMb: number;
+  /** Most connections of callers at a time. */
+  readonly maxConnections: number;
   readonly rollouts: rollouts.Rollouts;
   readonly intent: operatorIntent.OperatorIntent;
   readonly directory: fleetDirectory.FleetDirectory;
@@ -264,6 +266,7 @@
       service,
       fingerprint,
       bodies,
+      maxConnections: this.options.maxConnections,
       listener: {
         configuration: () => intent.configuration,
         admitsKeys: () => this.options.keys.admits(),
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -1,5 +1,6 @@
 /** Connects the gate to the backend server and to the entries of all nodes. */
 import * as crashSuspects from '../../common/serving/crash_suspects.js';
+import * as decision from '../../common/serving/decision.js';
 import * as gateCall from '../../common/serving/gate_call.js';
 import * as operatorIntent from '../../common/serving/operator_intent.js';
 import * as rollouts from '../../common/rollouts/rollouts.js';
@@ -48,6 +49,8 @@
   readonly coldRateFactor: number;
   /** Memory that the process may use, in MB. */
   readonly memoryMb: number;
+  /** Most connections of other nodes that have sent no greeting yet. */
+  readonly maxGreetings: number;
   /** Time since which no former process of this node has sent requests to the backend server. */
   readonly soleSenderSinceMs: units.EpochMs;
   readonly log: telemetry.Telemetry;
@@ -260,6 +263,16 @@
       maxPulseIntervalMs: () =>
         this.options.rollouts.isActive ? ROLLOUT_PULSE_MS : Infinity,
       nodeCount: () => directory.size,
+      maxGreetings: this.options.maxGreetings,
+      onRefused: reason =>
+        decision.noteStateChange(
+          this.options.log,
+          'gate',
+          'connection-closed',
+          {
+            reason,
+          },
+        ),
       listener: {
         onGreeting: (sender, startedMs) => {
           const {nodeId} = sender;
--- a/src/node/serving/node_ports.ts
+++ b/src/node/serving/node_ports.ts
@@ -16,6 +16,8 @@
 /** What serves each port. */
 export interface NodePortsOptions {
   readonly listen: generated.NodeSettings['listen'];
+  /** Most connections at a time to each port that the node serves itself. */
+  readonly maxConnections: number;
   readonly log: decision.DecisionLog;
   readonly callers: Open;
   readonly peers: Open;
@@ -62,23 +64,35 @@
     name: 'announcements' | 'readiness',
     handler: simpleHttpServer.SimpleHandler,
   ): Promise<void> {
-    const server = this.makeServer(handler);
+    const server = this.makeServer(name, handler);
     await server.listen(this.portOf(name, this.options.listen[name]));
   }
 
   /** Opens the port of the metrics, whenever that may be: no request depends on it. */
   private openMetrics(listenAddress: string): void {
     const port = this.portOf('metrics', listenAddress);
-    const server = this.makeServer(this.options.metrics);
+    const server = this.makeServer('metrics', this.options.metrics);
     server.listen({...port, openTimeoutMs: Infinity}).catch(() => {
       // The node was disposed.
     });
   }
 
   private makeServer(
+    port: PortName,
     handler: simpleHttpServer.SimpleHandler,
   ): simpleHttpServer.SimpleHttpServer {
-    return this.servers.use(new simpleHttpServer.SimpleHttpServer(handler));
+    const {log, maxConnections} = this.options;
+    const onClosed = (reason: string): void =>
+      decision.noteStateChange(log, 'node', 'connection-closed', {
+        port,
+        reason,
+      });
+    return this.servers.use(
+      new simpleHttpServer.SimpleHttpServer(handler, {
+        maxConnections,
+        onClosed,
+      }),
+    );
   }
 
   private portOf(
--- a/src/node/serving/server_message_handler.ts
+++ b/src/node/serving/server_message_handler.ts
@@ -1,4 +1,5 @@
 /** Handles the messages that the backend server sends to its node. */
+import type * as generated from '../../generated/node_settings.js';
 import * as decision from '../../common/serving/decision.js';
 import * as serverGate from '../../common/serving/server_gate.js';
 import * as units from '../../common/units.js';
@@ -24,6 +25,15 @@
   readonly address: string;
 }
 
+/** Returns the backend server that the settings of a node name. */
+export function localServerOf({
+  service,
+  dataCentre,
+  server,
+}: generated.NodeSettings): LocalServer {
+  return {service, dataCentre, address: server};
+}
+
 /** Dependencies of `ServerMessageHandler`. */
 export interface ServerMessageHandlerOptions {
   readonly decoder: platformAdapter.AnnouncementDecoder;
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -1,6 +1,7 @@
 /** A node for the users' platform, composed of its parts. */
 import * as crashSuspects from '../../common/serving/crash_suspects.js';
 import * as decision from '../../common/serving/decision.js';
+import * as decider from '../../common/rollouts/decider.js';
 import * as rolloutsModule from '../../common/rollouts/rollouts.js';
 import * as operatorIntent from '../../common/serving/operator_intent.js';
 import * as randomSource from '../../common/random_source.js';
@@ -8,6 +9,7 @@
 import * as generated from '../../generated/node_settings.js';
 import * as serving from '../../generated/serving.js';
 import * as clock from '../clock.js';
+import * as descriptorLimit from '../descriptor_limit.js';
 import * as requestFingerprint from '../request_fingerprint.js';
 import * as resourceStack from '../resource_stack.js';
 import * as address from './address.js';
@@ -64,6 +66,7 @@
   private readonly statusWriter: rolloutStatusWriter.RolloutStatusWriter;
   private readonly ports: nodePorts.NodePorts;
   private readonly resources = new resourceStack.ResourceStack();
+  private readonly bounds: descriptorLimit.ConnectionBounds;
   private settings: generated.NodeSettings;
   private readonly wakeTimer = new wakeTimer.WakeTimer({
     nowMs: clock.monotonicMs,
@@ -78,6 +81,7 @@
     const {settings} = options;
     const use = this.resources.use.bind(this.resources);
     this.settings = settings;
+    this.bounds = descriptorLimit.connectionBounds(settings.maxDescriptors);
     this.random = new randomSource.SeededRandom(
       randomSource.seedOf(settings.nodeId, options.processStartedMs),
     );
@@ -172,11 +176,12 @@
       decoder: platform.announcements,
       gate: this.gateRuntime.gate,
       log,
-      localServer: () => this.localServer(),
+      localServer: () => serverMessageHandler.localServerOf(this.settings),
       afterEvent: () => this.afterEvent(),
     });
     return new nodePorts.NodePorts({
       listen: settings.listen,
+      maxConnections: this.bounds.local,
       log,
       callers: at => this.entryRuntime.callers.listen(at),
       peers: at => this.gateRuntime.listen(at),
@@ -231,7 +236,10 @@
       log,
       service,
       version: () => this.gateRuntime.gate.version,
-      gate: () => this.gateState(),
+      gate: () =>
+        rolloutsModule.gateStateOf(
+          this.gateRuntime.gate.load(clock.monotonicMs()),
+        ),
       authority: () => ({
         decides: this.decides,
         readsStore: this.storeReaders.readsStore && this.statusWriter.hasRead,
@@ -257,29 +265,18 @@
     });
   }
 
-  private gateState(): rolloutsModule.GateState {
-    const load = this.gateRuntime.gate.load(clock.monotonicMs());
-    const {running, waiting, limit, closure} = load;
-    const isOpen = closure === serving.Closure.OPEN;
-    return {running, waiting, limit, isOpen};
-  }
-
-  /**
-   * Whether this node decides on roll-outs: the first by id of those that read the store, or of all
-   * that it reaches if none does.
-   */
+  /** Whether this node decides on roll-outs. */
   private get decides(): boolean {
     const {self, others} = this.directory;
     const {links} = this.entryRuntime;
-    const peers = others.filter(({nodeId}) => links.isUp(nodeId));
-    const readers = peers.filter(({nodeId}) =>
-      this.entryRuntime.readsStore(nodeId),
-    );
-    if (this.storeReaders.readsStore) {
-      return readers.every(({nodeId}) => self.nodeId < nodeId);
-    }
-    if (readers.length > 0) return false;
-    return peers.every(({nodeId}) => self.nodeId < nodeId);
+    const peers = others
+      .map(({nodeId}) => nodeId)
+      .filter(nodeId => links.isUp(nodeId));
+    return decider.isDecider(self.nodeId, {
+      peers,
+      readers: peers.filter(nodeId => this.entryRuntime.readsStore(nodeId)),
+      readsStore: this.storeReaders.readsStore,
+    });
   }
 
   /** Ids of the nodes of a service, this one included, that fulfil a condition. */
@@ -326,6 +323,7 @@
       ...this.sharedOptions(),
       suspects: this.suspects,
       rollouts: this.rollouts,
+      maxGreetings: this.bounds.greetings,
       coldRateFactor: platform.bounds.coldRateFactor,
       soleSenderSinceMs: processStartedMs - platform.bounds.restartGapMs,
       readsStore: () => this.storeReaders.readsStore,
@@ -348,6 +346,7 @@
     return new entryRuntime.EntryRuntime({
       ...this.sharedOptions(),
       bounds: this.options.platform.bounds,
+      maxConnections: this.bounds.callers,
       rollouts: this.rollouts,
       fingerprint,
       keys: this.keys,
@@ -420,11 +419,6 @@
     return {status: OK, contentType: metrics.contentType, text};
   }
 
-  private localServer(): serverMessageHandler.LocalServer {
-    const {service, dataCentre, server} = this.settings;
-    return {service, dataCentre, address: server};
-  }
-
   private onResumed(pausedMs: units.Millis): void {
     this.note('resumed', {pausedMs: Math.round(pausedMs)});
     this.entryRuntime.quotas.onResumed();
--- a/src/node/serving/simple_http_server.ts
+++ b/src/node/serving/simple_http_server.ts
@@ -3,6 +3,9 @@
 
 import * as units from '../../common/units.js';
 import * as bodyReader from '../body_reader.js';
+import * as connectionLimit from '../connection_limit.js';
+import * as headWatch from '../head_watch.js';
+import * as idleConnections from '../idle_connections.js';
 import * as tcpListener from '../tcp_listener.js';
 
 /** Largest request body accepted, in bytes. */
@@ -33,11 +36,22 @@
   req: SimpleRequest,
 ) => SimpleResponse | Promise<SimpleResponse>;
 
+/** Limits of a server, and what to do when one is applied. */
+export interface SimpleServerOptions {
+  /** Most connections at a time. */
+  readonly maxConnections: number;
+  /** A connection was closed, for the reason given. */
+  onClosed(reason: string): void;
+}
+
 /** Serves requests from one handler, with bodies of up to 16 KiB. */
 export class SimpleHttpServer implements AsyncDisposable {
   private readonly server: http.Server;
 
-  constructor(private readonly handler: SimpleHandler) {
+  constructor(
+    private readonly handler: SimpleHandler,
+    options: SimpleServerOptions,
+  ) {
     this.server = http.createServer(
       {
         headersTimeout: REQUEST_TIMEOUT_MS,
@@ -46,6 +60,7 @@
       },
       (req, res) => this.accept(req, res),
     );
+    this.limitConnections(options);
   }
 
   /** Starts accepting connections. */
@@ -61,6 +76,25 @@
     await closed;
   }
 
+  private limitConnections({
+    maxConnections,
+    onClosed,
+  }: SimpleServerOptions): void {
+    const idle = new idleConnections.IdleConnections(this.server);
+    headWatch.watchHeads(
+      this.server,
+      idle,
+      () => REQUEST_TIMEOUT_MS,
+      socket => {
+        onClosed('head not complete');
+        socket.destroy();
+      },
+    );
+    connectionLimit.limitConnections(this.server, idle, maxConnections, () =>
+      onClosed('too many connections'),
+    );
+  }
+
   private accept(req: http.IncomingMessage, res: http.ServerResponse): void {
     bodyReader.readBody(req, MAX_BODY_BYTES, read => {
       if (read.kind === 'cut-short') return;
