--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -103,7 +103,6 @@
       sockets.remote.events,
     ];
     loop.observe(most.mergeArray([...events]));
-    await nodeSockets.listen(sockets);
     const {ip, ports, peerSources} = settings;
     const server = await operatorServer.OperatorServer.listen({
       ip,
@@ -115,6 +114,8 @@
       counters: count,
     });
     this.resources.use(server);
+    // After the port for operators, as a stop ends the wait for a port at once.
+    await nodeSockets.listen(sockets);
     commands.emit({kind: 'tick'});
   }
 
