--- a/src/node/incomplete_document.ts
+++ b/src/node/incomplete_document.ts
@@ -3,7 +3,7 @@
 
 /** Whether a document ends before its last bracket, string or comment does, or is empty. */
 export function isIncomplete(text: string): boolean {
-  const scanner = jsonc.createScanner(text, true);
+  const scanner = jsonc.createScanner(text, false);
   let depth = 0;
   let isEmpty = true;
   for (
@@ -11,14 +11,28 @@
     token !== jsonc.SyntaxKind.EOF;
     token = scanner.scan()
   ) {
-    if (token !== jsonc.SyntaxKind.Unknown) isEmpty = false;
+    if (!isBlank(token)) isEmpty = false;
     depth += depthChange(token);
     const err = scanner.getTokenError();
     if (err === jsonc.ScanError.UnexpectedEndOfString) return true;
+    if (err === jsonc.ScanError.UnexpectedEndOfComment) return true;
   }
   return isEmpty || depth > 0;
 }
 
+function isBlank(token: jsonc.SyntaxKind): boolean {
+  switch (token) {
+    case jsonc.SyntaxKind.BlockCommentTrivia:
+    case jsonc.SyntaxKind.LineBreakTrivia:
+    case jsonc.SyntaxKind.LineCommentTrivia:
+    case jsonc.SyntaxKind.Trivia:
+    case jsonc.SyntaxKind.Unknown:
+      return true;
+    default:
+      return false;
+  }
+}
+
 function depthChange(token: jsonc.SyntaxKind): number {
   switch (token) {
     case jsonc.SyntaxKind.OpenBraceToken:
