Answers that callers do not take give way to bodies of requests

While callers that read nothing held the whole quarter of the memory, bodies of other callers were refused (503) or, if one was large, its connection was the first to end. Connections that hold many answers now end first, also to make room for a body; bodies end only when no such connection is left.

--- a/src/node/body_intake.ts
+++ b/src/node/body_intake.ts
@@ -248,9 +248,9 @@
     return this.options.nowMs();
   }
 
-  /** Whether the memory has room for further bytes. */
+  /** Whether the memory has room for further bytes; answers that callers do not take give way. */
   fits(bytes: number): boolean {
-    return this.memory.usedBytes + bytes <= this.memory.maxBytes;
+    return this.memory.makeRoom(bytes);
   }
 
   /** Notes that a body counts `after` bytes instead of `before`. */
--- a/src/node/caller_connections.ts
+++ b/src/node/caller_connections.ts
@@ -61,8 +61,9 @@
     private readonly socket: net.Socket,
     private readonly options: CallerConnectionsOptions,
   ) {
-    this.allocation = options.memory.allocate(() =>
-      this.reset('caller memory used up'),
+    this.allocation = options.memory.allocate(
+      () => this.reset('caller memory used up'),
+      'answers',
     );
     // Its 'close' event may have been emitted.
     if (socket.destroyed) this.allocation[Symbol.dispose]();
--- a/src/node/caller_memory.test.ts
+++ b/src/node/caller_memory.test.ts
@@ -7,6 +7,9 @@
 
 const MAX_BYTES = 100;
 
+/** Memory in which single connections can hold many answers, in bytes. */
+const LARGE_MEMORY_BYTES = 1024 * 1024;
+
 /** Memory with one allocation for each name; `ended` has the names that had to end. */
 function makeMemory<T extends string>(names: readonly T[]) {
   const memory = new callerMemory.CallerMemory(MAX_BYTES);
@@ -65,3 +68,30 @@
   allocations.a[Symbol.dispose]();
   assert.deepEqual(used, [45, 10]);
 });
+
+test('answers that are not taken end before a larger body', () => {
+  const memory = new callerMemory.CallerMemory(LARGE_MEMORY_BYTES);
+  const ended: string[] = [];
+  const body = memory.allocate(() => ended.push('body'));
+  body.add(LARGE_MEMORY_BYTES / 2);
+  const answers = memory.allocate(() => ended.push('answers'), 'answers');
+  answers.add(LARGE_MEMORY_BYTES / 3);
+  body.add(LARGE_MEMORY_BYTES / 4);
+  assert.deepEqual(ended, ['answers']);
+  assert.equal(body.bytes, memory.usedBytes);
+});
+
+test('large answers give way to a body, small ones and bodies do not', () => {
+  const memory = new callerMemory.CallerMemory(LARGE_MEMORY_BYTES);
+  const ended: string[] = [];
+  const body = memory.allocate(() => ended.push('body'));
+  body.add(LARGE_MEMORY_BYTES / 2);
+  const small = memory.allocate(() => ended.push('small'), 'answers');
+  small.add(1_000);
+  const large = memory.allocate(() => ended.push('large'), 'answers');
+  large.add(LARGE_MEMORY_BYTES / 2 - 1_000);
+  assert.equal(memory.makeRoom(1_000), true);
+  assert.deepEqual(ended, ['large']);
+  assert.equal(memory.makeRoom(LARGE_MEMORY_BYTES), false);
+  assert.deepEqual(ended, ['large']);
+});
--- a/src/node/caller_memory.ts
+++ b/src/node/caller_memory.ts
@@ -5,12 +5,22 @@
 
 const BYTES_PER_MB = 1024 * 1024;
 
+/** Bytes from which on a connection ends so that others get their memory. */
+const LARGE_BYTES = 16 * 1024;
+
+/**
+ * What an allocation counts. Answers wait for their caller to take them, bodies for a server, so
+ * that connections with many answers end first.
+ */
+export type HeldKind = 'answers' | 'body';
+
 /** Memory that is held for one connection. */
 export class CallerAllocation implements Disposable {
   private heldBytes = 0;
 
   constructor(
     private readonly memory: CallerMemory,
+    readonly kind: HeldKind,
     /** Ends the connection, as it holds more than all others while the memory is used up. */
     readonly onExceeded: () => void,
   ) {}
@@ -65,8 +75,8 @@
   }
 
   /** Starts to count a connection. */
-  allocate(onExceeded: () => void): CallerAllocation {
-    const allocation = new CallerAllocation(this, onExceeded);
+  allocate(onExceeded: () => void, kind: HeldKind = 'body'): CallerAllocation {
+    const allocation = new CallerAllocation(this, kind, onExceeded);
     this.allocations.add(allocation);
     return allocation;
   }
@@ -87,12 +97,38 @@
   onChanged(bytes: number): void {
     this.heldBytes += bytes;
     while (this.heldBytes > this.maxBytes && this.allocations.size > 0) {
-      const largest = [...this.allocations].reduce((a, b) =>
-        b.bytes > a.bytes ? b : a,
-      );
-      this.release(largest);
-      largest.onExceeded();
+      this.end(this.largestAnswers() ?? largestOf([...this.allocations]));
     }
     if (bytes < 0) this.onFreed();
   }
+
+  /**
+   * Ends connections that hold many answers until further bytes fit; returns false if they do not.
+   */
+  makeRoom(bytes: number): boolean {
+    while (this.heldBytes + bytes > this.maxBytes) {
+      const largest = this.largestAnswers();
+      if (largest === undefined) return false;
+      this.end(largest);
+    }
+    return true;
+  }
+
+  private largestAnswers(): CallerAllocation | undefined {
+    const large = [...this.allocations].filter(
+      ({kind, bytes}) => kind === 'answers' && bytes > LARGE_BYTES,
+    );
+    return large.length === 0 ? undefined : largestOf(large);
+  }
+
+  /** Ends a connection; its memory is for the one that asked, so that no other is told. */
+  private end(allocation: CallerAllocation): void {
+    this.allocations.delete(allocation);
+    this.heldBytes -= allocation.bytes;
+    allocation.onExceeded();
+  }
+}
+
+function largestOf(allocations: readonly CallerAllocation[]): CallerAllocation {
+  return allocations.reduce((a, b) => (b.bytes > a.bytes ? b : a));
 }
