--- a/test/paths/daemon_signals.test.ts
+++ b/test/paths/daemon_signals.test.ts
@@ -3,12 +3,11 @@
 import * as nodeTest from 'node:test';
 
 import * as child from './child.js';
+import * as loneDaemon from './lone_daemon.js';
 import * as loneNode from './lone_node.js';
 
 const {test} = nodeTest;
 
-const PROGRAM = 'src/node/main.js';
-
 const WAIT_MS = 10_000;
 
 /** Signals that have no meaning for geraniumloftd, which reads its settings once. */
@@ -22,29 +21,9 @@
   'SIGIO',
 ] as const;
 
-/** Text of settings whose log service does not exist. */
-async function settingsText(): Promise<string> {
-  const [http, peer, operator, port] = await child.freePorts(4);
-  return JSON.stringify({
-    nodeId: 'node-0',
-    dataCentre: 'couva',
-    region: 'tt-central',
-    service: 'orders',
-    ip: '127.0.0.1',
-    ports: {http, peer, operator},
-    slots: 12,
-    logService: {ip: '127.0.0.1', port},
-    logLevel: 'info',
-  });
-}
-
-function start(path: string): child.Child {
-  return child.startProgram('node-0', PROGRAM, ['--settings', path]);
-}
-
 test('signals without a meaning do not end geraniumloftd', async () => {
-  await using node = start(
-    child.temporaryFile('node.jsonc', await settingsText()),
+  await using node = loneDaemon.start(
+    child.temporaryFile('node.jsonc', (await loneDaemon.settings()).text),
   );
   await node.waitForOutput('listening');
   for (const signal of IGNORED) {
@@ -63,10 +42,10 @@
 });
 
 test('signals while geraniumloftd starts do not end it, or with status 0', async () => {
-  const text = await settingsText();
+  const text = (await loneDaemon.settings()).text;
   for (const signal of [...IGNORED, 'SIGTERM', 'SIGINT'] as const) {
     const path = child.temporaryFile('node.jsonc', '{');
-    await using node = start(path);
+    await using node = loneDaemon.start(path);
     await child.waitUntil(
       () => !node.isRunning || loneNode.catches(node, 'SIGIO'),
       WAIT_MS,
--- a/test/paths/operator_port.test.ts
+++ b/test/paths/operator_port.test.ts
@@ -4,6 +4,7 @@
 import * as timers from 'node:timers/promises';
 
 import * as child from './child.js';
+import * as loneDaemon from './lone_daemon.js';
 import * as loneNode from './lone_node.js';
 
 const {test} = nodeTest;
@@ -13,29 +14,12 @@
 
 // A stop, or the end of the wait, would cut off their requests.
 test('geraniumloftd accepts no callers while its port for operators is taken', async () => {
-  const [http, peer, operator, port] = await child.freePorts(4);
-  const path = child.temporaryFile(
-    'node.jsonc',
-    JSON.stringify({
-      nodeId: 'node-0',
-      dataCentre: 'couva',
-      region: 'tt-central',
-      service: 'orders',
-      ip: '127.0.0.1',
-      ports: {http, peer, operator},
-      slots: 12,
-      logService: {ip: '127.0.0.1', port},
-      logLevel: 'info',
-    }),
-  );
+  const {text, http, operator} = await loneDaemon.settings();
   const holder = net.createServer();
   await new Promise<void>(resolve =>
     holder.listen(operator, '127.0.0.1', resolve),
   );
-  await using node = child.startProgram('node-0', 'src/node/main.js', [
-    '--settings',
-    path,
-  ]);
+  await using node = loneDaemon.start(child.temporaryFile('node.jsonc', text));
   await node.waitForOutput('listen-waiting: port for operators');
   await timers.setTimeout(QUIET_MS);
   const isOpen = loneNode.isListening(http);
--- a/test/paths/unwritable_output.test.ts
+++ b/test/paths/unwritable_output.test.ts
@@ -4,6 +4,7 @@
 import * as nodeTest from 'node:test';
 
 import * as child from './child.js';
+import * as loneDaemon from './lone_daemon.js';
 import * as loneNode from './lone_node.js';
 
 const {test} = nodeTest;
@@ -18,25 +19,12 @@
 
 // Each line on standard error that cannot be written was an error that nothing handled.
 test('geraniumloftd lives while its log cannot be written', async () => {
-  const [http, peer, operator, port] = await child.freePorts(4);
-  const path = child.temporaryFile(
-    'node.jsonc',
-    JSON.stringify({
-      nodeId: 'node-0',
-      dataCentre: 'couva',
-      region: 'tt-central',
-      service: 'orders',
-      ip: '127.0.0.1',
-      ports: {http, peer, operator},
-      slots: 12,
-      logService: {ip: '127.0.0.1', port},
-      logLevel: 'info',
-    }),
-  );
+  const {text, http} = await loneDaemon.settings();
+  const path = child.temporaryFile('node.jsonc', text);
   const full = fs.openSync(FULL, 'w');
   const started = childProcess.spawn(
     process.execPath,
-    ['build/src/node/main.js', '--settings', path],
+    [`build/${loneDaemon.PROGRAM}`, '--settings', path],
     {stdio: ['ignore', full, full]},
   );
   fs.closeSync(full);
