Test: a node runs out of descriptors though its connections are bounded

The test asked that 280 connections to each port use up 256 descriptors.

The bundled daemon now gets 48 descriptors, fewer than its ports accept connections together at the least, so that the crowd uses them up again. All checks are as before.

--- a/test/paths/few_descriptors.test.ts
+++ b/test/paths/few_descriptors.test.ts
@@ -1,17 +1,20 @@
 import * as assert from 'node:assert/strict';
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs';
+import * as path from 'node:path';
 import * as nodeTest from 'node:test';
 import * as timers from 'node:timers/promises';
 
+import * as bundle from './bundle.js';
 import * as child from './child.js';
 import * as clientCrowd from './client_crowd.js';
+import * as loneNode from './lone_node.js';
 import * as platformFleet from './platform_fleet.js';
 
-const {test} = nodeTest;
+const {before, test} = nodeTest;
 
-/** Descriptors that the process may have; loading its modules needs many at once. */
-const MAX_DESCRIPTORS = 256;
+/** Descriptors that the process may have, fewer than its ports accept connections together. */
+const MAX_DESCRIPTORS = 48;
 
 /** Connections to each port, more than there are descriptors. */
 const CROWD = 280;
@@ -19,14 +22,15 @@
 const CROWDED_MS = 2_000;
 const SERVED_TIMEOUT_MS = 15_000;
 
-const DAEMON = 'build/src/daemon/main.js';
+before(loneNode.build);
 
 type PortName = 'callers' | 'peers' | 'announcements' | 'readiness';
 
 /** Starts the daemon with a limit of its descriptors. */
 function startLimited(settings: string): child.Child {
   const script = `ulimit -n ${MAX_DESCRIPTORS}; exec "$0" "$@"`;
-  const command = [process.execPath, DAEMON, '--settings', settings];
+  const daemon = path.resolve('build', bundle.BUNDLE);
+  const command = [process.execPath, daemon, '--settings', settings];
   const started = childProcess.spawn('sh', ['-c', script, ...command], {
     stdio: ['ignore', 'pipe', 'pipe'],
   });
