--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -422,10 +422,7 @@
     this.timers = [];
   }
 
-  async start(
-    rows,
-    {bounds, configuration, storeAddress, listenOf = () => ({})},
-  ) {
+  async start(rows, {bounds, configuration, storeOf, listenOf = () => ({})}) {
     await this.store.listen();
     this.store.put('keyed.op', 'config', configuration);
     // Addresses of their own for the machines, as ports are the same on all machines of a day.
@@ -441,9 +438,10 @@
       await machine.prepare(this.record, this.folder);
       this.machines.push(machine);
     }
-    const address = storeAddress ?? `127.0.0.1:${this.store.port}`;
     for (const machine of this.machines) {
-      machine.writeSettings(address, bounds, {listen: await listenOf(machine)});
+      const store =
+        (await storeOf?.(machine)) ?? `127.0.0.1:${this.store.port}`;
+      machine.writeSettings(store, bounds, {listen: await listenOf(machine)});
       machine.startNode();
     }
     this.every(HEARTBEAT_MS, () => {
