--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -176,6 +176,8 @@
     this.slots = 12;
     this.running = 0;
     this.runs = [];
+    this.inProgress = [];
+    this.starts = 0;
     this.state = 'ready';
     this.startIncarnation(`i-${machine.name}`);
     this.server = http.createServer((req, res) => this.accept(req, res));
@@ -193,6 +195,23 @@
     await listenOn(this.server, this.machine.ip, this.machine.ports.app);
   }
 
+  /** Ends at once, with all its connections. */
+  async crash() {
+    this.state = 'silent';
+    this.inProgress = [];
+    this.running = 0;
+    const closed = new Promise(resolve => this.server.close(resolve));
+    this.server.closeAllConnections();
+    await closed;
+  }
+
+  /** Starts at the same address, as another incarnation with an id of its own. */
+  async startAgain(id = `${this.id}.${++this.starts}`, born = Date.now()) {
+    this.startIncarnation(id, born);
+    await this.listen();
+    return this.beat();
+  }
+
   /** Sends a heartbeat now; resolves with the status, or 0 without an answer in a second. */
   beat(state = this.state) {
     const {machine, id, born, slots} = this;
@@ -278,7 +297,11 @@
       run.ms,
     );
     this.running++;
+    this.inProgress.push(run);
     setTimeout(() => {
+      // Lost in a crash.
+      if (!this.inProgress.includes(run)) return;
+      this.inProgress = this.inProgress.filter(other => other !== run);
       this.running--;
       res.setHeader('Server-Seal', `seal.${this.id}`);
       res.writeHead(200).end(`${this.id} ${id}`);
