--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -288,6 +288,7 @@
       machine: this.machine.name,
       service: this.machine.service,
       tenant: req.headers['tenant'],
+      caller: req.headers['caller-service'],
       path: req.url,
       body,
     };
