--- a/src/node/serving/topic_follower.ts
+++ b/src/node/serving/topic_follower.ts
@@ -62,6 +62,10 @@
   private next: logPosition.LogPosition | undefined;
   /** Reads in a row that did not find their position. */
   private restarts = 0;
+  /** Time at which the latest read was sent. */
+  private sentMs: units.MonotonicMs = 0;
+  /** Time for which the latest read was to wait for a record. */
+  private requestedWaitMs: units.Millis = 0;
   private reachable = false;
   /** The read that waits for a record, if any. */
   private waiting:
@@ -114,7 +118,7 @@
 
   private async readNewest(): Promise<void> {
     const {store, topic, listener, knownPosition} = this.options;
-    const sent = this.options.now();
+    const sent = this.noteRead(0);
     const newest = await store.newest(topic);
     if (this.loop.signal.aborted) return;
     listener.onNewest(newest);
@@ -127,8 +131,8 @@
 
   private async readFrom(from: logPosition.LogPosition): Promise<void> {
     const {listener} = this.options;
-    const sent = this.options.now();
     const waitMs = this.options.waitMs();
+    const sent = this.noteRead(waitMs);
     const result = await this.waitFor(from.offset, sent, waitMs);
     if (result === undefined || this.loop.signal.aborted) return;
     // In another era the offset stands for another record.
@@ -150,6 +154,13 @@
     if (result.records.length === 0) await this.pauseIfEarly(sent, waitMs);
   }
 
+  private noteRead(waitMs: units.Millis): units.Instant {
+    const sent = this.options.now();
+    this.sentMs = sent.monotonicMs;
+    this.requestedWaitMs = waitMs;
+    return sent;
+  }
+
   /** Keeps reads that the store answers at once, with nothing, from following without a pause. */
   private async pauseIfEarly(
     sent: units.Instant,
@@ -194,7 +205,9 @@
     this.setReachable(false);
     if (this.loop.failures > 1) return;
     const detail = err instanceof Error ? err.message : String(err);
-    this.note('store-lost', {detail});
+    const ageMs = this.options.now().monotonicMs - this.sentMs;
+    const waitMs = Math.round(this.requestedWaitMs);
+    this.note('store-lost', {detail, waitMs, ageMs: Math.round(ageMs)});
   }
 
   private onReadSucceeded(): void {
