--- a/src/node/serving/fleet_registry.test.ts
+++ b/src/node/serving/fleet_registry.test.ts
@@ -32,6 +32,7 @@
       }));
       return {records: stored, era: 1, endOffset: stored.length};
     },
+    renewConnections: () => undefined,
     follow: async () => ({kind: 'expired', era: 1}),
     put: async () => 1,
     putAt: () => Promise.reject(new Error('not expected')),
@@ -107,6 +108,8 @@
   /** Further keys with their values, read before `records`. */
   entries: ReadonlyArray<readonly [string, Buffer]> = [];
 
+  renewConnections(): void {}
+
   async newest(): Promise<platformAdapter.NewestRecords> {
     this.reads++;
     const {era} = this;
--- /dev/null
+++ b/src/node/serving/intent_waits.ts
@@ -0,0 +1,53 @@
+/** Waits on connections that together bound the time until new intent is in force on a node. */
+import * as units from '../../common/units.js';
+
+/** Bounds that the users state on how soon the operators' intent is in force. */
+export interface IntentBounds {
+  /** Time after a disruption of its connections until a node must keep the other bounds. */
+  readonly contactMs: units.Millis;
+  /** Time from the acknowledgement of a configuration until it is in force. */
+  readonly configurationMs: units.Millis;
+  /** Time from the acknowledgement of an evacuation until it is in force. */
+  readonly evacuationMs: units.Millis;
+}
+
+/** Time for which the answer of a waiting read may be late until the store is asked again. */
+export const LATE_READ_MS: units.Millis = 300;
+
+/** Time for the answer of the store to a read that does not wait, its connection included. */
+export const READ_MS: units.Millis = 100;
+
+/** Time until a node that the store has told a record has told it to all other nodes. */
+export const SPREAD_MS: units.Millis = 400;
+
+/** Longest wait of a read; shorter ones make more calls. */
+const MAX_READ_WAIT_MS: units.Millis = 2_500;
+
+/** Shortest wait of a read, whatever the bounds are. */
+const MIN_READ_WAIT_MS: units.Millis = 250;
+
+/**
+ * Returns the time from the moment at which connections go silent until new intent must be in
+ * force. Intent that is acknowledged later is in force later.
+ */
+export function noticeMs(bounds: IntentBounds): units.Millis {
+  const {contactMs, configurationMs, evacuationMs} = bounds;
+  return Math.max(contactMs, Math.min(configurationMs, evacuationMs));
+}
+
+/**
+ * Returns the longest wait of a read for the next record. Its connection may go silent just after
+ * the read was sent: the wait, the lateness, a second read and the spread come one after another.
+ */
+export function readWaitMs(bounds: IntentBounds): units.Millis {
+  const ms = noticeMs(bounds) - LATE_READ_MS - READ_MS - SPREAD_MS;
+  return Math.min(MAX_READ_WAIT_MS, Math.max(MIN_READ_WAIT_MS, ms));
+}
+
+/**
+ * Returns the longest time between the starts of two reads while the store does not answer. The
+ * store may be back just after a read was sent that it never answers.
+ */
+export function retryPeriodMs(bounds: IntentBounds): units.Millis {
+  return noticeMs(bounds) - READ_MS - SPREAD_MS;
+}
--- a/src/node/serving/platform_adapter.ts
+++ b/src/node/serving/platform_adapter.ts
@@ -9,6 +9,7 @@
 import * as serverStatement from '../../common/serving/server_statement.js';
 import * as units from '../../common/units.js';
 import * as workspaceDirectory from '../../common/workspaces/workspace_directory.js';
+import * as intentWaits from './intent_waits.js';
 
 /** Fields of the headers of a caller's request. */
 export interface CallerFields {
@@ -140,6 +141,12 @@
    */
   newest(topic: Topic): Promise<NewestRecords>;
 
+  /**
+   * Makes later calls over new connections, as open ones may be silent. Calls under way go on over
+   * theirs.
+   */
+  renewConnections(): void;
+
   /**
    * Reads records from an offset; waits up to `waitMs` for the first one, or until `stop` is
    * aborted.
@@ -222,6 +229,7 @@
   readonly retrySlack: number;
   /** Multiple of its configured rate up to which a backend server in cold start gets requests. */
   readonly coldRateFactor: number;
+  readonly intent: intentWaits.IntentBounds;
   /** Time after which a removed key admits no request on any node, infinity without a bound. */
   readonly revokeMs: units.Millis;
   readonly quota: QuotaBounds;
--- a/src/node/serving/rollout_status_writer.test.ts
+++ b/src/node/serving/rollout_status_writer.test.ts
@@ -16,6 +16,8 @@
 class ContendedStore implements platformAdapter.SharedStore {
   calls = 0;
 
+  renewConnections(): void {}
+
   async newest(): Promise<platformAdapter.NewestRecords> {
     this.calls++;
     await timers.setImmediate();
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -216,6 +216,7 @@
       random,
       log,
       proofs: this.keys,
+      bounds: platform.bounds.intent,
       readsStore: nodeId => this.entryRuntime.readsStore(nodeId),
       knownPosition: () => this.intent.position,
       onReadsStoreChanged: () => this.gateRuntime.pulseAll(),
--- a/src/node/serving/store_loop.ts
+++ b/src/node/serving/store_loop.ts
@@ -1,6 +1,7 @@
 /** Repeats a store operation until it is disposed, with backoff after failures. */
 import * as units from '../../common/units.js';
 import * as abortablePause from '../abortable_pause.js';
+import * as clock from '../clock.js';
 
 /** Largest random part added to a wait, so that nodes do not call the store simultaneously. */
 const JITTER_SHARE = 0.5;
@@ -10,6 +11,8 @@
   /** Backoff after the first failure; doubled after each further one. */
   readonly firstBackoffMs: units.Millis;
   readonly maxBackoffMs: units.Millis;
+  /** Longest time between the starts of two runs of which the first fails; unlimited by default. */
+  readonly maxRetryPeriodMs?: units.Millis;
   /** Runs the operation once, including any wait before the next run. */
   step(): Promise<void>;
   /** Called after a failed step, before the backoff. */
@@ -59,6 +62,7 @@
 
   private async run(): Promise<void> {
     while (!this.signal.aborted) {
+      const startedMs = clock.monotonicMs();
       try {
         await this.options.step();
         this.options.onSucceeded();
@@ -67,11 +71,20 @@
         if (this.signal.aborted) return;
         this.failureCount++;
         this.options.onFailed(err);
-        await this.pause(this.jittered(this.backoffMs()));
+        const elapsedMs = clock.monotonicMs() - startedMs;
+        await this.pause(this.retryPauseMs(elapsedMs));
       }
     }
   }
 
+  /** Returns the pause after a failed step that took `elapsedMs`. */
+  private retryPauseMs(elapsedMs: units.Millis): units.Millis {
+    const {firstBackoffMs, maxRetryPeriodMs = Infinity} = this.options;
+    const leftMs = maxRetryPeriodMs - elapsedMs;
+    const maxMs = Math.max(this.jittered(firstBackoffMs), leftMs);
+    return Math.min(this.jittered(this.backoffMs()), maxMs);
+  }
+
   private backoffMs(): units.Millis {
     const {firstBackoffMs, maxBackoffMs} = this.options;
     return Math.min(
--- a/src/node/serving/store_readers.ts
+++ b/src/node/serving/store_readers.ts
@@ -6,13 +6,13 @@
 import * as platformAdapter from './platform_adapter.js';
 import * as fleetDirectory from './fleet_directory.js';
 import * as fleetSync from './fleet_sync.js';
+import * as intentWaits from './intent_waits.js';
 import * as topicFollower from './topic_follower.js';
 
 /**
- * Longest time that a read of the first reader, or of another one, waits for the next record. A
- * dead connection is noticed only when this time is over.
+ * Longest time that a read of another reader than the first one waits for the next record. It may
+ * hang as long if its connection is silent, unless peers learn of a newer record.
  */
-const FIRST_WAIT_MS: units.Millis = 2_500;
 const LATER_WAIT_MS: units.Millis = 20_000;
 
 /** Readers per data centre: two, as the store may stop serving one without an error. */
@@ -48,6 +48,7 @@
   readonly directory: fleetDirectory.FleetDirectory;
   readonly random: randomSource.RandomSource;
   readonly log: decision.DecisionLog;
+  readonly bounds: intentWaits.IntentBounds;
   /** Whether a node is known to read the store successfully. */
   readsStore(nodeId: string): boolean;
   /** Returns the position of the newest operators' record known. */
@@ -75,6 +76,7 @@
       random: () => random.next(),
       now: () => options.proofs.now(),
       waitMs: () => this.waitMs(),
+      retryPeriodMs: intentWaits.retryPeriodMs(options.bounds),
       isNeeded: () => this.isReader,
       knownPosition: () => options.knownPosition(),
       onReachabilityChanged: () => options.onReadsStoreChanged(),
@@ -102,9 +104,9 @@
     return this.isReader && this.follower.isReachable;
   }
 
-  /** Ends a wait that has become too long, as when this node has become the first reader. */
+  /** Ends a read that should have been answered, as when this node has become the first reader. */
   tick(): void {
-    if (this.options.proofs.boundMs() !== Infinity) this.follower.shortenWait();
+    this.follower.tick();
   }
 
   /** Whether this node's reads alone keep its freshness proof young. */
@@ -130,8 +132,8 @@
 
   private waitMs(): units.Millis {
     const isFirst = this.earlierReaders === 0;
-    const waitMs = isFirst ? FIRST_WAIT_MS : LATER_WAIT_MS;
-    const {proofs} = this.options;
+    const {proofs, bounds} = this.options;
+    const waitMs = isFirst ? intentWaits.readWaitMs(bounds) : LATER_WAIT_MS;
     const boundMs = proofs.boundMs();
     if (boundMs === Infinity) return waitMs;
     if (proofs.ageMs() > STALE_SHARE * boundMs) return RENEWAL_WAIT_MS;
--- a/src/node/serving/topic_follower.ts
+++ b/src/node/serving/topic_follower.ts
@@ -2,7 +2,9 @@
 import * as decision from '../../common/serving/decision.js';
 import * as logPosition from '../../common/serving/log_position.js';
 import * as units from '../../common/units.js';
+import * as abortablePause from '../abortable_pause.js';
 import * as linkedAbort from '../linked_abort.js';
+import * as intentWaits from './intent_waits.js';
 import * as platformAdapter from './platform_adapter.js';
 import * as storeLoop from './store_loop.js';
 
@@ -25,8 +27,11 @@
 /** Longest pause after a read without a record that the store answered before its wait was over. */
 const EARLY_ANSWER_PAUSE_MS: units.Millis = 300;
 
-/** Time for the answer of a read after its wait, as the client allows it. */
-const LATE_ANSWER_MS: units.Millis = 1_500;
+/**
+ * Time for the answer of a read after its wait, as the client allows it, and for a record that
+ * peers know already.
+ */
+export const LATE_ANSWER_MS: units.Millis = 1_500;
 
 /** Receives the records of a topic. */
 export interface TopicListener {
@@ -45,6 +50,8 @@
   readonly log: decision.DecisionLog;
   /** Longest time that a read waits for the next record. */
   waitMs(): units.Millis;
+  /** Longest time between the starts of two reads while the store does not answer. */
+  readonly retryPeriodMs: units.Millis;
   /** Whether new records are needed now; the newest records are read once in any case. */
   isNeeded(): boolean;
   /** Position of the newest record known from all sources. */
@@ -55,6 +62,12 @@
   now(): units.Instant;
 }
 
+interface WaitingRead {
+  readonly from: logPosition.LogPosition;
+  readonly sent: units.Instant;
+  readonly stop: linkedAbort.LinkedAbort;
+}
+
 /** Reads one topic until it is disposed. */
 export class TopicFollower implements AsyncDisposable {
   private readonly loop: storeLoop.StoreLoop;
@@ -68,16 +81,17 @@
   private requestedWaitMs: units.Millis = 0;
   private reachable = false;
   /** The read that waits for a record, if any. */
-  private waiting:
-    | {readonly sent: units.Instant; readonly stop: linkedAbort.LinkedAbort}
-    | undefined;
+  private waiting: WaitingRead | undefined;
+  /** Time since when peers know a record that the waiting read should have brought. */
+  private behindSinceMs: units.MonotonicMs | undefined;
 
   constructor(private readonly options: TopicFollowerOptions) {
     this.loop = new storeLoop.StoreLoop({
       firstBackoffMs: FIRST_BACKOFF_MS,
       maxBackoffMs: MAX_BACKOFF_MS,
+      maxRetryPeriodMs: options.retryPeriodMs,
       step: () => this.step(),
-      onSucceeded: () => this.onReadSucceeded(),
+      onSucceeded: () => this.onAnswered(),
       onFailed: err => this.onReadFailed(err),
       random: () => options.random(),
     });
@@ -93,13 +107,24 @@
     this.loop.start();
   }
 
-  /** Ends a read that has waited longer than reads may wait now; it is sent again at once. */
-  shortenWait(): void {
+  /**
+   * Ends a read that has waited longer than reads may wait now, or whose connection must be silent,
+   * as peers know a record that it has not brought. It is sent again at once.
+   */
+  tick(): void {
+    const {waiting} = this;
     // A read after a failure is left alone, as only its answer shows that the store is back.
-    if (this.waiting === undefined || !this.reachable) return;
-    const {now, waitMs} = this.options;
-    const waitedMs = now().monotonicMs - this.waiting.sent.monotonicMs;
-    if (waitedMs > waitMs() + LATE_ANSWER_MS) this.waiting.stop.abort();
+    if (waiting === undefined || !this.reachable) return;
+    const {now, waitMs, store} = this.options;
+    const {monotonicMs} = now();
+    const waitedMs = monotonicMs - waiting.sent.monotonicMs;
+    if (waitedMs > waitMs() + LATE_ANSWER_MS) return waiting.stop.abort();
+    if (!this.isBehind(waiting)) return;
+    this.behindSinceMs ??= monotonicMs;
+    if (monotonicMs - this.behindSinceMs <= LATE_ANSWER_MS) return;
+    this.note('store-read-behind', {ageMs: Math.round(waitedMs)});
+    store.renewConnections();
+    waiting.stop.abort();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -109,11 +134,24 @@
   private async step(): Promise<void> {
     if (this.next === undefined) return this.readNewest();
     if (!this.options.isNeeded()) return this.loop.pause(NOT_NEEDED_POLL_MS);
+    if (!this.reachable) {
+      // Only an answer shows that the store is back, and a read that waits may get none for long.
+      await this.readNext(0);
+      this.onAnswered();
+      if (this.loop.signal.aborted) return;
+    }
+    await this.readNext(this.options.waitMs());
+  }
+
+  /** Reads what follows the newest record known. */
+  private async readNext(waitMs: units.Millis): Promise<void> {
+    if (this.next === undefined) return;
     const known = this.options.knownPosition();
     if (known.era > this.next.era) return this.restart();
     const {era, offset} = this.next;
     const knownOffset = known.era === era ? known.offset : -1;
-    await this.readFrom({era, offset: Math.max(offset, knownOffset + 1)});
+    const from = {era, offset: Math.max(offset, knownOffset + 1)};
+    await this.readFrom(from, waitMs);
   }
 
   private async readNewest(): Promise<void> {
@@ -129,11 +167,13 @@
     if (era < knownPosition().era) await this.loop.pause(STALE_READ_PAUSE_MS);
   }
 
-  private async readFrom(from: logPosition.LogPosition): Promise<void> {
+  private async readFrom(
+    from: logPosition.LogPosition,
+    waitMs: units.Millis,
+  ): Promise<void> {
     const {listener} = this.options;
-    const waitMs = this.options.waitMs();
     const sent = this.noteRead(waitMs);
-    const result = await this.waitFor(from.offset, sent, waitMs);
+    const result = await this.waitFor(from, sent, waitMs);
     if (result === undefined || this.loop.signal.aborted) return;
     // In another era the offset stands for another record.
     if (result.kind === 'expired' || result.era !== from.era) {
@@ -172,17 +212,17 @@
     await this.loop.pause(Math.min(earlyMs, EARLY_ANSWER_PAUSE_MS));
   }
 
-  /** Reads from an offset; undefined if the read was ended to be sent again. */
+  /** Reads from a position; undefined if the read was ended to be sent again. */
   private async waitFor(
-    offset: number,
+    from: logPosition.LogPosition,
     sent: units.Instant,
     waitMs: units.Millis,
   ): Promise<platformAdapter.FollowResult | undefined> {
-    const {store, topic} = this.options;
     using stop = new linkedAbort.LinkedAbort(this.loop.signal);
-    this.waiting = {sent, stop};
+    this.waiting = {from, sent, stop};
+    this.behindSinceMs = undefined;
     try {
-      return await store.follow(topic, offset, waitMs, stop.signal);
+      return await this.firstAnswer(from.offset, waitMs, stop.signal);
     } catch (err) {
       if (stop.signal.aborted && !this.loop.signal.aborted) return undefined;
       throw err;
@@ -191,6 +231,51 @@
     }
   }
 
+  /** Reads from an offset, once more over a new connection if the answer is late. */
+  private async firstAnswer(
+    offset: number,
+    waitMs: units.Millis,
+    stop: AbortSignal,
+  ): Promise<platformAdapter.FollowResult> {
+    const {store, topic} = this.options;
+    using end = new linkedAbort.LinkedAbort(stop);
+    const first = store.follow(topic, offset, waitMs, end.signal);
+    // A store that did not answer before gets one read at a time.
+    if (!this.reachable) return first;
+    const second = this.readIfLate(first, offset, waitMs, end.signal);
+    try {
+      return await Promise.race([first, second]);
+    } finally {
+      end.abort();
+    }
+  }
+
+  /** Reads without a wait if the first read is late; fails only with the first read. */
+  private async readIfLate(
+    first: Promise<platformAdapter.FollowResult>,
+    offset: number,
+    waitMs: units.Millis,
+    signal: AbortSignal,
+  ): Promise<platformAdapter.FollowResult> {
+    const {store, topic} = this.options;
+    await abortablePause.pause(waitMs + intentWaits.LATE_READ_MS, signal);
+    if (signal.aborted) return first;
+    this.note('store-read-late', {waitMs: Math.round(waitMs)});
+    store.renewConnections();
+    try {
+      return await store.follow(topic, offset, 0, signal);
+    } catch {
+      // The client allows the first read more time, and its failure is reported.
+      return first;
+    }
+  }
+
+  /** Whether peers know a record that a read should have brought. */
+  private isBehind({from}: WaitingRead): boolean {
+    const {era, offset} = this.options.knownPosition();
+    return era > from.era || (era === from.era && offset >= from.offset);
+  }
+
   /** Reads the newest records next, after a pause that grows with each restart in a row. */
   private restart(): Promise<void> {
     this.next = undefined;
@@ -210,8 +295,10 @@
     this.note('store-lost', {detail, waitMs, ageMs: Math.round(ageMs)});
   }
 
-  private onReadSucceeded(): void {
-    if (this.loop.failures > 0) this.note('store-regained', {});
+  private onAnswered(): void {
+    if (!this.reachable && this.loop.failures > 0) {
+      this.note('store-regained', {});
+    }
     this.setReachable(true);
   }
 
