--- a/src/node/serving/entry_runtime.ts
+++ b/src/node/serving/entry_runtime.ts
@@ -21,6 +21,7 @@
 import * as platformAdapter from './platform_adapter.js';
 import * as fleetDirectory from './fleet_directory.js';
 import * as fleetSync from './fleet_sync.js';
+import * as intentWaits from './intent_waits.js';
 import * as keyAdmission from './key_admission.js';
 import * as gateLinks from './gate_links.js';
 import * as quotaRuntime from './quota_runtime.js';
@@ -158,12 +159,16 @@
   }
 
   private makeLinks(): gateLinks.GateLinks {
-    const {directory, log, greeting, fleetSync, onSuspect, afterEvent} =
+    const {directory, bounds, log, greeting, fleetSync, onSuspect, afterEvent} =
       this.options;
     return new gateLinks.GateLinks({
       directory,
       log,
       greeting,
+      maxPingAfterMs: nodeId =>
+        this.readsStore(nodeId) && directory.isNear(nodeId)
+          ? intentWaits.linkPingAfterMs(bounds.intent)
+          : Infinity,
       waitedMs: () => this.options.waitedMs(),
       nowMs: clock.monotonicMs,
       listener: {
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -61,8 +61,8 @@
   state(): serving.FleetState;
   /** Returns the answer to a question for this node's freshness proof. */
   freshness(question: number): serving.FreshnessProof;
-  /** Longest interval of pulses that the sender's state asks for, infinity by default. */
-  maxPulseIntervalMs?(): units.Millis;
+  /** Longest interval of pulses to a node that the state asks for, infinity by default. */
+  maxPulseIntervalMs?(nodeId: string): units.Millis;
   /** Most connections that have sent no greeting yet, unlimited by default. */
   readonly maxGreetings?: number;
   /** A connection was closed before its greeting, for the reason given. */
@@ -85,6 +85,8 @@
   readonly socket: framedSocket.FramedSocket<serving.NodeFrame>;
   /** Id of the entry's process, see `callKey.processOf`; undefined before its greeting. */
   entryProcess: string | undefined;
+  /** Id of the entry's node, undefined before its greeting. */
+  nodeId: string | undefined;
   /** Whether this side is ended; what is sent from now on is lost. */
   ending = false;
   pulsedMs: units.MonotonicMs = 0;
@@ -160,8 +162,11 @@
   tick(now: units.MonotonicMs): void {
     let value: serving.Pulse | undefined;
     const nodes = this.options.nodeCount();
-    const maxIntervalMs = this.options.maxPulseIntervalMs?.() ?? Infinity;
     for (const session of this.sessions.values()) {
+      const {nodeId} = session;
+      if (nodeId === undefined) continue;
+      const maxIntervalMs =
+        this.options.maxPulseIntervalMs?.(nodeId) ?? Infinity;
       const sinceDispatchMs = now - session.dispatchedMs;
       const interval = Math.min(
         maxIntervalMs,
@@ -390,6 +395,7 @@
     connection.setTimeout(IDLE_TIMEOUT_MS, () => connection.destroy());
     const {nodeId} = sender;
     session.entryProcess = callKey.processOf(nodeId, processStartedMs);
+    session.nodeId = nodeId;
     if (greeting.acceptsParts) session.socket.allowParts();
     this.sendPulse(session, this.options.pulse(), this.options.nowMs());
     const {listener} = this.options;
--- a/src/node/serving/fleet_directory.ts
+++ b/src/node/serving/fleet_directory.ts
@@ -65,6 +65,11 @@
     return this.records.get(nodeId);
   }
 
+  /** Whether another node is known to be in the data centre of this one. */
+  isNear(nodeId: string): boolean {
+    return this.get(nodeId)?.dataCentre === this.own.dataCentre;
+  }
+
   /** Records whether a node is at its address: a link has opened and not failed to reopen. */
   setLinked(nodeId: string, linked: boolean): void {
     if (linked) this.linked.add(nodeId);
--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -20,7 +20,7 @@
 const MAYBE_UNREACHABLE_MS: units.Millis = 100;
 
 /** Age of an unanswered ping at which a new connection is opened beside the silent one. */
-const PING_TIMEOUT_MS: units.Millis = 300;
+export const PING_TIMEOUT_MS: units.Millis = 300;
 
 /** Limit of that age, which doubles with each new connection that brings no reply. */
 const MAX_PING_TIMEOUT_MS: units.Millis = 4_800;
--- a/src/node/serving/gate_links.ts
+++ b/src/node/serving/gate_links.ts
@@ -9,8 +9,8 @@
 import * as nodeRecord from './node_record.js';
 import * as pulseInterval from './pulse_interval.js';
 
-/** Interval of the timers of idle links, which are pinged after six seconds. */
-const IDLE_TICK_INTERVAL_MS: units.Millis = 250;
+/** Interval of the timers of idle links, which are pinged after seconds. */
+export const IDLE_TICK_INTERVAL_MS: units.Millis = 250;
 
 /** Dependencies of `GateLinks`. */
 export interface GateLinksOptions {
@@ -34,6 +34,8 @@
   >;
   readonly log: decision.DecisionLog;
   greeting(toNodeId: string): serving.Greeting;
+  /** Longest time without a frame from a node until it is pinged, infinity without a bound. */
+  maxPingAfterMs(nodeId: string): units.Millis;
   /** Returns the longest time for which a message that is read now may have waited. */
   waitedMs(): units.Millis;
   nowMs(): units.MonotonicMs;
@@ -136,12 +138,16 @@
   }
 
   private makeLink(record: nodeRecord.NodeRecord): gateLink.GateLink {
-    const {listener, greeting, nowMs, directory} = this.options;
+    const {listener, greeting, nowMs, directory, maxPingAfterMs} = this.options;
     return new gateLink.GateLink(record, {
       greeting,
       nowMs,
       afterPoll: callback => void setImmediate(callback),
-      idlePingAfterMs: () => pulseInterval.idlePingAfterMs(directory.size),
+      idlePingAfterMs: () =>
+        Math.min(
+          pulseInterval.idlePingAfterMs(directory.size),
+          maxPingAfterMs(record.nodeId),
+        ),
       listener: {
         ...listener,
         onUp: (nodeId, up) => {
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -17,6 +17,7 @@
 import * as fleetDirectory from './fleet_directory.js';
 import * as fleetSync from './fleet_sync.js';
 import * as healthChecker from './health_checker.js';
+import * as intentWaits from './intent_waits.js';
 import * as serverPool from './server_pool.js';
 import * as telemetry from './telemetry.js';
 
@@ -47,6 +48,7 @@
   readonly fleetSync: () => fleetSync.FleetSync;
   readonly random: randomSource.RandomSource;
   readonly coldRateFactor: number;
+  readonly intentBounds: intentWaits.IntentBounds;
   /** Memory that the process may use, in MB. */
   readonly memoryMb: number;
   /** Most connections of other nodes that have sent no greeting yet. */
@@ -246,6 +248,16 @@
     });
   }
 
+  private maxPulseIntervalMs(nodeId: string): units.Millis {
+    const {rollouts, directory, intentBounds} = this.options;
+    const rolloutMs = rollouts.isActive ? ROLLOUT_PULSE_MS : Infinity;
+    const isSource = this.options.readsStore() && directory.isNear(nodeId);
+    const intentMs = isSource
+      ? intentWaits.readerPulseMs(intentBounds)
+      : Infinity;
+    return Math.min(rolloutMs, intentMs);
+  }
+
   private makeSessions(): entrySessions.EntrySessions {
     const {directory, fleetSync, greeting, afterEvent} = this.options;
     return new entrySessions.EntrySessions({
@@ -260,8 +272,7 @@
       }),
       state: () => fleetSync().state(),
       freshness: question => this.options.freshness(question),
-      maxPulseIntervalMs: () =>
-        this.options.rollouts.isActive ? ROLLOUT_PULSE_MS : Infinity,
+      maxPulseIntervalMs: nodeId => this.maxPulseIntervalMs(nodeId),
       nodeCount: () => directory.size,
       maxGreetings: this.options.maxGreetings,
       onRefused: reason =>
--- a/src/node/serving/intent_waits.test.ts
+++ b/src/node/serving/intent_waits.test.ts
@@ -1,7 +1,10 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 
+import * as gateLink from './gate_link.js';
+import * as gateLinks from './gate_links.js';
 import * as intentWaits from './intent_waits.js';
+import * as servingNode from './serving_node.js';
 import * as topicFollower from './topic_follower.js';
 
 const {test} = nodeTest;
@@ -27,6 +30,9 @@
   boundsOf(2.5, 2, 2),
 ];
 
+/** Time to open a connection and to exchange greetings. */
+const OPEN_MS = 100;
+
 /** Longest pause after the first failure of a read, its random part included. */
 const FIRST_PAUSE_MS = 150;
 
@@ -48,3 +54,24 @@
     assert.ok(afterOutageMs <= boundMs, `${afterOutageMs} of ${boundMs}`);
   }
 });
+
+test('a silent link is replaced in the time that the waits allow', () => {
+  const timersMs =
+    gateLinks.IDLE_TICK_INTERVAL_MS + 2 * servingNode.MAX_TICK_INTERVAL_MS;
+  const replacedMs = timersMs + gateLink.PING_TIMEOUT_MS + OPEN_MS;
+  assert.ok(replacedMs <= intentWaits.LINK_REPLACEMENT_MS, `${replacedMs}`);
+});
+
+// A link without requests was pinged after six seconds and more, longer than the bounds of
+// configurations and evacuations (review/8).
+test('a silent link is replaced before new intent must come over it', () => {
+  for (const bounds of BOUNDS) {
+    const {LINK_REPLACEMENT_MS, SPREAD_MS} = intentWaits;
+    const pingAfterMs = intentWaits.linkPingAfterMs(bounds);
+    const replacedMs = pingAfterMs + LINK_REPLACEMENT_MS;
+    const boundMs = intentWaits.noticeMs(bounds);
+    assert.ok(replacedMs + SPREAD_MS <= boundMs, `${replacedMs}`);
+    // A node pings only if a pulse is late.
+    assert.ok(intentWaits.readerPulseMs(bounds) < pingAfterMs);
+  }
+});
--- a/src/node/serving/intent_waits.ts
+++ b/src/node/serving/intent_waits.ts
@@ -20,12 +20,24 @@
 /** Time until a node that the store has told a record has told it to all other nodes. */
 export const SPREAD_MS: units.Millis = 400;
 
+/**
+ * Time from a ping that is due until a silent link is replaced: the timers of idle and of other
+ * links run late, the ping times out, and a new connection is opened.
+ */
+export const LINK_REPLACEMENT_MS: units.Millis = 750;
+
+/** Pulse intervals without a frame until a node pings. */
+export const PING_AFTER_INTERVALS = 1.5;
+
 /** Longest wait of a read; shorter ones make more calls. */
 const MAX_READ_WAIT_MS: units.Millis = 2_500;
 
 /** Shortest wait of a read, whatever the bounds are. */
 const MIN_READ_WAIT_MS: units.Millis = 250;
 
+/** Shortest time without a frame until an idle link is pinged, whatever the bounds are. */
+const MIN_PING_AFTER_MS: units.Millis = 250;
+
 /**
  * Returns the time from the moment at which connections go silent until new intent must be in
  * force. Intent that is acknowledged later is in force later.
@@ -51,3 +63,18 @@
 export function retryPeriodMs(bounds: IntentBounds): units.Millis {
   return noticeMs(bounds) - READ_MS - SPREAD_MS;
 }
+
+/**
+ * Returns the longest time without a frame from a node that reads the store until it is pinged. The
+ * link must be replaced when that node learns of new intent, as connections to the store may have
+ * gone silent together with the link.
+ */
+export function linkPingAfterMs(bounds: IntentBounds): units.Millis {
+  const ms = noticeMs(bounds) - SPREAD_MS - LINK_REPLACEMENT_MS;
+  return Math.max(MIN_PING_AFTER_MS, ms);
+}
+
+/** Returns the longest pulse interval of a node that reads the store, to nodes that do not. */
+export function readerPulseMs(bounds: IntentBounds): units.Millis {
+  return linkPingAfterMs(bounds) / PING_AFTER_INTERVALS;
+}
--- a/src/node/serving/pulse_interval.ts
+++ b/src/node/serving/pulse_interval.ts
@@ -1,5 +1,6 @@
 /** Interval of the pulses by which gates report their load to entries. */
 import * as units from '../../common/units.js';
+import * as intentWaits from './intent_waits.js';
 
 /** Shortest interval to an entry that sends no requests. */
 const MIN_IDLE_INTERVAL_MS: units.Millis = 4_000;
@@ -16,9 +17,6 @@
 /** Time after a request during which an entry counts as sending requests. */
 const ACTIVE_AFTER_DISPATCH_MS: units.Millis = 3_000;
 
-/** Time without a frame until an entry pings, in pulse intervals. */
-const PING_AFTER_INTERVALS = 1.5;
-
 /** Returns the pulse interval to an entry that sends no requests, for a fleet of `nodes`. */
 export function idlePulseIntervalMs(nodes: number): units.Millis {
   const ms = Math.max(MIN_IDLE_INTERVAL_MS, nodes * IDLE_INTERVAL_MS_PER_NODE);
@@ -36,5 +34,5 @@
 
 /** Returns the time without a frame until an entry without pending requests pings a gate. */
 export function idlePingAfterMs(nodes: number): units.Millis {
-  return PING_AFTER_INTERVALS * idlePulseIntervalMs(nodes);
+  return intentWaits.PING_AFTER_INTERVALS * idlePulseIntervalMs(nodes);
 }
--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -33,7 +33,7 @@
 import * as wakeTimer from './wake_timer.js';
 
 /** Longest interval between runs of the timers. */
-const MAX_TICK_INTERVAL_MS: units.Millis = 50;
+export const MAX_TICK_INTERVAL_MS: units.Millis = 50;
 
 const OK = 200;
 const UNAVAILABLE = 503;
@@ -326,6 +326,7 @@
       rollouts: this.rollouts,
       maxGreetings: this.bounds.greetings,
       coldRateFactor: platform.bounds.coldRateFactor,
+      intentBounds: platform.bounds.intent,
       soleSenderSinceMs: processStartedMs - platform.bounds.restartGapMs,
       readsStore: () => this.storeReaders.readsStore,
       freshness: question => this.keys.answer(question),
--- a/test/paths/silent_connections.test.ts
+++ b/test/paths/silent_connections.test.ts
@@ -45,6 +45,14 @@
     title: 'connections to the store',
     silence: ({storeRelay}) => storeRelay.silence(),
   },
+  {title: 'links between nodes', silence: ({relay}) => relay.silence()},
+  {
+    title: 'connections to the store and links between nodes',
+    silence: ({relay, storeRelay}) => {
+      relay.silence();
+      storeRelay.silence();
+    },
+  },
 ];
 
 /** A fleet whose versions each add a route. */
