--- a/src/node/serving/serving_node.ts
+++ b/src/node/serving/serving_node.ts
@@ -218,6 +218,7 @@
       proofs: this.keys,
       bounds: platform.bounds.intent,
       readsStore: nodeId => this.entryRuntime.readsStore(nodeId),
+      isLinked: nodeId => this.entryRuntime.links.isUp(nodeId),
       knownPosition: () => this.intent.position,
       onReadsStoreChanged: () => this.gateRuntime.pulseAll(),
     });
@@ -226,7 +227,6 @@
   private makeRollouts(): rolloutsModule.Rollouts {
     const {platform, telemetry: log, processStartedMs, settings} = this.options;
     const {nodeId, dataCentre} = settings;
-    const service = (): string => this.settings.service;
     return new rolloutsModule.Rollouts({
       orders: this.intent.rollouts,
       bounds: platform.bounds.rollout,
@@ -235,7 +235,7 @@
       processStartedMs,
       random: this.random,
       log,
-      service,
+      service: () => this.settings.service,
       version: () => this.gateRuntime.gate.version,
       gate: () =>
         rolloutsModule.gateStateOf(
--- a/src/node/serving/store_readers.ts
+++ b/src/node/serving/store_readers.ts
@@ -6,6 +6,7 @@
 import * as platformAdapter from './platform_adapter.js';
 import * as fleetDirectory from './fleet_directory.js';
 import * as fleetSync from './fleet_sync.js';
+import * as nodeRecord from './node_record.js';
 import * as intentWaits from './intent_waits.js';
 import * as topicFollower from './topic_follower.js';
 
@@ -15,6 +16,9 @@
  */
 const LATER_WAIT_MS: units.Millis = 20_000;
 
+/** Interval of checks whether the earlier nodes of the data centre have gone. */
+const FIRST_CHECK_INTERVAL_MS: units.Millis = 500;
+
 /** Readers per data centre: two, as the store may stop serving one without an error. */
 const READERS_PER_DATA_CENTRE = 2;
 
@@ -51,6 +55,8 @@
   readonly bounds: intentWaits.IntentBounds;
   /** Whether a node is known to read the store successfully. */
   readsStore(nodeId: string): boolean;
+  /** Whether the link to a node is open. */
+  isLinked(nodeId: string): boolean;
   /** Returns the position of the newest operators' record known. */
   knownPosition(): logPosition.LogPosition;
   /** Freshness proofs, which the reads of this node renew. */
@@ -66,6 +72,8 @@
  */
 export class StoreReaders implements AsyncDisposable {
   private readonly follower: topicFollower.TopicFollower;
+  /** Time at which it was last checked whether earlier nodes are there. */
+  private checkedMs: units.MonotonicMs = -Infinity;
 
   constructor(private readonly options: StoreReadersOptions) {
     const {store, fleetSync, random, log} = options;
@@ -106,7 +114,19 @@
 
   /** Ends a read that should have been answered, as when this node has become the first reader. */
   tick(): void {
-    this.follower.tick();
+    const {proofs} = this.options;
+    const hasProofBound = proofs.boundMs() !== Infinity;
+    this.follower.tick(() => hasProofBound || this.isFirstNode());
+  }
+
+  /** Whether no earlier node of the data centre is there; false if this was checked just before. */
+  private isFirstNode(): boolean {
+    const {proofs, isLinked} = this.options;
+    const now = proofs.now().monotonicMs;
+    if (now - this.checkedMs < FIRST_CHECK_INTERVAL_MS) return false;
+    this.checkedMs = now;
+    // Nodes that are there but do not read have lost the store, and so may this one have.
+    return !this.earlierNodes.some(({nodeId}) => isLinked(nodeId));
   }
 
   /** Whether this node's reads alone keep its freshness proof young. */
@@ -120,14 +140,17 @@
 
   /** Number of nodes of the data centre with a lower id that read successfully. */
   private get earlierReaders(): number {
-    const {directory, readsStore} = this.options;
+    const {readsStore} = this.options;
+    return this.earlierNodes.filter(({nodeId}) => readsStore(nodeId)).length;
+  }
+
+  /** Nodes of the data centre with a lower id. */
+  private get earlierNodes(): readonly nodeRecord.NodeRecord[] {
+    const {directory} = this.options;
     const {nodeId, dataCentre} = directory.self;
     return directory.others.filter(
-      other =>
-        other.dataCentre === dataCentre &&
-        other.nodeId < nodeId &&
-        readsStore(other.nodeId),
-    ).length;
+      other => other.dataCentre === dataCentre && other.nodeId < nodeId,
+    );
   }
 
   private waitMs(): units.Millis {
--- a/src/node/serving/topic_follower.test.ts
+++ b/src/node/serving/topic_follower.test.ts
@@ -427,7 +427,7 @@
     const endMs = performance.now() + ms;
     while (performance.now() < endMs) {
       await timers.setTimeout(SETTLE_MS);
-      running.tick();
+      running.tick(() => false);
     }
   };
   store.silence();
--- a/src/node/serving/topic_follower.ts
+++ b/src/node/serving/topic_follower.ts
@@ -80,6 +80,8 @@
   /** Time for which the latest read was to wait for a record. */
   private requestedWaitMs: units.Millis = 0;
   private reachable = false;
+  /** Whether the latest read failed without an answer, and not because it was refused. */
+  private isUnanswered = false;
   /** The read that waits for a record, if any. */
   private waiting: WaitingRead | undefined;
   /** Time since when peers know a record that the waiting read should have brought. */
@@ -110,15 +112,19 @@
   /**
    * Ends a read that has waited longer than reads may wait now, or whose connection must be silent,
    * as peers know a record that it has not brought. It is sent again at once.
+   *
+   * @param canShorten whether a wait that has become too long ends.
    */
-  tick(): void {
+  tick(canShorten: () => boolean): void {
     const {waiting} = this;
     // A read after a failure is left alone, as only its answer shows that the store is back.
     if (waiting === undefined || !this.reachable) return;
     const {now, waitMs, store} = this.options;
     const {monotonicMs} = now();
     const waitedMs = monotonicMs - waiting.sent.monotonicMs;
-    if (waitedMs > waitMs() + LATE_ANSWER_MS) return waiting.stop.abort();
+    if (waitedMs > LATE_ANSWER_MS && canShorten()) {
+      if (waitedMs > waitMs() + LATE_ANSWER_MS) return waiting.stop.abort();
+    }
     if (!this.isBehind(waiting)) return;
     this.behindSinceMs ??= monotonicMs;
     if (monotonicMs - this.behindSinceMs <= LATE_ANSWER_MS) return;
@@ -134,7 +140,7 @@
   private async step(): Promise<void> {
     if (this.next === undefined) return this.readNewest();
     if (!this.options.isNeeded()) return this.loop.pause(NOT_NEEDED_POLL_MS);
-    if (!this.reachable) {
+    if (this.isUnanswered) {
       // Only an answer shows that the store is back, and a read that waits may get none for long.
       await this.readNext(0);
       this.onAnswered();
@@ -241,7 +247,7 @@
     using end = new linkedAbort.LinkedAbort(stop);
     const first = store.follow(topic, offset, waitMs, end.signal);
     // A store that did not answer before gets one read at a time.
-    if (!this.reachable) return first;
+    if (this.isUnanswered) return first;
     const second = this.readIfLate(first, offset, waitMs, end.signal);
     try {
       return await Promise.race([first, second]);
@@ -288,10 +294,11 @@
 
   private onReadFailed(err: unknown): void {
     this.setReachable(false);
-    if (this.loop.failures > 1) return;
-    const detail = err instanceof Error ? err.message : String(err);
     const ageMs = this.options.now().monotonicMs - this.sentMs;
     const waitMs = Math.round(this.requestedWaitMs);
+    this.isUnanswered = ageMs > waitMs + intentWaits.LATE_READ_MS;
+    if (this.loop.failures > 1) return;
+    const detail = err instanceof Error ? err.message : String(err);
     this.note('store-lost', {detail, waitMs, ageMs: Math.round(ageMs)});
   }
 
@@ -299,6 +306,7 @@
     if (!this.reachable && this.loop.failures > 0) {
       this.note('store-regained', {});
     }
+    this.isUnanswered = false;
     this.setReachable(true);
   }
 
