--- a/src/node/serving/topic_follower.ts
+++ b/src/node/serving/topic_follower.ts
@@ -293,11 +293,12 @@
   }
 
   private onReadFailed(err: unknown): void {
+    const wasReachable = this.reachable;
     this.setReachable(false);
     const ageMs = this.options.now().monotonicMs - this.sentMs;
     const waitMs = Math.round(this.requestedWaitMs);
     this.isUnanswered = ageMs > waitMs + intentWaits.LATE_READ_MS;
-    if (this.loop.failures > 1) return;
+    if (this.loop.failures > 1 && !wasReachable) return;
     const detail = err instanceof Error ? err.message : String(err);
     this.note('store-lost', {detail, waitMs, ageMs: Math.round(ageMs)});
   }
