--- a/src/node/serving/intent_waits.ts
+++ b/src/node/serving/intent_waits.ts
@@ -17,7 +17,7 @@
 /** Time for the answer of the store to a read that does not wait, its connection included. */
 export const READ_MS: units.Millis = 100;
 
-/** Time until a node that the store has told a record has told it to all other nodes. */
+/** Time in which a new record spreads from the node that has read it to all others. */
 export const SPREAD_MS: units.Millis = 400;
 
 /**
@@ -40,7 +40,7 @@
 
 /**
  * Returns the time from the moment at which connections go silent until new intent must be in
- * force. Intent that is acknowledged later is in force later.
+ * force. The time for intent that is acknowledged later ends later.
  */
 export function noticeMs(bounds: IntentBounds): units.Millis {
   const {contactMs, configurationMs, evacuationMs} = bounds;
--- a/src/node/serving/store_readers.ts
+++ b/src/node/serving/store_readers.ts
@@ -6,13 +6,14 @@
 import * as platformAdapter from './platform_adapter.js';
 import * as fleetDirectory from './fleet_directory.js';
 import * as fleetSync from './fleet_sync.js';
-import * as nodeRecord from './node_record.js';
 import * as intentWaits from './intent_waits.js';
+import * as nodeRecord from './node_record.js';
 import * as topicFollower from './topic_follower.js';
 
 /**
  * Longest time that a read of another reader than the first one waits for the next record. It may
- * hang as long if its connection is silent, unless peers learn of a newer record.
+ * hang as long if its connection is silent, unless peers learn of a newer record or the earlier
+ * nodes of the data centre have gone.
  */
 const LATER_WAIT_MS: units.Millis = 20_000;
 
--- a/src/node/serving/topic_follower.ts
+++ b/src/node/serving/topic_follower.ts
@@ -84,7 +84,7 @@
   private isUnanswered = false;
   /** The read that waits for a record, if any. */
   private waiting: WaitingRead | undefined;
-  /** Time since when peers know a record that the waiting read should have brought. */
+  /** Time from which on peers have known a record that the waiting read should have brought. */
   private behindSinceMs: units.MonotonicMs | undefined;
 
   constructor(private readonly options: TopicFollowerOptions) {
@@ -123,7 +123,12 @@
     const {monotonicMs} = now();
     const waitedMs = monotonicMs - waiting.sent.monotonicMs;
     if (waitedMs > LATE_ANSWER_MS && canShorten()) {
-      if (waitedMs > waitMs() + LATE_ANSWER_MS) return waiting.stop.abort();
+      const shorterMs = waitMs();
+      // A read whose wait is not too long fails by itself.
+      const isTooLong = shorterMs < this.requestedWaitMs;
+      if (isTooLong && waitedMs > shorterMs + LATE_ANSWER_MS) {
+        return waiting.stop.abort();
+      }
     }
     if (!this.isBehind(waiting)) return;
     this.behindSinceMs ??= monotonicMs;
