--- a/src/node/serving/late_store_reads.test.ts
+++ b/src/node/serving/late_store_reads.test.ts
@@ -98,8 +98,8 @@
 /** Time until a record of a store whose connections went silent is known, with slack for a tick. */
 const NOTICE_MS = WAIT_MS + intentWaits.LATE_READ_MS + intentWaits.READ_MS;
 
-// The wait of a read and the time for its answer together were longer than the bounds that hang on
-// them, so a record was read seconds late after connections had gone silent (review/9).
+// The wait of a read and the time for its answer together were longer than the bounds that depend
+// on them, so a record was read seconds late after connections had gone silent (review/9).
 for (const sinceReadMs of [0, 300, 900]) {
   test(`a record is read in time if connections went silent ${sinceReadMs} ms after a read was sent`, async () => {
     const store = new SilentStore();
@@ -207,3 +207,21 @@
   assert.equal(isLost(log), true);
   assert.equal(running.isReachable, false);
 });
+
+// A read after one without an answer was not linked to its owner's end, so a stop waited for it.
+test('a read after a failure ends with its owner', async () => {
+  const store = new SilentStore();
+  store.keys = ['a'];
+  const {follower} = followerFixtures.followerOf(store);
+  follower.start();
+  await timers.setTimeout(SETTLE_MS);
+  store.silence();
+  store.renewConnections = () => undefined;
+  const failedMs = WAIT_MS + topicFollower.LATE_ANSWER_MS;
+  await timers.setTimeout(failedMs + 300);
+  assert.equal(store.waitsMs.length, 3);
+  const disposedMs = performance.now();
+  await follower[Symbol.asyncDispose]();
+  const tookMs = performance.now() - disposedMs;
+  assert.ok(tookMs < 300, `${tookMs} ms`);
+});
--- a/src/node/serving/topic_follower.ts
+++ b/src/node/serving/topic_follower.ts
@@ -252,7 +252,7 @@
     using end = new linkedAbort.LinkedAbort(stop);
     const first = store.follow(topic, offset, waitMs, end.signal);
     // A store that did not answer before gets one read at a time.
-    if (this.isUnanswered) return first;
+    if (this.isUnanswered) return await first;
     const second = this.readIfLate(first, offset, waitMs, end.signal);
     try {
       return await Promise.race([first, second]);
