--- a/src/common/serving/server_gate.test.ts
+++ b/src/common/serving/server_gate.test.ts
@@ -290,6 +290,26 @@
   assert.equal(harness.output.reasons.at(-1), Reason.QUARANTINED);
 });
 
+// One crash barred a page on all nodes, as each of its runs counted as a death (review/10).
+test('a crash is one death for equal requests that were at work together', () => {
+  const harness = new fixtures.GateHarness().open();
+  const page = {fingerprint: 'page'};
+  const keys = [harness.call(page), harness.call(page), harness.call(page)];
+  for (const key of keys.slice(0, 2)) {
+    harness.gate.onRunEnded(key, {kind: 'broken'}, 5);
+  }
+  harness.gate.onHealthFailed('refused', 6);
+  // The break of the third connection is read after the health check.
+  harness.gate.onRunEnded(keys[2], {kind: 'broken'}, 7);
+  harness.gate.onHealthFailed('refused', 8);
+  assert.deepEqual(harness.output.suspects, ['page']);
+
+  harness.healthy('i-1', 100);
+  const runs = harness.output.runs.length;
+  harness.call(page, 110);
+  assert.equal(harness.output.runs.length, runs + 1);
+});
+
 test('a request that peers reported to crash servers is quarantined', () => {
   const harness = new fixtures.GateHarness().open();
   harness.suspects.onReport({fingerprint: 'x', deaths: 2}, 0);
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -36,6 +36,8 @@
   private readonly replies: gateReplies.GateReplies;
   private readonly runReports: runReports.RunReports;
   private readonly limitReports = new rateLimitReports.RateLimitReports();
+  /** Fingerprints of the requests that were at work when the server died last. */
+  private readonly diedTogether = new Set<string>();
   private stopping = false;
   private wasOut = false;
   private lastClosure = serving.Closure.UNCONFIGURED;
@@ -318,6 +320,7 @@
       return this.refuseUnrun([call], barred ?? serving.Reason.CLOSED, now);
     }
     call.stage = {kind: 'running', startedMs: now, serial};
+    this.diedTogether.clear();
     this.capacity.onStarted(now);
     this.runReports.onStarted(this.capacity, now);
     this.replies.noteRun(call, this.capacity, now, {
@@ -372,9 +375,12 @@
     }
   }
 
+  /** Records one death a request, however many callers had sent it to the server that died. */
   private recordDeath(call: gateCall.GateCall, now: units.MonotonicMs): void {
     const {suspects, output} = this.options;
     const {fingerprint} = call.dispatch;
+    if (this.diedTogether.has(fingerprint)) return;
+    this.diedTogether.add(fingerprint);
     const {deaths} = suspects.onDeath(fingerprint, now);
     this.replies.note(call, 'failure', 'server-died', {deaths});
     output.reportSuspect(fingerprint, deaths);
