--- a/src/common/entry/entry_core.test.ts
+++ b/src/common/entry/entry_core.test.ts
@@ -297,6 +297,21 @@
   assert.equal(later.call.deaths, undefined);
 });
 
+// Calls of one crash added their deaths up, which quarantined the request (issue 66).
+nodeTest.test('a crash is one death for equal requests', () => {
+  const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
+  const first = entry.send(fixtures.request('r'));
+  const equal = entry.send(fixtures.request('s'));
+  const retries = [first, equal].map(sent =>
+    fixtures.dispatched(entry.refuse(sent, SERVER_DIED)),
+  );
+  assert.deepEqual(
+    retries.map(({call}) => call.deaths),
+    [1, 1],
+  );
+  assert.equal(entry.send(fixtures.request('t')).call.deaths, 1);
+});
+
 nodeTest.test('an answer clears a single backend server death', () => {
   const entry = new fixtures.Entry(new fixtures.FakeFleet(['a', 'b']));
   const first = entry.send(fixtures.request('r'));
--- a/src/common/entry/entry_core.ts
+++ b/src/common/entry/entry_core.ts
@@ -303,10 +303,15 @@
 
   /**
    * Records the death beyond the call: a later call with the same fingerprint may reach a gate
-   * that has not been told of it yet.
+   * that has not been told of it yet. Equal calls that one crash ended know the same deaths before
+   * it, so that it counts once.
    */
   private onServerDied(c: call.Call, nowMs: units.MonotonicMs): void {
-    c.deaths = this.suspects.onDeath(c.request.fingerprint, nowMs).deaths;
+    const {fingerprint} = c.request;
+    const expiresInMs = suspectRequests.SUSPICION_TTL_MS;
+    c.deaths++;
+    const report = {fingerprint, deaths: c.deaths, expiresInMs};
+    this.suspects.onReport(report, nowMs);
   }
 
   private onLinkEvent(
