--- a/src/common/quarantine/suspect_requests.ts
+++ b/src/common/quarantine/suspect_requests.ts
@@ -87,10 +87,13 @@
       }));
   }
 
-  /** Clears a request that ran without a death, unless it has been quarantined meanwhile. */
-  onSuccess(fingerprint: string, now: units.MonotonicMs): void {
-    if (this.quarantinedForMs(fingerprint, now) > 0) return;
-    this.suspects.delete(fingerprint);
+  /**
+   * Clears a request that ran without a death, unless it has been quarantined meanwhile; returns
+   * whether it was suspect until now.
+   */
+  onSuccess(fingerprint: string, now: units.MonotonicMs): boolean {
+    if (this.quarantinedForMs(fingerprint, now) > 0) return false;
+    return this.suspects.delete(fingerprint);
   }
 
   private put(fingerprint: string, suspect: Suspect): void {
--- a/src/common/serving/crash_suspects.ts
+++ b/src/common/serving/crash_suspects.ts
@@ -11,7 +11,7 @@
 /** A request that may have crashed backend servers. */
 export interface Suspicion {
   readonly fingerprint: string;
-  /** Backend servers that died while they ran it. */
+  /** Backend servers that died while they ran it; 0 once it has been answered. */
   readonly deaths: number;
 }
 
@@ -32,16 +32,24 @@
     return {fingerprint, deaths};
   }
 
-  /** Merges another node's suspicion; returns whether it added anything. */
+  /** Merges another node's suspicion, or its end; returns whether that changed anything. */
   onReport(suspicion: Suspicion, now: units.MonotonicMs): boolean {
     const {fingerprint, deaths} = suspicion;
+    if (deaths === 0) return this.suspects.onSuccess(fingerprint, now);
     const report = {fingerprint, deaths, expiresInMs: SUSPICION_TTL_MS};
     return this.suspects.onReport(report, now);
   }
 
-  /** Records a complete answer, which does not end a quarantine. */
-  onAnswered(fingerprint: string, now: units.MonotonicMs): void {
-    this.suspects.onSuccess(fingerprint, now);
+  /**
+   * Records a complete answer, which does not end a quarantine. Returns what to report to other
+   * nodes, undefined if the request was not suspect.
+   */
+  onAnswered(
+    fingerprint: string,
+    now: units.MonotonicMs,
+  ): Suspicion | undefined {
+    const isCleared = this.suspects.onSuccess(fingerprint, now);
+    return isCleared ? {fingerprint, deaths: 0} : undefined;
   }
 
   /** Whether a request is quarantined and must not run. */
--- a/src/common/serving/gate_call.ts
+++ b/src/common/serving/gate_call.ts
@@ -1,6 +1,7 @@
 /** Types of requests at a gate and of the results of their runs. */
 import * as serving from '../../generated/serving.js';
 import * as units from '../units.js';
+import * as crashSuspects from './crash_suspects.js';
 import * as lostLink from './lost_link.js';
 
 /** How long ago a request was sent, apart from the usual time on its way. */
@@ -176,8 +177,8 @@
   checkHealth(): void;
   /** Requests a load report of the backend server, which is passed to `onServerLoad`. */
   sampleLoad(): void;
-  /** Reports a request that may crash backend servers to other nodes. */
-  reportSuspect(fingerprint: string, deaths: number): void;
+  /** Reports a request that may crash backend servers, or that it does not, to other nodes. */
+  reportSuspect(suspicion: crashSuspects.Suspicion): void;
   /** Called when entries have to know of a change of the rate limit at once. */
   rateLimitChanged(): void;
   /** Called when the gate opens or closes, or the reason of a closure changes. */
--- a/src/common/serving/server_gate.test.ts
+++ b/src/common/serving/server_gate.test.ts
@@ -310,6 +310,15 @@
   assert.equal(harness.output.runs.length, runs + 1);
 });
 
+test('an answer ends a suspicion, which is reported once', () => {
+  const harness = new fixtures.GateHarness().open();
+  harness.suspects.onReport({fingerprint: 'x', deaths: 1}, 0);
+  for (let now = 1; now < 3; now++) {
+    harness.answered(harness.call({fingerprint: 'x'}, now), now);
+  }
+  assert.deepEqual(harness.output.cleared, ['x']);
+});
+
 test('a request that peers reported to crash servers is quarantined', () => {
   const harness = new fixtures.GateHarness().open();
   harness.suspects.onReport({fingerprint: 'x', deaths: 2}, 0);
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -16,6 +16,7 @@
 import * as incarnations from './incarnations.js';
 import * as runReports from './run_reports.js';
 import * as sentReplies from './sent_replies.js';
+import * as serverDeaths from './server_deaths.js';
 import * as serverPace from './server_pace.js';
 import * as serverStatement from './server_statement.js';
 import * as serverAvailability from './server_availability.js';
@@ -36,8 +37,7 @@
   private readonly replies: gateReplies.GateReplies;
   private readonly runReports: runReports.RunReports;
   private readonly limitReports = new rateLimitReports.RateLimitReports();
-  /** Fingerprints of the requests that were at work when the server died last. */
-  private readonly diedTogether = new Set<string>();
+  private readonly deaths: serverDeaths.ServerDeaths;
   private stopping = false;
   private wasOut = false;
   private lastClosure = serving.Closure.UNCONFIGURED;
@@ -47,6 +47,7 @@
     this.calls = new gateCalls.GateCalls(isEntryUp);
     this.sentReplies = new sentReplies.SentReplies(isEntryUp);
     this.replies = new gateReplies.GateReplies(options, this.sentReplies);
+    this.deaths = new serverDeaths.ServerDeaths(options, this.replies);
     this.server = new serverAvailability.ServerAvailability({
       log,
       checkHealth: () => output.checkHealth(),
@@ -320,7 +321,7 @@
       return this.refuseUnrun([call], barred ?? serving.Reason.CLOSED, now);
     }
     call.stage = {kind: 'running', startedMs: now, serial};
-    this.diedTogether.clear();
+    this.deaths.onRunStarted();
     this.capacity.onStarted(now);
     this.runReports.onStarted(this.capacity, now);
     this.replies.noteRun(call, this.capacity, now, {
@@ -370,22 +371,11 @@
   private refuseBroken(serverDied: boolean, now: units.MonotonicMs): void {
     for (const call of this.calls.all) {
       if (call.stage.kind !== 'broken') continue;
-      if (serverDied) this.recordDeath(call, now);
+      if (serverDied) this.deaths.onDied(call, now);
       this.refuse(call, {...BROKEN, serverDied}, now);
     }
   }
 
-  /** Records one death a request, however many callers had sent it to the server that died. */
-  private recordDeath(call: gateCall.GateCall, now: units.MonotonicMs): void {
-    const {suspects, output} = this.options;
-    const {fingerprint} = call.dispatch;
-    if (this.diedTogether.has(fingerprint)) return;
-    this.diedTogether.add(fingerprint);
-    const {deaths} = suspects.onDeath(fingerprint, now);
-    this.replies.note(call, 'failure', 'server-died', {deaths});
-    output.reportSuspect(fingerprint, deaths);
-  }
-
   private answer(
     call: gateCall.GateCall,
     startedMs: units.MonotonicMs,
@@ -398,7 +388,7 @@
       this.capacity.times.onFailed(now);
     } else {
       this.capacity.times.onAnswered(route, durationMs, now);
-      this.options.suspects.onAnswered(fingerprint, now);
+      this.deaths.onAnswered(fingerprint, now);
     }
     const facts = {status, durationMs: Math.round(durationMs)};
     this.replies.note(call, 'routine', 'answered', facts);
--- a/src/common/serving/serving_fixtures.test.ts
+++ b/src/common/serving/serving_fixtures.test.ts
@@ -136,7 +136,10 @@
   /** Links that the answers were sent over. */
   readonly answerLinks: number[] = [];
   readonly refusals: serving.Refusal[] = [];
+  /** Fingerprints of the reported deaths. */
   readonly suspects: string[] = [];
+  /** Fingerprints that were reported to crash no servers. */
+  readonly cleared: string[] = [];
   readonly closures: serving.Closure[] = [];
   limitReports = 0;
   healthChecks = 0;
@@ -167,8 +170,8 @@
     this.loadSamples++;
   }
 
-  reportSuspect(fingerprint: string): void {
-    this.suspects.push(fingerprint);
+  reportSuspect({fingerprint, deaths}: crashSuspects.Suspicion): void {
+    (deaths > 0 ? this.suspects : this.cleared).push(fingerprint);
   }
 
   rateLimitChanged(): void {
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -187,10 +187,8 @@
       },
       checkHealth: () => this.health.checkNow(),
       sampleLoad: () => this.health.sample(),
-      reportSuspect: (fingerprint, deaths) => {
-        const value = {fingerprint, deaths};
-        this.sessions.broadcast({$case: 'suspect', value});
-      },
+      reportSuspect: value =>
+        this.sessions.broadcast({$case: 'suspect', value}),
       rateLimitChanged: () => this.sessions.pulseAll(),
       closureChanged: () => this.sessions.pulseAll(),
     };
