--- a/src/common/serving/incarnations.ts
+++ b/src/common/serving/incarnations.ts
@@ -1,5 +1,6 @@
 /** Tracks the current incarnation of the backend server beside a node. */
 import * as serving from '../../generated/serving.js';
+import * as incarnationOrder from './incarnation_order.js';
 import * as serverStatement from './server_statement.js';
 import * as units from '../units.js';
 
@@ -40,7 +41,9 @@
   | 'gone'
   | 'cold'
   /** The event belongs to a former incarnation or came out of order. */
-  | 'outdated';
+  | 'outdated'
+  /** An incarnation leaves that may be the current one; requests wait until that one is heard. */
+  | 'unplaced';
 
 /** Effect of a statement on the known incarnation. */
 export interface StatementEffect {
@@ -62,6 +65,10 @@
   readonly proven: boolean;
   /** Whether another instance has answered at the address since. */
   readonly gone: boolean;
+  /** Whether its process may have ended since its last announcement. */
+  readonly ended: boolean;
+  /** Announcements by which it must show that it is not the one of a leaving without a place. */
+  readonly awaited: number;
   readonly coldUntilMs: units.MonotonicMs;
   /** Distinguishes incarnations within the process, also those with the same instance id. */
   readonly serial: number;
@@ -73,6 +80,9 @@
 /** Slots assumed until the backend server reports its own. */
 const DEFAULT_SLOTS = 4;
 
+/** Announcements of the current incarnation after a leaving without a place; one may be late. */
+const AWAITED_ANNOUNCEMENTS = 2;
+
 /** Tolerance in ms on the end of a cold start, for the latency of health check answers. */
 const COLD_START_TOLERANCE_MS = 300;
 
@@ -104,7 +114,7 @@
 /** Derives the current incarnation and its state from announcements and health checks. */
 export class IncarnationTracker {
   private current: Incarnation | undefined;
-  private newestStartMs = 0;
+  private readonly order = new incarnationOrder.IncarnationOrder();
   private hasAnnouncement = false;
   private lastSerial = 0;
   private readonly notices = new KnownNotices();
@@ -142,7 +152,8 @@
   /** State of the backend server; `absent` also if another instance has its address. */
   get state(): 'absent' | 'ready' | 'leaving' {
     if (this.current === undefined || this.current.gone) return 'absent';
-    return this.current.leaving ? 'leaving' : 'ready';
+    const {leaving, awaited} = this.current;
+    return leaving || awaited > 0 ? 'leaving' : 'ready';
   }
 
   /** Whether the backend server is in cold start. */
@@ -150,39 +161,25 @@
     return this.current !== undefined && this.current.coldUntilMs > now;
   }
 
-  /** Handles an announcement; an older incarnation never replaces a newer one. */
+  /** Handles an announcement; a former incarnation never replaces the current one. */
   onAnnouncement(
     announcement: Announcement,
     now: units.MonotonicMs,
   ): IncarnationChange {
-    const {current} = this;
-    if (announcement.startMs < this.newestStartMs) return 'outdated';
-    const isNew =
-      current === undefined ||
-      announcement.startMs > this.newestStartMs ||
-      announcement.instanceId !== current.instanceId;
-    if (
-      isNew &&
-      this.hasAnnouncement &&
-      announcement.startMs === this.newestStartMs
-    ) {
-      return 'outdated';
+    const {current, order} = this;
+    if (current === undefined) return this.replace(announcement, now);
+    if (isOf(announcement, current)) {
+      order.onCurrentHeard();
+      this.hasAnnouncement = true;
+      const change = this.updateCurrent(current, announcement, now);
+      return this.applyKnownNotices() ? 'leaving' : change;
     }
-    // A leaving server that announces itself as ready may be a new one with the same instance id.
-    const completesAdopted =
-      isNew &&
-      current?.startMs === undefined &&
-      current?.instanceId === announcement.instanceId &&
-      !current.leaving;
-    this.hasAnnouncement = true;
-    this.newestStartMs = announcement.startMs;
-    if (isNew && !completesAdopted) {
-      this.current = incarnationOf(announcement, ++this.lastSerial, now);
-      this.applyKnownNotices();
-      return 'new-incarnation';
+    if (order.replaces(announcement, current, now)) {
+      return this.replace(announcement, now);
     }
-    const change = this.updateCurrent(current!, announcement, now);
-    return this.applyKnownNotices() ? 'leaving' : change;
+    const {instanceId, startMs, state} = announcement;
+    if (state === 'ready') return 'outdated';
+    return this.onUnplacedLeaving(instanceId, startMs, current);
   }
 
   /**
@@ -196,12 +193,20 @@
   ): IncarnationChange {
     const {current} = this;
     if (current?.instanceId !== instanceId) return 'outdated';
-    if (startMs !== undefined && startMs < (current.startMs ?? 0)) {
-      return 'outdated';
+    if (startMs !== undefined) {
+      const isFormer = this.order.isFormer({instanceId, startMs});
+      if (isFormer || startMs < (current.startMs ?? 0)) {
+        return this.onUnplacedLeaving(instanceId, startMs, current);
+      }
     }
     return this.markLeaving({...current, startMs: startMs ?? current.startMs});
   }
 
+  /** Handles a refused connection: the process of the current incarnation may have ended. */
+  onRefused(): void {
+    if (this.current) this.current = {...this.current, ended: true};
+  }
+
   /** Handles the answer to a health check. */
   onHealth(sample: HealthSample, now: units.MonotonicMs): IncarnationChange {
     const {instanceId} = sample;
@@ -266,7 +271,6 @@
       current.limits.applyReported(limitPerSecond);
     if (current.startMs === undefined && startMs > 0) {
       this.current = {...current, startMs};
-      this.newestStartMs = Math.max(this.newestStartMs, startMs);
     }
     const startsLeaving =
       notice.leaving && this.markLeaving(this.current!) === 'leaving';
@@ -279,6 +283,34 @@
     return effects.some(({startsLeaving}) => startsLeaving);
   }
 
+  private replace(
+    announcement: Announcement,
+    now: units.MonotonicMs,
+  ): IncarnationChange {
+    this.order.onReplaced(this.current);
+    this.hasAnnouncement = true;
+    this.current = incarnationOf(announcement, ++this.lastSerial, now);
+    this.applyKnownNotices();
+    return 'new-incarnation';
+  }
+
+  /**
+   * Handles the leaving of another incarnation. Unless that one is known to be former, it may be
+   * the one that runs; if it is not, the current one will announce itself.
+   */
+  private onUnplacedLeaving(
+    instanceId: string,
+    startMs: units.EpochMs,
+    current: Incarnation,
+  ): IncarnationChange {
+    const {order} = this;
+    const name = {instanceId, startMs};
+    const isPlaced = order.isFormer(name) && !order.isContender(name);
+    if (isPlaced || instanceId !== current.instanceId) return 'outdated';
+    this.current = {...current, awaited: AWAITED_ANNOUNCEMENTS};
+    return 'unplaced';
+  }
+
   private markLeaving(current: Incarnation): IncarnationChange {
     if (current.leaving) return 'unchanged';
     this.current = {...current, leaving: true};
@@ -304,6 +336,8 @@
       leaving: false,
       proven: true,
       gone: false,
+      ended: false,
+      awaited: 0,
       coldUntilMs: now + (sample.coldLeftMs ?? 0),
       serial: ++this.lastSerial,
       limits: new serverStatement.LimitStatements(),
@@ -329,6 +363,8 @@
       version: announcement.version,
       leaving: startsLeaving || current.leaving,
       gone: current.gone && !startsLeaving && !reappears,
+      ended: current.ended && isOutOfOrder,
+      awaited: Math.max(0, current.awaited - (isOutOfOrder ? 0 : 1)),
     };
     if (startsLeaving) return 'leaving';
     if (isOutOfOrder) return 'outdated';
@@ -350,6 +386,19 @@
   }
 }
 
+/**
+ * Whether an announcement is of an incarnation, also of one that only health checks have named. A
+ * leaving one among those that announces itself may be a new one with the same instance id.
+ */
+function isOf(
+  {instanceId, startMs}: Announcement,
+  current: Incarnation,
+): boolean {
+  if (instanceId !== current.instanceId) return false;
+  if (current.startMs === undefined) return !current.leaving;
+  return startMs === current.startMs;
+}
+
 /** Whether a notice is about an incarnation, as far as both starts are known. */
 function concerns(
   {instanceId, startMs}: serving.ServerNotice,
@@ -375,6 +424,8 @@
     leaving: announcement.state === 'leaving',
     proven: false,
     gone: false,
+    ended: false,
+    awaited: 0,
     coldUntilMs: now + announcement.coldLeftMs,
     serial,
     limits: new serverStatement.LimitStatements(),
--- a/src/common/serving/server_availability.ts
+++ b/src/common/serving/server_availability.ts
@@ -98,6 +98,7 @@
    */
   onHealthFailed(failure: 'refused' | 'silent'): void {
     const isDown = failure === 'refused' || this.state === 'unconfirmed';
+    if (failure === 'refused') this.tracker.onRefused();
     if (!isDown || this.state === 'down') return;
     this.state = 'down';
     if (this.tracker.state !== 'absent') this.note('server-down', {failure});
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -163,7 +163,8 @@
     const change = this.server.onAnnouncement(announcement, now);
     const {soleSenderSinceMs} = this.options;
     const isNewer = announcement.startMs >= soleSenderSinceMs;
-    if (isNewer && change !== 'outdated') this.capacity.onServerStart();
+    const isCurrent = change !== 'outdated' && change !== 'unplaced';
+    if (isNewer && isCurrent) this.capacity.onServerStart();
     this.processQueue(now);
     return change;
   }
