--- a/bench/processor_time.ts
+++ b/bench/processor_time.ts
@@ -63,6 +63,7 @@
         onGreeting: sender => this.dial(sender),
         onNotice: () => undefined,
         onDispatch: () => undefined,
+        onTurnedAway: () => undefined,
         onWithdraw: () => undefined,
         onLinkLost: () => undefined,
         onTokenRequest: ({number}) => ({number, grants: []}),
--- a/src/common/serving/gate_call.ts
+++ b/src/common/serving/gate_call.ts
@@ -21,6 +21,8 @@
   readonly dispatch: serving.Dispatch;
   /** Whether the entry is on another node, so that replies may be lost; true by default. */
   readonly isRemote?: boolean;
+  /** Whether its body was dropped, as there was no memory for it; false by default. */
+  readonly lacksBody?: boolean;
 }
 
 /** Progress of a request at a gate. */
@@ -40,6 +42,7 @@
   readonly key: string;
   readonly dispatch: serving.Dispatch;
   readonly isRemote: boolean;
+  readonly lacksBody: boolean;
   readonly rank: number;
   /** Earliest estimate of the deadline: the request may have waited unread. */
   readonly deadlineMs: units.MonotonicMs;
@@ -50,6 +53,9 @@
   readonly startByMs: units.MonotonicMs;
   stage: Stage = {kind: 'waiting'};
 
+  /** Bytes that were taken from the memory for bodies. */
+  bodyBytes = 0;
+
   /** Undefined while no link is known that the reply could go to. */
   linkId: number | undefined;
 
@@ -68,6 +74,7 @@
     this.linkId = linkId;
     this.dispatch = dispatch;
     this.isRemote = arriving.isRemote ?? true;
+    this.lacksBody = arriving.lacksBody ?? false;
     this.rank = dispatch.rank;
     const {delayMs = 0, waitedMs = 0} = arriving;
     const sentMs = arrivedMs - Math.max(delayMs, waitedMs);
--- a/src/common/serving/gate_options.ts
+++ b/src/common/serving/gate_options.ts
@@ -2,6 +2,7 @@
 import * as randomSource from '../random_source.js';
 import * as gateTally from '../rollouts/gate_tally.js';
 import * as units from '../units.js';
+import * as bodyMemory from './body_memory.js';
 import * as crashSuspects from './crash_suspects.js';
 import * as decision from './decision.js';
 import * as gateCall from './gate_call.js';
@@ -30,6 +31,8 @@
   isEntryUp(entryProcess: string): boolean;
   readonly log: decision.DecisionLog;
   readonly random: randomSource.RandomSource;
+  /** Memory for bodies of requests from other nodes, unlimited by default. */
+  readonly bodyMemory?: bodyMemory.BodyMemory;
   /** Most bytes of answers that are held for entries that may not have received them. */
   readonly replyBytes: number;
   /** Maximum request rate in cold start, as a multiple of the declared rate. */
--- a/src/common/serving/incarnations.ts
+++ b/src/common/serving/incarnations.ts
@@ -45,6 +45,11 @@
   /** An incarnation leaves that may be the current one; requests wait until that one is heard. */
   | 'unplaced';
 
+/** Whether an event with this effect belongs to the current incarnation. */
+export function isOfCurrent(change: IncarnationChange): boolean {
+  return change !== 'outdated' && change !== 'unplaced';
+}
+
 /** Effect of a statement on the known incarnation. */
 export interface StatementEffect {
   readonly limitChanged: boolean;
--- a/src/common/serving/server_gate.ts
+++ b/src/common/serving/server_gate.ts
@@ -5,6 +5,7 @@
 import * as barredCall from './barred_call.js';
 import * as rateLimitReports from './rate_limit_reports.js';
 import * as replyCache from './reply_cache.js';
+import * as gateBodies from './gate_bodies.js';
 import * as gateCall from './gate_call.js';
 import * as gateReplies from './gate_replies.js';
 import * as gateCapacity from './gate_capacity.js';
@@ -38,6 +39,7 @@
   private readonly runReports: runReports.RunReports;
   private readonly limitReports = new rateLimitReports.RateLimitReports();
   private readonly deaths: serverDeaths.ServerDeaths;
+  private readonly bodies: gateBodies.GateBodies;
   private stopping = false;
   private wasOut = false;
   private lastClosure = serving.Closure.UNCONFIGURED;
@@ -48,6 +50,7 @@
     this.sentReplies = new sentReplies.SentReplies(isEntryUp);
     this.replies = new gateReplies.GateReplies(options, this.sentReplies);
     this.deaths = new serverDeaths.ServerDeaths(options, this.replies);
+    this.bodies = new gateBodies.GateBodies(options, this.replies);
     this.server = new serverAvailability.ServerAvailability({
       log,
       checkHealth: () => output.checkHealth(),
@@ -70,8 +73,7 @@
 
   /** Returns why the gate accepts no new requests, or `OPEN`. */
   closure(): serving.Closure {
-    const {server, stopping} = this;
-    return gateClosure.closureOf(this.options, server, stopping);
+    return gateClosure.closureOf(this.options, this.server, this.stopping);
   }
 
   /** Version of the backend server, undefined until an announcement has stated it. */
@@ -161,10 +163,10 @@
     now: units.MonotonicMs,
   ): incarnations.IncarnationChange {
     const change = this.server.onAnnouncement(announcement, now);
-    const {soleSenderSinceMs} = this.options;
-    const isNewer = announcement.startMs >= soleSenderSinceMs;
-    const isCurrent = change !== 'outdated' && change !== 'unplaced';
-    if (isNewer && isCurrent) this.capacity.onServerStart();
+    const isNewer = announcement.startMs >= this.options.soleSenderSinceMs;
+    if (isNewer && incarnations.isOfCurrent(change)) {
+      this.capacity.onServerStart();
+    }
     this.processQueue(now);
     return change;
   }
@@ -254,15 +256,14 @@
     call: gateCall.GateCall,
     now: units.MonotonicMs,
   ): serving.Reason | undefined {
-    const {dispatch} = call;
-    const {service} = this.options;
-    if (dispatch.service !== service()) return serving.Reason.WRONG_SERVICE;
+    const {service, redirectable} = call.dispatch;
+    if (service !== this.options.service()) return serving.Reason.WRONG_SERVICE;
     if (this.closure() !== serving.Closure.OPEN) return serving.Reason.CLOSED;
     const barred = barredCall.barredReason(call, this.options, now);
     if (barred) return barred;
     const reason = this.capacity.refusalReason(call, now);
-    if (!dispatch.redirectable) this.capacity.onAdmission(reason !== undefined);
-    return reason;
+    if (!redirectable) this.capacity.onAdmission(reason !== undefined);
+    return reason ?? this.bodies.take(call);
   }
 
   /** Starts queued requests while there is capacity; refuses them all if the gate is closed. */
@@ -424,6 +425,7 @@
   ): void {
     this.capacity.queue.remove(call);
     this.calls.delete(call.key);
+    this.bodies.giveBack(call);
     this.replies.finish(call, reply, now);
   }
 
--- a/src/common/serving/serving_fixtures.test.ts
+++ b/src/common/serving/serving_fixtures.test.ts
@@ -1,6 +1,7 @@
 /** Fixtures for the tests of entry and gate. */
 import * as serving from '../../generated/serving.js';
 import * as randomSource from '../random_source.js';
+import * as bodyMemory from './body_memory.js';
 import * as callKey from './call_key.js';
 import * as configuration from './configuration.js';
 import * as crashSuspects from './crash_suspects.js';
@@ -21,6 +22,9 @@
 /** Memory of a gate for answers that may not have been received. */
 export const REPLY_BYTES = 100_000;
 
+/** Memory of a gate for bodies. */
+export const BODY_BYTES = 200_000;
+
 export function route(
   overrides: Partial<configuration.Route> = {},
 ): configuration.Route {
@@ -193,6 +197,7 @@
   readonly output = new RecordedGateOutput();
   readonly log = new RecordedLog();
   readonly suspects = new crashSuspects.CrashSuspects();
+  readonly bodyMemory = new bodyMemory.BodyMemory(BODY_BYTES);
   readonly gate: serverGate.ServerGate;
   /** Processes of entries that another link shows to run. */
   readonly entriesUp = new Set<string>();
@@ -208,6 +213,7 @@
       log: this.log,
       random: new randomSource.SeededRandom(7),
       replyBytes: REPLY_BYTES,
+      bodyMemory: this.bodyMemory,
       isEntryUp: entryProcess => this.entriesUp.has(entryProcess),
       coldRateFactor: 1.25,
       startedMs,
--- a/src/node/frame_parts.test.ts
+++ b/src/node/frame_parts.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 
+import * as wire from '@bufbuild/protobuf/wire';
 import * as fc from 'fast-check';
 
 import * as errors from '../common/errors.js';
@@ -12,12 +13,15 @@
 const SEED = Number(process.env['SEED'] ?? 7);
 const MAX_OPEN_BYTES = 20 * frameParts.PART_BYTES;
 
-function createJoiner(): frameParts.PartJoiner<serving.NodeFrame> {
+function createJoiner(
+  memory?: frameParts.MessageMemory,
+): frameParts.PartJoiner<serving.NodeFrame> {
   return new frameParts.PartJoiner(
     serving.NodeFrame,
     linkFrame.PART_PROTOCOL,
     MAX_OPEN_BYTES,
     'other',
+    memory,
   );
 }
 
@@ -239,3 +243,89 @@
   assert.equal(parts[1].content.buffer, pieces[1].buffer);
   assert.equal(queue.bytes, 0);
 });
+
+/** Memory with room for a number of bytes; records the requests that are turned away. */
+class LimitedMemory implements frameParts.MessageMemory {
+  readonly turnedAway: Array<number | undefined> = [];
+
+  constructor(public leftBytes: number) {}
+
+  take(bytes: number): boolean {
+    if (bytes > this.leftBytes) return false;
+    this.leftBytes -= bytes;
+    return true;
+  }
+
+  giveBack(bytes: number): void {
+    this.leftBytes += bytes;
+  }
+
+  onTurnedAway(begin: Buffer): void {
+    this.turnedAway.push(linkFrame.dispatchOf(begin)?.call);
+  }
+}
+
+/** Parts of a request, whose body comes last as on a link. */
+function dispatchParts(
+  queue: frameParts.PartQueue,
+  call: number,
+  bodyBytes: number,
+): readonly frameParts.Part[] {
+  const body = Buffer.alloc(bodyBytes, call);
+  const requestId = `r${call}`;
+  const value = serving.Dispatch.fromPartial({call, requestId, body});
+  const frame = {body: {$case: 'dispatch', value}, sentMs: 7} as const;
+  const split = linkFrame.PART_PROTOCOL.split?.(frame);
+  assert.ok(split);
+  const head = split.encodeHead(new wire.BinaryWriter()).finish();
+  queue.add([Buffer.from(head), split.content]);
+  return drain(queue);
+}
+
+nodeTest.test('messages without room are dropped, others are whole', () => {
+  const room = 6 * frameParts.PART_BYTES;
+  const memory = new LimitedMemory(room);
+  const joiner = createJoiner(memory);
+  const queue = new frameParts.PartQueue(MAX_OPEN_BYTES);
+  const [first, second, third] = [1, 2, 3].map(call =>
+    dispatchParts(queue, call, 4 * frameParts.PART_BYTES),
+  );
+  const received = [...first.slice(0, -1), ...second, ...first.slice(-1)]
+    .concat(third)
+    .flatMap(part => joiner.push(partFrame(part)) ?? []);
+  assert.deepEqual(memory.turnedAway, [2]);
+  assert.equal(memory.leftBytes, room);
+  assert.deepEqual(
+    received.map(({body}) => {
+      assert.ok(body?.$case === 'dispatch');
+      const {call, body: bytes, requestId} = body.value;
+      return [call, bytes.equals(Buffer.alloc(bytes.length, call)), requestId];
+    }),
+    [
+      [1, true, 'r1'],
+      [3, true, 'r3'],
+    ],
+  );
+});
+
+nodeTest.test('the memory of unfinished messages is given back', () => {
+  const memory = new LimitedMemory(MAX_OPEN_BYTES);
+  const joiner = createJoiner(memory);
+  const queue = new frameParts.PartQueue(MAX_OPEN_BYTES);
+  const [begin] = dispatchParts(queue, 1, 4 * frameParts.PART_BYTES);
+  joiner.push(partFrame(begin));
+  assert.ok(memory.leftBytes < MAX_OPEN_BYTES);
+  joiner.clear();
+  assert.equal(memory.leftBytes, MAX_OPEN_BYTES);
+});
+
+nodeTest.test('a request is found in the beginning of its frame', () => {
+  const queue = new frameParts.PartQueue(MAX_OPEN_BYTES);
+  const [{content}] = dispatchParts(queue, 300, 2 * frameParts.PART_BYTES);
+  for (let bytes = 0; bytes <= content.length; bytes++) {
+    const dispatch = linkFrame.dispatchOf(content.subarray(0, bytes));
+    if (dispatch !== undefined) assert.ok([0, 300].includes(dispatch.call));
+  }
+  assert.equal(linkFrame.dispatchOf(content)?.call, 300);
+  assert.equal(linkFrame.dispatchOf(encode(answerFrame(1, 10))), undefined);
+});
--- a/src/node/frame_parts.ts
+++ b/src/node/frame_parts.ts
@@ -36,6 +36,24 @@
   encodeHead(part: Part, writer: wire.BinaryWriter): wire.BinaryWriter;
   /** Returns the part that a frame carries, undefined if it is another frame. */
   partOf(frame: T): Part | undefined;
+  /**
+   * Decodes a message that ends with a long body without copying the body; undefined for other
+   * messages.
+   */
+  decodeSplit?(bytes: Buffer): T | undefined;
+}
+
+/** Limits the memory of messages while their parts are received. */
+export interface MessageMemory {
+  /** Takes the memory of a message; returns false if there is no room for it. */
+  take(bytes: number): boolean;
+  giveBack(bytes: number): void;
+  /**
+   * A message is dropped, as there is no room for it.
+   *
+   * @param begin - its first part.
+   */
+  onTurnedAway(begin: Buffer): void;
 }
 
 class OutgoingMessage {
@@ -134,7 +152,17 @@
 class IncomingMessage {
   receivedBytes = 0;
 
-  constructor(readonly bytes: Buffer) {}
+  constructor(
+    readonly totalBytes: number,
+    /** Undefined for a message that is dropped. */
+    readonly bytes: Buffer | undefined,
+  ) {}
+
+  /** Adds the next bytes. */
+  add(content: Buffer): void {
+    this.bytes?.set(content, this.receivedBytes);
+    this.receivedBytes += content.length;
+  }
 }
 
 /** Joins parts to frames; memory is bounded by the longest frame. */
@@ -149,6 +177,7 @@
     private readonly maxOpenBytes: number,
     /** Names the other end in errors. */
     private readonly peerName: string,
+    private readonly memory?: MessageMemory,
   ) {}
 
   /**
@@ -165,19 +194,25 @@
       part.totalBytes > 0 ? this.begin(part) : this.open.get(number);
     if (message === undefined) throw this.malformed('no first part');
     const receivedBytes = message.receivedBytes + content.length;
-    const isWhole = receivedBytes === message.bytes.length;
-    if (receivedBytes > message.bytes.length || last !== isWhole) {
+    const isWhole = receivedBytes === message.totalBytes;
+    if (receivedBytes > message.totalBytes || last !== isWhole) {
       throw this.malformed('parts do not add up to the length of the message');
     }
-    message.bytes.set(content, message.receivedBytes);
-    message.receivedBytes = receivedBytes;
+    message.add(content);
     if (!last) return undefined;
     this.open.delete(number);
-    this.openBytes -= message.bytes.length;
-    return this.decode(message.bytes);
+    this.end(message);
+    return message.bytes && this.decode(message.bytes);
+  }
+
+  /** Drops all open messages. */
+  clear(): void {
+    for (const message of this.open.values()) this.end(message);
+    this.open.clear();
   }
 
-  private begin({message: number, totalBytes}: Part): IncomingMessage {
+  private begin(part: Part): IncomingMessage {
+    const {message: number, totalBytes, content} = part;
     if (this.open.has(number)) throw this.malformed('second first part');
     if (this.open.size === MAX_OPEN_MESSAGES) {
       throw this.malformed('too many messages in parts');
@@ -185,14 +220,29 @@
     if (this.openBytes + totalBytes > this.maxOpenBytes) {
       throw this.malformed(`message of ${totalBytes} bytes is too long`);
     }
-    const message = new IncomingMessage(Buffer.allocUnsafe(totalBytes));
+    const fits = this.memory?.take(totalBytes) ?? true;
+    const message = new IncomingMessage(
+      totalBytes,
+      fits ? Buffer.allocUnsafe(totalBytes) : undefined,
+    );
     this.open.set(number, message);
     this.openBytes += totalBytes;
+    if (!fits) this.memory?.onTurnedAway(content);
     return message;
   }
 
+  private end({totalBytes, bytes}: IncomingMessage): void {
+    this.openBytes -= totalBytes;
+    if (bytes !== undefined) this.memory?.giveBack(totalBytes);
+  }
+
   private decode(bytes: Buffer): T {
-    const frame = frameCodec.decodeFrame(this.codec, bytes, this.peerName);
+    const {codec, protocol} = this;
+    const decoder = {
+      ...codec,
+      decode: () => protocol.decodeSplit?.(bytes) ?? codec.decode(bytes),
+    };
+    const frame = frameCodec.decodeFrame(decoder, bytes, this.peerName);
     if (this.protocol.partOf(frame) === undefined) return frame;
     throw this.malformed('message in parts contains a part');
   }
--- a/src/node/framed_socket.ts
+++ b/src/node/framed_socket.ts
@@ -39,6 +39,7 @@
 
   /**
    * @param partProtocol - set if the protocol knows parts of long frames.
+   * @param memory - limits the memory of long frames that are received; unlimited by default.
    */
   constructor(
     private readonly socket: net.Socket,
@@ -47,12 +48,19 @@
     peerName: string,
     private readonly listener: FramedSocketListener<T>,
     private readonly partProtocol?: frameParts.PartProtocol<T>,
+    memory?: frameParts.MessageMemory,
   ) {
     this.reader = new frameCodec.FrameReader(codec, maxFrameBytes, peerName);
     this.partQueue = new frameParts.PartQueue(maxFrameBytes);
     this.joiner =
       partProtocol &&
-      new frameParts.PartJoiner(codec, partProtocol, maxFrameBytes, peerName);
+      new frameParts.PartJoiner(
+        codec,
+        partProtocol,
+        maxFrameBytes,
+        peerName,
+        memory,
+      );
     // Parts that are queued when the other end ends its side are still sent.
     socket.allowHalfOpen = true;
     socket.setNoDelay(true);
@@ -168,6 +176,7 @@
 
   private onClosed(): void {
     this.partQueue.clear();
+    this.joiner?.clear();
     this.listener.onClose(this.err);
   }
 
--- a/src/node/serving/entry_sessions.test.ts
+++ b/src/node/serving/entry_sessions.test.ts
@@ -49,6 +49,7 @@
       onNotice: () => undefined,
       onDispatch: () => undefined,
       onTokenRequest: ({number}) => ({number, grants: []}),
+      onTurnedAway: () => undefined,
       onWithdraw: () => undefined,
       onLinkLost: () => undefined,
     },
@@ -167,6 +168,7 @@
       onDispatch: (unusedKey, unusedLink, unusedDispatch, {delayMs}) =>
         handled.push({what: 'dispatch', delayMs}),
       onTokenRequest: ({number}) => ({number, grants: []}),
+      onTurnedAway: () => undefined,
       onWithdraw: () => handled.push({what: 'withdraw'}),
       onLinkLost: () => undefined,
     },
@@ -261,6 +263,7 @@
       onNotice: () => undefined,
       onDispatch: () => this.handled.push('dispatch'),
       onTokenRequest: ({number}) => ({number, grants: []}),
+      onTurnedAway: () => undefined,
       onWithdraw: () => undefined,
       onLinkLost: () => undefined,
     },
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -1,6 +1,7 @@
 /** Sessions of other nodes' entries with this node's gate. */
 import * as net from 'node:net';
 
+import * as bodyMemory from '../../common/serving/body_memory.js';
 import * as callKey from '../../common/serving/call_key.js';
 import * as gateCall from '../../common/serving/gate_call.js';
 import * as messageDelay from '../../common/serving/message_delay.js';
@@ -42,6 +43,8 @@
     dispatch: serving.Dispatch,
     age: gateCall.ArrivalAge,
   ): void;
+  /** A request came whose body was dropped, as there is no memory for it. */
+  onTurnedAway(key: string, linkId: number, dispatch: serving.Dispatch): void;
   onWithdraw(key: string): void;
   /** An entry asks for tokens; the answer is sent at once. */
   onTokenRequest(request: serving.TokenRequest): serving.TokenGrant;
@@ -63,6 +66,8 @@
   freshness(question: number): serving.FreshnessProof;
   /** Longest interval of pulses to a node that the state asks for, infinity by default. */
   maxPulseIntervalMs?(nodeId: string): units.Millis;
+  /** Memory for bodies, unlimited by default. */
+  readonly bodyMemory?: bodyMemory.BodyMemory;
   /** Most connections that have sent no greeting yet, unlimited by default. */
   readonly maxGreetings?: number;
   /** A connection was closed before its greeting, for the reason given. */
@@ -104,6 +109,7 @@
       framedSocket.FramedSocketListener<serving.NodeFrame>,
       'onBytes' | 'onClose' | 'onFrame'
     >,
+    memory: frameParts.MessageMemory,
   ) {
     this.socket = linkFrame.wrapSocket(
       connection,
@@ -113,6 +119,7 @@
         onConnect: () => undefined,
         onMalformed: () => undefined,
       },
+      memory,
     );
   }
 }
@@ -123,9 +130,12 @@
   private readonly sessions = new Map<number, Session>();
   /** Connections without a greeting, the oldest first. */
   private readonly ungreeted = new Map<Session, net.Socket>();
+  private readonly bodyMemory: bodyMemory.BodyMemory;
   private lastId = 0;
 
   constructor(private readonly options: EntrySessionsOptions) {
+    const {bodyMemory: memory = new bodyMemory.BodyMemory(Infinity)} = options;
+    this.bodyMemory = memory;
     this.server = net.createServer({noDelay: true}, s => this.accept(s));
   }
 
@@ -215,11 +225,21 @@
   }
 
   private accept(connection: net.Socket): void {
-    const session = new Session(++this.lastId, connection, {
-      onBytes: () => this.limitGreeting(session, connection),
-      onFrame: frame => this.receive(session, connection, frame),
-      onClose: () => this.onClosed(session, connection),
-    });
+    const session = new Session(
+      ++this.lastId,
+      connection,
+      {
+        onBytes: () => this.limitGreeting(session, connection),
+        onFrame: frame => this.receive(session, connection, frame),
+        onClose: () => this.onClosed(session, connection),
+      },
+      {
+        take: bytes => this.bodyMemory.take(bytes),
+        giveBack: bytes => this.bodyMemory.giveBack(bytes),
+        onTurnedAway: begin =>
+          this.turnAway(session, linkFrame.dispatchOf(begin)),
+      },
+    );
     this.sessions.set(session.id, session);
     this.ungreeted.set(session, connection);
     // The timeout of a socket would start anew with each byte.
@@ -255,6 +275,8 @@
   private onClosed(session: Session, connection: net.Socket): void {
     this.sessions.delete(session.id);
     this.ungreeted.delete(session);
+    for (const {dispatch} of session.late) this.giveBack(dispatch);
+    session.late = [];
     const {writableFinished, readableEnded, errored} = connection;
     const isWhole = writableFinished && readableEnded && errored === null;
     this.options.listener.onLinkLost(session.id, session.ending && isWhole);
@@ -348,6 +370,9 @@
       const age = {delayMs, waitedMs: waitedMs()};
       return listener.onDispatch(key, session.id, dispatch, age);
     }
+    if (!this.bodyMemory.take(dispatch.body.length)) {
+      return this.turnAway(session, {...dispatch, body: Buffer.alloc(0)});
+    }
     if (session.late.length === 0) requestReply(session);
     const request = {key, dispatch, delayMs, readMs: nowMs()};
     session.late = [...session.late, request];
@@ -367,6 +392,7 @@
     if (due.length === 0) return;
     session.late = session.late.filter(request => !isDue(request));
     if (session.late.length > 0) requestReply(session);
+    for (const {dispatch} of due) this.giveBack(dispatch);
     // The entry sends them again over another link.
     if (session.ending) return;
     for (const {key, dispatch, delayMs: heldMs, readMs} of due) {
@@ -375,6 +401,22 @@
     }
   }
 
+  /** Passes on a request without its body, for which there is no memory. */
+  private turnAway(
+    session: Session,
+    dispatch: serving.Dispatch | undefined,
+  ): void {
+    const {id, entryProcess, ending} = session;
+    // The entry sends it again over another link.
+    if (dispatch === undefined || entryProcess === undefined || ending) return;
+    const key = callKey.format(entryProcess, dispatch.call);
+    this.options.listener.onTurnedAway(key, id, dispatch);
+  }
+
+  private giveBack({body}: serving.Dispatch): void {
+    this.bodyMemory.giveBack(body.length);
+  }
+
   private onGreeting(
     session: Session,
     connection: net.Socket,
--- a/src/node/serving/gate_link.test.ts
+++ b/src/node/serving/gate_link.test.ts
@@ -61,6 +61,7 @@
         this.linkIds.push(linkId);
       },
       onTokenRequest: ({number}) => ({number, grants: []}),
+      onTurnedAway: () => undefined,
       onWithdraw: key => void this.withdrawn.push(key),
       onLinkLost: () => undefined,
     },
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -1,4 +1,5 @@
 /** Connects the gate to the backend server and to the entries of all nodes. */
+import * as bodyMemory from '../../common/serving/body_memory.js';
 import * as crashSuspects from '../../common/serving/crash_suspects.js';
 import * as decision from '../../common/serving/decision.js';
 import * as gateCall from '../../common/serving/gate_call.js';
@@ -24,6 +25,9 @@
 /** Share of the process's memory for answers that entries may not have received. */
 const REPLY_MEMORY_SHARE = 1 / 8;
 
+/** Share of the process's memory for bodies of requests from other nodes. */
+const BODY_MEMORY_SHARE = 1 / 5;
+
 /** Link id of the local entry; sessions of other entries count from 1. */
 const LOCAL_LINK_ID = 0;
 
@@ -77,18 +81,23 @@
 /** Runs the gate with connections to the backend server, health checks and sessions. */
 export class GateRuntime implements AsyncDisposable {
   readonly gate: serverGate.ServerGate;
+  private readonly bodyMemory: bodyMemory.BodyMemory;
   private readonly sessions: entrySessions.EntrySessions;
   private readonly pool: serverPool.ServerPool;
   private readonly health: healthChecker.HealthChecker;
   private readonly resources = new resourceStack.ResourceStack();
 
   constructor(private readonly options: GateRuntimeOptions) {
+    const memoryBytes = answerMemory.BYTES_PER_MB * options.memoryMb;
+    this.bodyMemory = new bodyMemory.BodyMemory(
+      BODY_MEMORY_SHARE * memoryBytes,
+    );
     this.gate = new serverGate.ServerGate({
       ...options,
+      bodyMemory: this.bodyMemory,
       // The monotonic clock counts from the start of the process.
       startedMs: 0,
-      replyBytes:
-        REPLY_MEMORY_SHARE * answerMemory.BYTES_PER_MB * options.memoryMb,
+      replyBytes: REPLY_MEMORY_SHARE * memoryBytes,
       output: this.gateOutput(),
     });
     this.pool = this.resources.use(this.makePool());
@@ -272,6 +281,7 @@
       freshness: question => this.options.freshness(question),
       maxPulseIntervalMs: nodeId => this.maxPulseIntervalMs(nodeId),
       nodeCount: () => directory.size,
+      bodyMemory: this.bodyMemory,
       maxGreetings: this.options.maxGreetings,
       onRefused: reason =>
         decision.noteStateChange(
@@ -296,6 +306,11 @@
           this.gate.onCall({key, linkId, dispatch, ...age}, now);
           afterEvent();
         },
+        onTurnedAway: (key, linkId, dispatch) => {
+          const call = {key, linkId, dispatch, lacksBody: true};
+          this.gate.onCall(call, clock.monotonicMs());
+          afterEvent();
+        },
         onWithdraw: key => {
           this.gate.onWithdraw(key, clock.monotonicMs());
           afterEvent();
--- a/src/node/serving/link_frame.ts
+++ b/src/node/serving/link_frame.ts
@@ -22,6 +22,10 @@
 const ANSWER_TAG = tagOf(4);
 const ANSWER_BODY_TAG = tagOf(4);
 
+/** Length of these tags, and the part of a tag that tells the wire type. */
+const TAG_BYTES = 1;
+const WIRE_TYPE_MASK = 7;
+
 const NO_CONTENT = Buffer.alloc(0);
 
 /** Parts on connections between nodes. */
@@ -38,6 +42,7 @@
       .raw(head);
   },
   split: splitFrame,
+  decodeSplit,
   partOf: ({body}) => (body?.$case === 'part' ? body.value : undefined),
 };
 
@@ -47,11 +52,7 @@
  */
 const FRAME_CODEC: frameCodec.FrameCodec<serving.NodeFrame> = {
   encode: (frame, writer) => serving.NodeFrame.encode(frame, writer),
-  decode: bytes => {
-    const frame = serving.NodeFrame.decode(bytes);
-    if (!rates(frame).every(isRate)) throw new RangeError('no rate');
-    return frame;
-  },
+  decode: bytes => checked(serving.NodeFrame.decode(bytes)),
 };
 
 /** Returns a frame that states when it was sent. */
@@ -67,6 +68,7 @@
   socket: net.Socket,
   peerName: string,
   listener: framedSocket.FramedSocketListener<serving.NodeFrame>,
+  memory?: frameParts.MessageMemory,
 ): framedSocket.FramedSocket<serving.NodeFrame> {
   return new framedSocket.FramedSocket(
     socket,
@@ -75,9 +77,109 @@
     peerName,
     listener,
     PART_PROTOCOL,
+    memory,
   );
 }
 
+/**
+ * Returns the request whose encoded frame begins with the given bytes, without its body; undefined
+ * for another message. Fields that the bytes do not contain have their defaults.
+ */
+export function dispatchOf(begin: Buffer): serving.Dispatch | undefined {
+  const encoded = encodedMessageOf(begin);
+  if (encoded?.tag !== DISPATCH_TAG) return undefined;
+  return serving.Dispatch.decode(encoded.head);
+}
+
+/** An encoded frame in pieces; the body is undefined if it does not come last. */
+interface EncodedMessage {
+  /** Fields of the frame before the message. */
+  readonly rest: Buffer;
+  readonly tag: number;
+  /** Fields of the message before its body. */
+  readonly head: Buffer;
+  readonly body: Buffer | undefined;
+}
+
+/** Finds the request or answer in the beginning of an encoded frame. */
+function encodedMessageOf(bytes: Buffer): EncodedMessage | undefined {
+  const reader = new wire.BinaryReader(bytes);
+  const tag = skipTo(reader, [DISPATCH_TAG, ANSWER_TAG]);
+  if (tag === undefined) return undefined;
+  const rest = bytes.subarray(0, reader.pos - TAG_BYTES);
+  const length = readLength(reader);
+  if (length === undefined) return undefined;
+  const start = reader.pos;
+  const isWhole = start + length === bytes.length;
+  const bodyTag = tag === DISPATCH_TAG ? DISPATCH_BODY_TAG : ANSWER_BODY_TAG;
+  if (skipTo(reader, [bodyTag]) === undefined) {
+    return {
+      rest,
+      tag,
+      head: bytes.subarray(start, reader.pos),
+      body: undefined,
+    };
+  }
+  const head = bytes.subarray(start, reader.pos - TAG_BYTES);
+  const bodyBytes = readLength(reader) ?? 0;
+  const isLast = isWhole && reader.pos + bodyBytes === bytes.length;
+  return {
+    rest,
+    tag,
+    head,
+    body: isLast ? bytes.subarray(reader.pos) : undefined,
+  };
+}
+
+/** Skips whole fields up to one of the tags, which it reads; undefined if there is none. */
+function skipTo(
+  reader: wire.BinaryReader,
+  tags: readonly number[],
+): number | undefined {
+  let end = reader.pos;
+  try {
+    while (reader.pos < reader.len) {
+      const tag = reader.uint32();
+      if (tags.includes(tag)) return tag;
+      reader.skip(tag & WIRE_TYPE_MASK);
+      end = reader.pos;
+    }
+  } catch (err) {
+    // The bytes may end within a field.
+    if (!(err instanceof RangeError)) throw err;
+  }
+  reader.pos = end;
+  return undefined;
+}
+
+/** Reads a length; undefined if the bytes end within it. */
+function readLength(reader: wire.BinaryReader): number | undefined {
+  try {
+    return reader.uint32();
+  } catch (err) {
+    if (err instanceof RangeError) return undefined;
+    throw err;
+  }
+}
+
+function decodeSplit(bytes: Buffer): serving.NodeFrame | undefined {
+  const encoded = encodedMessageOf(bytes);
+  if (encoded?.body === undefined) return undefined;
+  const {rest, tag, head, body} = encoded;
+  const frame = serving.NodeFrame.decode(rest);
+  if (frame.body !== undefined) return undefined;
+  const message: serving.NodeFrame['body'] =
+    tag === DISPATCH_TAG
+      ? {$case: 'dispatch', value: {...serving.Dispatch.decode(head), body}}
+      : {$case: 'answer', value: {...serving.Answer.decode(head), body}};
+  return checked({...frame, body: message});
+}
+
+function checked(frame: serving.NodeFrame): serving.NodeFrame {
+  if (!rates(frame).every(isRate)) throw new RangeError('no rate');
+  return frame;
+}
+
 function splitFrame(
   frame: serving.NodeFrame,
 ): frameParts.SplitFrame | undefined {
