--- a/src/node/serving/fleet_sync.ts
+++ b/src/node/serving/fleet_sync.ts
@@ -10,13 +10,13 @@
 import * as fleetDirectory from './fleet_directory.js';
 
 /** Time that a node which reads the store waits for newer records before it asks a peer. */
-const READER_REQUEST_DELAY_MS: units.Millis = 150;
+export const READER_REQUEST_DELAY_MS: units.Millis = 150;
 
 /**
  * Time that a node waits for newer state from its own data centre before it asks a peer in another
  * one, as traffic between data centres is expensive.
  */
-const DATA_CENTRE_REQUEST_DELAY_MS: units.Millis = 250;
+export const DATA_CENTRE_REQUEST_DELAY_MS: units.Millis = 250;
 
 /** Minimum time between two requests for peers' state. */
 const MIN_REQUEST_INTERVAL_MS: units.Millis = 400;
--- a/src/node/serving/intent_waits.test.ts
+++ b/src/node/serving/intent_waits.test.ts
@@ -1,9 +1,11 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 
+import * as fleetSync from './fleet_sync.js';
 import * as gateLink from './gate_link.js';
 import * as gateLinks from './gate_links.js';
 import * as intentWaits from './intent_waits.js';
+import * as pulseInterval from './pulse_interval.js';
 import * as servingNode from './serving_node.js';
 import * as topicFollower from './topic_follower.js';
 
@@ -30,6 +32,12 @@
   boundsOf(2.5, 2, 2),
 ];
 
+/** Sizes of fleets, in nodes. */
+const FLEET_SIZES = [3, 30, 300, 2_400];
+
+/** Time for a message from a node to another one, its handling included. */
+const HOP_MS = 50;
+
 /** Time to open a connection and to exchange greetings. */
 const OPEN_MS = 100;
 
@@ -75,3 +83,36 @@
     assert.ok(intentWaits.readerPulseMs(bounds) < pingAfterMs);
   }
 });
+
+test('a new record spreads in the time that the waits allow', () => {
+  const {READER_REQUEST_DELAY_MS, DATA_CENTRE_REQUEST_DELAY_MS} = fleetSync;
+  for (const delayMs of [
+    READER_REQUEST_DELAY_MS,
+    DATA_CENTRE_REQUEST_DELAY_MS,
+  ]) {
+    // The pulse of the reader, the request of its state, and the state.
+    const spreadMs = HOP_MS + delayMs + 2 * HOP_MS;
+    assert.ok(spreadMs <= intentWaits.SPREAD_MS, `${spreadMs}`);
+  }
+});
+
+// Idle links of larger fleets are pinged later, which must not hold for those to readers.
+test('no size of the fleet makes new intent late over silent links', () => {
+  for (const bounds of BOUNDS) {
+    for (const nodes of FLEET_SIZES) {
+      const pingAfterMs = Math.min(
+        pulseInterval.idlePingAfterMs(nodes),
+        intentWaits.linkPingAfterMs(bounds),
+      );
+      const {LINK_REPLACEMENT_MS, SPREAD_MS} = intentWaits;
+      const sumMs = pingAfterMs + LINK_REPLACEMENT_MS + SPREAD_MS;
+      const boundMs = intentWaits.noticeMs(bounds);
+      assert.ok(sumMs <= boundMs, `${nodes} nodes: ${sumMs} of ${boundMs}`);
+      const pulseMs = Math.min(
+        pulseInterval.idlePulseIntervalMs(nodes),
+        intentWaits.readerPulseMs(bounds),
+      );
+      assert.ok(pulseMs < pingAfterMs, `${nodes} nodes: ${pulseMs}`);
+    }
+  }
+});
