--- a/test/soak/soak_faults.ts
+++ b/test/soak/soak_faults.ts
@@ -88,6 +88,9 @@
         this.failServer(node, forMs, {kind: 'endless', part: 'body'}),
     ],
     ['store returns', (unusedNode, forMs) => this.returnStore(forMs)],
+    ['silence all connections to the store', async () => this.silenceStore()],
+    ['silence all links', async () => this.silenceAllLinks()],
+    ['silence all connections', async () => this.silenceAll()],
   ];
 
   constructor(
@@ -250,6 +253,20 @@
     relay[how]();
   }
 
+  /** Silences what is open to the store for good; new connections work. */
+  private silenceStore(): void {
+    for (const {storeRelay} of this.fleet.nodes) storeRelay.silence();
+  }
+
+  private silenceAllLinks(): void {
+    for (const node of this.fleet.nodes) this.breakLinks(node, 'silence');
+  }
+
+  private silenceAll(): void {
+    this.silenceStore();
+    this.silenceAllLinks();
+  }
+
   /** Drains the server unless it leaves already. */
   private async drain(
     node: platformFleet.FleetNode,
