--- a/src/node/frame_codec.ts
+++ b/src/node/frame_codec.ts
@@ -39,7 +39,7 @@
  * @throws errors.MalformedInputError on a frame that cannot be decoded.
  */
 export function decodeFrame<T>(
-  codec: FrameCodec<T>,
+  codec: Pick<FrameCodec<T>, 'decode'>,
   bytes: Uint8Array,
   peerName: string,
 ): T {
--- a/src/node/frame_parts.test.ts
+++ b/src/node/frame_parts.test.ts
@@ -261,7 +261,7 @@
   }
 
   onTurnedAway(begin: Buffer): void {
-    this.turnedAway.push(linkFrame.dispatchOf(begin)?.call);
+    this.turnedAway.push(linkFrame.dispatchOf(begin, 'other')?.call);
   }
 }
 
@@ -308,24 +308,81 @@
   );
 });
 
-nodeTest.test('the memory of unfinished messages is given back', () => {
-  const memory = new LimitedMemory(MAX_OPEN_BYTES);
-  const joiner = createJoiner(memory);
-  const queue = new frameParts.PartQueue(MAX_OPEN_BYTES);
-  const [begin] = dispatchParts(queue, 1, 4 * frameParts.PART_BYTES);
-  joiner.push(partFrame(begin));
-  assert.ok(memory.leftBytes < MAX_OPEN_BYTES);
-  joiner.clear();
-  assert.equal(memory.leftBytes, MAX_OPEN_BYTES);
-});
+nodeTest.test(
+  'unfinished messages that are dropped give their memory back',
+  () => {
+    const memory = new LimitedMemory(MAX_OPEN_BYTES);
+    const joiner = createJoiner(memory);
+    const queue = new frameParts.PartQueue(MAX_OPEN_BYTES);
+    const [begin, ...rest] = dispatchParts(queue, 1, 4 * frameParts.PART_BYTES);
+    joiner.push(partFrame(begin));
+    assert.ok(memory.leftBytes < MAX_OPEN_BYTES);
+    joiner.drop();
+    assert.equal(memory.leftBytes, MAX_OPEN_BYTES);
+    // The link was only slow.
+    assert.deepEqual(
+      rest.flatMap(part => joiner.push(partFrame(part)) ?? []),
+      [],
+    );
+    const next = dispatchParts(queue, 2, 4 * frameParts.PART_BYTES);
+    const received = next.flatMap(part => joiner.push(partFrame(part)) ?? []);
+    assert.equal(received.length, 1);
+    assert.equal(memory.leftBytes, MAX_OPEN_BYTES);
+  },
+);
 
 nodeTest.test('a request is found in the beginning of its frame', () => {
   const queue = new frameParts.PartQueue(MAX_OPEN_BYTES);
   const [{content}] = dispatchParts(queue, 300, 2 * frameParts.PART_BYTES);
   for (let bytes = 0; bytes <= content.length; bytes++) {
-    const dispatch = linkFrame.dispatchOf(content.subarray(0, bytes));
+    const dispatch = linkFrame.dispatchOf(content.subarray(0, bytes), 'other');
     if (dispatch !== undefined) assert.ok([0, 300].includes(dispatch.call));
   }
-  assert.equal(linkFrame.dispatchOf(content)?.call, 300);
-  assert.equal(linkFrame.dispatchOf(encode(answerFrame(1, 10))), undefined);
+  assert.equal(linkFrame.dispatchOf(content, 'other')?.call, 300);
+  assert.equal(
+    linkFrame.dispatchOf(encode(answerFrame(1, 10)), 'other'),
+    undefined,
+  );
+});
+
+// A message that is turned away is decoded outside of the other frames' error handling.
+nodeTest.test(
+  'a dropped message that cannot be decoded ends its link only',
+  () => {
+    const memory = new LimitedMemory(0);
+    const junk = fc.uint8Array({minLength: 1, maxLength: 200});
+    const heads = fc.oneof(
+      junk,
+      junk.map(bytes => Uint8Array.from([0x12, 0xff, 0x7f, ...bytes])),
+    );
+    fc.assert(
+      fc.property(heads, bytes => {
+        const joiner = createJoiner(memory);
+        const content = Buffer.from(bytes);
+        const totalBytes = 2 * frameParts.PART_BYTES;
+        try {
+          joiner.push(partFrame({content, totalBytes}));
+        } catch (err) {
+          assert.ok(err instanceof errors.MalformedInputError, String(err));
+        }
+      }),
+      {seed: SEED, numRuns: 2_000},
+    );
+  },
+);
+
+nodeTest.test('a dropped request with a rate that is none is malformed', () => {
+  const value = serving.Dispatch.fromPartial({
+    call: 1,
+    body: Buffer.alloc(2 * frameParts.PART_BYTES),
+    notice: {instanceId: 'i-1', limitPerSecond: NaN},
+  });
+  const frame = {body: {$case: 'dispatch', value}} as const;
+  const split = linkFrame.PART_PROTOCOL.split?.(frame);
+  assert.ok(split);
+  const head = split.encodeHead(new wire.BinaryWriter()).finish();
+  const totalBytes = head.length + split.content.length;
+  const begin = partFrame({content: Buffer.from(head), totalBytes});
+  const joiner = createJoiner(new LimitedMemory(0));
+  assert.throws(() => joiner.push(begin), errors.MalformedInputError);
 });
--- a/src/node/frame_parts.ts
+++ b/src/node/frame_parts.ts
@@ -52,6 +52,7 @@
    * A message is dropped, as there is no room for it.
    *
    * @param begin - its first part.
+   * @throws errors.MalformedInputError if it cannot be decoded.
    */
   onTurnedAway(begin: Buffer): void;
 }
@@ -155,7 +156,7 @@
   constructor(
     readonly totalBytes: number,
     /** Undefined for a message that is dropped. */
-    readonly bytes: Buffer | undefined,
+    public bytes: Buffer | undefined,
   ) {}
 
   /** Adds the next bytes. */
@@ -201,14 +202,14 @@
     message.add(content);
     if (!last) return undefined;
     this.open.delete(number);
-    this.end(message);
-    return message.bytes && this.decode(message.bytes);
+    this.openBytes -= message.totalBytes;
+    const bytes = this.release(message);
+    return bytes && this.decode(bytes);
   }
 
-  /** Drops all open messages. */
-  clear(): void {
-    for (const message of this.open.values()) this.end(message);
-    this.open.clear();
+  /** Drops all open messages; what still comes of them is skipped. */
+  drop(): void {
+    for (const message of this.open.values()) this.release(message);
   }
 
   private begin(part: Part): IncomingMessage {
@@ -231,15 +232,18 @@
     return message;
   }
 
-  private end({totalBytes, bytes}: IncomingMessage): void {
-    this.openBytes -= totalBytes;
-    if (bytes !== undefined) this.memory?.giveBack(totalBytes);
+  /** Gives back the memory of a message and returns its bytes, if it has any. */
+  private release(message: IncomingMessage): Buffer | undefined {
+    const {bytes, totalBytes} = message;
+    if (bytes === undefined) return undefined;
+    message.bytes = undefined;
+    this.memory?.giveBack(totalBytes);
+    return bytes;
   }
 
   private decode(bytes: Buffer): T {
     const {codec, protocol} = this;
     const decoder = {
-      ...codec,
       decode: () => protocol.decodeSplit?.(bytes) ?? codec.decode(bytes),
     };
     const frame = frameCodec.decodeFrame(decoder, bytes, this.peerName);
--- a/src/node/framed_socket.ts
+++ b/src/node/framed_socket.ts
@@ -108,6 +108,11 @@
     this.writeParts();
   }
 
+  /** Drops long frames that have not been received whole; what still comes of them is skipped. */
+  dropIncoming(): void {
+    this.joiner?.drop();
+  }
+
   /** Ends the connection after the queued frames have been sent. */
   end(): void {
     this.ending = true;
@@ -176,7 +181,7 @@
 
   private onClosed(): void {
     this.partQueue.clear();
-    this.joiner?.clear();
+    this.joiner?.drop();
     this.listener.onClose(this.err);
   }
 
--- a/src/node/serving/entry_sessions.test.ts
+++ b/src/node/serving/entry_sessions.test.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net';
 import * as nodeTest from 'node:test';
 
+import * as bodyMemory from '../../common/serving/body_memory.js';
 import * as fixtures from '../../common/serving/serving_fixtures.test.js';
 import * as serving from '../../generated/serving.js';
 import * as child from '../../../test/paths/child.js';
@@ -30,7 +31,7 @@
   onGreeting: () => void,
   limits: Pick<
     entrySessions.EntrySessionsOptions,
-    'maxGreetings' | 'onRefused'
+    'bodyMemory' | 'maxGreetings' | 'onRefused'
   > = {},
 ): entrySessions.EntrySessions {
   let pulses = 0;
@@ -245,6 +246,55 @@
   },
 );
 
+/** Opens a link that sends the beginning of a long request. */
+function sendBeginning(port: number, totalBytes: number): Disposable {
+  const socket = linkFrame.wrapSocket(
+    net.connect({host: '127.0.0.1', port}),
+    'gate',
+    {
+      onConnect: () => {
+        const value = greeting('entry', true);
+        socket.send({body: {$case: 'greeting', value}});
+        const part = serving.Part.fromPartial({
+          message: 1,
+          content: Buffer.alloc(100),
+          totalBytes,
+        });
+        socket.send({body: {$case: 'part', value: part}});
+      },
+      onFrame: () => undefined,
+      onMalformed: () => undefined,
+      onClose: () => undefined,
+    },
+  );
+  return socket;
+}
+
+// A link that goes silent within a body would hold its memory until it is closed as idle.
+nodeTest.test(
+  'a link that replaces another one takes over the memory of its long requests',
+  async () => {
+    const memory = new bodyMemory.BodyMemory(10 * LONG_BODY.length);
+    await using sessions = createSessions(() => undefined, {
+      bodyMemory: memory,
+    });
+    const [port] = await child.freePorts(1);
+    await sessions.listen({ip: '127.0.0.1', port});
+    const holds = (bytes: number): Promise<void> =>
+      child.waitUntil(
+        () => memory.usedBytes === bytes,
+        2_000,
+        () => `${bytes} bytes to be held, not ${memory.usedBytes}`,
+      );
+    using unusedSilent = sendBeginning(port, LONG_BODY.length);
+    await holds(LONG_BODY.length);
+    const replacement = sendBeginning(port, 2 * LONG_BODY.length);
+    await holds(2 * LONG_BODY.length);
+    replacement[Symbol.dispose]();
+    await holds(0);
+  },
+);
+
 /** Sends what an entry says on a link that stays slow, by a clock of the gate set by the test. */
 class SlowLink implements AsyncDisposable {
   private gateMs = 0;
--- a/src/node/serving/entry_sessions.ts
+++ b/src/node/serving/entry_sessions.ts
@@ -225,7 +225,7 @@
   }
 
   private accept(connection: net.Socket): void {
-    const session = new Session(
+    const session: Session = new Session(
       ++this.lastId,
       connection,
       {
@@ -234,10 +234,14 @@
         onClose: () => this.onClosed(session, connection),
       },
       {
-        take: bytes => this.bodyMemory.take(bytes),
+        // Nodes send nothing in parts before the greetings.
+        take: bytes =>
+          session.entryProcess !== undefined && this.bodyMemory.take(bytes),
         giveBack: bytes => this.bodyMemory.giveBack(bytes),
-        onTurnedAway: begin =>
-          this.turnAway(session, linkFrame.dispatchOf(begin)),
+        onTurnedAway: begin => {
+          const peer = connection.remoteAddress ?? '';
+          this.turnAway(session, linkFrame.dispatchOf(begin, peer));
+        },
       },
     );
     this.sessions.set(session.id, session);
@@ -443,7 +447,11 @@
     const {listener} = this.options;
     if (greeting.notice) listener.onNotice(greeting.notice);
     listener.onGreeting(sender, processStartedMs);
-    for (const {entryProcess = '', socket} of this.sessions.values()) {
+    for (const {id, entryProcess = '', socket} of this.sessions.values()) {
+      // A silent link that was replaced; the entry sends its requests again.
+      const isReplaced =
+        entryProcess === session.entryProcess && id !== session.id;
+      if (isReplaced) socket.dropIncoming();
       if (callKey.isSucceeded(entryProcess, nodeId, processStartedMs)) {
         // Its unread requests have no callers any more.
         socket[Symbol.dispose]();
--- a/src/node/serving/link_frame.ts
+++ b/src/node/serving/link_frame.ts
@@ -84,11 +84,23 @@
 /**
  * Returns the request whose encoded frame begins with the given bytes, without its body; undefined
  * for another message. Fields that the bytes do not contain have their defaults.
+ *
+ * @param peerName - names the other end in errors.
+ * @throws errors.MalformedInputError on bytes that cannot be decoded.
  */
-export function dispatchOf(begin: Buffer): serving.Dispatch | undefined {
+export function dispatchOf(
+  begin: Buffer,
+  peerName: string,
+): serving.Dispatch | undefined {
+  return frameCodec.decodeFrame({decode: decodeDispatch}, begin, peerName);
+}
+
+function decodeDispatch(begin: Uint8Array): serving.Dispatch | undefined {
   const encoded = encodedMessageOf(begin);
   if (encoded?.tag !== DISPATCH_TAG) return undefined;
-  return serving.Dispatch.decode(encoded.head);
+  const value = serving.Dispatch.decode(encoded.head);
+  checked({body: {$case: 'dispatch', value}});
+  return value;
 }
 
 /** An encoded frame in pieces; the body is undefined if it does not come last. */
@@ -102,7 +114,12 @@
 }
 
 /** Finds the request or answer in the beginning of an encoded frame. */
-function encodedMessageOf(bytes: Buffer): EncodedMessage | undefined {
+function encodedMessageOf(encoded: Uint8Array): EncodedMessage | undefined {
+  const bytes = Buffer.from(
+    encoded.buffer,
+    encoded.byteOffset,
+    encoded.byteLength,
+  );
   const reader = new wire.BinaryReader(bytes);
   const tag = skipTo(reader, [DISPATCH_TAG, ANSWER_TAG]);
   if (tag === undefined) return undefined;
