--- a/src/common/serving/incarnation_order.test.ts
+++ b/src/common/serving/incarnation_order.test.ts
@@ -75,7 +75,7 @@
   }
 });
 
-test('a leaving without a place holds until the current incarnation has shown to run', () => {
+test('a leaving that cannot be attributed holds until the current incarnation is heard twice', () => {
   const leavings: ReadonlyArray<
     (tracker: incarnations.IncarnationTracker) => void
   > = [
--- a/src/common/serving/incarnations.ts
+++ b/src/common/serving/incarnations.ts
@@ -42,7 +42,7 @@
   | 'cold'
   /** The event belongs to a former incarnation or came out of order. */
   | 'outdated'
-  /** An incarnation leaves that may be the current one; requests wait until that one is heard. */
+  /** An incarnation leaves that may be the current one; the gate closes until that one is heard. */
   | 'unplaced';
 
 /** Whether an event with this effect belongs to the current incarnation. */
@@ -72,8 +72,8 @@
   readonly gone: boolean;
   /** Whether its process may have ended since its last announcement. */
   readonly ended: boolean;
-  /** Announcements by which it must show that it is not the one of a leaving without a place. */
-  readonly awaited: number;
+  /** Announcements still awaited after a leaving that may have been its own. */
+  readonly awaitedAnnouncements: number;
   readonly coldUntilMs: units.MonotonicMs;
   /** Distinguishes incarnations within the process, also those with the same instance id. */
   readonly serial: number;
@@ -85,7 +85,7 @@
 /** Slots assumed until the backend server reports its own. */
 const DEFAULT_SLOTS = 4;
 
-/** Announcements of the current incarnation after a leaving without a place; one may be late. */
+/** Announcements that show that an incarnation runs on after such a leaving; one may be late. */
 const AWAITED_ANNOUNCEMENTS = 2;
 
 /** Tolerance in ms on the end of a cold start, for the latency of health check answers. */
@@ -157,8 +157,8 @@
   /** State of the backend server; `absent` also if another instance has its address. */
   get state(): 'absent' | 'ready' | 'leaving' {
     if (this.current === undefined || this.current.gone) return 'absent';
-    const {leaving, awaited} = this.current;
-    return leaving || awaited > 0 ? 'leaving' : 'ready';
+    const {leaving, awaitedAnnouncements} = this.current;
+    return leaving || awaitedAnnouncements > 0 ? 'leaving' : 'ready';
   }
 
   /** Whether the backend server is in cold start. */
@@ -312,7 +312,10 @@
     const name = {instanceId, startMs};
     const isPlaced = order.isFormer(name) && !order.isContender(name);
     if (isPlaced || instanceId !== current.instanceId) return 'outdated';
-    this.current = {...current, awaited: AWAITED_ANNOUNCEMENTS};
+    this.current = {
+      ...current,
+      awaitedAnnouncements: AWAITED_ANNOUNCEMENTS,
+    };
     return 'unplaced';
   }
 
@@ -342,7 +345,7 @@
       proven: true,
       gone: false,
       ended: false,
-      awaited: 0,
+      awaitedAnnouncements: 0,
       coldUntilMs: now + (sample.coldLeftMs ?? 0),
       serial: ++this.lastSerial,
       limits: new serverStatement.LimitStatements(),
@@ -369,7 +372,9 @@
       leaving: startsLeaving || current.leaving,
       gone: current.gone && !startsLeaving && !reappears,
       ended: current.ended && isOutOfOrder,
-      awaited: Math.max(0, current.awaited - (isOutOfOrder ? 0 : 1)),
+      awaitedAnnouncements: isOutOfOrder
+        ? current.awaitedAnnouncements
+        : Math.max(0, current.awaitedAnnouncements - 1),
     };
     if (startsLeaving) return 'leaving';
     if (isOutOfOrder) return 'outdated';
@@ -392,8 +397,8 @@
 }
 
 /**
- * Whether an announcement is of an incarnation, also of one that only health checks have named. A
- * leaving one among those that announces itself may be a new one with the same instance id.
+ * Whether an announcement is of an incarnation. If only health checks have named that one, its
+ * start is not known; once it leaves, the announcement may be of a new one with the same id.
  */
 function isOf(
   {instanceId, startMs}: Announcement,
@@ -430,7 +435,7 @@
     proven: false,
     gone: false,
     ended: false,
-    awaited: 0,
+    awaitedAnnouncements: 0,
     coldUntilMs: now + announcement.coldLeftMs,
     serial,
     limits: new serverStatement.LimitStatements(),
