--- a/src/node/serving/node_stop.ts
+++ b/src/node/serving/node_stop.ts
@@ -5,7 +5,10 @@
 import * as units from '../../common/units.js';
 import * as clock from '../clock.js';
 
-/** Time until callers use other nodes: two readiness checks, a second apart, must fail. */
+/**
+ * Time until callers use other nodes, but at most until they count as having noticed the stop: two
+ * readiness checks, a second apart, must fail.
+ */
 const DRAIN_DELAY_MS: units.Millis = 2_300;
 
 /** Share of `stopMs` by which callers have noticed the stop, and an idle process may end. */
@@ -73,7 +76,7 @@
     this.options.begin();
     const noticedMs = startedMs + NOTICED_AT_SHARE * stopMs;
     entry.stopAt({endsMs, noticedMs});
-    await timers.setTimeout(DRAIN_DELAY_MS);
+    await timers.setTimeout(Math.min(DRAIN_DELAY_MS, noticedMs - startedMs));
     entry.announceClosing();
     let isPortClosed = false;
     while (clock.monotonicMs() < endsMs) {
