--- a/src/common/serving/cold_start_limiter.ts
+++ b/src/common/serving/cold_start_limiter.ts
@@ -2,7 +2,7 @@
 import * as units from '../units.js';
 
 /** Length of the sliding window. */
-const WINDOW_MS: units.Millis = 1_000;
+export const WINDOW_MS: units.Millis = 1_000;
 
 /** Sliding-window rate limiter. Counts while warm too, as a cold start may begin unannounced. */
 export class ColdStartLimiter {
--- a/src/node/serving/fleet_registry.ts
+++ b/src/node/serving/fleet_registry.ts
@@ -11,7 +11,7 @@
 
 /** Backoff after a failed call; doubled after each further failure. */
 const FIRST_BACKOFF_MS: units.Millis = 200;
-const MAX_BACKOFF_MS: units.Millis = 4_000;
+export const MAX_BACKOFF_MS: units.Millis = 4_000;
 
 /** Interval of reads, for nodes whose greetings have not arrived. */
 const REFRESH_INTERVAL_MS: units.Millis = 30_000;
--- a/src/node/serving/gate_link.ts
+++ b/src/node/serving/gate_link.ts
@@ -26,14 +26,14 @@
 const MAX_PING_TIMEOUT_MS: units.Millis = 4_800;
 
 /** Timeout of opening the connection and exchanging greetings. */
-const OPEN_TIMEOUT_MS: units.Millis = 1_000;
+export const OPEN_TIMEOUT_MS: units.Millis = 1_000;
 
 /** Timeout of opening the connection while requests are pending, shorter than a resent SYN. */
 const PENDING_CONNECT_TIMEOUT_MS: units.Millis = 500;
 
 /** Backoff between attempts to open the link; doubled after each failure. */
 const FIRST_BACKOFF_MS: units.Millis = 100;
-const MAX_BACKOFF_MS: units.Millis = 4_000;
+export const MAX_BACKOFF_MS: units.Millis = 4_000;
 
 /** Detail of the loss of a link whose gate did not answer a ping. */
 const SILENT = 'silent';
--- a/src/node/serving/health_checker.ts
+++ b/src/node/serving/health_checker.ts
@@ -17,10 +17,10 @@
 const IDLE_INTERVAL_MS: units.Millis = 500;
 
 /** Interval while the gate needs a health check or the backend server is down. */
-const URGENT_INTERVAL_MS: units.Millis = 100;
+export const URGENT_INTERVAL_MS: units.Millis = 100;
 
 /** Timeout of a check. */
-const TIMEOUT_MS: units.Millis = 400;
+export const TIMEOUT_MS: units.Millis = 400;
 
 /** Largest answer to a check, its head included. */
 const MAX_ANSWER_BYTES = 64 * 1024;
--- a/src/node/serving/store_loop.ts
+++ b/src/node/serving/store_loop.ts
@@ -4,7 +4,7 @@
 import * as clock from '../clock.js';
 
 /** Largest random part added to a wait, so that nodes do not call the store simultaneously. */
-const JITTER_SHARE = 0.5;
+export const JITTER_SHARE = 0.5;
 
 /** Settings and callbacks of `StoreLoop`. */
 export interface StoreLoopOptions {
--- a/src/node/serving/topic_follower.ts
+++ b/src/node/serving/topic_follower.ts
@@ -10,7 +10,7 @@
 
 /** Backoff after a failed read; doubled after each further failure. */
 const FIRST_BACKOFF_MS: units.Millis = 100;
-const MAX_BACKOFF_MS: units.Millis = 1_000;
+export const MAX_BACKOFF_MS: units.Millis = 1_000;
 
 /** Poll interval while reads are not needed. */
 const NOT_NEEDED_POLL_MS: units.Millis = 500;
