--- a/test/paths/platform_fleet.ts
+++ b/test/paths/platform_fleet.ts
@@ -31,6 +31,8 @@
   readonly relay: faultRelay.FaultRelay;
   /** Relays the calls of this node to the store. */
   readonly storeRelay: faultRelay.FaultRelay;
+  /** Relays the connections of this node to its backend server, if the fleet relays them. */
+  readonly serverRelay: faultRelay.FaultRelay | undefined;
 }
 
 /** An HTTP answer with its body as text. */
@@ -69,6 +71,8 @@
   readonly versions?: readonly string[];
   /** Services of the backend servers by node; `orders` by default. */
   readonly services?: readonly string[];
+  /** Whether connections to backend servers are relayed, so that they can be silenced. */
+  readonly relaysServers?: boolean;
 }
 
 /** Owns daemons, backend servers and the store; disposing it ends them. */
@@ -102,6 +106,7 @@
       dataCentres: DATA_CENTRES,
       versions: [],
       services: [],
+      relaysServers: false,
       ...options,
     });
     const document = documents.configuration(1, fleet.options.configuration);
@@ -126,7 +131,12 @@
       `i${i}`,
     );
     server.version = this.options.versions[i] ?? 'v1';
-    const address = await server.listen();
+    const bound = await server.listen();
+    const serverRelay = this.options.relaysServers
+      ? new faultRelay.FaultRelay(Number(bound.split(':')[1]))
+      : undefined;
+    const address = (await serverRelay?.listen()) ?? bound;
+    server.advertise(address);
     const ports = await child.freePorts(5);
     const [callers, peers, control, readiness, metrics] = ports.map(
       port => `127.0.0.1:${port}`,
@@ -170,6 +180,7 @@
       settings,
       relay,
       storeRelay,
+      serverRelay,
     };
     this.nodes.push(node);
     return node;
@@ -232,6 +243,7 @@
       await node.server[Symbol.asyncDispose]();
       await node.relay[Symbol.asyncDispose]();
       await node.storeRelay[Symbol.asyncDispose]();
+      await node.serverRelay?.[Symbol.asyncDispose]();
     }
     await this.store[Symbol.asyncDispose]();
     const ends = this.unexpectedEnds;
--- a/test/soak/soak_faults.ts
+++ b/test/soak/soak_faults.ts
@@ -91,6 +91,7 @@
     ['silence all connections to the store', async () => this.silenceStore()],
     ['silence all links', async () => this.silenceAllLinks()],
     ['silence all connections', async () => this.silenceAll()],
+    ...this.serverSilences(),
   ];
 
   constructor(
@@ -267,6 +268,38 @@
     this.silenceAllLinks();
   }
 
+  /** Kinds of faults for fleets that relay the connections to backend servers. */
+  private serverSilences(): ReadonlyArray<readonly [string, Fault]> {
+    const relaysServers = this.fleet.nodes.some(
+      ({serverRelay}) => serverRelay !== undefined,
+    );
+    if (!relaysServers) return [];
+    return [
+      [
+        'silence connections to the server',
+        async node => this.silenceServer(node),
+      ],
+      ['silence connections to all servers', async () => this.silenceServers()],
+      [
+        'silence all connections, also to servers',
+        async () => {
+          this.silenceAll();
+          this.silenceServers();
+        },
+      ],
+    ];
+  }
+
+  /** Silences what is open to a backend server for good; new connections work. */
+  private silenceServer({name, serverRelay}: platformFleet.FleetNode): void {
+    this.audit.note('server', name);
+    serverRelay?.silence();
+  }
+
+  private silenceServers(): void {
+    for (const node of this.fleet.nodes) this.silenceServer(node);
+  }
+
   /** Drains the server unless it leaves already. */
   private async drain(
     node: platformFleet.FleetNode,
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -10,6 +10,12 @@
 
 const DEFAULT_NODE_COUNT = 5;
 
+/**
+ * Seeds that are multiples relay the connections to backend servers, so that these can be silenced;
+ * a relay passes resets on as ends.
+ */
+const RELAYED_SERVERS_EVERY = 2;
+
 /** Interval between requests. */
 const REQUEST_INTERVAL_MS = 12;
 
@@ -47,7 +53,9 @@
   nodeCount = DEFAULT_NODE_COUNT,
 ): Promise<soakRequests.SoakOutcome> {
   const random = new randomSource.SeededRandom(~seed);
-  await using fleet = await platformFleet.PlatformFleet.start(nodeCount);
+  await using fleet = await platformFleet.PlatformFleet.start(nodeCount, {
+    relaysServers: seed % RELAYED_SERVERS_EVERY === 0,
+  });
   const agent = new http.Agent({keepAlive: true});
   for (const {server} of fleet.nodes) server.mode = {kind: 'ok', workMs: 30};
   // Of their own, so that a seed gives the same faults whatever the requests' timing.
--- a/test/stand_ins/platform/server_stand_in.ts
+++ b/test/stand_ins/platform/server_stand_in.ts
@@ -125,6 +125,11 @@
     return this.address;
   }
 
+  /** Announces another address from now on, such as that of a relay. */
+  advertise(address: string): void {
+    this.address = address;
+  }
+
   /** Announces this server to the node at `control`; returns the HTTP status of the answer. */
   announce(
     control: string,
