--- a/test/soak/soak_faults.ts
+++ b/test/soak/soak_faults.ts
@@ -91,7 +91,6 @@
     ['silence all connections to the store', async () => this.silenceStore()],
     ['silence all links', async () => this.silenceAllLinks()],
     ['silence all connections', async () => this.silenceAll()],
-    ...this.serverSilences(),
   ];
 
   constructor(
@@ -121,7 +120,8 @@
   private async injectOne(): Promise<void> {
     const {nodes} = this.fleet;
     const node = nodes[this.random.nextInt(nodes.length)];
-    const [name, fault] = this.kinds[this.random.nextInt(this.kinds.length)];
+    const kinds = [...this.kinds, ...this.serverSilences()];
+    const [name, fault] = kinds[this.random.nextInt(kinds.length)];
     const forMs =
       MIN_FAULT_MS + this.random.nextInt(MAX_FAULT_MS - MIN_FAULT_MS);
     if (this.faultyNodes.has(node.name) || this.isExhausted) return;
