--- a/test/paths/checkout.ts
+++ b/test/paths/checkout.ts
@@ -1,4 +1,5 @@
 /** Copies of the checkout for tests of the platform's build. */
+import * as assert from 'node:assert/strict';
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs';
 import * as os from 'node:os';
@@ -290,3 +291,17 @@
     );
   }
 }
+
+/** Expects a build that succeeded and whole scripts. */
+export function expectBuilt(
+  checkout: Checkout,
+  {status, printed}: BuildResult,
+): void {
+  assert.equal(status, 0, printed);
+  for (const script of SCRIPTS) {
+    childProcess.execFileSync(process.execPath, [
+      '--check',
+      checkout.path(`target/${script}`),
+    ]);
+  }
+}
--- a/tools/run_tests.ts
+++ b/tools/run_tests.ts
@@ -11,6 +11,7 @@
 const KNOWN_RED_FILE = 'KNOWN-RED.txt';
 const TEST_TIMEOUT_MS = 300_000;
 const PARALLEL_FILES = 4;
+const MILLIS_PER_SECOND = 1_000;
 const PROCESS_TEST_PREFIXES = ['test/paths/', 'test/soak/', 'src/cli/'];
 
 function testFiles(filter: string | undefined): readonly string[] {
@@ -33,6 +34,13 @@
   return PROCESS_TEST_PREFIXES.some(prefix => name.startsWith(prefix));
 }
 
+/** What is used of the event of a test that passed. */
+interface PassEvent {
+  readonly file?: string;
+  readonly name: string;
+  readonly details: {readonly duration_ms: number};
+}
+
 /** Returns `file > name`, with the file relative to the build directory. */
 function fullTestName(event: {
   readonly file?: string;
@@ -46,6 +54,23 @@
 const passed = new Set<string>();
 const failed = new Set<string>();
 
+/** Tests of each file that passed, with their durations, in the order of their ends. */
+const passedByFile = new Map<string, string[]>();
+
+function addPassed(event: PassEvent): void {
+  const {file = '', name, details} = event;
+  const seconds = (details.duration_ms / MILLIS_PER_SECOND).toFixed(1);
+  const tests = passedByFile.get(file) ?? [];
+  passedByFile.set(file, [...tests, `${name}: ${seconds} s`]);
+  passed.add(fullTestName(event));
+}
+
+/** Prints what had passed in a file that failed as a whole, for example at its timeout. */
+function printPassedTests(failure: string): void {
+  const file = failure.split(' > ').at(-1) ?? '';
+  for (const test of passedByFile.get(file) ?? []) console.log(`  ${test}`);
+}
+
 /** Runs test files and adds their results to `passed` and `failed`. */
 function runFiles(
   files: readonly string[],
@@ -58,7 +83,7 @@
     timeout: TEST_TIMEOUT_MS,
   });
   stream.on('test:pass', event => {
-    if (event.details.type !== 'suite') passed.add(fullTestName(event));
+    if (event.details.type !== 'suite') addPassed(event);
   });
   stream.on('test:fail', event => {
     if (event.details.type !== 'suite') failed.add(fullTestName(event));
@@ -85,7 +110,10 @@
       `${knownFailureState(entry)}: ${entry.test} | ${entry.command} | ${entry.seen} | ${entry.issue}`,
     );
   }
-  for (const name of newFailures) console.log(`failed: ${name}`);
+  for (const name of newFailures) {
+    console.log(`failed: ${name}`);
+    printPassedTests(name);
+  }
   console.log(`${passed.size} passed, ${newFailures.length} failed`);
   process.exitCode = newFailures.length > 0 || passed.size === 0 ? 1 : 0;
 }
