--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -248,6 +248,8 @@
           afterEvent();
         },
         onHealthFailed: failure => {
+          // Idle connections may be silent as well; each would take a request with it.
+          this.pool.dropIdle();
           this.gate.onHealthFailed(failure, clock.monotonicMs());
           afterEvent();
         },
--- a/src/node/serving/server_pool.ts
+++ b/src/node/serving/server_pool.ts
@@ -53,7 +53,7 @@
     this.dropIdle();
   }
 
-  /** Closes idle connections, which may lead to a process that has ended. */
+  /** Closes idle connections, which may be silent or lead to a process that has ended. */
   dropIdle(): void {
     for (const connection of this.idle.splice(0)) connection[Symbol.dispose]();
   }
