--- a/src/common/serving/gate_capacity.ts
+++ b/src/common/serving/gate_capacity.ts
@@ -4,6 +4,7 @@
 import * as units from '../units.js';
 import * as coldStartLimiter from './cold_start_limiter.js';
 import * as gateCall from './gate_call.js';
+import * as gateOptions from './gate_options.js';
 import * as operatorIntent from './operator_intent.js';
 import * as paceConfirmation from './pace_confirmation.js';
 import * as rateLimiter from './rate_limiter.js';
@@ -355,9 +356,7 @@
   }
 
   private get coldPerSecond(): number {
-    const {intent, service} = this.options;
-    const rules = intent.configuration?.serviceRules(service());
-    return (rules?.coldPerSecond ?? 1) * this.options.coldRateFactor;
+    return gateOptions.coldPerSecond(this.options);
   }
 
   private serviceMs(call: gateCall.GateCall): units.Millis {
--- a/src/common/serving/gate_options.ts
+++ b/src/common/serving/gate_options.ts
@@ -42,3 +42,13 @@
   /** Time since which no former process of this node has sent requests to the backend server. */
   readonly soleSenderSinceMs: units.EpochMs;
 }
+
+/** Returns the number of requests that the backend server gets in a second while it is cold. */
+export function coldPerSecond({
+  intent,
+  service,
+  coldRateFactor,
+}: Pick<GateOptions, 'intent' | 'service' | 'coldRateFactor'>): number {
+  const rules = intent.configuration?.serviceRules(service());
+  return (rules?.coldPerSecond ?? 1) * coldRateFactor;
+}
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -3,6 +3,7 @@
 import * as crashSuspects from '../../common/serving/crash_suspects.js';
 import * as decision from '../../common/serving/decision.js';
 import * as gateCall from '../../common/serving/gate_call.js';
+import * as gateOptions from '../../common/serving/gate_options.js';
 import * as operatorIntent from '../../common/serving/operator_intent.js';
 import * as rollouts from '../../common/rollouts/rollouts.js';
 import * as serverGate from '../../common/serving/server_gate.js';
@@ -34,6 +35,9 @@
 /** Interval of pulses while a roll-out of the gate's service is on. */
 const ROLLOUT_PULSE_MS: units.Millis = 1_000;
 
+/** Share of the requests that a cold server bears in a second; later ones wait for no check. */
+const UNCHECKED_SHARE = 0.5;
+
 /** The entry of the same node, called without a connection. */
 export interface LocalEntry {
   onAnswer(answer: serving.Answer): void;
@@ -183,8 +187,10 @@
   private gateOutput(): gateCall.GateOutput {
     const {localEntry} = this.options;
     return {
-      run: (call, instanceId, timeLeftMs) =>
-        this.pool.run(call, instanceId, timeLeftMs),
+      run: (call, instanceId, timeLeftMs) => {
+        this.pool.run(call, instanceId, timeLeftMs);
+        this.health.onRun();
+      },
       abort: key => this.pool.abort(key),
       answer: (linkId, value) => {
         if (linkId === LOCAL_LINK_ID) localEntry.onAnswer(value);
@@ -239,6 +245,8 @@
       nowMs: clock.monotonicMs,
       path: () => intent.configuration?.serviceRules(service())?.healthPath,
       needsCheck: () => this.gate.needsHealthCheck,
+      maxRunsUnchecked: () =>
+        UNCHECKED_SHARE * gateOptions.coldPerSecond(this.options),
       hasWaiting: () => this.gate.load(clock.monotonicMs()).waiting > 0,
       listener: {
         onHealth: (sample, load) => {
--- a/src/node/serving/health_checker.test.ts
+++ b/src/node/serving/health_checker.test.ts
@@ -34,6 +34,11 @@
 /** Longer than the interval while requests wait, shorter than the idle one. */
 const BETWEEN_INTERVALS_MS = 400;
 
+const MAX_RUNS_UNCHECKED = 4;
+
+/** Longer than the interval of checks that follow runs. */
+const BETWEEN_RUNS_MS = 25;
+
 /** Time in which a further check would reach the server. */
 const SETTLE_MS = 100;
 
@@ -55,6 +60,7 @@
     http: CODEC,
     path: () => '/healthz',
     needsCheck: () => false,
+    maxRunsUnchecked: () => MAX_RUNS_UNCHECKED,
     hasWaiting: () => this.hasWaiting,
     nowMs: () => this.now,
     listener: {
@@ -114,6 +120,29 @@
   assert.equal(harness.checks, 2);
 });
 
+// Such a server got as many requests as before until the next check (review/5).
+test('a server that may have become cold is checked after a few runs', async () => {
+  await using harness = await new Harness().open();
+  await harness.answered(checker => checker.checkNow());
+  harness.now += BETWEEN_RUNS_MS;
+  await harness.answered(checker => {
+    for (let i = 0; i < MAX_RUNS_UNCHECKED; i++) checker.onRun();
+  });
+  assert.equal(harness.checks, 2);
+});
+
+test('runs cause no more checks than the platform allows', async () => {
+  await using harness = await new Harness().open();
+  await harness.answered(checker => checker.checkNow());
+  await harness.answered(checker => {
+    for (let i = 0; i < 2 * MAX_RUNS_UNCHECKED; i++) checker.onRun();
+    // Had a run begun a check, this would make another one after it.
+    checker.checkNow();
+  });
+  await new Promise(resolve => setTimeout(resolve, SETTLE_MS));
+  assert.equal(harness.checks, 2);
+});
+
 /** Answers to other requests that a server writes where the answer to a check is due. */
 const FOREIGN: Readonly<Record<string, (res: http.ServerResponse) => void>> = {
   'the answer to a request': res => {
--- a/src/node/serving/health_checker.ts
+++ b/src/node/serving/health_checker.ts
@@ -19,6 +19,9 @@
 /** Interval while the gate needs a health check or the backend server is down. */
 export const URGENT_INTERVAL_MS: units.Millis = 100;
 
+/** Shortest interval of checks that follow runs; the platform allows 60 checks a second. */
+const RUNS_INTERVAL_MS: units.Millis = 20;
+
 /** Timeout of a check. */
 export const TIMEOUT_MS: units.Millis = 400;
 
@@ -46,6 +49,8 @@
   /** Path of the check, undefined before the configuration is known. */
   path(): string | undefined;
   needsCheck(): boolean;
+  /** Number of runs since the start of a check at which the next one is due. */
+  maxRunsUnchecked(): number;
   /** Whether requests wait at the gate, some of them maybe for the end of a stall. */
   hasWaiting(): boolean;
   nowMs(): units.MonotonicMs;
@@ -60,6 +65,7 @@
   /** Number of the latest check; the timeouts of earlier ones have no effect. */
   private checkNumber = 0;
   private checkedMs: units.MonotonicMs = -Infinity;
+  private runsSinceCheck = 0;
   private recheck = false;
   private loadReportedMs: units.MonotonicMs = -Infinity;
   private brokenCount = 0;
@@ -91,6 +97,17 @@
     if (!this.running) this.check();
   }
 
+  /**
+   * Records that a request is sent to the server, which may have become cold since the latest check
+   * and bears only a few requests a second then.
+   */
+  onRun(): void {
+    this.runsSinceCheck++;
+    if (this.runsSinceCheck < this.options.maxRunsUnchecked()) return;
+    if (this.options.nowMs() < this.checkedMs + RUNS_INTERVAL_MS) return;
+    this.sample();
+  }
+
   /** Ends a running check without a result; its answer may be old. */
   abandon(): void {
     if (this.client && this.running) this.discard(this.client);
@@ -122,6 +139,7 @@
     this.running = true;
     this.recheck = false;
     this.checkedMs = this.options.nowMs();
+    this.runsSinceCheck = 0;
     this.client ??= this.openClient();
     const {client} = this;
     const {connector} = this;
--- a/test/paths/cold_servers.test.ts
+++ b/test/paths/cold_servers.test.ts
@@ -1,6 +1,8 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
+import * as timers from 'node:timers/promises';
 
+import * as documents from '../stand_ins/platform/documents.js';
 import * as platformFleet from './platform_fleet.js';
 
 const {test} = nodeTest;
@@ -67,3 +69,70 @@
   const {processAgeMs} = await runAfterRestart(KNOWN_AGE_MS);
   assert.ok(processAgeMs >= SECOND_MS, `ran after ${processAgeMs} ms`);
 });
+
+const COLD_PER_S = 11;
+
+/** Most requests that a cold server may get in a second, as the platform's limits allow. */
+const MAX_COLD_RUNS = COLD_PER_S * 1.5 + 5;
+
+/** Interval of requests at a server that is half busy. */
+const SENT_EVERY_MS = 12;
+const WORK_MS = 60;
+
+/** Times that the server becomes cold, each at another moment between two health checks. */
+const COLD_STARTS = 5;
+const PHASE_MS = 90;
+const COLD_MS = 1_200;
+const WARM_MS = 1_500;
+
+/** Sends requests until the signal, then waits for their answers. */
+async function keepSending(
+  fleet: platformFleet.PlatformFleet,
+  signal: AbortSignal,
+): Promise<void> {
+  const [node] = fleet.nodes;
+  const sent: Array<Promise<unknown>> = [];
+  const startedMs = performance.now();
+  while (!signal.aborted) {
+    sent.push(fleet.send(node, {id: `r${sent.length}`}));
+    const dueMs = startedMs + sent.length * SENT_EVERY_MS;
+    await timers.setTimeout(Math.max(0, dueMs - performance.now()));
+  }
+  await Promise.all(sent);
+}
+
+/** Returns the highest number of times within a second. */
+function mostPerSecond(timesMs: readonly number[]): number {
+  const counts = timesMs.map(
+    fromMs =>
+      timesMs.filter(ms => ms >= fromMs && ms < fromMs + SECOND_MS).length,
+  );
+  return Math.max(0, ...counts);
+}
+
+// Between two health checks such a server got as many requests as before (review/5).
+test('a server that becomes cold while busy gets no more requests than it bears', async () => {
+  await using fleet = await platformFleet.PlatformFleet.start(1, {
+    configuration: {
+      services: [{...documents.service('orders'), cold_per_s: COLD_PER_S}],
+    },
+  });
+  const [{server}] = fleet.nodes;
+  server.mode = {kind: 'ok', workMs: WORK_MS};
+  const coldRunsMs: number[] = [];
+  server.onRun = () => {
+    if (server.coldLeftMs > 0) coldRunsMs.push(performance.now());
+  };
+  const stopped = new AbortController();
+  const sending = keepSending(fleet, stopped.signal);
+  for (let i = 0; i < COLD_STARTS; i++) {
+    await timers.setTimeout(WARM_MS + i * PHASE_MS);
+    server.coldLeftMs = COLD_MS;
+    await timers.setTimeout(COLD_MS);
+    server.coldLeftMs = 0;
+  }
+  stopped.abort();
+  await sending;
+  const most = mostPerSecond(coldRunsMs);
+  assert.ok(most > 0 && most <= MAX_COLD_RUNS, `${most} runs in a second`);
+});
