--- a/src/common/quotas/token_owner.ts
+++ b/src/common/quotas/token_owner.ts
@@ -85,9 +85,11 @@
       ratePerSecond: demand.ratePerSecond,
       burst: demand.burst,
     };
-    const perMs =
-      (quota.ratePerSecond * members.reachedShare(now)) / units.MS_PER_SECOND;
-    const tokens = this.refilled(name, quota, perMs, sinceMs, now);
+    // In a cut, other nodes grant the rest of the rate and of the burst.
+    const share = members.reachedShare(now);
+    const perMs = (quota.ratePerSecond * share) / units.MS_PER_SECOND;
+    const depth = this.depthOf(quota, perMs, share);
+    const tokens = this.refilled(name, perMs, depth, sinceMs, now);
     const nextMs = tokens >= 1 ? 0 : (1 - tokens) / perMs;
     const whole = Math.floor(tokens);
     const ahead = nextMs <= MAX_AHEAD_MS ? 1 : 0;
@@ -99,8 +101,8 @@
 
   private refilled(
     name: string,
-    quota: workspace.Quota,
     perMs: number,
+    depth: number,
     sinceMs: units.MonotonicMs,
     now: units.MonotonicMs,
   ): number {
@@ -110,12 +112,20 @@
     const {tokens, refilledMs} = isCurrent
       ? bucket
       : {tokens: 0, refilledMs: emptyMs};
+    return Math.min(depth, tokens + perMs * (now - refilledMs));
+  }
+
+  /** Returns the most tokens that a bucket holds when this node reaches a share of the nodes. */
+  private depthOf(
+    quota: workspace.Quota,
+    perMs: number,
+    share: number,
+  ): number {
     const {slack} = this.options;
-    const depth = Math.max(
+    return Math.max(
       1,
       MIN_DEPTH_SHARE * slack - perMs * MAX_AHEAD_MS,
-      quota.burst + SLACK_SHARE * slack,
+      share * (quota.burst + SLACK_SHARE * slack),
     );
-    return Math.min(depth, tokens + perMs * (now - refilledMs));
   }
 }
--- a/test/runs/quota_runs.test.ts
+++ b/test/runs/quota_runs.test.ts
@@ -267,3 +267,19 @@
     checkBound(fleet, 'shop', shop.quota!);
   }
 });
+
+// Each side of a cut granted a whole burst (review/3).
+test('both sides of a cut together stay within the bound after idle seconds', () => {
+  for (let seed = 1; seed <= 8; seed++) {
+    const shop = quotaFleet.workspaceOf('shop', 60, 150);
+    const fleet = makeFleet(9, {seed, workspaces: [shop]});
+    const side = new Set(fleet.nodes.slice(0, seed));
+    fleet.clock.at(5_000, () => {
+      fleet.connects = (from, to) => side.has(from) === side.has(to);
+      fleet.updateLinks();
+    });
+    fleet.load('shop', 450, 15_000, END_MS);
+    fleet.clock.runUntil(END_MS);
+    checkBound(fleet, 'shop', shop.quota!);
+  }
+});
