--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -35,7 +35,7 @@
 /** Interval of pulses while a roll-out of the gate's service is on. */
 const ROLLOUT_PULSE_MS: units.Millis = 1_000;
 
-/** Share of the requests that a cold server bears in a second; later ones wait for no check. */
+/** Requests until the next health check, as a share of those that a cold server gets a second. */
 const UNCHECKED_SHARE = 0.5;
 
 /** The entry of the same node, called without a connection. */
