--- a/src/common/serving/server_availability.ts
+++ b/src/common/serving/server_availability.ts
@@ -91,6 +91,7 @@
     this.noteChange(change, 'health check', now);
     const isKnown = sample.instanceId === this.tracker.instanceId;
     if (isKnown && sample.statement) {
+      // A check that began before a pause of this process is abandoned.
       this.onStatement(sample.statement, {
         serial: this.tracker.serial,
         startedMs: now,
--- a/src/common/serving/server_statement.ts
+++ b/src/common/serving/server_statement.ts
@@ -2,7 +2,7 @@
 import * as invariants from '../invariants.js';
 import * as units from '../units.js';
 
-/** Most requests per second while a limit that was named may have been lowered unheard. */
+/** Most requests per second while it is not known whether a limit that was named still holds. */
 const UNCONFIRMED_PER_SECOND = 4;
 
 /** Kind of an answer; a server may name its limit in some kinds only. */
@@ -79,11 +79,11 @@
   /**
    * Applies the statement of an answer; returns whether the limit changed.
    *
-   * @param askedMs when the request of the answer was sent.
-   *
    * An answer without a limit withdraws it only if the previous answer of its kind named one: a
    * health check that names no limits does not contradict the answers that do. A malformed limit
    * changes nothing.
+   *
+   * @param askedMs when the request of the answer was sent.
    */
   apply({source, limit}: ServerStatement, askedMs: units.MonotonicMs): boolean {
     const before = this.perSecond;
--- a/src/node/serving/gate_runtime.ts
+++ b/src/node/serving/gate_runtime.ts
@@ -256,7 +256,7 @@
           afterEvent();
         },
         onHealthFailed: failure => {
-          // Idle connections may be silent as well; each would take a request with it.
+          // Idle connections may be silent as well, and requests sent on them get no answer.
           this.pool.dropIdle();
           this.gate.onHealthFailed(failure, clock.monotonicMs());
           afterEvent();
